--- /dev/null
+++ b/internal/tools/knownred/main.go
@@ -0,0 +1,97 @@
+// Command knownred decides whether every failure in a log of go test is listed in
+// KNOWN-RED.txt. It prints the listed failures and exits 1 on any other.
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strings"
+)
+
+func main() {
+	logPath := flag.String("log", "", "file with the output of go test")
+	listPath := flag.String("list", "KNOWN-RED.txt", "file with the known failures")
+	flag.Parse()
+	if err := run(os.Stdout, *logPath, *listPath); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(out io.Writer, logPath, listPath string) error {
+	log, err := os.ReadFile(logPath)
+	if err != nil {
+		return err
+	}
+	list, err := os.ReadFile(listPath)
+	if err != nil {
+		return err
+	}
+	known := parseKnown(string(list))
+	unknown := unlisted(out, string(log), known)
+	if len(unknown) > 0 {
+		return fmt.Errorf("failures not in %s: %s", listPath, strings.Join(unknown, ", "))
+	}
+	return nil
+}
+
+// parseKnown returns the tests listed: the text before the first "|" of each
+// line that is neither empty nor a comment, as "package TestName".
+func parseKnown(list string) map[string]bool {
+	known := map[string]bool{}
+	lines := bufio.NewScanner(strings.NewReader(list))
+	for lines.Scan() {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		test, _, _ := strings.Cut(line, "|")
+		known[strings.Join(strings.Fields(test), " ")] = true
+	}
+	return known
+}
+
+var (
+	failedTest    = regexp.MustCompile(`^--- FAIL: (\S+)`)
+	failedPackage = regexp.MustCompile(`^FAIL\s+(\S+)`)
+)
+
+// unlisted returns the failed tests that known lacks. A package that failed
+// without a failed test, such as by a panic or a build error, is never known.
+func unlisted(out io.Writer, log string, known map[string]bool) []string {
+	var unknown, pending []string
+	lines := bufio.NewScanner(strings.NewReader(log))
+	lines.Buffer(nil, 1<<24)
+	panicked := false
+	for lines.Scan() {
+		line := lines.Text()
+		if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			panicked = true
+		}
+		if m := failedTest.FindStringSubmatch(line); m != nil {
+			pending = append(pending, m[1])
+			continue
+		}
+		m := failedPackage.FindStringSubmatch(line)
+		if m == nil {
+			continue
+		}
+		if len(pending) == 0 || panicked {
+			unknown = append(unknown, m[1])
+		}
+		for _, test := range pending {
+			name := m[1] + " " + test
+			if !known[name] {
+				unknown = append(unknown, name)
+				continue
+			}
+			fmt.Fprintln(out, "KNOWN RED:", name)
+		}
+		pending, panicked = nil, false
+	}
+	return unknown
+}
--- /dev/null
+++ b/internal/tools/knownred/main_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"bytes"
+	"testing"
+)
+
+func TestUnlisted(t *testing.T) {
+	known := parseKnown("# comment\nexample.org/a TestKnown | go test | seed 1 | seen | 4\n")
+	for _, c := range []struct {
+		name, log string
+		want      int
+	}{
+		{"known failure", "--- FAIL: TestKnown (0.1s)\nFAIL\nFAIL\texample.org/a\t0.1s\n", 0},
+		{"other failure", "--- FAIL: TestOther (0.1s)\nFAIL\nFAIL\texample.org/a\t0.1s\n", 1},
+		{"same name elsewhere", "--- FAIL: TestKnown (0.1s)\nFAIL\texample.org/b\t0.1s\n", 1},
+		{"build failure", "FAIL\texample.org/a [build failed]\n", 1},
+		{"panic in a known test", "--- FAIL: TestKnown (0.1s)\npanic: x\nFAIL\texample.org/a\t0.1s\n", 1},
+	} {
+		var out bytes.Buffer
+		if got := unlisted(&out, c.log, known); len(got) != c.want {
+			t.Errorf("%s: unlisted = %v, want %d", c.name, got, c.want)
+		}
+	}
+}
