--- /dev/null
+++ b/internal/tools/deps/deps.go
@@ -0,0 +1,35 @@
+// Package deps keeps the module's requirements stable while the packages that
+// use them are written on separate branches.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/ThreeDotsLabs/watermill/message"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cenkalti/backoff/v5"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/cockroachdb/datadriven"
+	_ "github.com/cockroachdb/errors"
+	_ "github.com/go-chi/chi/v5"
+	_ "github.com/google/uuid"
+	_ "github.com/klauspost/compress/zstd"
+	_ "github.com/pelletier/go-toml/v2"
+	_ "github.com/sirupsen/logrus"
+	_ "github.com/uber-go/tally/v4"
+	_ "github.com/uber-go/tally/v4/prometheus"
+	_ "github.com/urfave/cli/v3"
+	_ "go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	_ "go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	_ "go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	_ "go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	_ "go.opentelemetry.io/otel/sdk/trace"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg"
+	_ "google.golang.org/grpc"
+	_ "google.golang.org/protobuf/proto"
+	_ "pgregory.net/rapid"
+)
