--- /dev/null
+++ b/internal/settings/entry_check.go
@@ -0,0 +1,256 @@
+package settings
+
+import (
+	"strconv"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+const (
+	defaultToolTimeoutSeconds = 30
+	defaultPatienceSeconds    = 60
+	defaultHoldSeconds        = 20
+	defaultMaxQueue           = 64
+	// minTokenBytes bounds bearer tokens from below against guessing.
+	minTokenBytes = 16
+)
+
+func defaultEntry() *Entry {
+	return &Entry{
+		Budget: Budget{Tokens: 2_000_000, Calls: 400, ToolTime: seconds(600), Depth: 3, Agents: 32},
+		Limits: Limits{BodyBytes: 4 << 20, HeaderBytes: 32 << 10, HistoryTokens: 400_000, RingSize: 1024, OpenPrograms: 4000},
+		Journal: Journal{
+			CommitMinInterval:   milliseconds(5),
+			CommitMaxInterval:   milliseconds(250),
+			WriteSharePerSecond: 60,
+			CheckpointEvery:     256,
+			InlineBytes:         64 << 10,
+		},
+		PresetSpread:  PresetSpread{PollInterval: milliseconds(250), Pollers: 3, CutOffAfter: seconds(2)},
+		Membership:    Membership{Heartbeat: milliseconds(200), Suspicion: seconds(1), VMListInterval: seconds(1)},
+		ShutdownGrace: seconds(30),
+		Telemetry:     defaultTelemetry(),
+		Log:           defaultLog(),
+	}
+}
+
+// fillDefaults sets the defaults that depend on other keys or stand in lists.
+func (s *Entry) fillDefaults() {
+	if s.AdvertisePeer == "" {
+		s.AdvertisePeer = s.ListenPeer
+	}
+	for i := range s.Tools {
+		if s.Tools[i].Timeout == 0 {
+			s.Tools[i].Timeout = seconds(defaultToolTimeoutSeconds)
+		}
+	}
+	for i := range s.Services {
+		if s.Services[i].Kind == "" {
+			s.Services[i].Kind = structs.KindApplication
+		}
+		if s.Services[i].Timeout == 0 {
+			s.Services[i].Timeout = seconds(defaultToolTimeoutSeconds)
+		}
+	}
+	for i := range s.Presets {
+		fillPreset(&s.Presets[i])
+	}
+}
+
+// fillPreset sets the defaults of a preset: policy "cost", max_queue 64, hold_max 20s,
+// and 60s of patience for program kinds that it does not name (kind "default").
+func fillPreset(p *structs.Preset) {
+	if p.Policy == "" {
+		p.Policy = "cost"
+	}
+	if p.MaxQueue == 0 {
+		p.MaxQueue = defaultMaxQueue
+	}
+	if p.HoldMax == 0 {
+		p.HoldMax = seconds(defaultHoldSeconds)
+	}
+	if p.Patience == nil {
+		p.Patience = make(map[string]structs.Duration)
+	}
+	if _, found := p.Patience[DefaultKind]; !found {
+		p.Patience[DefaultKind] = seconds(defaultPatienceSeconds)
+	}
+}
+
+// DefaultKind is the key of a preset's patience for program kinds that it does not name.
+const DefaultKind = "default"
+
+func (s *Entry) check(c *checker) {
+	c.name("node", string(s.Node))
+	c.required("vm", string(s.VM))
+	c.required("failure_domain", string(s.FailureDomain))
+	c.required("region", s.Region)
+	c.address("listen_http", s.ListenHTTP)
+	c.address("listen_peer", s.ListenPeer)
+	c.address("advertise_peer", s.AdvertisePeer)
+	c.httpURL("platform_url", s.PlatformURL)
+	s.checkPeers(c)
+	s.checkSides(c)
+	s.checkTools(c)
+	s.checkTokens(c)
+	s.checkBudget(c)
+	s.checkLimits(c)
+	s.checkJournal(c)
+	s.checkPresets(c)
+	s.checkTimings(c)
+	s.TLS.check(c)
+	s.Telemetry.check(c)
+	s.Log.check(c)
+}
+
+func (s *Entry) checkPeers(c *checker) {
+	seen := map[string]string{s.AdvertisePeer: "advertise_peer"}
+	for i, p := range s.Peers {
+		key := "peers[" + strconv.Itoa(i) + "]"
+		c.address(key, p)
+		c.unique(key, p, seen)
+	}
+}
+
+func (s *Entry) checkSides(c *checker) {
+	upstreams := map[string]string{}
+	addresses := map[string]string{}
+	for i, side := range s.Sides {
+		c.name(at("sides", i, "upstream"), string(side.Upstream))
+		c.unique(at("sides", i, "upstream"), string(side.Upstream), upstreams)
+		c.kind(at("sides", i, "kind"), side.Kind)
+		c.address(at("sides", i, "address"), side.Address)
+		c.unique(at("sides", i, "address"), side.Address, addresses)
+		c.required(at("sides", i, "vm"), string(side.VM))
+		c.required(at("sides", i, "failure_domain"), string(side.FailureDomain))
+	}
+}
+
+// kind checks a kind of upstream.
+func (c *checker) kind(key string, k structs.UpstreamKind) {
+	c.oneOf(key, string(k), string(structs.KindModel), string(structs.KindApplication))
+}
+
+func (s *Entry) checkTools(c *checker) {
+	tools := map[string]string{structs.AgentTool: "the sub-agent tool"}
+	for i, t := range s.Tools {
+		c.name(at("tools", i, "name"), t.Name)
+		c.unique(at("tools", i, "name"), t.Name, tools)
+		c.httpURL(at("tools", i, "url"), t.URL)
+		c.duration(at("tools", i, "timeout"), t.Timeout)
+	}
+	services := map[string]string{}
+	for i, v := range s.Services {
+		c.name(at("services", i, "name"), v.Name)
+		c.unique(at("services", i, "name"), v.Name, services)
+		c.kind(at("services", i, "kind"), v.Kind)
+		c.duration(at("services", i, "timeout"), v.Timeout)
+	}
+}
+
+func (s *Entry) checkTokens(c *checker) {
+	seen := map[string]string{}
+	for i, caller := range s.Callers {
+		c.token(at("callers", i, "token"), caller.Token, seen)
+		c.name(at("callers", i, "organisation"), string(caller.Organisation))
+	}
+	for i, o := range s.Operators {
+		c.token(at("operators", i, "token"), o.Token, seen)
+		c.required(at("operators", i, "name"), o.Name)
+	}
+}
+
+// token checks a bearer token; errors never show it.
+func (c *checker) token(key, token string, seen map[string]string) {
+	if len(token) < minTokenBytes {
+		c.fail(key, "is shorter than %d bytes", minTokenBytes)
+	}
+	if other, found := seen[token]; found {
+		c.fail(key, "is the same token as %q", other)
+	}
+	seen[token] = key
+}
+
+func (s *Entry) checkBudget(c *checker) {
+	c.positive("budget.tokens", s.Budget.Tokens)
+	c.positive("budget.calls", s.Budget.Calls)
+	c.duration("budget.tool_time", s.Budget.ToolTime)
+	if s.Budget.Depth < 0 {
+		c.fail("budget.depth", "%d is below 0", s.Budget.Depth)
+	}
+	if s.Budget.Agents < 0 {
+		c.fail("budget.agents", "%d is below 0", s.Budget.Agents)
+	}
+}
+
+func (s *Entry) checkLimits(c *checker) {
+	c.positive("limits.body_bytes", s.Limits.BodyBytes)
+	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
+	c.positive("limits.history_tokens", s.Limits.HistoryTokens)
+	c.positive("limits.ring_size", int64(s.Limits.RingSize))
+	c.positive("limits.open_programs", int64(s.Limits.OpenPrograms))
+}
+
+func (s *Entry) checkJournal(c *checker) {
+	j := s.Journal
+	c.duration("journal.commit_min_interval", j.CommitMinInterval)
+	c.atLeast("journal.commit_max_interval", j.CommitMaxInterval, "journal.commit_min_interval", j.CommitMinInterval)
+	if j.WriteSharePerSecond <= 0 {
+		c.fail("journal.write_share_per_second", "%v is not above 0", j.WriteSharePerSecond)
+	}
+	c.positive("journal.checkpoint_every", int64(j.CheckpointEvery))
+	c.positive("journal.inline_bytes", int64(j.InlineBytes))
+}
+
+func (s *Entry) checkPresets(c *checker) {
+	names := map[string]string{}
+	for i := range s.Presets {
+		p := &s.Presets[i]
+		c.unique(at("preset", i, "name"), p.Name, names)
+		if key, reason := CheckPreset(p); reason != "" {
+			c.fail(at("preset", i, key), "%s", reason)
+		}
+	}
+	if len(s.Presets) > 0 || s.InitialPreset != "" {
+		if _, found := names[s.InitialPreset]; !found {
+			c.fail("initial_preset", "%q is no preset of this file", s.InitialPreset)
+		}
+	}
+}
+
+// CheckPreset returns the first wrong key of the preset and the reason;
+// the reason is empty when the preset is sound. The operators' API uses it too.
+func CheckPreset(p *structs.Preset) (key, reason string) {
+	c := &checker{}
+	c.name("name", p.Name)
+	if p.LatencyWeight < 0 {
+		c.fail("latency_weight", "%v is below 0", p.LatencyWeight)
+	}
+	if p.WasteWeight < 0 {
+		c.fail("waste_weight", "%v is below 0", p.WasteWeight)
+	}
+	if p.LatencyWeight == 0 && p.WasteWeight == 0 {
+		c.fail("latency_weight", "is 0, and so is waste_weight")
+	}
+	for _, kind := range sortedKeys(p.Patience) {
+		c.duration("patience."+kind, p.Patience[kind])
+	}
+	c.positive("max_queue", int64(p.MaxQueue))
+	c.oneOf("policy", p.Policy, "cost", "round_robin", "least_load", "sticky_hash")
+	c.duration("hold_max", p.HoldMax)
+	if e, failed := c.err.(*Error); failed { //nolint:errorlint // fail stores this type only
+		return e.Key, e.Reason
+	}
+	return "", ""
+}
+
+func (s *Entry) checkTimings(c *checker) {
+	c.duration("preset_spread.poll_interval", s.PresetSpread.PollInterval)
+	c.positive("preset_spread.pollers", int64(s.PresetSpread.Pollers))
+	c.atLeast("preset_spread.cut_off_after", s.PresetSpread.CutOffAfter, "preset_spread.poll_interval", s.PresetSpread.PollInterval)
+	m := s.Membership
+	c.duration("membership.heartbeat", m.Heartbeat)
+	c.atLeast("membership.suspicion", m.Suspicion, "twice membership.heartbeat", 2*m.Heartbeat)
+	c.duration("membership.vm_list_interval", m.VMListInterval)
+	c.duration("shutdown_grace", s.ShutdownGrace)
+}
