--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Limits and times of connections between processes.
+const (
+	// MaxMessageBytes bounds one gRPC message: a history of 330,000 tokens and room to spare.
+	MaxMessageBytes = 8 << 20
+	keepaliveTime   = 10 * time.Second
+	keepaliveWait   = 3 * time.Second
+	minRedial       = 50 * time.Millisecond
+	maxRedial       = time.Second
+	dialTimeout     = 2 * time.Second
+)
+
+// Security says how processes authenticate each other. A nil TLS is plain TCP.
+type Security struct {
+	// TLS returns the configuration for the next handshake, so that changed keys take effect.
+	TLS func() *tls.Config
+}
+
+func (s Security) client() credentials.TransportCredentials {
+	if s.TLS == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(s.TLS())
+}
+
+func (s Security) server() credentials.TransportCredentials {
+	if s.TLS == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return s.TLS(), nil
+		},
+	})
+}
+
+// NewServer returns a gRPC server with the limits and spans of this package.
+func NewServer(s Security, versions *PresetVersions) *grpc.Server {
+	return grpc.NewServer(
+		grpc.Creds(s.server()),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.StatsHandler(otelgrpc.NewServerHandler()),
+		grpc.ChainUnaryInterceptor(versions.unaryServer),
+		grpc.ChainStreamInterceptor(versions.streamServer),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+	)
+}
+
+// Pool holds one connection to each address. Its methods may be called from any goroutine.
+type Pool struct {
+	security Security
+	versions *PresetVersions
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool.
+func NewPool(s Security, versions *PresetVersions) *Pool {
+	return &Pool{security: s, versions: versions, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Conn returns the connection to address, which dials when first used.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(p.security.client()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
+		grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
+		grpc.WithChainUnaryInterceptor(p.versions.unaryClient),
+		grpc.WithChainStreamInterceptor(p.versions.streamClient),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithContextDialer(dial),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait, PermitWithoutStream: true}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: maxRedial},
+			MinConnectTimeout: dialTimeout,
+		}))
+	if err != nil {
+		return nil, &structs.Refusal{
+			Code:    structs.CodeUpstreamFailed,
+			Outcome: structs.OutcomeNotRun,
+			Step:    "connect",
+			Peer:    address,
+			Detail:  err.Error(),
+		}
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		_ = c.Close()
+		delete(p.conns, address)
+	}
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,91 @@
+// Package peer carries calls between the system's processes over gRPC: wire
+// conversions, refusals as status details, connections with mutual TLS, and the
+// preset version that every message carries.
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// ToStatus returns err as a gRPC status error that carries the refusal in its details.
+func ToStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	r := structs.AsRefusal(err)
+	st := status.New(codeOf(r), r.Detail)
+	detailed, detailErr := st.WithDetails(&peerpb.Refusal{
+		Code:       string(r.Code),
+		Outcome:    string(r.Outcome),
+		Step:       r.Step,
+		Peer:       r.Peer,
+		RetryAfter: durationpb.New(r.RetryAfter),
+		Detail:     r.Detail,
+	})
+	if detailErr != nil {
+		return st.Err()
+	}
+	return detailed.Err()
+}
+
+func codeOf(r *structs.Refusal) codes.Code {
+	if r.Outcome == structs.OutcomeUnknown {
+		return codes.Unknown
+	}
+	return codes.FailedPrecondition
+}
+
+// FromStatus returns the refusal that a gRPC error carries. An error of the
+// transport itself gets the step and peer given and outcome unknown, since the
+// request may have been sent; the caller's own cancellation is kept as it is.
+func FromStatus(err error, step, peer string) error {
+	if err == nil {
+		return nil
+	}
+	st, ok := status.FromError(err)
+	if !ok {
+		return err
+	}
+	for _, detail := range st.Details() {
+		if r, ok := detail.(*peerpb.Refusal); ok {
+			return refusalFromPB(r, peer)
+		}
+	}
+	switch st.Code() {
+	case codes.Canceled:
+		return errors.Wrapf(context.Canceled, "%s at %s", step, peer)
+	case codes.DeadlineExceeded:
+		return errors.Wrapf(context.DeadlineExceeded, "%s at %s", step, peer)
+	}
+	return &structs.Refusal{
+		Code:    structs.CodeUpstreamFailed,
+		Outcome: structs.OutcomeUnknown,
+		Step:    step,
+		Peer:    peer,
+		Detail:  st.Message(),
+	}
+}
+
+func refusalFromPB(r *peerpb.Refusal, peer string) *structs.Refusal {
+	out := &structs.Refusal{
+		Code:       structs.Code(r.GetCode()),
+		Outcome:    structs.Outcome(r.GetOutcome()),
+		Step:       r.GetStep(),
+		Peer:       r.GetPeer(),
+		RetryAfter: r.GetRetryAfter().AsDuration(),
+		Detail:     r.GetDetail(),
+	}
+	if out.Peer == "" {
+		out.Peer = peer
+	}
+	return out
+}
