Log numbered events and set up metrics and traces

eventlog keeps a catalogue in code, one file per area, and a test compares it with docs/EVENTS.md. telemetry keeps tally's registry and the tracer provider per process instead of in globals, so the playground can run many in one process.

--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,109 @@
+package eventlog
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md from the catalogue")
+
+// areas are the headings of docs/EVENTS.md by thousands.
+var areas = map[int]string{
+	1: "Entry",
+	2: "Side",
+	3: "Journal",
+	4: "Membership",
+	5: "Programs and actions",
+	6: "Presets",
+	7: "Platform and engines",
+	8: "Tools",
+}
+
+const preface = `# Log events
+
+Each line of a log is one numbered event. It carries ` + "`event`, `node`" + ` and, where they apply, ` + "`step`, `peer`,\n" +
+	"`program`, `call`, `organisation`, `code`, `outcome`, `error`, `count`, `took`, `trace` and `detail`" + `.
+Numbers are stable. This page is written from the catalogue in internal/eventlog:
+` + "`go test ./internal/eventlog -run TestDocs -update`" + `; without the flag the test compares both.
+`
+
+// page renders the catalogue as docs/EVENTS.md.
+func page() string {
+	var b strings.Builder
+	b.WriteString(preface)
+	area := 0
+	for _, e := range Catalogue() {
+		if e.Number/1000 != area {
+			area = e.Number / 1000
+			fmt.Fprintf(&b, "\n## %s (%d–%d)\n\n| event | name | level | meaning |\n|---|---|---|---|\n", areas[area], area*1000, area*1000+999)
+		}
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s |\n", e.Number, e.Name, e.Level, e.Meaning)
+	}
+	return b.String()
+}
+
+func TestDocs(t *testing.T) {
+	path := filepath.Join("..", "..", "docs", "EVENTS.md")
+	if *update {
+		if err := os.WriteFile(path, []byte(page()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != page() {
+		t.Errorf("%s differs from the catalogue; run this test with -update", path)
+	}
+}
+
+func TestCatalogue(t *testing.T) {
+	name := regexp.MustCompile(`^[a-z]+(_[a-z]+)*$`)
+	seen := map[string]int{}
+	for _, e := range Catalogue() {
+		if areas[e.Number/1000] == "" || !name.MatchString(e.Name) || !strings.HasSuffix(e.Meaning, ".") {
+			t.Errorf("event %+v", e)
+		}
+		if other := seen[e.Name]; other != 0 {
+			t.Errorf("events %d and %d are both named %q", other, e.Number, e.Name)
+		}
+		seen[e.Name] = e.Number
+	}
+}
+
+func TestEmit(t *testing.T) {
+	var out bytes.Buffer
+	l, err := New(&out, "e1", settings.Log{Format: "json", Level: "info"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cause := &structs.Refusal{Code: structs.CodeFenced, Outcome: structs.OutcomeNotRun, Step: "order", Peer: "s1"}
+	l.Emit(OrderFenced, Fields{Peer: "side-1", Count: 4, Err: errors.Wrap(cause, "load model")})
+	l.Emit(HoldGranted, Fields{Detail: "below the level"})
+	line := out.String()
+	for _, want := range []string{
+		fmt.Sprintf(`"event":%d`, OrderFenced.Number), `"msg":"order_fenced"`, `"level":"warning"`, `"node":"e1"`,
+		`"step":"order"`, `"peer":"side-1"`, `"code":"fenced"`, `"outcome":"not_run"`, `"count":4`,
+	} {
+		if !strings.Contains(line, want) {
+			t.Errorf("%s misses %s", line, want)
+		}
+	}
+	if strings.Count(line, "\n") != 1 {
+		t.Errorf("lines %q", line)
+	}
+	if _, err := New(&out, "e1", settings.Log{Level: "loud"}); err == nil {
+		t.Error("unknown level accepted")
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,157 @@
+// Package telemetry sets up the metrics and traces of one process: a tally root
+// scope that Prometheus scrapes, and an OpenTelemetry tracer whose context
+// travels on HTTP headers and gRPC metadata. It sets no global, so that several
+// processes' parts may run in one process, as the playground does.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// reportInterval is the time between two moves of tally's values to the scraped registry.
+const reportInterval = time.Second
+
+// metricPrefix begins the name of each metric.
+const metricPrefix = "buckthorn"
+
+// Options says whose telemetry is set up.
+type Options struct {
+	// Service is the program's name, such as "buckthorn-entry".
+	Service string
+	Node    structs.NodeID
+	Domain  structs.FailureDomain
+	// Stdout takes the spans of the stdout exporter; os.Stdout when nil.
+	Stdout io.Writer
+	// OnMetricError is told when a metric can't be registered; the metric is then
+	// not scraped. Nil ignores it.
+	OnMetricError func(error)
+}
+
+// Telemetry is the metrics and traces of one process.
+type Telemetry struct {
+	// Scope is the root scope; each metric carries the tag "node".
+	Scope tally.Scope
+	// Provider makes tracers; Tracer is the process's own.
+	Provider trace.TracerProvider
+	Tracer   trace.Tracer
+	// Propagator carries W3C trace context and baggage.
+	Propagator propagation.TextMapPropagator
+
+	metrics  http.Handler
+	closer   io.Closer
+	provider *sdktrace.TracerProvider
+}
+
+// New sets up telemetry by the settings. The caller must Shutdown it.
+func New(ctx context.Context, s settings.Telemetry, o Options) (*Telemetry, error) {
+	exporter, err := newExporter(ctx, s, o.Stdout)
+	if err != nil {
+		return nil, errors.Wrapf(err, "trace exporter %q", s.Traces)
+	}
+	t := &Telemetry{
+		Provider:   noop.NewTracerProvider(),
+		Propagator: propagation.NewCompositeTextMapPropagator(propagation.TraceContext{}, propagation.Baggage{}),
+	}
+	t.startMetrics(o)
+	if exporter != nil {
+		t.startTraces(exporter, s.SampleRatio, o)
+	}
+	t.Tracer = t.Provider.Tracer("github.com/buckthornroute/buckthornroute")
+	return t, nil
+}
+
+// Disabled returns telemetry that keeps and exports nothing, for tests and embedders.
+func Disabled() *Telemetry {
+	provider := noop.NewTracerProvider()
+	return &Telemetry{
+		Scope:      tally.NoopScope,
+		Provider:   provider,
+		Tracer:     provider.Tracer(""),
+		Propagator: propagation.TraceContext{},
+		metrics:    http.NotFoundHandler(),
+	}
+}
+
+func newExporter(ctx context.Context, s settings.Telemetry, stdout io.Writer) (sdktrace.SpanExporter, error) {
+	switch s.Traces {
+	case settings.TracesStdout:
+		if stdout == nil {
+			stdout = os.Stdout
+		}
+		return stdouttrace.New(stdouttrace.WithWriter(stdout))
+	case settings.TracesOTLP:
+		return otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.Endpoint))
+	default:
+		return nil, nil
+	}
+}
+
+func (t *Telemetry) startMetrics(o Options) {
+	registry := prometheus.NewRegistry()
+	onError := o.OnMetricError
+	if onError == nil {
+		onError = func(error) {}
+	}
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:       registry,
+		DefaultTimerType: tallyprom.HistogramTimerType,
+		OnRegisterError:  onError,
+	})
+	t.metrics = reporter.HTTPHandler()
+	t.Scope, t.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          metricPrefix,
+		Tags:            map[string]string{"node": string(o.Node)},
+		CachedReporter:  reporter,
+		Separator:       tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, reportInterval)
+}
+
+func (t *Telemetry) startTraces(exporter sdktrace.SpanExporter, ratio float64, o Options) {
+	t.provider = sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		// A caller's decision to sample is honoured; the ratio is for traces begun here.
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(ratio))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", o.Service),
+			attribute.String("service.instance.id", string(o.Node)),
+			attribute.String("failure_domain", string(o.Domain)),
+		)),
+	)
+	t.Provider = t.provider
+}
+
+// MetricsHandler serves the metrics in Prometheus' text form.
+func (t *Telemetry) MetricsHandler() http.Handler { return t.metrics }
+
+// Shutdown reports the last values, exports the spans that wait and stops the
+// goroutines of both, within ctx.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	var err error
+	if t.closer != nil {
+		err = t.closer.Close()
+	}
+	if t.provider != nil {
+		err = errors.CombineErrors(err, t.provider.Shutdown(ctx))
+	}
+	return err
+}
