Add routing, admission and cache models as pure packages

Cost policy with baselines, the state of upstreams as an entry knows it, the admission machine, the queue order of an upstream and the prefix cache model.

--- /dev/null
+++ b/kvcache/blocks.go
@@ -0,0 +1,102 @@
+package kvcache
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BlockTokens is the number of tokens that one block covers.
+	BlockTokens = 256
+	// BlockBytes is the number of bytes of rendered text that one block covers.
+	BlockBytes = BlockTokens * structs.BytesPerToken
+)
+
+// Separators of the rendered text; neither occurs in a role.
+const (
+	endOfField   = "\x1f"
+	endOfMessage = "\x1e"
+)
+
+// Chain cuts a growing conversation into blocks. Each block's hash covers all text
+// before it, so equal hashes mean equal prefixes. The zero value is an empty
+// conversation. A Chain must be copied with Clone.
+type Chain struct {
+	blocks []uint64
+	digest xxhash.Digest
+	fill   int
+	bytes  int
+}
+
+// Blocks returns the hashes of the full blocks of the conversation.
+func Blocks(messages []structs.Message) []uint64 {
+	var c Chain
+	c.Append(messages...)
+	return c.blocks
+}
+
+// Append extends the conversation by messages. Its cost grows with their length
+// alone, not with that of the conversation.
+func (c *Chain) Append(messages ...structs.Message) {
+	for i := range messages {
+		c.appendMessage(&messages[i])
+	}
+}
+
+// Clone returns a copy that can be extended without touching c.
+func (c *Chain) Clone() Chain {
+	out := *c
+	out.blocks = slices.Clip(c.blocks)
+	return out
+}
+
+// Blocks returns the hashes of the full blocks. The caller must not change them.
+func (c *Chain) Blocks() []uint64 { return c.blocks }
+
+// Tokens estimates the rendered length of the conversation in tokens.
+func (c *Chain) Tokens() int {
+	return (c.bytes + structs.BytesPerToken - 1) / structs.BytesPerToken
+}
+
+func (c *Chain) appendMessage(m *structs.Message) {
+	c.write(string(m.Role))
+	c.write(endOfField)
+	c.write(m.Content)
+	for i := range m.ToolCalls {
+		c.write(endOfField)
+		c.write(m.ToolCalls[i].Name)
+		c.write(endOfField)
+		c.write(m.ToolCalls[i].Arguments)
+	}
+	c.write(endOfMessage)
+}
+
+func (c *Chain) write(text string) {
+	if c.bytes == 0 {
+		c.digest.Reset()
+	}
+	c.bytes += len(text)
+	for len(text) > 0 {
+		n := min(len(text), BlockBytes-c.fill)
+		_, _ = c.digest.WriteString(text[:n])
+		text = text[n:]
+		c.fill += n
+		if c.fill == BlockBytes {
+			c.seal()
+		}
+	}
+}
+
+// seal ends the present block and seeds the next one with its hash.
+func (c *Chain) seal() {
+	sum := c.digest.Sum64()
+	c.blocks = append(c.blocks, sum)
+	c.fill = 0
+	c.digest.Reset()
+	var seed [8]byte
+	binary.BigEndian.PutUint64(seed[:], sum)
+	_, _ = c.digest.Write(seed[:])
+}
--- /dev/null
+++ b/routing/cost.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Cost takes the candidate of least cost: the latency weight times the predicted
+// finish and the delay that the call adds to those beside it, plus the waste weight
+// times the seconds of prefill that are computed again or pushed out of the cache.
+type Cost struct {
+	latency  float64
+	waste    float64
+	maxQueue int
+	cached   []int
+}
+
+// NewCost returns the policy with the preset's weights; weights that are both zero
+// count as a latency weight of 1.
+func NewCost(preset structs.Preset) *Cost {
+	p := &Cost{latency: preset.LatencyWeight, waste: preset.WasteWeight, maxQueue: preset.MaxQueue}
+	if p.latency == 0 && p.waste == 0 {
+		p.latency = 1
+	}
+	return p
+}
+
+// Choose implements Policy.
+func (p *Cost) Choose(now time.Time, call *structs.ModelCall, blocks []uint64, candidates []Candidate) (Decision, bool) {
+	prompt := promptTokens(call)
+	most := p.believe(now, call, blocks, candidates)
+	var best Decision
+	found := false
+	for i := range candidates {
+		if p.cached[i] < 0 {
+			continue
+		}
+		c := &candidates[i]
+		cached := min(prompt, p.cached[i])
+		d := predictCached(call, c, prompt, cached)
+		d.RecomputedTokens = max(0, min(most, prompt)-cached)
+		d.Cost = p.cost(c, &d)
+		if !found || d.Cost < best.Cost {
+			best, found = d, true
+		}
+	}
+	return best, found
+}
+
+// believe fills p.cached with the believed cached tokens of each candidate, -1 for
+// one that may not take the call, and returns the most.
+func (p *Cost) believe(now time.Time, call *structs.ModelCall, blocks []uint64, candidates []Candidate) int {
+	p.cached = p.cached[:0]
+	most := 0
+	for i := range candidates {
+		c := &candidates[i]
+		tokens := -1
+		if usable(c, call.Model, p.maxQueue) {
+			tokens = 0
+			if c.Cache != nil {
+				tokens = kvcache.BlockTokens * c.Cache.Cached(now, blocks)
+			}
+		}
+		most = max(most, tokens)
+		p.cached = append(p.cached, tokens)
+	}
+	return most
+}
+
+func (p *Cost) cost(c *Candidate, d *Decision) float64 {
+	latency := d.Finish().Seconds() + delayToOthers(c, d)
+	waste := float64(d.RecomputedTokens+evictedTokens(c, d)) / prefillRate(&c.Load)
+	return p.latency*latency + p.waste*waste
+}
+
+// delayToOthers returns the seconds that the call adds to the calls that run beside
+// it: its prefill, shared by the batch, and the longer step for its generation.
+func delayToOthers(c *Candidate, d *Decision) float64 {
+	others := min(c.Load.Running, batchLimit(&c.Load))
+	perStep := c.Step.Growth() * float64(d.Generate)
+	return float64(others) * perStep
+}
+
+// evictedTokens returns how many tokens of others the call pushes out of a full cache.
+func evictedTokens(c *Candidate, d *Decision) int {
+	if c.Load.KVLimitTokens <= 0 {
+		return 0
+	}
+	need := int64(d.PrefillTokens + d.Generate)
+	over := c.Load.KVUsedTokens + need - c.Load.KVLimitTokens
+	return int(max(0, min(over, need)))
+}
