--- /dev/null
+++ b/internal/home/remote.go
@@ -0,0 +1,120 @@
+package home
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Remote is a home in another entry.
+type Remote struct {
+	client peerpb.HomeClient
+	peer   string
+}
+
+// NewRemote returns the home behind the connection; peer names it in errors.
+func NewRemote(conn *grpc.ClientConn, peer string) *Remote {
+	return &Remote{client: peerpb.NewHomeClient(conn), peer: peer}
+}
+
+var _ Home = (*Remote)(nil)
+
+// Open implements Home.
+func (r *Remote) Open(ctx context.Context, spec structs.ProgramSpec) (structs.ProgramID, error) {
+	reply, err := r.client.Open(ctx, &peerpb.OpenRequest{Spec: peer.SpecToPB(spec)})
+	if err != nil {
+		return "", peer.FromStatus(err, "open", r.peer)
+	}
+	return structs.ProgramID(reply.GetProgram()), nil
+}
+
+// Turn implements Home.
+func (r *Remote) Turn(ctx context.Context, turn Turn, event func(structs.TurnEvent) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := r.client.Turn(ctx, &peerpb.TurnRequest{
+		Program:      string(turn.Program),
+		Organisation: string(turn.Organisation),
+		Number:       turn.Number,
+		Key:          turn.Key,
+		Content:      turn.Content,
+		Attach:       turn.Attach,
+	})
+	if err != nil {
+		return peer.FromStatus(err, "turn", r.peer)
+	}
+	return r.receive(stream, event)
+}
+
+func (r *Remote) receive(stream grpc.ServerStreamingClient[peerpb.TurnEvent], event func(structs.TurnEvent) error) error {
+	answered := false
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			if answered {
+				return nil
+			}
+			return &structs.Refusal{
+				Code:    structs.CodeHomeUnreachable,
+				Outcome: structs.OutcomeUnknown,
+				Step:    "turn",
+				Peer:    r.peer,
+				Detail:  "the stream of the turn ended before its answer",
+			}
+		}
+		if err != nil {
+			return peer.FromStatus(err, "turn", r.peer)
+		}
+		e := peer.TurnEventFromPB(m)
+		answered = answered || e.Answer != nil
+		if err := event(e); err != nil {
+			return err
+		}
+	}
+}
+
+// End implements Home.
+func (r *Remote) End(ctx context.Context, end End) error {
+	_, err := r.client.End(ctx, &peerpb.EndRequest{
+		Program:      string(end.Program),
+		Organisation: string(end.Organisation),
+		Cancel:       end.Cancel,
+	})
+	return peer.FromStatus(err, "end", r.peer)
+}
+
+// Read implements Home.
+func (r *Remote) Read(ctx context.Context, read Read) (structs.ProgramView, error) {
+	reply, err := r.client.Read(ctx, &peerpb.ReadRequest{
+		Program:      string(read.Program),
+		Organisation: string(read.Organisation),
+		History:      read.History,
+	})
+	if err != nil {
+		return structs.ProgramView{}, peer.FromStatus(err, "read", r.peer)
+	}
+	return peer.ViewFromPB(reply.GetProgram()), nil
+}
+
+// List implements Home.
+func (r *Remote) List(ctx context.Context, list List) ([]structs.ProgramView, error) {
+	reply, err := r.client.List(ctx, &peerpb.ListRequest{
+		Organisation: string(list.Organisation),
+		After:        string(list.After),
+		Limit:        int32(list.Limit),
+	})
+	if err != nil {
+		return nil, peer.FromStatus(err, "list", r.peer)
+	}
+	views := make([]structs.ProgramView, len(reply.GetPrograms()))
+	for i, p := range reply.GetPrograms() {
+		views[i] = peer.ViewFromPB(p)
+	}
+	return views, nil
+}
