--- /dev/null
+++ b/internal/command/end_program.go
@@ -0,0 +1,22 @@
+package command
+
+import (
+	"context"
+
+	"github.com/buckthornroute/buckthornroute/internal/home"
+)
+
+// EndProgram ends a program; with Cancel its running turn too.
+type EndProgram struct {
+	End home.End
+}
+
+// EndProgramHandler handles EndProgram.
+type EndProgramHandler struct {
+	Home home.Home
+}
+
+// Handle ends the program and all its sub-agents. Ending it again changes nothing.
+func (h EndProgramHandler) Handle(ctx context.Context, c EndProgram) error {
+	return h.Home.End(ctx, c.End)
+}
--- /dev/null
+++ b/internal/command/open_program.go
@@ -0,0 +1,53 @@
+package command
+
+import (
+	"context"
+
+	"github.com/buckthornroute/buckthornroute/internal/home"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// OpenProgram opens a program for an organisation.
+type OpenProgram struct {
+	Spec structs.ProgramSpec
+}
+
+// OpenProgramHandler handles OpenProgram.
+type OpenProgramHandler struct {
+	Home   home.Home
+	Limits Limits
+}
+
+// Handle returns the id of the opened program; a command repeated with its key returns the same id.
+func (h OpenProgramHandler) Handle(ctx context.Context, c OpenProgram) (structs.ProgramID, error) {
+	const step = "open program"
+	if c.Spec.Kind == "" {
+		return "", badRequest(step, "the program's kind is empty")
+	}
+	if c.Spec.Model == "" {
+		return "", badRequest(step, "the program's model is empty")
+	}
+	if c.Spec.Parent != "" || c.Spec.Depth != 0 {
+		return "", badRequest(step, "a caller cannot name parent %q or depth %d", c.Spec.Parent, c.Spec.Depth)
+	}
+	if err := checkBudget(step, c.Spec.Budget); err != nil {
+		return "", err
+	}
+	if c.Spec.Patience < 0 {
+		return "", badRequest(step, "patience %s is negative", c.Spec.Patience)
+	}
+	if err := h.Limits.checkContent(step, "the system text", c.Spec.System); err != nil {
+		return "", err
+	}
+	if err := h.Limits.checkKey(step, c.Spec.Key); err != nil {
+		return "", err
+	}
+	return h.Home.Open(ctx, c.Spec)
+}
+
+func checkBudget(step string, b structs.Budget) error {
+	if b.Tokens < 0 || b.Calls < 0 || b.ToolTime < 0 || b.Depth < 0 || b.Agents < 0 {
+		return badRequest(step, "budget %+v has a negative part", b)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/put_preset.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"context"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// PutPreset defines a preset or replaces its definition.
+type PutPreset struct {
+	Preset structs.Preset
+}
+
+// Presets changes presets.
+type Presets interface {
+	Put(ctx context.Context, preset structs.Preset) error
+	// Switch puts the named preset in force. An expected version above zero that
+	// is no longer the one in force gives CodeConflict.
+	Switch(ctx context.Context, name, operator string, expected uint64) (structs.PresetInForce, error)
+}
+
+// PutPresetHandler handles PutPreset.
+type PutPresetHandler struct {
+	Presets Presets
+}
+
+// policies are the values of a preset's policy.
+var policies = map[string]bool{"cost": true, "round_robin": true, "least_load": true, "sticky_hash": true}
+
+// Handle checks the preset and stores it. A definition is not in force until it is switched to.
+func (h PutPresetHandler) Handle(ctx context.Context, c PutPreset) error {
+	const step = "put preset"
+	p := c.Preset
+	if p.Name == "" {
+		return badRequest(step, "the preset's name is empty")
+	}
+	if !policies[p.Policy] {
+		return badRequest(step, "preset %q has unknown policy %q", p.Name, p.Policy)
+	}
+	if p.LatencyWeight < 0 || p.WasteWeight < 0 {
+		return badRequest(step, "preset %q has a negative weight: latency %v, waste %v", p.Name, p.LatencyWeight, p.WasteWeight)
+	}
+	if p.MaxQueue < 1 {
+		return badRequest(step, "preset %q has max_queue %d, which is below 1", p.Name, p.MaxQueue)
+	}
+	for kind, patience := range p.Patience {
+		if patience <= 0 {
+			return badRequest(step, "preset %q has a patience for %q that is not positive", p.Name, kind)
+		}
+	}
+	return h.Presets.Put(ctx, p)
+}
--- /dev/null
+++ b/internal/command/settle_action.go
@@ -0,0 +1,39 @@
+package command
+
+import (
+	"context"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// SettleAction records what an operator found of an action in doubt.
+type SettleAction struct {
+	Organisation structs.OrganisationID
+	Key          string
+	// Outcome is OutcomeRan, with its result, or OutcomeNotRun.
+	Outcome  structs.Outcome
+	Result   string
+	Operator string
+}
+
+// Actions settles actions in doubt.
+type Actions interface {
+	Settle(ctx context.Context, c SettleAction) error
+}
+
+// SettleActionHandler handles SettleAction.
+type SettleActionHandler struct {
+	Actions Actions
+}
+
+// Handle records the outcome. An action that is not in doubt gives CodeConflict.
+func (h SettleActionHandler) Handle(ctx context.Context, c SettleAction) error {
+	const step = "settle action"
+	if c.Organisation == "" || c.Key == "" {
+		return badRequest(step, "organisation %q or key %q is empty", c.Organisation, c.Key)
+	}
+	if c.Outcome != structs.OutcomeRan && c.Outcome != structs.OutcomeNotRun {
+		return badRequest(step, "outcome %q is neither %q nor %q", c.Outcome, structs.OutcomeRan, structs.OutcomeNotRun)
+	}
+	return h.Actions.Settle(ctx, c)
+}
--- /dev/null
+++ b/internal/httpapi/api.go
@@ -0,0 +1,131 @@
+// Package httpapi serves callers and operators over HTTP. It reads and checks
+// requests, hands them to commands and queries, and writes their results; it
+// decides nothing itself. Every error is a problem document after RFC 9457.
+package httpapi
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"github.com/buckthornroute/buckthornroute/internal/command"
+	"github.com/buckthornroute/buckthornroute/internal/home"
+	"github.com/buckthornroute/buckthornroute/internal/query"
+)
+
+// Config is what the API serves.
+type Config struct {
+	Tokens *Tokens
+	Home   home.Home
+	// Services runs plain services.
+	Services command.Invoker
+	Presets  command.Presets
+	Drainer  command.Drainer
+	Actions  command.Actions
+	System   query.System
+	Limits   command.Limits
+	// BodyBytes bounds a request body.
+	BodyBytes int64
+	// NotReady returns why the process takes no new work, or "".
+	NotReady func() string
+	// Metrics serves GET /metrics.
+	Metrics http.Handler
+}
+
+// DefaultBodyBytes bounds a request body when the settings do not.
+const DefaultBodyBytes = 2 << 20
+
+// maxHeaderBytes bounds the headers of a request.
+const maxHeaderBytes = 16 << 10
+
+// readHeaderTimeout bounds how long a caller may take to send the headers.
+const readHeaderTimeout = 10 * time.Second
+
+type api struct {
+	Config
+
+	open     command.OpenProgramHandler
+	turn     command.SendTurnHandler
+	end      command.EndProgramHandler
+	invoke   command.InvokeServiceHandler
+	put      command.PutPresetHandler
+	switchTo command.SwitchPresetHandler
+	drain    command.DrainVMHandler
+	settle   command.SettleActionHandler
+	read     query.ReadProgramHandler
+	list     query.ListProgramsHandler
+}
+
+// New returns the handler of all routes.
+func New(c Config) http.Handler {
+	if c.BodyBytes == 0 {
+		c.BodyBytes = DefaultBodyBytes
+	}
+	a := &api{
+		Config:   c,
+		open:     command.OpenProgramHandler{Home: c.Home, Limits: c.Limits},
+		turn:     command.SendTurnHandler{Home: c.Home, Limits: c.Limits},
+		end:      command.EndProgramHandler{Home: c.Home},
+		invoke:   command.InvokeServiceHandler{Services: c.Services, Limits: c.Limits},
+		put:      command.PutPresetHandler{Presets: c.Presets},
+		switchTo: command.SwitchPresetHandler{Presets: c.Presets},
+		drain:    command.DrainVMHandler{Drainer: c.Drainer},
+		settle:   command.SettleActionHandler{Actions: c.Actions},
+		read:     query.ReadProgramHandler{Home: c.Home},
+		list:     query.ListProgramsHandler{Home: c.Home},
+	}
+	r := chi.NewRouter()
+	r.Use(recoverPanic)
+	r.NotFound(a.notFound)
+	r.MethodNotAllowed(a.notFound)
+	r.Get("/healthz", a.healthz)
+	r.Get("/readyz", a.readyz)
+	if c.Metrics != nil {
+		r.Handle("/metrics", c.Metrics)
+	}
+	r.Route("/v1", a.callerRoutes)
+	r.Route("/operator", a.operatorRoutes)
+	return otelhttp.NewHandler(r, "http")
+}
+
+func (a *api) callerRoutes(r chi.Router) {
+	r.Use(a.Tokens.requireCaller)
+	r.Get("/programs", a.listOwnPrograms)
+	r.Post("/programs", a.openProgram)
+	r.Get("/programs/{program}", a.readProgram)
+	r.Delete("/programs/{program}", a.closeProgram)
+	r.Get("/programs/{program}/history", a.readHistory)
+	r.Post("/programs/{program}/turns", a.sendTurn)
+	r.Get("/programs/{program}/turns/{turn}", a.attachTurn)
+	r.Post("/programs/{program}/cancel", a.cancelProgram)
+	r.Post("/services/{service}", a.invokeService)
+}
+
+func (a *api) operatorRoutes(r chi.Router) {
+	r.Use(a.Tokens.requireOperator)
+	r.Get("/presets", a.listPresets)
+	r.Get("/presets/{preset}", a.showPreset)
+	r.Put("/presets/{preset}", a.putPreset)
+	r.Post("/presets/{preset}/switch", a.switchPreset)
+	r.Get("/preset", a.presetInForce)
+	r.Get("/nodes", a.listNodes)
+	r.Post("/vms/{vm}/drain", a.drainVM)
+	r.Post("/vms/{vm}/undrain", a.undrainVM)
+	r.Get("/programs", a.listPrograms)
+	r.Get("/programs/{program}", a.readProgram)
+	r.Get("/programs/{program}/history", a.readHistory)
+	r.Get("/actions", a.listActions)
+	r.Post("/actions/settle", a.settleAction)
+	r.Get("/status", a.status)
+}
+
+// NewServer returns an HTTP server with the limits of this package.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/httpapi/auth.go
@@ -0,0 +1,99 @@
+package httpapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"strings"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Tokens maps bearer tokens to who they name. Callers and operators are kept
+// apart: neither's token opens the other's routes.
+type Tokens struct {
+	callers   map[[sha256.Size]byte]structs.OrganisationID
+	operators map[[sha256.Size]byte]string
+}
+
+// NewTokens returns the tokens given; they are held as hashes, so that a lookup
+// takes the same time whichever byte differs.
+func NewTokens(callers map[string]structs.OrganisationID, operators map[string]string) *Tokens {
+	t := &Tokens{
+		callers:   map[[sha256.Size]byte]structs.OrganisationID{},
+		operators: map[[sha256.Size]byte]string{},
+	}
+	for token, organisation := range callers {
+		t.callers[sha256.Sum256([]byte(token))] = organisation
+	}
+	for token, operator := range operators {
+		t.operators[sha256.Sum256([]byte(token))] = operator
+	}
+	return t
+}
+
+type contextKey int
+
+const (
+	organisationKey contextKey = iota
+	operatorKey
+)
+
+func organisationOf(ctx context.Context) structs.OrganisationID {
+	organisation, _ := ctx.Value(organisationKey).(structs.OrganisationID)
+	return organisation
+}
+
+func operatorOf(ctx context.Context) string {
+	operator, _ := ctx.Value(operatorKey).(string)
+	return operator
+}
+
+func bearer(r *http.Request) ([sha256.Size]byte, error) {
+	scheme, token, found := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return [sha256.Size]byte{}, structs.Refusalf(structs.CodeUnauthorized, structs.OutcomeNotRun, "authenticate",
+			"the Authorization header shows no bearer token")
+	}
+	return sha256.Sum256([]byte(strings.TrimSpace(token))), nil
+}
+
+func errUnknownToken(who string) error {
+	return structs.Refusalf(structs.CodeUnauthorized, structs.OutcomeNotRun, "authenticate", "the token is not a %s's", who)
+}
+
+// requireCaller lets requests with a caller's token through.
+func (t *Tokens) requireCaller(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, err := bearer(r)
+		if err != nil {
+			writeProblem(w, err)
+			return
+		}
+		organisation, known := t.callers[token]
+		if !known {
+			writeProblem(w, errUnknownToken("caller"))
+			return
+		}
+		ctx := context.WithValue(r.Context(), organisationKey, organisation)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// requireOperator lets requests with an operator's token through.
+func (t *Tokens) requireOperator(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, err := bearer(r)
+		if err != nil {
+			writeProblem(w, err)
+			return
+		}
+		operator, known := t.operators[token]
+		if !known {
+			writeProblem(w, errUnknownToken("operator"))
+			return
+		}
+		ctx := context.WithValue(r.Context(), operatorKey, operator)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- /dev/null
+++ b/internal/httpapi/callers.go
@@ -0,0 +1,197 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/buckthornroute/buckthornroute/internal/command"
+	"github.com/buckthornroute/buckthornroute/internal/home"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// OpenRequest is the body of POST /v1/programs.
+type OpenRequest struct {
+	Kind   string `json:"kind"`
+	Model  string `json:"model"`
+	System string `json:"system,omitempty"`
+	Budget Budget `json:"budget,omitzero"`
+	// Patience is text, such as "30s".
+	Patience structs.Duration `json:"patience,omitempty"`
+}
+
+// Budget is a structs.Budget whose times are text.
+type Budget struct {
+	Tokens   int64            `json:"tokens,omitempty"`
+	Calls    int64            `json:"calls,omitempty"`
+	ToolTime structs.Duration `json:"tool_time,omitempty"`
+	Depth    int              `json:"depth,omitempty"`
+	Agents   int64            `json:"agents,omitempty"`
+}
+
+func (b Budget) toStructs() structs.Budget {
+	return structs.Budget{
+		Tokens:   b.Tokens,
+		Calls:    b.Calls,
+		ToolTime: b.ToolTime.Std(),
+		Depth:    b.Depth,
+		Agents:   b.Agents,
+	}
+}
+
+// OpenResponse is the answer of POST /v1/programs.
+type OpenResponse struct {
+	ID structs.ProgramID `json:"id"`
+}
+
+// TurnRequest is the body of POST /v1/programs/{program}/turns.
+type TurnRequest struct {
+	Number  uint32 `json:"number"`
+	Content string `json:"content"`
+}
+
+// InvokeRequest is the body of POST /v1/services/{service}.
+type InvokeRequest struct {
+	Arguments json.RawMessage `json:"arguments,omitempty"`
+}
+
+// InvokeResponse is the answer of POST /v1/services/{service}.
+type InvokeResponse struct {
+	Result string `json:"result"`
+}
+
+// idempotencyKey is the header with the caller's idempotency key.
+const idempotencyKey = "Idempotency-Key"
+
+func (a *api) openProgram(w http.ResponseWriter, r *http.Request) {
+	var body OpenRequest
+	if err := decode(w, r, a.BodyBytes, &body); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	id, err := a.open.Handle(r.Context(), command.OpenProgram{Spec: structs.ProgramSpec{
+		Organisation: organisationOf(r.Context()),
+		Kind:         body.Kind,
+		Model:        body.Model,
+		System:       body.System,
+		Budget:       body.Budget.toStructs(),
+		Patience:     body.Patience.Std(),
+		Key:          r.Header.Get(idempotencyKey),
+	}})
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	w.Header().Set("Location", "/v1/programs/"+string(id))
+	writeJSON(w, http.StatusCreated, OpenResponse{ID: id})
+}
+
+func (a *api) readProgram(w http.ResponseWriter, r *http.Request) { a.writeProgram(w, r, false) }
+
+func (a *api) readHistory(w http.ResponseWriter, r *http.Request) { a.writeProgram(w, r, true) }
+
+func (a *api) writeProgram(w http.ResponseWriter, r *http.Request, history bool) {
+	id, err := programOf(r)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	view, err := a.read.Handle(r.Context(), home.Read{
+		Program:      id,
+		Organisation: organisationOf(r.Context()),
+		History:      history,
+	})
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, view)
+}
+
+func (a *api) listOwnPrograms(w http.ResponseWriter, r *http.Request) {
+	a.writePrograms(w, r, organisationOf(r.Context()))
+}
+
+func (a *api) writePrograms(w http.ResponseWriter, r *http.Request, organisation structs.OrganisationID) {
+	limit, err := intParameter(r, "limit")
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	views, err := a.list.Handle(r.Context(), home.List{
+		Organisation: organisation,
+		After:        structs.ProgramID(r.URL.Query().Get("after")),
+		Limit:        limit,
+	})
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	if views == nil {
+		views = []structs.ProgramView{}
+	}
+	writeJSON(w, http.StatusOK, views)
+}
+
+func (a *api) closeProgram(w http.ResponseWriter, r *http.Request) { a.endProgram(w, r, false) }
+
+func (a *api) cancelProgram(w http.ResponseWriter, r *http.Request) { a.endProgram(w, r, true) }
+
+func (a *api) endProgram(w http.ResponseWriter, r *http.Request, cancel bool) {
+	id, err := programOf(r)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	err = a.end.Handle(r.Context(), command.EndProgram{End: home.End{
+		Program:      id,
+		Organisation: organisationOf(r.Context()),
+		Cancel:       cancel,
+	}})
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *api) invokeService(w http.ResponseWriter, r *http.Request) {
+	var body InvokeRequest
+	if err := decode(w, r, a.BodyBytes, &body); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	result, err := a.invoke.Handle(r.Context(), command.InvokeService{
+		Organisation: organisationOf(r.Context()),
+		Name:         chi.URLParam(r, "service"),
+		Arguments:    body.Arguments,
+		Key:          r.Header.Get(idempotencyKey),
+	})
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, InvokeResponse{Result: result})
+}
+
+func programOf(r *http.Request) (structs.ProgramID, error) {
+	id, err := structs.ParseProgramID(chi.URLParam(r, "program"))
+	if err != nil {
+		return "", structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, "read path", "%s", err)
+	}
+	return id, nil
+}
+
+func intParameter(r *http.Request, name string) (int, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, "read query", "%s %q is not a whole number", name, text)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/httpapi/health.go
@@ -0,0 +1,55 @@
+package httpapi
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// healthz says that the process runs.
+func (a *api) healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+// notReadyRetry is when a balancer's or caller's next try is worth it.
+const notReadyRetry = time.Second
+
+// readyz says whether the process takes new work.
+func (a *api) readyz(w http.ResponseWriter, _ *http.Request) {
+	reason := a.NotReady()
+	if reason == "" {
+		writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+		return
+	}
+	writeProblem(w, &structs.Refusal{
+		Code:       structs.CodeNotReady,
+		Outcome:    structs.OutcomeNotRun,
+		Step:       "readiness",
+		RetryAfter: notReadyRetry,
+		Detail:     reason,
+	})
+}
+
+func (a *api) notFound(w http.ResponseWriter, r *http.Request) {
+	writeProblem(w, structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, "route",
+		"%s %.200s is not a route of this API", r.Method, r.URL.Path))
+}
+
+// recoverPanic turns a panic of a handler into a problem document, so that one
+// request does not end the process and with it the turns of others.
+func recoverPanic(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v == http.ErrAbortHandler { //nolint:errorlint // net/http panics with this very value
+				panic(v)
+			}
+			writeProblem(w, structs.Refusalf(structs.CodeInternal, structs.OutcomeUnknown, "handle request", "panic: %v", v))
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
--- a/structs/preset.go
+++ b/structs/preset.go
@@ -43,3 +43,6 @@
 	*d = Duration(v)
 	return nil
 }
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
