--- /dev/null
+++ b/internal/entry/engines.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/routing"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// engines runs model calls: it chooses the upstream, sends the call to its side
+// and follows the answer. It implements runner.Engines.
+type engines struct {
+	router *router
+	links  map[structs.UpstreamID]*sideLink
+	log    structs.LogID
+	guard  *callGuard
+	now    func() time.Time
+}
+
+// Call runs one attempt of a model call. A side that refuses it as not run lets
+// another one be chosen under the same attempt; any other failure ends the
+// attempt, and the program decides whether there is another one.
+func (e *engines) Call(ctx context.Context, call structs.ModelCall, onChunk func(offset int, text string)) (structs.ModelAnswer, error) {
+	pass, err := e.guard.admit(e.now(), &call)
+	if err != nil {
+		return structs.ModelAnswer{}, err
+	}
+	blocks := kvcache.Blocks(call.Messages)
+	tried := map[structs.UpstreamID]bool{}
+	for {
+		d, ok := e.router.choose(e.now(), &call, blocks, tried)
+		if !ok || tried[d.Upstream] {
+			if ok {
+				e.router.done(e.now(), &call, routing.Result{Void: true})
+			}
+			return structs.ModelAnswer{}, e.noUpstream(&call, tried)
+		}
+		tried[d.Upstream] = true
+		answer, err := e.attempt(ctx, &call, d, pass, onChunk)
+		if err == nil {
+			return answer, nil
+		}
+		if !sendElsewhere(err) {
+			return structs.ModelAnswer{}, err
+		}
+	}
+}
+
+// sendElsewhere reports whether another side may take the same attempt.
+func sendElsewhere(err error) bool {
+	var r *structs.Refusal
+	if !errors.As(err, &r) || r.Outcome != structs.OutcomeNotRun {
+		return false
+	}
+	return r.Code == structs.CodeDraining || r.Code == structs.CodeOverloaded || r.Code == structs.CodeUpstreamFailed
+}
+
+// noUpstreamRetry is when to come back when no upstream takes a call: about the
+// time that a failed upstream stays excluded.
+const noUpstreamRetry = time.Second
+
+func (e *engines) noUpstream(call *structs.ModelCall, tried map[structs.UpstreamID]bool) error {
+	r := structs.Refusalf(structs.CodeOverloaded, structs.OutcomeNotRun, "route",
+		"no upstream takes call %s for model %q; %d refused it", call.Call, call.Model, len(tried))
+	r.RetryAfter = noUpstreamRetry
+	return r
+}
+
+func (e *engines) attempt(ctx context.Context, call *structs.ModelCall, d routing.Decision, pass callPass, onChunk func(offset int, text string)) (structs.ModelAnswer, error) {
+	link := e.links[d.Upstream]
+	send := modelSend{log: e.log, alone: pass.alone}
+	answer, load, err := link.call(ctx, call, send, onChunk)
+	now := e.now()
+	e.router.done(now, call, resultOf(answer, err))
+	if load.Upstream != "" {
+		e.router.exact(now, load)
+	}
+	if err != nil && isDraining(err) {
+		e.router.drain(d.Upstream)
+	}
+	e.guard.ended(now, call, d.Upstream, pass, err)
+	return answer, err
+}
+
+func isDraining(err error) bool {
+	var r *structs.Refusal
+	return errors.As(err, &r) && r.Code == structs.CodeDraining
+}
+
+// resultOf tells what the end of an attempt says of the upstream. A refusal as
+// not run, or the caller's own cancellation, says nothing of it.
+func resultOf(answer structs.ModelAnswer, err error) routing.Result {
+	if err == nil {
+		return routing.Result{Usage: answer.Usage}
+	}
+	var r *structs.Refusal
+	if !errors.As(err, &r) || r.Code == structs.CodeCancelled || r.Code == structs.CodeDeadlineExceeded {
+		return routing.Result{Void: true}
+	}
+	if r.Outcome == structs.OutcomeNotRun && r.Code != structs.CodeUpstreamFailed {
+		return routing.Result{Void: true}
+	}
+	return routing.Result{Failed: true}
+}
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/routing"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// router guards the pure routing state. Its methods may be called from any goroutine.
+type router struct {
+	mu       sync.Mutex
+	state    *routing.State
+	policy   routing.Policy
+	services *routing.Services
+	seed     uint64
+}
+
+func newRouter(cfg routing.Config, preset structs.Preset, seed uint64) (*router, error) {
+	policy, err := routing.NewPolicy(preset, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &router{
+		state:    routing.NewState(cfg),
+		policy:   policy,
+		services: routing.NewServices(seed),
+		seed:     seed,
+	}, nil
+}
+
+// setPreset takes the policy and weights of the preset in force. A preset whose
+// policy is unknown leaves the policy as it is and returns the error.
+func (r *router) setPreset(preset structs.Preset) error {
+	policy, err := routing.NewPolicy(preset, r.seed)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy = policy
+	return nil
+}
+
+// report takes a side's load and cache events as they arrived on its stream.
+func (r *router) report(now time.Time, load *structs.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Report(now, *load)
+}
+
+func (r *router) exact(now time.Time, load structs.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Exact(now, load)
+}
+
+// cacheEvent applies an event and reports whether the view now needs a snapshot.
+func (r *router) cacheEvent(now time.Time, id structs.UpstreamID, e kvcache.Event) (needsSnapshot bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	view := r.state.Cache(id)
+	if view == nil {
+		return false
+	}
+	view.Apply(now, e)
+	return view.NeedsSnapshot(now)
+}
+
+func (r *router) cacheSnapshot(now time.Time, id structs.UpstreamID, s kvcache.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if view := r.state.Cache(id); view != nil {
+		view.Resync(now, s)
+	}
+}
+
+// choose decides where an attempt of a call runs and records it as sent.
+// Upstreams in tried get it only when there is no other.
+func (r *router) choose(now time.Time, call *structs.ModelCall, blocks []uint64, tried map[structs.UpstreamID]bool) (routing.Decision, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.state.Candidates(now, structs.KindModel)
+	d, ok := r.policy.Choose(now, call, blocks, untried(all, tried))
+	if !ok && len(tried) > 0 {
+		d, ok = r.policy.Choose(now, call, blocks, all)
+	}
+	if ok {
+		r.state.Sent(now, call, blocks, d)
+	}
+	return d, ok
+}
+
+// predict returns the decision that a call would get now, without recording it.
+func (r *router) predict(now time.Time, call *structs.ModelCall, blocks []uint64) (routing.Decision, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.Choose(now, call, blocks, r.state.Candidates(now, structs.KindModel))
+}
+
+func untried(all []routing.Candidate, tried map[structs.UpstreamID]bool) []routing.Candidate {
+	if len(tried) == 0 {
+		return all
+	}
+	var out []routing.Candidate
+	for _, c := range all {
+		if !tried[c.Load.Upstream] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (r *router) done(now time.Time, call *structs.ModelCall, result routing.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Done(now, call.Call, call.Attempt, result)
+}
+
+func (r *router) chooseService(now time.Time, name string, tried map[structs.UpstreamID]bool) (structs.UpstreamID, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.state.Candidates(now, structs.KindApplication)
+	id, ok := r.services.Choose(name, untried(all, tried))
+	if ok {
+		r.state.SentService(now, id)
+	}
+	return id, ok
+}
+
+func (r *router) doneService(now time.Time, id structs.UpstreamID, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.DoneService(now, id, failed)
+}
+
+func (r *router) drain(id structs.UpstreamID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Drain(id)
+}
+
+// slots returns the number of calls that the model engines not draining run at once.
+func (r *router) slots(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, c := range r.state.Candidates(now, structs.KindModel) {
+		if !c.Load.Draining && !c.Excluded {
+			n += c.Load.BatchLimit
+		}
+	}
+	return n
+}
+
+// counts returns the number of upstreams heard of and of those draining.
+func (r *router) counts(now time.Time) (upstreams, draining int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, kind := range []structs.UpstreamKind{structs.KindModel, structs.KindApplication} {
+		for _, c := range r.state.Candidates(now, kind) {
+			upstreams++
+			if c.Load.Draining {
+				draining++
+			}
+		}
+	}
+	return upstreams, draining
+}
--- /dev/null
+++ b/internal/entry/sidelink.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"container/list"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// base is the part of a conversation that a side is known to hold.
+type base struct {
+	program structs.ProgramID
+	count   int
+	digest  structs.Digest
+}
+
+// maxBases bounds the conversations remembered for one side.
+const maxBases = 4096
+
+// sideLink is the entry's connection to one side.
+type sideLink struct {
+	upstream structs.UpstreamID
+	vm       structs.VMID
+	address  string
+	client   peerpb.UpstreamClient
+
+	mu    sync.Mutex
+	order *list.List
+	bases map[structs.ProgramID]*list.Element
+}
+
+func newSideLink(upstream structs.UpstreamID, vm structs.VMID, address string, conn *grpc.ClientConn) *sideLink {
+	return &sideLink{
+		upstream: upstream,
+		vm:       vm,
+		address:  address,
+		client:   peerpb.NewUpstreamClient(conn),
+		order:    list.New(),
+		bases:    map[structs.ProgramID]*list.Element{},
+	}
+}
+
+func (l *sideLink) baseOf(program structs.ProgramID) base {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.bases[program]
+	if e == nil {
+		return base{program: program}
+	}
+	l.order.MoveToFront(e)
+	return e.Value.(base)
+}
+
+func (l *sideLink) setBase(b base) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.bases[b.program]; e != nil {
+		e.Value = b
+		l.order.MoveToFront(e)
+		return
+	}
+	l.bases[b.program] = l.order.PushFront(b)
+	if l.order.Len() > maxBases {
+		l.drop(l.order.Back())
+	}
+}
+
+func (l *sideLink) forget(program structs.ProgramID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.bases[program]; e != nil {
+		l.drop(e)
+	}
+}
+
+func (l *sideLink) drop(e *list.Element) {
+	l.order.Remove(e)
+	delete(l.bases, e.Value.(base).program)
+}
+
+// modelSend is what the entry adds to a call for the side.
+type modelSend struct {
+	log   structs.LogID
+	alone bool
+	hold  time.Duration
+}
+
+// call runs one attempt at the side. It sends only the messages that the side
+// lacks, and the whole conversation when the side answers that it holds less.
+func (l *sideLink) call(ctx context.Context, call *structs.ModelCall, send modelSend, onChunk func(offset int, text string)) (structs.ModelAnswer, structs.Load, error) {
+	known := l.baseOf(call.Program)
+	if known.count > len(call.Messages) {
+		known = base{program: call.Program}
+	}
+	answer, load, err := l.tryCall(ctx, call, known, send, onChunk)
+	if known.count > 0 && historyMissing(err) {
+		l.forget(call.Program)
+		answer, load, err = l.tryCall(ctx, call, base{program: call.Program}, send, onChunk)
+	}
+	if err != nil {
+		return structs.ModelAnswer{}, load, err
+	}
+	l.setBase(base{
+		program: call.Program,
+		count:   len(call.Messages) + 1,
+		digest:  call.Digest.Append(answer.Message),
+	})
+	return answer, load, nil
+}
+
+// historyMissing reports whether the side refused since it lacks, or holds a
+// different, base of the conversation.
+func historyMissing(err error) bool {
+	var r *structs.Refusal
+	return errors.As(err, &r) && r.Step == "history" && r.Outcome == structs.OutcomeNotRun
+}
+
+func (l *sideLink) tryCall(ctx context.Context, call *structs.ModelCall, known base, send modelSend, onChunk func(offset int, text string)) (structs.ModelAnswer, structs.Load, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req := peer.CallToPB(call)
+	req.BaseCount = uint32(known.count)
+	req.BaseDigest = known.digest[:]
+	req.Delta = peer.MessagesToPB(call.Messages[known.count:])
+	req.Log = string(send.log)
+	req.Alone = send.alone
+	req.Hold = peer.DurationToPB(send.hold)
+	stream, err := l.client.CallModel(ctx, req)
+	if err != nil {
+		return structs.ModelAnswer{}, structs.Load{}, peer.FromStatus(err, "model call", string(l.upstream))
+	}
+	return l.receive(stream, call, onChunk)
+}
+
+// receive follows the stream to its answer. Chunks of another call or attempt,
+// and chunks that leave a gap, end the attempt: answers are never spliced.
+func (l *sideLink) receive(stream grpc.ServerStreamingClient[peerpb.CallModelChunk], call *structs.ModelCall, onChunk func(offset int, text string)) (structs.ModelAnswer, structs.Load, error) {
+	received := 0
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return structs.ModelAnswer{}, structs.Load{}, l.broken(call, "the stream ended before the answer")
+		}
+		if err != nil {
+			return structs.ModelAnswer{}, structs.Load{}, peer.FromStatus(err, "model call", string(l.upstream))
+		}
+		if structs.CallID(chunk.GetCall()) != call.Call || chunk.GetAttempt() != call.Attempt {
+			return structs.ModelAnswer{}, structs.Load{}, l.broken(call, "a chunk of call "+chunk.GetCall()+" arrived")
+		}
+		if a := chunk.GetAnswer(); a != nil {
+			return l.answer(call, a), peer.LoadFromPB(chunk.GetLoad()), nil
+		}
+		offset := int(chunk.GetOffset())
+		if offset != received {
+			return structs.ModelAnswer{}, structs.Load{}, l.broken(call, "a chunk is missing")
+		}
+		received += len(chunk.GetText())
+		onChunk(offset, chunk.GetText())
+	}
+}
+
+func (l *sideLink) answer(call *structs.ModelCall, a *peerpb.ModelAnswer) structs.ModelAnswer {
+	return structs.ModelAnswer{
+		Call:     call.Call,
+		Attempt:  call.Attempt,
+		Message:  peer.MessageFromPB(a.GetMessage()),
+		Usage:    peer.UsageFromPB(a.GetUsage()),
+		Upstream: l.upstream,
+	}
+}
+
+func (l *sideLink) broken(call *structs.ModelCall, what string) error {
+	return &structs.Refusal{
+		Code:    structs.CodeUpstreamFailed,
+		Outcome: structs.OutcomeUnknown,
+		Step:    "model call",
+		Peer:    string(l.upstream),
+		Detail:  what + " during call " + string(call.Call),
+	}
+}
+
+// Times of a watch that ended.
+const (
+	rewatchMin = 50 * time.Millisecond
+	rewatchMax = time.Second
+)
+
+// watch follows the side's load and cache events until ctx ends, and opens the
+// stream again when it breaks.
+func (l *sideLink) watch(ctx context.Context, node structs.NodeID, r *router) {
+	wait := rewatchMin
+	for ctx.Err() == nil {
+		if l.watchOnce(ctx, node, r) {
+			wait = rewatchMin
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(wait*2, rewatchMax)
+	}
+}
+
+// watchOnce reports whether the stream gave anything. A stream that leaves the
+// view in need of a snapshot is closed: the next one begins with it.
+func (l *sideLink) watchOnce(ctx context.Context, node structs.NodeID, r *router) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := l.client.Watch(ctx, &peerpb.WatchRequest{Node: string(node)})
+	if err != nil {
+		return false
+	}
+	heard := false
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return heard
+		}
+		heard = true
+		if !l.apply(reply, r) {
+			return heard
+		}
+	}
+}
+
+func (l *sideLink) apply(reply *peerpb.WatchReply, r *router) bool {
+	now := time.Now()
+	if reply.GetLoad() != nil {
+		load := peer.LoadFromPB(reply.GetLoad())
+		r.report(now, &load)
+	}
+	c := reply.GetCache()
+	if c == nil {
+		return true
+	}
+	if c.GetSnapshot() {
+		r.cacheSnapshot(now, l.upstream, kvcache.Snapshot{Incarnation: c.GetIncarnation(), Sequence: c.GetSequence(), Blocks: c.GetStored()})
+		return true
+	}
+	return !r.cacheEvent(now, l.upstream, kvcache.Event{
+		Incarnation: c.GetIncarnation(),
+		Sequence:    c.GetSequence(),
+		Stored:      c.GetStored(),
+		Removed:     c.GetRemoved(),
+	})
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -209,3 +209,6 @@
 		Turn:         c.GetTurn(),
 	}
 }
+
+// DurationToPB converts a duration to its wire form.
+func DurationToPB(d time.Duration) *durationpb.Duration { return durationpb.New(d) }
--- /dev/null
+++ b/internal/peer/sent.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// sentKey is the context key of a call's sent mark.
+type sentKey struct{}
+
+// sentRecorder sets the call's mark when its headers go out. A call whose mark
+// is unset never reached a connection, so its peer cannot have run it.
+type sentRecorder struct{}
+
+var _ stats.Handler = sentRecorder{}
+
+func (sentRecorder) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (sentRecorder) HandleRPC(ctx context.Context, event stats.RPCStats) {
+	if _, ok := event.(*stats.OutHeader); !ok {
+		return
+	}
+	if mark, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		mark.Store(true)
+	}
+}
+
+func (sentRecorder) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (sentRecorder) HandleConn(context.Context, stats.ConnStats) {}
+
+// notSent returns err as a refusal with outcome not run when the call was never sent.
+func notSent(err error, mark *atomic.Bool, target string) error {
+	if err == nil || mark.Load() {
+		return err
+	}
+	st, ok := status.FromError(err)
+	if !ok || len(st.Details()) > 0 {
+		return err
+	}
+	return ToStatus(&structs.Refusal{
+		Code:    structs.CodeUpstreamFailed,
+		Outcome: structs.OutcomeNotRun,
+		Step:    "connect",
+		Peer:    target,
+		Detail:  st.Message(),
+	})
+}
+
+func unarySent(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+	mark := &atomic.Bool{}
+	err := invoke(context.WithValue(ctx, sentKey{}, mark), method, req, reply, cc, opts...)
+	return notSent(err, mark, cc.Target())
+}
+
+func streamSent(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string, open grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	mark := &atomic.Bool{}
+	stream, err := open(context.WithValue(ctx, sentKey{}, mark), desc, cc, method, opts...)
+	return stream, notSent(err, mark, cc.Target())
+}
--- /dev/null
+++ b/internal/side/engine.go
@@ -0,0 +1,37 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// ModelEngine is what a side asks of its model engine; *engine.Model implements it.
+type ModelEngine interface {
+	Call(ctx context.Context, call structs.ModelCall, options engine.CallOptions, onChunk func(offset int, text string)) (structs.ModelAnswer, error)
+	Hold(ctx context.Context, program structs.ProgramID) (engine.Hold, error)
+	Release(ctx context.Context, program structs.ProgramID) error
+	Holds(ctx context.Context) ([]engine.Hold, error)
+	Load(ctx context.Context) (structs.Load, error)
+	CacheEvents(ctx context.Context, after uint64) (engine.CacheEvents, error)
+	CacheSnapshot(ctx context.Context) (engine.CacheSnapshot, error)
+	LoadModel(ctx context.Context, order engine.LoadModelOrder) error
+	SetRole(ctx context.Context, order engine.RoleOrder) error
+}
+
+// Service is what a side asks of its application engine; *engine.Service implements it.
+type Service interface {
+	Invoke(ctx context.Context, call structs.ToolRequest) (string, error)
+	Status(ctx context.Context, name, key string) (engine.StatusAnswer, error)
+	Load(ctx context.Context) (structs.Load, error)
+}
+
+var (
+	_ ModelEngine = (*engine.Model)(nil)
+	_ Service     = (*engine.Service)(nil)
+)
+
+// engineTimeout bounds one control call to the upstream.
+const engineTimeout = 2 * time.Second
