--- a/internal/httpapi/api.go
+++ b/internal/httpapi/api.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/buckthornroute/buckthornroute/internal/command"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/query"
+	"github.com/buckthornroute/buckthornroute/internal/telemetry"
 )
 
 // Config is what the API serves.
@@ -30,8 +30,8 @@
 	BodyBytes int64
 	// NotReady returns why the process takes no new work, or "".
 	NotReady func() string
-	// Metrics serves GET /metrics.
-	Metrics http.Handler
+	// Telemetry makes the spans and serves GET /metrics.
+	Telemetry *telemetry.Telemetry
 }
 
 // DefaultBodyBytes bounds a request body when the settings do not.
@@ -63,6 +63,9 @@
 	if c.BodyBytes == 0 {
 		c.BodyBytes = DefaultBodyBytes
 	}
+	if c.Telemetry == nil {
+		c.Telemetry = telemetry.Disabled()
+	}
 	a := &api{
 		Config:   c,
 		open:     command.OpenProgramHandler{Home: c.Home, Limits: c.Limits},
@@ -82,12 +85,10 @@
 	r.MethodNotAllowed(a.notFound)
 	r.Get("/healthz", a.healthz)
 	r.Get("/readyz", a.readyz)
-	if c.Metrics != nil {
-		r.Handle("/metrics", c.Metrics)
-	}
+	r.Handle("/metrics", c.Telemetry.MetricsHandler())
 	r.Route("/v1", a.callerRoutes)
 	r.Route("/operator", a.operatorRoutes)
-	return otelhttp.NewHandler(r, "http")
+	return c.Telemetry.Middleware("http")(r)
 }
 
 func (a *api) callerRoutes(r chi.Router) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -7,13 +7,13 @@
 	"sync"
 	"time"
 
-	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/buckthornroute/buckthornroute/internal/telemetry"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -53,30 +53,46 @@
 	})
 }
 
+// Options says how a process talks to the others. The zero value is plain TCP
+// without spans and preset versions.
+type Options struct {
+	Security Security
+	// Versions is carried on every message; nil carries none.
+	Versions *PresetVersions
+	// Telemetry makes the spans; nil makes none.
+	Telemetry *telemetry.Telemetry
+}
+
+func (o Options) telemetry() *telemetry.Telemetry {
+	if o.Telemetry == nil {
+		return telemetry.Disabled()
+	}
+	return o.Telemetry
+}
+
 // NewServer returns a gRPC server with the limits and spans of this package.
-func NewServer(s Security, versions *PresetVersions) *grpc.Server {
+func NewServer(o Options) *grpc.Server {
 	return grpc.NewServer(
-		grpc.Creds(s.server()),
+		grpc.Creds(o.Security.server()),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
-		grpc.StatsHandler(otelgrpc.NewServerHandler()),
-		grpc.ChainUnaryInterceptor(versions.unaryServer),
-		grpc.ChainStreamInterceptor(versions.streamServer),
+		grpc.StatsHandler(o.telemetry().ServerStats()),
+		grpc.ChainUnaryInterceptor(o.Versions.unaryServer),
+		grpc.ChainStreamInterceptor(o.Versions.streamServer),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 	)
 }
 
 // Pool holds one connection to each address. Its methods may be called from any goroutine.
 type Pool struct {
-	security Security
-	versions *PresetVersions
+	options Options
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
 // NewPool returns an empty pool.
-func NewPool(s Security, versions *PresetVersions) *Pool {
-	return &Pool{security: s, versions: versions, conns: map[string]*grpc.ClientConn{}}
+func NewPool(o Options) *Pool {
+	return &Pool{options: o, conns: map[string]*grpc.ClientConn{}}
 }
 
 // Conn returns the connection to address, which dials when first used.
@@ -87,12 +103,12 @@
 		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(p.security.client()),
+		grpc.WithTransportCredentials(p.options.Security.client()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
-		grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
+		grpc.WithStatsHandler(p.options.telemetry().ClientStats()),
 		grpc.WithStatsHandler(sentRecorder{}),
-		grpc.WithChainUnaryInterceptor(unarySent, p.versions.unaryClient),
-		grpc.WithChainStreamInterceptor(streamSent, p.versions.streamClient),
+		grpc.WithChainUnaryInterceptor(unarySent, p.options.Versions.unaryClient),
+		grpc.WithChainStreamInterceptor(streamSent, p.options.Versions.streamClient),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithContextDialer(dial),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := NewServer(Security{}, versions)
+	g := NewServer(Options{Versions: versions})
 	peerpb.RegisterHomeServer(g, h)
 	done := make(chan error, 1)
 	go func() { done <- g.Serve(l) }()
@@ -58,7 +58,7 @@
 		Detail:     "128 calls wait, the limit is 128",
 	}
 	address := serve(t, nil, &refusingHome{refusal: &want})
-	pool := NewPool(Security{}, nil)
+	pool := NewPool(Options{})
 	defer pool.Close()
 	conn, err := pool.Conn(address)
 	if err != nil {
@@ -79,7 +79,7 @@
 	}
 	address := l.Addr().String()
 	_ = l.Close()
-	pool := NewPool(Security{}, nil)
+	pool := NewPool(Options{})
 	defer pool.Close()
 	conn, err := pool.Conn(address)
 	if err != nil {
@@ -101,11 +101,11 @@
 		t.Fatal(err)
 	}
 	release := make(chan struct{})
-	g := NewServer(Security{}, nil)
+	g := NewServer(Options{})
 	peerpb.RegisterHomeServer(g, &lostHome{release: release})
 	served := make(chan error, 1)
 	go func() { served <- g.Serve(l) }()
-	pool := NewPool(Security{}, nil)
+	pool := NewPool(Options{})
 	conn, err := pool.Conn(l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -147,7 +147,7 @@
 	client.OnHigher(func(version uint64) { seen <- version })
 	server.OnHigher(func(version uint64) { seen <- 100 + version })
 	address := serve(t, &server, &refusingHome{refusal: &structs.Refusal{Code: structs.CodeNotReady}})
-	pool := NewPool(Security{}, &client)
+	pool := NewPool(Options{Versions: &client})
 	defer pool.Close()
 	conn, err := pool.Conn(address)
 	if err != nil {
