--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -34,23 +34,11 @@
 	TLS func() *tls.Config
 }
 
-func (s Security) client() credentials.TransportCredentials {
+func (s Security) credentials() credentials.TransportCredentials {
 	if s.TLS == nil {
 		return insecure.NewCredentials()
 	}
-	return credentials.NewTLS(s.TLS())
-}
-
-func (s Security) server() credentials.TransportCredentials {
-	if s.TLS == nil {
-		return insecure.NewCredentials()
-	}
-	return credentials.NewTLS(&tls.Config{
-		MinVersion: tls.VersionTLS13,
-		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return s.TLS(), nil
-		},
-	})
+	return reloadingCredentials{TransportCredentials: credentials.NewTLS(s.TLS()), config: s.TLS}
 }
 
 // Options says how a process talks to the others. The zero value is plain TCP
@@ -73,7 +61,7 @@
 // NewServer returns a gRPC server with the limits and spans of this package.
 func NewServer(o Options) *grpc.Server {
 	return grpc.NewServer(
-		grpc.Creds(o.Security.server()),
+		grpc.Creds(o.Security.credentials()),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.StatsHandler(o.telemetry().ServerStats()),
 		grpc.ChainUnaryInterceptor(o.Versions.unaryServer),
@@ -103,7 +91,7 @@
 		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(p.options.Security.client()),
+		grpc.WithTransportCredentials(p.options.Security.credentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 		grpc.WithStatsHandler(p.options.telemetry().ClientStats()),
 		grpc.WithStatsHandler(sentRecorder{}),
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
+)
+
+// ServerName is the DNS name that the certificate of every process carries.
+// Addresses change with each VM, so certificates name the system, not the VM.
+const ServerName = "buckthornroute"
+
+// ErrNoCertificates reports a CA file without a certificate.
+var ErrNoCertificates = errors.New("no certificate in the CA file")
+
+// keyMaterial is the content of the three files.
+type keyMaterial struct {
+	cert, key, ca []byte
+}
+
+// Keys are the certificate, key and CA with which processes authenticate each
+// other. They are read again when the files change.
+type Keys struct {
+	certPath, keyPath, caPath string
+
+	material keyMaterial
+	current  atomic.Pointer[tls.Config]
+}
+
+// LoadKeys reads the PEM files. Errors name the file.
+func LoadKeys(certPath, keyPath, caPath string) (*Keys, error) {
+	k := &Keys{certPath: certPath, keyPath: keyPath, caPath: caPath}
+	if _, err := k.reload(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Config returns the configuration for the next handshake, of client or server.
+func (k *Keys) Config() *tls.Config { return k.current.Load() }
+
+// Follow reads the files at each interval until ctx ends. changed is told of each
+// change: nil when it took effect, else why the former keys stay in use.
+func (k *Keys) Follow(ctx context.Context, interval time.Duration, changed func(error)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	failed := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		took, err := k.reload()
+		switch {
+		case err != nil && err.Error() != failed:
+			failed = err.Error()
+			changed(err)
+		case err == nil && took:
+			failed = ""
+			changed(nil)
+		}
+	}
+}
+
+// reload reports whether new material took effect.
+func (k *Keys) reload() (bool, error) {
+	m, err := k.read()
+	if err != nil {
+		return false, err
+	}
+	if k.current.Load() != nil && m.equal(k.material) {
+		return false, nil
+	}
+	config, err := m.config()
+	if err != nil {
+		return false, errors.Wrapf(err, "keys %s, %s and %s", k.certPath, k.keyPath, k.caPath)
+	}
+	k.material = m
+	k.current.Store(config)
+	return true, nil
+}
+
+func (k *Keys) read() (keyMaterial, error) {
+	var m keyMaterial
+	for _, file := range []struct {
+		path string
+		to   *[]byte
+	}{{k.certPath, &m.cert}, {k.keyPath, &m.key}, {k.caPath, &m.ca}} {
+		content, err := os.ReadFile(file.path)
+		if err != nil {
+			return m, errors.Wrap(err, "read key file")
+		}
+		*file.to = content
+	}
+	return m, nil
+}
+
+func (m keyMaterial) equal(o keyMaterial) bool {
+	return bytes.Equal(m.cert, o.cert) && bytes.Equal(m.key, o.key) && bytes.Equal(m.ca, o.ca)
+}
+
+func (m keyMaterial) config() (*tls.Config, error) {
+	pair, err := tls.X509KeyPair(m.cert, m.key)
+	if err != nil {
+		return nil, err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(m.ca) {
+		return nil, ErrNoCertificates
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      roots,
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   ServerName,
+		NextProtos:   []string{"h2"},
+	}, nil
+}
+
+// reloadingCredentials makes each handshake with the configuration of its moment.
+type reloadingCredentials struct {
+	credentials.TransportCredentials
+	config func() *tls.Config
+}
+
+// ClientHandshake implements credentials.TransportCredentials.
+func (c reloadingCredentials) ClientHandshake(ctx context.Context, authority string, conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return credentials.NewTLS(c.config()).ClientHandshake(ctx, authority, conn)
+}
+
+// ServerHandshake implements credentials.TransportCredentials.
+func (c reloadingCredentials) ServerHandshake(conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return credentials.NewTLS(c.config()).ServerHandshake(conn)
+}
+
+// Clone implements credentials.TransportCredentials.
+func (c reloadingCredentials) Clone() credentials.TransportCredentials { return c }
