--- /dev/null
+++ b/internal/daemon/security.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+)
+
+// keyInterval is the time between two reads of the key files.
+const keyInterval = 2 * time.Second
+
+// Security returns how the process authenticates others by its settings, and a
+// duty that follows changes of the key files until its context ends.
+func Security(s settings.TLS, file string, log *eventlog.Logger) (peer.Security, func(context.Context), error) {
+	if s.InsecurePlain {
+		return peer.Security{}, func(context.Context) {}, nil
+	}
+	keys, err := peer.LoadKeys(s.Cert, s.Key, s.CA)
+	if err != nil {
+		return peer.Security{}, nil, &settings.Error{File: file, Key: "tls", Reason: err.Error()}
+	}
+	follow := func(ctx context.Context) {
+		keys.Follow(ctx, keyInterval, func(err error) {
+			if err != nil {
+				log.Emit(eventlog.TLSReloadFailed, eventlog.Fields{Step: "reload keys", Err: err})
+				return
+			}
+			log.Emit(eventlog.TLSReloaded, eventlog.Fields{Step: "reload keys"})
+		})
+	}
+	return peer.Security{TLS: keys.Config}, follow, nil
+}
--- /dev/null
+++ b/internal/entry/tools.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// toolService is one tool service that programs call by name.
+type toolService struct {
+	settings settings.Tool
+	client   *engine.Service
+}
+
+// tools runs tool calls and calls of plain services. Tool services are called
+// directly, plain services through the sides of their application engines.
+type tools struct {
+	services map[string]settings.Service
+	tools    map[string]*toolService
+	router   *router
+	links    map[structs.UpstreamID]*sideLink
+	now      func() time.Time
+}
+
+func newTools(cfg *settings.Entry, r *router, links map[structs.UpstreamID]*sideLink, client func(settings.Tool) *engine.Service) *tools {
+	t := &tools{
+		services: map[string]settings.Service{},
+		tools:    map[string]*toolService{},
+		router:   r,
+		links:    links,
+		now:      time.Now,
+	}
+	for _, s := range cfg.Services {
+		t.services[s.Name] = s
+	}
+	for _, tool := range cfg.Tools {
+		t.tools[tool.Name] = &toolService{settings: tool, client: client(tool)}
+	}
+	return t
+}
+
+// NonRepeatable reports whether the named tool's or service's calls may not be
+// repeated, and whether there is one of that name.
+func (t *tools) NonRepeatable(name string) (nonRepeatable, exists bool) {
+	if tool, ok := t.tools[name]; ok {
+		return tool.settings.NonRepeatable, true
+	}
+	service, ok := t.services[name]
+	return service.NonRepeatable, ok
+}
+
+// Run runs one call and returns its result. It sends a call that may not be
+// repeated at most once; a refusal with outcome not run was never started.
+func (t *tools) Run(ctx context.Context, req structs.ToolRequest) (string, error) {
+	if tool, ok := t.tools[req.Name]; ok {
+		return tool.client.Invoke(ctx, req)
+	}
+	if _, ok := t.services[req.Name]; !ok {
+		return "", structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, "tool "+req.Name,
+			"tool %q is not in the settings", req.Name)
+	}
+	return t.runService(ctx, req)
+}
+
+// maxServiceSends bounds the upstreams that one call is sent to.
+const maxServiceSends = 3
+
+func (t *tools) runService(ctx context.Context, req structs.ToolRequest) (string, error) {
+	tried := map[structs.UpstreamID]bool{}
+	var last error
+	for len(tried) < maxServiceSends {
+		id, ok := t.router.chooseService(t.now(), req.Name, tried)
+		if !ok {
+			break
+		}
+		tried[id] = true
+		result, err := t.invoke(ctx, id, req)
+		if err == nil {
+			return result, nil
+		}
+		last = err
+		if !mayRepeat(req, err) || ctx.Err() != nil {
+			return "", err
+		}
+	}
+	if last != nil {
+		return "", last
+	}
+	r := structs.Refusalf(structs.CodeOverloaded, structs.OutcomeNotRun, "route",
+		"no application engine takes service %q", req.Name)
+	r.RetryAfter = noUpstreamRetry
+	return "", r
+}
+
+// mayRepeat reports whether the call may be sent to another upstream: when it
+// was not run, or when the service allows repeats.
+func mayRepeat(req structs.ToolRequest, err error) bool {
+	var r *structs.Refusal
+	if !errors.As(err, &r) {
+		return false
+	}
+	if r.Outcome == structs.OutcomeNotRun {
+		return r.Code != structs.CodeBadRequest && r.Code != structs.CodeNotFound
+	}
+	return !req.NonRepeatable && r.Code == structs.CodeUpstreamFailed
+}
+
+func (t *tools) invoke(ctx context.Context, id structs.UpstreamID, req structs.ToolRequest) (string, error) {
+	link := t.links[id]
+	reply, err := link.client.Invoke(ctx, &peerpb.InvokeRequest{
+		Call:          string(req.Call),
+		Attempt:       req.Attempt,
+		Organisation:  string(req.Organisation),
+		Name:          req.Name,
+		Arguments:     req.Arguments,
+		Key:           req.Key,
+		Timeout:       peer.DurationToPB(req.Timeout),
+		NonRepeatable: req.NonRepeatable,
+	})
+	err = peer.FromStatus(err, "service "+req.Name, string(id))
+	t.router.doneService(t.now(), id, failed(err))
+	if err != nil {
+		if isDraining(err) {
+			t.router.drain(id)
+		}
+		return "", err
+	}
+	if structs.CallID(reply.GetCall()) != req.Call || reply.GetAttempt() != req.Attempt {
+		return "", &structs.Refusal{
+			Code:    structs.CodeUpstreamFailed,
+			Outcome: structs.OutcomeUnknown,
+			Step:    "service " + req.Name,
+			Peer:    string(id),
+			Detail:  "the answer is that of call " + reply.GetCall(),
+		}
+	}
+	t.router.exact(t.now(), peer.LoadFromPB(reply.GetLoad()))
+	return reply.GetResult(), nil
+}
+
+func failed(err error) bool {
+	var r *structs.Refusal
+	return errors.As(err, &r) && r.Code == structs.CodeUpstreamFailed
+}
+
+// Ask returns what the named service knows of a call, by its key. A service that
+// does not answer such questions gives CodeActionInDoubt.
+func (t *tools) Ask(ctx context.Context, name, key string) (engine.StatusAnswer, error) {
+	if tool, ok := t.tools[name]; ok {
+		if !tool.settings.AnswersStatus {
+			return engine.StatusAnswer{}, structs.Refusalf(structs.CodeActionInDoubt, structs.OutcomeUnknown, "ask "+name,
+				"service %q does not tell what became of key %q", name, key)
+		}
+		return tool.client.Status(ctx, name, key)
+	}
+	id, ok := t.router.chooseService(t.now(), name, nil)
+	if !ok {
+		return engine.StatusAnswer{}, structs.Refusalf(structs.CodeOverloaded, structs.OutcomeUnknown, "ask "+name,
+			"no application engine answers for service %q", name)
+	}
+	reply, err := t.links[id].client.Ask(ctx, &peerpb.AskRequest{Name: name, Key: key})
+	err = peer.FromStatus(err, "ask "+name, string(id))
+	t.router.doneService(t.now(), id, failed(err))
+	if err != nil {
+		return engine.StatusAnswer{}, err
+	}
+	return engine.StatusAnswer{State: engine.ServiceState(reply.GetState()), Result: reply.GetResult()}, nil
+}
