Add the home log and its committer

A log's records are created on condition that the row is absent, the seal row absent and the log's open row present. The open row goes with the seal and never comes back, so the redirect row may be deleted once no program needs it: with the seal row alone a holder that wakes after that could commit again.

--- /dev/null
+++ b/internal/committer/committer_test.go
@@ -0,0 +1,220 @@
+package committer
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// open starts a committer on the platform and waits until its log is open.
+func open(t *testing.T, f *fakePlatform, log structs.LogID, cfg Config) *Committer {
+	t.Helper()
+	cfg.Journal.Log = log
+	c := New(cfg, f, fakeObjects{f})
+	c.Start(t.Context())
+	must(t, c.Ready(t.Context()))
+	t.Cleanup(c.Stop)
+	return c
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wantError(t *testing.T, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Fatalf("got error %v, want %v", err, want)
+	}
+}
+
+// submit appends one entry for program n of the log and waits until it is kept.
+func submit(t *testing.T, c *Committer, n uint64, text string, mark journal.Mark) {
+	t.Helper()
+	sequence, err := c.Append(t.Context(), journal.Entry{
+		Program: structs.NewProgramID(c.Log(), n), Kind: "step", Data: []byte(text), Mark: mark,
+	})
+	must(t, err)
+	must(t, c.Wait(t.Context(), sequence))
+}
+
+func texts(entries []journal.Entry) string {
+	var s []string
+	for _, e := range entries {
+		s = append(s, fmt.Sprintf("%s=%s", e.Program, e.Data))
+	}
+	return strings.Join(s, " ")
+}
+
+func TestAdoptAfterCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		a := open(t, f, "a", Config{})
+		submit(t, a, 2, "x", journal.MarkNone)
+		submit(t, a, 1, "y", journal.MarkNone)
+		submit(t, a, 3, "gone", journal.MarkNone)
+		submit(t, a, 3, "", journal.MarkEnd)
+		submit(t, a, 1, "z", journal.MarkNone)
+		a.Stop()
+		b := open(t, f, "b", Config{})
+		logs, err := b.OpenLogs(t.Context())
+		must(t, err)
+		if len(logs) != 2 || logs[0].Log != "a" {
+			t.Fatalf("open logs are %v", logs)
+		}
+		entries, err := b.Adopt(t.Context(), "a")
+		must(t, err)
+		if got, want := texts(entries), "a.1=y a.1=z a.2=x"; got != want {
+			t.Fatalf("adopted %q, want %q", got, want)
+		}
+		again, err := b.Adopt(t.Context(), "a")
+		must(t, err)
+		if len(again) != 0 {
+			t.Fatalf("adopted twice: %q", texts(again))
+		}
+		successor, err := b.Successor(t.Context(), "a")
+		must(t, err)
+		if successor != "b" {
+			t.Fatalf("successor is %q", successor)
+		}
+		_, err = b.Adopt(t.Context(), "never")
+		wantError(t, err, journal.ErrNoLog)
+	})
+}
+
+func TestPausedHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		stopped := make(chan structs.LogID, 1)
+		a := open(t, f, "a", Config{OnStopped: func(s structs.LogID) { stopped <- s }})
+		submit(t, a, 1, "x", journal.MarkNone)
+		b := open(t, f, "b", Config{})
+		_, err := b.Adopt(t.Context(), "a")
+		must(t, err)
+		sequence, err := a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "step"})
+		must(t, err)
+		wantError(t, a.Wait(t.Context(), sequence), journal.ErrStopped)
+		if s := <-stopped; s != "b" {
+			t.Fatalf("stopped with successor %q", s)
+		}
+		_, err = a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "step"})
+		wantError(t, err, journal.ErrStopped)
+	})
+}
+
+func TestOutageHoldsBackAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		var told uint64
+		a := open(t, f, "a", Config{
+			Journal:     journal.Config{PendingBytes: 1 << 10},
+			OnCommitted: func(through uint64) { told = through },
+		})
+		f.setDown(true)
+		entry := journal.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 300)}
+		var last uint64
+		for range 3 {
+			sequence, err := a.Append(t.Context(), entry)
+			must(t, err)
+			last = sequence
+		}
+		short, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := a.Append(short, entry)
+		wantError(t, err, context.DeadlineExceeded)
+		if s := a.Status(); s.Committed != 0 || s.OutageSince.IsZero() {
+			t.Fatalf("in the outage the status is %+v", s)
+		}
+		f.setDown(false)
+		must(t, a.Wait(t.Context(), last))
+		synctest.Wait()
+		if told != last {
+			t.Fatalf("told of %d, want %d", told, last)
+		}
+		_, err = a.Append(t.Context(), journal.Entry{Program: "a.1", Data: make([]byte, 2<<10)})
+		wantError(t, err, journal.ErrTooLarge)
+		_, err = a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "journal.adopted"})
+		wantError(t, err, journal.ErrReservedKind)
+	})
+}
+
+func TestSealReleasesWaitingAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		a := open(t, f, "a", Config{Journal: journal.Config{PendingBytes: 1 << 10}})
+		b := open(t, f, "b", Config{})
+		_, err := b.Adopt(t.Context(), "a")
+		must(t, err)
+		f.setDown(true)
+		entry := journal.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 1000)}
+		_, err = a.Append(t.Context(), entry)
+		must(t, err)
+		time.AfterFunc(time.Minute, func() { f.setDown(false) })
+		_, err = a.Append(t.Context(), entry)
+		wantError(t, err, journal.ErrStopped)
+	})
+}
+
+func TestCloseHandsOverOrDeletes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		a := open(t, f, "a", Config{})
+		b := open(t, f, "b", Config{})
+		submit(t, a, 1, "x", journal.MarkNone)
+		f.loseAnswers = 1
+		submit(t, a, 1, "y", journal.MarkNone)
+		var handed []journal.Entry
+		must(t, a.Close(t.Context(), func(ctx context.Context, log structs.LogID) (err error) {
+			handed, err = b.Adopt(ctx, log)
+			return err
+		}))
+		if got, want := texts(handed), "a.1=x a.1=y"; got != want {
+			t.Fatalf("handed over %q, want %q", got, want)
+		}
+		_, err := a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "step"})
+		wantError(t, err, ErrClosed)
+		sequence, err := b.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "end", Mark: journal.MarkEnd})
+		must(t, err)
+		must(t, b.Wait(t.Context(), sequence))
+		must(t, b.Close(t.Context(), nil))
+		if len(f.rows)+len(f.objects) != 0 {
+			t.Fatalf("rows %v and objects %v are left", f.rows, f.objects)
+		}
+	})
+}
+
+func TestAbandonedAdoptKeepsEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		a := open(t, f, "a", Config{})
+		submit(t, a, 1, "x", journal.MarkNone)
+		a.Stop()
+		b := open(t, f, "b", Config{})
+		f.setDown(true)
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := b.Adopt(short, "a")
+		wantError(t, err, context.DeadlineExceeded)
+		f.setDown(false)
+		must(t, b.await(t.Context(), func(s journal.Status) bool { return s.Programs == 1 }))
+		entries, err := b.Adopt(t.Context(), "a")
+		must(t, err)
+		if got := texts(entries); got != "a.1=x" {
+			t.Fatalf("adopted %q", got)
+		}
+	})
+}
--- /dev/null
+++ b/journal/codec.go
@@ -0,0 +1,225 @@
+package journal
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// RecordKind is the kind of a record.
+type RecordKind uint8
+
+// Kinds of records.
+const (
+	// RecordBatch carries entries.
+	RecordBatch RecordKind = iota + 1
+	// RecordPointer names the object that carries the entries.
+	RecordPointer
+	// RecordSeal ends the log.
+	RecordSeal
+	// RecordPart is an object of a checkpoint; it is never a row.
+	RecordPart
+)
+
+// Record is what a row of a log, or an object it points to, holds.
+type Record struct {
+	Kind   RecordKind
+	Log    structs.LogID
+	Number uint64
+	// Entries belong to RecordBatch and RecordPart.
+	Entries []Entry
+	// Object and Digest (SHA-256) belong to RecordPointer.
+	Object string
+	Digest []byte
+	// Successor belongs to RecordSeal.
+	Successor structs.LogID
+}
+
+// Field numbers of the encoding, in protocol buffer wire format.
+const (
+	fieldKind protowire.Number = iota + 1
+	fieldLog
+	fieldNumber
+	fieldEntry
+	fieldObject
+	fieldDigest
+	fieldSuccessor
+)
+
+const (
+	fieldEntryProgram protowire.Number = iota + 1
+	fieldEntryKind
+	fieldEntryData
+	fieldEntryMark
+)
+
+// Encode returns the record's bytes. Equal records encode alike.
+func (r Record) Encode() []byte {
+	size := len(r.Log) + len(r.Object) + len(r.Digest) + len(r.Successor) + 64
+	for _, e := range r.Entries {
+		size += e.size()
+	}
+	b := make([]byte, 0, size)
+	b = appendUint(b, fieldKind, uint64(r.Kind))
+	b = appendText(b, fieldLog, string(r.Log))
+	b = appendUint(b, fieldNumber, r.Number)
+	for _, e := range r.Entries {
+		b = protowire.AppendTag(b, fieldEntry, protowire.BytesType)
+		b = protowire.AppendVarint(b, uint64(e.encodedSize()))
+		b = e.appendTo(b)
+	}
+	b = appendText(b, fieldObject, r.Object)
+	if len(r.Digest) > 0 {
+		b = protowire.AppendTag(b, fieldDigest, protowire.BytesType)
+		b = protowire.AppendBytes(b, r.Digest)
+	}
+	return appendText(b, fieldSuccessor, string(r.Successor))
+}
+
+func (e Entry) encodedSize() int {
+	n := 0
+	for _, l := range [...]int{len(e.Program), len(e.Kind), len(e.Data)} {
+		if l > 0 {
+			n += 1 + protowire.SizeBytes(l)
+		}
+	}
+	if e.Mark != MarkNone {
+		n += 1 + protowire.SizeVarint(uint64(e.Mark))
+	}
+	return n
+}
+
+func (e Entry) appendTo(b []byte) []byte {
+	b = appendText(b, fieldEntryProgram, string(e.Program))
+	b = appendText(b, fieldEntryKind, e.Kind)
+	if len(e.Data) > 0 {
+		b = protowire.AppendTag(b, fieldEntryData, protowire.BytesType)
+		b = protowire.AppendBytes(b, e.Data)
+	}
+	return appendUint(b, fieldEntryMark, uint64(e.Mark))
+}
+
+func appendUint(b []byte, field protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+func appendText(b []byte, field protowire.Number, s string) []byte {
+	if s == "" {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendString(b, s)
+}
+
+// DecodeRecord reads a record; it returns ErrCorrupt when the bytes are not what Encode
+// writes. Data of entries shares memory with b.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	err := eachField(b, func(field protowire.Number, number uint64, text []byte) error {
+		switch field {
+		case fieldKind:
+			r.Kind = RecordKind(number)
+		case fieldLog:
+			r.Log = structs.LogID(text)
+		case fieldNumber:
+			r.Number = number
+		case fieldEntry:
+			e, err := decodeEntry(text)
+			r.Entries = append(r.Entries, e)
+			return err
+		case fieldObject:
+			r.Object = string(text)
+		case fieldDigest:
+			r.Digest = text
+		case fieldSuccessor:
+			r.Successor = structs.LogID(text)
+		default:
+			return errors.Wrapf(ErrCorrupt, "unknown field %d", field)
+		}
+		return nil
+	})
+	if err != nil {
+		return Record{}, err
+	}
+	if r.Kind < RecordBatch || r.Kind > RecordPart {
+		return Record{}, errors.Wrapf(ErrCorrupt, "record kind %d", r.Kind)
+	}
+	if !bytes.Equal(r.Encode(), b) {
+		return Record{}, errors.Wrap(ErrCorrupt, "record is not in the form that Encode writes")
+	}
+	return r, nil
+}
+
+func decodeEntry(b []byte) (Entry, error) {
+	var e Entry
+	err := eachField(b, func(field protowire.Number, number uint64, text []byte) error {
+		switch field {
+		case fieldEntryProgram:
+			e.Program = structs.ProgramID(text)
+		case fieldEntryKind:
+			e.Kind = string(text)
+		case fieldEntryData:
+			e.Data = text
+		case fieldEntryMark:
+			e.Mark = Mark(number)
+		default:
+			return errors.Wrapf(ErrCorrupt, "unknown entry field %d", field)
+		}
+		return nil
+	})
+	return e, err
+}
+
+// eachField calls f for each field of b: with the number of a varint, or with the
+// bytes of a length-delimited field.
+func eachField(b []byte, f func(field protowire.Number, number uint64, text []byte) error) error {
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return errors.Wrap(ErrCorrupt, "malformed field")
+		}
+		b = b[n:]
+		var number uint64
+		var text []byte
+		switch kind {
+		case protowire.VarintType:
+			number, n = protowire.ConsumeVarint(b)
+		case protowire.BytesType:
+			text, n = protowire.ConsumeBytes(b)
+		default:
+			return errors.Wrapf(ErrCorrupt, "field %d has wire type %d", field, kind)
+		}
+		if n < 0 {
+			return errors.Wrapf(ErrCorrupt, "field %d is cut short", field)
+		}
+		b = b[n:]
+		if err := f(field, number, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// decodeObject reads an object that a row points to and checks its digest, log and kind.
+func decodeObject(value, digest []byte, log structs.LogID, kind RecordKind) (Record, error) {
+	sum := sha256.Sum256(value)
+	if !bytes.Equal(sum[:], digest) {
+		return Record{}, errors.Wrapf(ErrCorrupt, "object of log %q has digest %x, want %x", log, sum, digest)
+	}
+	r, err := DecodeRecord(value)
+	if err != nil {
+		return Record{}, err
+	}
+	if r.Log != log || r.Kind != kind {
+		return Record{}, errors.Wrapf(ErrCorrupt, "object is of log %q and kind %d, want log %q and kind %d", r.Log, r.Kind, log, kind)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/journal/commit.go
@@ -0,0 +1,181 @@
+package journal
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// group is the entries of one append; they share a record.
+type group struct {
+	entries []Entry
+	bytes   int
+	// last is the sequence number of the last entry.
+	last uint64
+}
+
+// batch is the record being created. Its bytes never change, so that reading the row
+// back settles a lost answer.
+type batch struct {
+	number  uint64
+	entries []Entry
+	bytes   int
+	last    uint64
+	value   []byte
+	object  string
+	// tries counts the attempts whose answer was lost.
+	tries int
+}
+
+// waiter runs a function once a sequence number is committed.
+type waiter struct {
+	sequence uint64
+	run      func()
+}
+
+// append queues one group.
+func (m *Machine) append(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	g := group{entries: entries}
+	for _, e := range entries {
+		g.bytes += e.size()
+	}
+	m.lastSequence += uint64(len(entries))
+	g.last = m.lastSequence
+	m.queue = append(m.queue, g)
+	m.queueBytes += g.bytes
+}
+
+// appendOwn queues an entry of the journal itself about another log.
+func (m *Machine) appendOwn(kind string, log structs.LogID) uint64 {
+	m.append([]Entry{{Kind: kind, Data: []byte(log)}})
+	return m.lastSequence
+}
+
+// whenCommitted runs f once the sequence number is committed.
+func (m *Machine) whenCommitted(sequence uint64, f func()) {
+	m.waiting = append(m.waiting, waiter{sequence, f})
+}
+
+func (m *Machine) wantsCommit() bool { return !m.opened || len(m.queue) > 0 }
+
+// commit creates the next record unless one is in flight or the pace forbids it.
+func (m *Machine) commit() {
+	if m.stopped || m.retire.begun || m.inFlight != nil || !m.wantsCommit() || !m.pace.ready(m.now) {
+		return
+	}
+	b := m.takeBatch()
+	m.inFlight = b
+	record := Record{Kind: RecordBatch, Log: m.cfg.Log, Number: b.number, Entries: b.entries}
+	value := record.Encode()
+	if len(value) <= m.cfg.InlineBytes {
+		b.value = value
+		m.create(b)
+		return
+	}
+	digest := sha256.Sum256(value)
+	b.object = batchObjectKey(m.cfg.Log, b.number)
+	b.value = Record{Kind: RecordPointer, Log: m.cfg.Log, Number: b.number, Object: b.object, Digest: digest[:]}.Encode()
+	m.putObject(b.object, value, func() { m.create(b) })
+}
+
+// takeBatch moves queued groups into one batch.
+func (m *Machine) takeBatch() *batch {
+	b := &batch{number: m.nextNumber, last: m.committed}
+	taken := 0
+	for _, g := range m.queue {
+		if taken > 0 && b.bytes+g.bytes > m.cfg.BatchBytes {
+			break
+		}
+		b.entries = append(b.entries, g.entries...)
+		b.bytes += g.bytes
+		b.last = g.last
+		taken++
+	}
+	m.queue = m.queue[taken:]
+	m.queueBytes -= b.bytes
+	return b
+}
+
+// create creates the batch's row on condition that it is absent and the log unsealed.
+func (m *Machine) create(b *batch) {
+	key := RecordKey(m.cfg.Log, b.number)
+	txn := Txn{
+		Conditions: []Condition{{Key: key, Version: platform.Absent}, {Key: SealKey(m.cfg.Log), Version: platform.Absent}},
+		Writes:     []Write{{Key: key, Value: b.value}},
+	}
+	if b.number == 0 {
+		open := OpenKey(m.cfg.Log)
+		txn.Conditions = append(txn.Conditions, Condition{Key: open, Version: platform.Absent})
+		txn.Writes = append(txn.Writes, Write{Key: open, Value: mustJSON(m.cfg.Owner)})
+	} else {
+		txn.Conditions = append(txn.Conditions, Condition{Key: OpenKey(m.cfg.Log), Version: openVersion})
+	}
+	m.apply(txn, func(o Outcome) {
+		if o == Done {
+			m.created(b)
+			return
+		}
+		m.settle(b, o)
+	})
+}
+
+// settle finds out by reading the row back whether a create took effect whose answer
+// was lost, or which found the row there.
+func (m *Machine) settle(b *batch, create Outcome) {
+	m.getRow(RecordKey(m.cfg.Log, b.number), func(r Result) {
+		switch {
+		case r.Outcome == Done && bytes.Equal(r.Row.Value, b.value):
+			m.created(b)
+		case r.Outcome == NotFound && create == Unknown:
+			b.tries++
+			m.after(m.backoff(b.tries), func() { m.create(b) })
+		default:
+			m.lost()
+		}
+	})
+}
+
+// lost stops the machine: another process sealed the log.
+func (m *Machine) lost() {
+	m.getRow(SealKey(m.cfg.Log), func(r Result) {
+		seal, err := DecodeSeal(r.Row.Value)
+		if err != nil {
+			seal = Seal{}
+		}
+		m.stop(seal.Successor)
+	})
+}
+
+// created takes the record in flight as kept.
+func (m *Machine) created(b *batch) {
+	m.inFlight = nil
+	m.opened = true
+	m.nextNumber = b.number + 1
+	m.checkpoints.add(b)
+	for _, e := range b.entries {
+		m.state.applyIndex(e)
+	}
+	if b.last > m.committed {
+		m.committed = b.last
+		m.emit(Committed{Through: b.last})
+	}
+	m.runWaiting()
+}
+
+// runWaiting runs what waited for the commit, in the order in which it was asked.
+func (m *Machine) runWaiting() {
+	waiting := m.waiting
+	m.waiting = nil
+	for _, w := range waiting {
+		if w.sequence <= m.committed {
+			w.run()
+			continue
+		}
+		m.waiting = append(m.waiting, w)
+	}
+}
--- /dev/null
+++ b/journal/remove.go
@@ -0,0 +1,154 @@
+package journal
+
+import (
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// removeLog deletes the objects and then the records of a log whose programs are
+// committed in the own log; whoever adopts this log does so again. The seal row stays as
+// the redirect of callers until forgetRedirects.
+func (m *Machine) removeLog(log structs.LogID) {
+	m.getRow(CheckpointKey(log), func(r Result) {
+		var objects []string
+		if c, err := decodeCheckpoint(r.Row.Value); r.Outcome == Done && err == nil {
+			for _, p := range c.Parts {
+				objects = append(objects, p.Key)
+			}
+		}
+		m.scanAll(RecordPrefix(log), "", func(rows []Row) {
+			if len(rows) == 0 {
+				return
+			}
+			writes := []Write{{Key: CheckpointKey(log), Delete: true}}
+			for _, row := range rows {
+				writes = append(writes, Write{Key: row.Key, Delete: true})
+				objects = append(objects, objectsOf(log, row)...)
+			}
+			m.deleteObjects(objects, func() { m.deleteRows(writes, func() {}) })
+		})
+	})
+}
+
+// objectsOf returns the objects that belong to a row of a sealed log. The holder may
+// have put the object of the record that the seal kept it from creating.
+func objectsOf(log structs.LogID, row Row) []string {
+	r, err := DecodeRecord(row.Value)
+	switch {
+	case err == nil && r.Kind == RecordPointer:
+		return []string{r.Object}
+	case err == nil && r.Kind == RecordSeal:
+		return []string{batchObjectKey(log, r.Number)}
+	}
+	return nil
+}
+
+// deleteRows deletes rows while the own log is unsealed, a transaction at a time.
+func (m *Machine) deleteRows(writes []Write, done func()) {
+	n := min(len(writes), m.cfg.TxnWrites)
+	m.apply(Txn{Conditions: Unsealed(m.cfg.Log), Writes: writes[:n]}, func(o Outcome) {
+		switch {
+		case o == ConditionFailed:
+			m.lost()
+		case o == Unknown:
+			m.after(m.backoff(1), func() { m.deleteRows(writes, done) })
+		case n < len(writes):
+			m.deleteRows(writes[n:], done)
+		default:
+			done()
+		}
+	})
+}
+
+// forgetRedirects deletes the redirect rows that no live program needs any more.
+func (m *Machine) forgetRedirects() {
+	if m.stopped || len(m.state.adopted) == 0 || m.forgetting || m.adoption != nil {
+		return
+	}
+	for _, log := range sortedKeys(m.state.adopted) {
+		if m.state.redirectNeeded(log) {
+			continue
+		}
+		m.forgetting = true
+		m.deleteRows([]Write{{Key: SealKey(log), Delete: true}}, func() {
+			sequence := m.appendOwn(kindForgotten, log)
+			m.whenCommitted(sequence, func() { m.forgetting = false })
+		})
+		return
+	}
+}
+
+// retirement is the deletion of the own log by its holder.
+type retirement struct {
+	wanted bool
+	begun  bool
+}
+
+// retireIfIdle deletes the own log when that was asked for and nothing is left in it.
+func (m *Machine) retireIfIdle() {
+	r := &m.retire
+	if !r.wanted || r.begun || !m.idle() {
+		return
+	}
+	r.begun = true
+	writes := []Write{{Key: OpenKey(m.cfg.Log), Delete: true}, {Key: CheckpointKey(m.cfg.Log), Delete: true}}
+	for n := m.checkpoints.trimmed; n < m.nextNumber; n++ {
+		writes = append(writes, Write{Key: RecordKey(m.cfg.Log, n), Delete: true})
+	}
+	m.deleteOwn(Txn{Conditions: Unsealed(m.cfg.Log), Writes: writes})
+}
+
+// idle says that all is committed, no program is live and nothing is under way.
+func (m *Machine) idle() bool {
+	return m.opened && m.inFlight == nil && len(m.queue) == 0 && m.state.empty() &&
+		!m.checkpoints.running && m.untrimmed() <= m.retireLimit()
+}
+
+// retireLimit returns the number of records that can be deleted together with the open
+// row and the checkpoint row.
+func (m *Machine) retireLimit() int { return m.cfg.TxnWrites - 2 }
+
+// untrimmed returns the number of records whose rows exist.
+func (m *Machine) untrimmed() int { return int(m.nextNumber - m.checkpoints.trimmed) }
+
+// deleteOwn deletes the own log's rows in one transaction, so that an adopter finds
+// either all of the log or none of it.
+func (m *Machine) deleteOwn(txn Txn) {
+	m.apply(txn, func(o Outcome) {
+		if o == Done {
+			m.retired()
+			return
+		}
+		m.getRow(OpenKey(m.cfg.Log), func(open Result) {
+			m.getRow(SealKey(m.cfg.Log), func(seal Result) {
+				switch {
+				case seal.Outcome == Done:
+					m.lost()
+				case open.Outcome == NotFound:
+					m.retired()
+				default:
+					m.after(m.backoff(1), func() { m.deleteOwn(txn) })
+				}
+			})
+		})
+	})
+}
+
+// retired deletes the objects left and ends the machine.
+func (m *Machine) retired() {
+	objects := append([]string(nil), m.checkpoints.tailObjects...)
+	for _, p := range m.checkpoints.parts {
+		objects = append(objects, p.Key)
+	}
+	m.deleteObjects(objects, func() {
+		m.emit(Retired{})
+		m.stop("")
+	})
+}
+
+func (m *Machine) deleteObjects(keys []string, done func()) {
+	if len(keys) == 0 {
+		done()
+		return
+	}
+	m.deleteObject(keys[0], func() { m.deleteObjects(keys[1:], done) })
+}
--- /dev/null
+++ b/journal/state.go
@@ -0,0 +1,166 @@
+package journal
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// state is what a log's entries amount to.
+type state struct {
+	// live are the programs that have begun and not ended.
+	live map[structs.ProgramID]struct{}
+	// perLog counts the live programs by the log that they were opened in.
+	perLog map[structs.LogID]int
+	// adopting are the logs whose adoption has begun.
+	adopting map[structs.LogID]struct{}
+	// adopted maps each log taken over, whose redirect row exists, to the log through
+	// which it was inherited; empty for one that was sealed for this log.
+	adopted map[structs.LogID]structs.LogID
+}
+
+func newState() *state {
+	return &state{
+		live:     make(map[structs.ProgramID]struct{}),
+		perLog:   make(map[structs.LogID]int),
+		adopting: make(map[structs.LogID]struct{}),
+		adopted:  make(map[structs.LogID]structs.LogID),
+	}
+}
+
+// empty says that nothing has to be kept.
+func (s *state) empty() bool { return len(s.live)+len(s.adopting)+len(s.adopted) == 0 }
+
+// applyIndex applies one committed entry.
+func (s *state) applyIndex(e Entry) {
+	log := structs.LogID(e.Data)
+	switch e.Kind {
+	case kindAdopting:
+		s.adopting[log] = struct{}{}
+	case kindAbandoned:
+		delete(s.adopting, log)
+	case kindAdopted:
+		delete(s.adopting, log)
+		s.adopted[log] = structs.LogID(e.Program)
+	case kindForgotten:
+		delete(s.adopted, log)
+	default:
+		s.applyProgram(e)
+	}
+}
+
+func (s *state) applyProgram(e Entry) {
+	_, known := s.live[e.Program]
+	origin := e.Program.Log()
+	switch {
+	case e.Mark == MarkEnd && known:
+		delete(s.live, e.Program)
+		s.perLog[origin]--
+		if s.perLog[origin] == 0 {
+			delete(s.perLog, origin)
+		}
+	case e.Mark != MarkEnd && !known:
+		s.live[e.Program] = struct{}{}
+		s.perLog[origin]++
+	}
+}
+
+// redirectNeeded says whether callers may still need the redirect row of the log:
+// a program opened in it is live, or in a log that was inherited through it.
+func (s *state) redirectNeeded(log structs.LogID) bool {
+	if s.perLog[log] > 0 {
+		return true
+	}
+	for other, through := range s.adopted {
+		if through == log && other != log {
+			return true
+		}
+	}
+	return false
+}
+
+// fold drops the entries that later ones make superfluous and keeps the order of the
+// rest. With complete, nothing precedes the entries, and what has ended leaves no trace;
+// else an ended program leaves the entry that ended it, to cancel what precedes.
+func fold(entries []Entry, complete bool) []Entry {
+	first := firstNeeded(entries, complete)
+	settled := newState()
+	for _, e := range entries {
+		settled.applyIndex(e)
+	}
+	kept := make([]Entry, 0, len(entries))
+	for i, e := range entries {
+		if e.isOwn() {
+			if !complete || settled.keepsOwn(e) {
+				kept = append(kept, e)
+			}
+			continue
+		}
+		if i >= first[e.Program] {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// firstNeeded returns for each program the index of its first entry still needed.
+func firstNeeded(entries []Entry, complete bool) map[structs.ProgramID]int {
+	first := make(map[structs.ProgramID]int)
+	for i, e := range entries {
+		switch {
+		case e.isOwn() || e.Mark == MarkNone:
+		case e.Mark == MarkEnd && complete:
+			first[e.Program] = i + 1
+		default:
+			first[e.Program] = i
+		}
+	}
+	return first
+}
+
+// isOwn says that the entry is the journal's own.
+func (e Entry) isOwn() bool {
+	switch e.Kind {
+	case kindAdopting, kindAbandoned, kindAdopted, kindForgotten:
+		return true
+	}
+	return false
+}
+
+// keepsOwn says whether the journal's own entry still tells something of s.
+func (s *state) keepsOwn(e Entry) bool {
+	log := structs.LogID(e.Data)
+	switch e.Kind {
+	case kindAdopting:
+		_, open := s.adopting[log]
+		return open
+	case kindAdopted:
+		_, kept := s.adopted[log]
+		return kept
+	}
+	return false
+}
+
+// byProgram sorts the entries of programs by program, keeping each one's order, and
+// leaves out the journal's own.
+func byProgram(entries []Entry) []Entry {
+	var programs []Entry
+	for _, e := range entries {
+		if !e.isOwn() {
+			programs = append(programs, e)
+		}
+	}
+	slices.SortStableFunc(programs, func(a, b Entry) int { return cmp.Compare(a.Program, b.Program) })
+	return programs
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[K cmp.Ordered, V any](values map[K]V) []K {
+	keys := make([]K, 0, len(values))
+	for k := range values {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
