--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"pgregory.net/rapid"
+)
+
+// TestBoundAndShares explores offers, ends and resizes: nothing is let in beyond the
+// capacity, an organisation below an even share is let in while the reserve has room,
+// each refusal is "not run" with a time to come back, and no state outlives its turns.
+func TestBoundAndShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 40).Draw(t, "capacity")
+		m := New(Config{Capacity: capacity, Lump: rapid.IntRange(1, 8).Draw(t, "lump")})
+		now := time.Unix(1, 0)
+		m.Step(now, Switch{Preset: structs.Preset{AdmitNew: true}})
+		open := map[structs.ProgramID]bool{}
+		for n := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			if rapid.IntRange(0, 2).Draw(t, "verb") == 0 {
+				p := structs.ProgramID(fmt.Sprintf("p%d", rapid.IntRange(0, n).Draw(t, "ended")))
+				m.Step(now, Ended{Program: p})
+				delete(open, p)
+				continue
+			}
+			o := Offer{Program: structs.ProgramID(fmt.Sprintf("p%d", n)),
+				Organisation: structs.OrganisationID(rapid.SampledFrom([]string{"o1", "o1", "o1", "o2", "o3"}).Draw(t, "organisation")),
+				UnderWay:     rapid.Bool().Draw(t, "under way"),
+				Predicted:    time.Duration(rapid.IntRange(0, 1e10).Draw(t, "predicted"))}
+			if rapid.Bool().Draw(t, "bounded") {
+				o.Deadline = now.Add(time.Duration(rapid.IntRange(0, 1e10).Draw(t, "patience")))
+			}
+			switch e := m.Step(now, o)[0].(type) {
+			case Admit:
+				open[o.Program] = true
+			case Refuse:
+				if e.Refusal.RetryAfter <= 0 || e.Refusal.Outcome != structs.OutcomeNotRun {
+					t.Fatalf("refusal %+v", e.Refusal)
+				}
+			}
+			if len(open) > capacity || m.lent > capacity || m.Running() != len(open) {
+				t.Fatalf("%d turns, %d lent, capacity %d", len(open), m.lent, capacity)
+			}
+		}
+		for p := range open {
+			m.Step(now, Ended{Program: p})
+		}
+		if m.lent != 0 || m.Organisations() != 0 || m.Running() != 0 {
+			t.Fatalf("after all ends lent=%d organisations=%d running=%d", m.lent, m.Organisations(), m.Running())
+		}
+	})
+}
+
+// TestQueueStarvesNone serves a steady stream of newer calls of less service beside
+// one old call: it is served before its deadline.
+func TestQueueStarvesNone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue
+		now := time.Unix(1, 0)
+		patience := time.Duration(rapid.IntRange(1, 60).Draw(t, "patience s")) * time.Second
+		old := Waiting{Call: "old", Attained: rapid.Int64Range(0, 1<<40).Draw(t, "attained"), Deadline: now.Add(patience)}
+		q.Push(now, old)
+		for n := 0; ; n++ {
+			other := Waiting{Call: structs.CallID(fmt.Sprint(n)), Attained: rapid.Int64Range(0, 5000).Draw(t, "other"),
+				Turn: 2, Deadline: now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "other s")) * time.Second)}
+			q.Push(now, other)
+			got, ok := q.Pop()
+			if !ok || q.Len() < 0 {
+				t.Fatalf("nothing to serve")
+			}
+			if got.Call == "old" {
+				return
+			}
+			now = now.Add(time.Second)
+			if now.After(old.Deadline) {
+				t.Fatalf("call of %d attained tokens starved for its patience of %v", old.Attained, patience)
+			}
+		}
+	})
+}
+
+func BenchmarkQueue(b *testing.B) {
+	for _, n := range []int{30, 300, 3_000} {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			var q Queue
+			now := time.Unix(1000, 0)
+			for i := range n {
+				q.Push(now, Waiting{Call: structs.CallID(fmt.Sprint(i)), Attained: int64(i * 7919 % 50_000)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				w, _ := q.Pop()
+				now = now.Add(time.Millisecond)
+				q.Push(now, w)
+			}
+		})
+	}
+}
+
+func BenchmarkOffer(b *testing.B) {
+	for _, organisations := range []int{130, 1_300, 13_000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			m := New(Config{Capacity: 2 * organisations, Lump: 8})
+			now := time.Unix(1000, 0)
+			m.Step(now, Switch{Preset: structs.Preset{AdmitNew: true}})
+			offers := make([]Offer, 2*organisations)
+			for i := range offers {
+				offers[i] = Offer{Program: structs.ProgramID(fmt.Sprint("p", i)),
+					Organisation: structs.OrganisationID(fmt.Sprint("o", i%organisations))}
+			}
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Step(now, offers[i%len(offers)])
+				m.Step(now, Ended{Program: offers[(i+organisations)%len(offers)].Program})
+				i++
+			}
+		})
+	}
+}
--- a/admission/machine.go
+++ b/admission/machine.go
@@ -210,9 +210,10 @@
 	return true
 }
 
-// evenShare is the capacity over the organisations with a turn under way, at least 1.
+// evenShare is the capacity over the organisations with a turn under way and one
+// that may come, at least 1.
 func (m *Machine) evenShare() int {
-	return max(1, m.cfg.Capacity/max(1, len(m.accounts)))
+	return max(1, m.cfg.Capacity/(len(m.accounts)+1))
 }
 
 // ended returns the turn, and whole lumps that the organisation no longer uses.
--- a/kvcache/view.go
+++ b/kvcache/view.go
@@ -149,13 +149,15 @@
 // fresh reports whether the blocks known by events are within the age bound.
 func (v *View) fresh(now time.Time) bool { return now.Sub(v.confirmed) <= v.cfg.MaxAge }
 
-// age drops expectations that have outlived the age bound, in two generations.
+// age drops expectations in two generations. A generation is believed for a third of
+// the age bound at least, and for no longer than the bound.
 func (v *View) age(now time.Time) {
-	half := v.cfg.MaxAge / 2
-	if now.Sub(v.turned) < half {
+	third := v.cfg.MaxAge / 3
+	since := now.Sub(v.turned)
+	if since < third {
 		return
 	}
-	if now.Sub(v.turned) >= v.cfg.MaxAge {
+	if since >= 2*third {
 		clear(v.expected)
 	}
 	v.turned = now
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,166 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"pgregory.net/rapid"
+)
+
+var policies = []string{PolicyCost, PolicyRoundRobin, PolicyLeastLoad, PolicyStickyHash}
+
+func drawLoad(t *rapid.T, sequence uint64) structs.Load {
+	return structs.Load{
+		Upstream:      structs.UpstreamID(rapid.SampledFrom([]string{"m1", "m2", "m3", "m4"}).Draw(t, "upstream")),
+		Kind:          structs.KindModel,
+		Models:        rapid.SampledFrom([][]string{{"x"}, {"y"}, {"x", "y"}, nil}).Draw(t, "models"),
+		Running:       rapid.IntRange(-1, 40).Draw(t, "running"),
+		Queued:        rapid.IntRange(-1, 40).Draw(t, "queued"),
+		BatchLimit:    rapid.IntRange(0, 16).Draw(t, "limit"),
+		PrefillRate:   rapid.Float64Range(-1, 1e5).Draw(t, "rate"),
+		StepTime:      time.Duration(rapid.IntRange(-1, 1e9).Draw(t, "step")),
+		KVUsedTokens:  rapid.Int64Range(0, 1e6).Draw(t, "used"),
+		KVLimitTokens: rapid.Int64Range(0, 1e6).Draw(t, "kv"),
+		Draining:      rapid.Bool().Draw(t, "draining"),
+		Incarnation:   rapid.SampledFrom([]string{"1", "2"}).Draw(t, "incarnation"),
+		Sequence:      sequence,
+	}
+}
+
+// TestChoiceIsUsable explores reports, drains, sends and failures in any order: no
+// policy chooses an upstream that drains, lacks the model, or is not there, each
+// prediction is at least zero, and a second State given the same messages decides alike.
+func TestChoiceIsUsable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		preset := structs.Preset{Policy: rapid.SampledFrom(policies).Draw(t, "policy"), LatencyWeight: 1, WasteWeight: 1,
+			MaxQueue: rapid.IntRange(0, 20).Draw(t, "queue")}
+		var states [2]*State
+		var chosen [2]Policy
+		for i := range states {
+			states[i] = NewState(Config{})
+			chosen[i], _ = NewPolicy(preset, 3)
+		}
+		now := time.Unix(1, 0)
+		drained := map[structs.UpstreamID]bool{}
+		models := map[structs.UpstreamID][]string{}
+		both := func(f func(*State)) { f(states[0]); f(states[1]) }
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2e9).Draw(t, "advance")))
+			switch rapid.IntRange(0, 3).Draw(t, "verb") {
+			case 0:
+				l := drawLoad(t, uint64(n))
+				both(func(s *State) { s.Report(now, l) })
+				models[l.Upstream] = l.Models
+				drained[l.Upstream] = l.Draining
+			case 1:
+				id := structs.UpstreamID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "drained"))
+				both(func(s *State) { s.Drain(id) })
+				drained[id] = true
+			case 2:
+				call := &structs.ModelCall{Call: structs.CallID(fmt.Sprintf("p%d/1/%d", n%3, n)), Model: "x",
+					Messages: prompt("a", rapid.IntRange(0, 5000).Draw(t, "tokens"))}
+				blocks := kvcache.Blocks(call.Messages)
+				var got [2]Decision
+				var ok [2]bool
+				for i, s := range states {
+					got[i], ok[i] = chosen[i].Choose(now, call, blocks, s.Candidates(now, structs.KindModel))
+				}
+				if got[0] != got[1] || ok[0] != ok[1] {
+					t.Fatalf("same messages, different decisions %+v and %+v", got[0], got[1])
+				}
+				if !ok[0] {
+					continue
+				}
+				d := got[0]
+				if drained[d.Upstream] || !slices.Contains(models[d.Upstream], "x") {
+					t.Fatalf("chose %q: draining=%v models=%v", d.Upstream, drained[d.Upstream], models[d.Upstream])
+				}
+				if d.Wait < 0 || d.Prefill < 0 || d.Step < 0 || d.PrefillTokens < 0 || d.CachedTokens < 0 {
+					t.Fatalf("negative prediction in %+v", d)
+				}
+				both(func(s *State) { s.Sent(now, call, blocks, d) })
+			case 3:
+				id := structs.CallID(fmt.Sprintf("p%d/1/%d", rapid.IntRange(0, 2).Draw(t, "program"), rapid.IntRange(0, 60).Draw(t, "call")))
+				r := Result{Failed: rapid.Bool().Draw(t, "failed"), Void: rapid.Bool().Draw(t, "void")}
+				both(func(s *State) { s.Done(now, id, 0, r) })
+			}
+			for _, c := range states[0].Candidates(now, structs.KindModel) {
+				if c.Load.Running < 0 || c.Load.Queued < 0 || c.Outstanding < 0 || c.Load.QueuedPrefillTokens < 0 {
+					t.Fatalf("negative load in %+v", c)
+				}
+			}
+		}
+	})
+}
+
+// TestFewestCandidatesMove checks that the loss of one upstream moves only its own programs.
+func TestFewestCandidatesMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.String().Draw(t, "key")
+		nodes := rapid.SliceOfNDistinct(rapid.StringN(1, 8, -1), 2, 8, rapid.ID[string]).Draw(t, "nodes")
+		first := func(nodes []string) string {
+			return slices.MaxFunc(nodes, func(a, b string) int {
+				if Rendezvous(key, a) < Rendezvous(key, b) {
+					return -1
+				}
+				return 1
+			})
+		}
+		chosen := first(nodes)
+		lost := rapid.SampledFrom(nodes).Draw(t, "lost")
+		rest := slices.DeleteFunc(slices.Clone(nodes), func(n string) bool { return n == lost })
+		if lost != chosen && first(rest) != chosen {
+			t.Fatalf("key %q moved from %q although %q was lost", key, chosen, lost)
+		}
+	})
+}
+
+// candidates returns n engines with views of 4,096 blocks each, one of which caches blocks.
+func benchState(n int, blocks []uint64) (*State, time.Time) {
+	now := time.Unix(1000, 0)
+	s := NewState(Config{})
+	for i := range n {
+		id := structs.UpstreamID(fmt.Sprintf("m%04d", i))
+		s.Report(now, structs.Load{Upstream: id, Kind: structs.KindModel, Models: []string{"x"}, Running: i % 8,
+			BatchLimit: 16, PrefillRate: 8000, StepTime: 20 * time.Millisecond, KVLimitTokens: 1 << 20})
+		if i%8 == 0 {
+			s.Cache(id).Expect(now, blocks[:len(blocks)*(i%5)/5])
+		}
+	}
+	return s, now
+}
+
+func BenchmarkChoose(b *testing.B) {
+	call := &structs.ModelCall{Call: "p1/1/1", Program: "p1", Model: "x", Messages: prompt("a", 1)}
+	for _, tokens := range []int{3_300, 33_000, 330_000} {
+		call.Messages = prompt("a", tokens)
+		blocks := kvcache.Blocks(call.Messages)
+		for _, n := range []int{6, 64, 640} {
+			b.Run(fmt.Sprintf("candidates=%d/tokens=%d", n, tokens), func(b *testing.B) {
+				s, now := benchState(n, blocks)
+				policy := NewCost(structs.Preset{LatencyWeight: 1, WasteWeight: 1})
+				b.ReportAllocs()
+				for b.Loop() {
+					policy.Choose(now, call, blocks, s.Candidates(now, structs.KindModel))
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkSentDone(b *testing.B) {
+	call := &structs.ModelCall{Call: "p1/1/1", Program: "p1", Model: "x", Messages: prompt("a", 33_000)}
+	blocks := kvcache.Blocks(call.Messages)
+	s, now := benchState(64, blocks)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		s.Sent(now, call, blocks, Decision{Upstream: "m0001"})
+		s.Done(now, call.Call, 0, Result{})
+		s.Exact(now.Add(3*time.Millisecond), s.upstreams["m0001"].load)
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -145,7 +145,7 @@
 // DoneService records the end of a call to an application engine.
 func (s *State) DoneService(now time.Time, id structs.UpstreamID, failed bool) {
 	if u, ok := s.upstreams[id]; ok {
-		u.ended(now, 0)
+		u.ended(now, time.Time{})
 		u.outcome(now, failed)
 	}
 }
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -85,13 +85,20 @@
 	}
 }
 
-func (u *upstream) ended(now time.Time, prefill int) {
+// ended takes off a call that was sent at sentAt.
+func (u *upstream) ended(now, sentAt time.Time) {
 	u.outstanding--
-	u.changes = append(u.changes, change{at: now, calls: -1, prefill: -prefill})
+	for i := range u.changes {
+		if u.changes[i].calls > 0 && u.changes[i].at.Equal(sentAt) {
+			u.changes[i].prefill = 0
+			break
+		}
+	}
+	u.changes = append(u.changes, change{at: now, calls: -1})
 }
 
 func (u *upstream) done(now time.Time, sent sentCall, r Result) {
-	u.ended(now, 0)
+	u.ended(now, sent.at)
 	if r.Void || r.Failed {
 		u.cache.Shrink(sent.blocks, sent.decision.CachedTokens/kvcache.BlockTokens)
 	}
