--- a/routing/policy.go
+++ b/routing/policy.go
@@ -21,7 +21,8 @@
 // Policy chooses the upstream of a model call. It is not safe for concurrent use.
 type Policy interface {
 	// Choose returns the decision for call, whose conversation has the given cache
-	// blocks. It returns false when no candidate may take the call.
+	// blocks, among candidates that are all model engines. It returns false when none
+	// may take the call.
 	Choose(now time.Time, call *structs.ModelCall, blocks []uint64, candidates []Candidate) (Decision, bool)
 }
 
@@ -97,7 +98,7 @@
 // usable reports whether a candidate may take a call of the model at all. A maxQueue
 // of 0 sets no bound.
 func usable(c *Candidate, model string, maxQueue int) bool {
-	if c.Load.Draining || c.Excluded || c.Load.Kind == structs.KindApplication {
+	if c.Load.Draining || c.Excluded {
 		return false
 	}
 	if maxQueue > 0 && c.Load.Queued >= maxQueue {
--- a/routing/services.go
+++ b/routing/services.go
@@ -18,13 +18,13 @@
 	return &Services{rand: rand.New(rand.NewPCG(seed, seed))}
 }
 
-// Choose returns the application engine for a call of the named service. It returns
-// false when none may take it.
+// Choose returns the application engine for a call of the named service, among
+// candidates that are all application engines. It returns false when none may take it.
 func (s *Services) Choose(name string, candidates []Candidate) (structs.UpstreamID, bool) {
 	s.usable = s.usable[:0]
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Load.Kind == structs.KindApplication && !c.Load.Draining && !c.Excluded && serves(&c.Load, name) {
+		if !c.Load.Draining && !c.Excluded && serves(&c.Load, name) {
 			s.usable = append(s.usable, i)
 		}
 	}
