--- a/internal/home/remote.go
+++ b/internal/home/remote.go
@@ -25,11 +25,22 @@
 
 var _ Home = (*Remote)(nil)
 
+// failure returns err as a refusal; a failure between the processes has CodeHomeUnreachable.
+func (r *Remote) failure(err error, step string) error {
+	out := peer.FromStatus(err, step, r.peer)
+	var refusal *structs.Refusal
+	if peer.Transport(err) && errors.As(out, &refusal) {
+		refusal.Code = structs.CodeHomeUnreachable
+		refusal.RetryAfter = unreachRetry
+	}
+	return out
+}
+
 // Open implements Home.
 func (r *Remote) Open(ctx context.Context, spec structs.ProgramSpec) (structs.ProgramID, error) {
 	reply, err := r.client.Open(ctx, &peerpb.OpenRequest{Spec: peer.SpecToPB(spec)})
 	if err != nil {
-		return "", peer.FromStatus(err, "open", r.peer)
+		return "", r.failure(err, "open")
 	}
 	return structs.ProgramID(reply.GetProgram()), nil
 }
@@ -47,7 +58,7 @@
 		Attach:       turn.Attach,
 	})
 	if err != nil {
-		return peer.FromStatus(err, "turn", r.peer)
+		return r.failure(err, "turn")
 	}
 	return r.receive(stream, event)
 }
@@ -69,7 +80,7 @@
 			}
 		}
 		if err != nil {
-			return peer.FromStatus(err, "turn", r.peer)
+			return r.failure(err, "turn")
 		}
 		e := peer.TurnEventFromPB(m)
 		answered = answered || e.Answer != nil
@@ -86,7 +97,7 @@
 		Organisation: string(end.Organisation),
 		Cancel:       end.Cancel,
 	})
-	return peer.FromStatus(err, "end", r.peer)
+	return r.failure(err, "end")
 }
 
 // Read implements Home.
@@ -97,7 +108,7 @@
 		History:      read.History,
 	})
 	if err != nil {
-		return structs.ProgramView{}, peer.FromStatus(err, "read", r.peer)
+		return structs.ProgramView{}, r.failure(err, "read")
 	}
 	return peer.ViewFromPB(reply.GetProgram()), nil
 }
@@ -110,7 +121,7 @@
 		Limit:        int32(list.Limit),
 	})
 	if err != nil {
-		return nil, peer.FromStatus(err, "list", r.peer)
+		return nil, r.failure(err, "list")
 	}
 	views := make([]structs.ProgramView, len(reply.GetPrograms()))
 	for i, p := range reply.GetPrograms() {
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -51,6 +51,12 @@
 	if err == nil {
 		return nil
 	}
+	var unsent *notSentError
+	if errors.As(err, &unsent) {
+		r := unsent.refusal
+		r.Peer = peer
+		return &r
+	}
 	st, ok := status.FromError(err)
 	if !ok {
 		return err
--- a/internal/peer/sent.go
+++ b/internal/peer/sent.go
@@ -4,7 +4,9 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
@@ -44,13 +46,35 @@
 	if !ok || len(st.Details()) > 0 {
 		return err
 	}
-	return ToStatus(&structs.Refusal{
+	return &notSentError{refusal: structs.Refusal{
 		Code:    structs.CodeUpstreamFailed,
 		Outcome: structs.OutcomeNotRun,
 		Step:    "connect",
 		Peer:    target,
 		Detail:  st.Message(),
-	})
+	}}
+}
+
+// notSentError is the error of a call that never reached a connection.
+type notSentError struct {
+	refusal structs.Refusal
+}
+
+// Error implements error.
+func (e *notSentError) Error() string { return e.refusal.Error() }
+
+// Transport reports whether a call failed between the processes: its peer was not
+// reached, or the connection ended before the reply.
+func Transport(err error) bool {
+	var unsent *notSentError
+	if errors.As(err, &unsent) {
+		return true
+	}
+	st, ok := status.FromError(err)
+	if err == nil || !ok || len(st.Details()) > 0 {
+		return false
+	}
+	return st.Code() == codes.Unavailable || st.Code() == codes.Unknown || st.Code() == codes.Internal
 }
 
 func unarySent(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
