--- /dev/null
+++ b/cmd/buckthorn-side/main.go
@@ -0,0 +1,45 @@
+// Command buckthorn-side runs beside one upstream: it is the gate on the only
+// way to it. Its settings are one TOML file; docs/OPERATIONS.md describes them.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/buckthornroute/buckthornroute/internal/daemon"
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/internal/side"
+	"github.com/buckthornroute/buckthornroute/internal/telemetry"
+)
+
+func main() {
+	c := daemon.Command("buckthorn-side", "the process beside one upstream", run)
+	os.Exit(daemon.Main(c, os.Args, os.Stderr))
+}
+
+func run(ctx context.Context, path string) error {
+	cfg, err := settings.LoadSide(path)
+	if err != nil {
+		return err
+	}
+	log, err := eventlog.New(os.Stderr, cfg.Node, cfg.Log)
+	if err != nil {
+		return err
+	}
+	security, follow, err := daemon.Security(cfg.TLS, path, log)
+	if err != nil {
+		return err
+	}
+	t, err := telemetry.New(ctx, cfg.Telemetry, telemetry.Options{
+		Service: "buckthorn-side",
+		Node:    cfg.Node,
+		Domain:  cfg.FailureDomain,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = t.Shutdown(context.WithoutCancel(ctx)) }()
+	go follow(ctx)
+	return side.Run(ctx, cfg, side.Environment{Log: log, Telemetry: t, Security: security}, func() {})
+}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthornroute/buckthornroute/admission"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/peer"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -43,6 +44,10 @@
 	// Model is the engine of a model side, Service that of an application side.
 	Model   ModelEngine
 	Service Service
+	// Log takes the side's events; nil discards them.
+	Log *eventlog.Logger
+
+	closeUpstream func()
 }
 
 const (
@@ -78,6 +83,9 @@
 	if cfg.HoldInterval == 0 {
 		cfg.HoldInterval = defaultHoldInterval
 	}
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
 	h, err := newHistories(cfg.HistoryBytes)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/side/start.go
@@ -0,0 +1,146 @@
+package side
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/internal/telemetry"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Environment is what a side gets from the program it runs in.
+type Environment struct {
+	Log       *eventlog.Logger
+	Telemetry *telemetry.Telemetry
+	Security  peer.Security
+}
+
+// vmListInterval is the time between two reads of the platform's list.
+const vmListInterval = 500 * time.Millisecond
+
+// Run runs a side by its settings until ctx ends, and then shuts it down
+// gracefully: the gate closes, the calls in flight finish, the listeners close.
+// ready is called once both listeners are open.
+func Run(ctx context.Context, cfg *settings.Side, env Environment, ready func()) error {
+	s, err := newFromSettings(cfg, env)
+	if err != nil {
+		return err
+	}
+	defer s.closeUpstream()
+	peerListener, err := net.Listen("tcp", cfg.ListenPeer)
+	if err != nil {
+		return errors.Wrapf(err, "listen_peer %q", cfg.ListenPeer)
+	}
+	httpListener, err := net.Listen("tcp", cfg.ListenHTTP)
+	if err != nil {
+		_ = peerListener.Close()
+		return errors.Wrapf(err, "listen_http %q", cfg.ListenHTTP)
+	}
+	g := peer.NewServer(peer.Options{Security: env.Security, Telemetry: env.Telemetry})
+	s.Register(g)
+	h := httpapi.NewServer(s.healthRoutes(env.Telemetry))
+	env.Log.Emit(eventlog.SideStarted, eventlog.Fields{Detail: cfg.ListenPeer})
+	ready()
+	return s.serve(ctx, cfg, env, g, peerListener, h, httpListener)
+}
+
+func (s *Server) serve(ctx context.Context, cfg *settings.Side, env Environment, g *grpc.Server, peerListener net.Listener, h *http.Server, httpListener net.Listener) error {
+	// Duties go on while calls in flight finish after ctx has ended.
+	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	var group errgroup.Group
+	group.Go(func() error { return g.Serve(peerListener) })
+	group.Go(func() error { return ignoreClosed(h.Serve(httpListener)) })
+	group.Go(func() error { return s.Run(dutyContext, vmListOf(cfg, env), vmListInterval) })
+
+	<-ctx.Done()
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.ShutdownGrace.Std())
+	defer cancel()
+	if err := s.Drain(grace); err != nil {
+		env.Log.Emit(eventlog.SideShutdownBoundReached, eventlog.Fields{Count: int64(s.load().Running)})
+	}
+	stopDuties()
+	g.Stop()
+	_ = h.Shutdown(grace) // its requests are health checks
+	env.Log.Emit(eventlog.SideStopped, eventlog.Fields{})
+	return group.Wait()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func vmListOf(cfg *settings.Side, env Environment) platform.VMList {
+	if cfg.PlatformURL == "" {
+		return nil
+	}
+	return platform.NewClient(cfg.PlatformURL, env.Telemetry.Transport(http.DefaultTransport))
+}
+
+func newFromSettings(cfg *settings.Side, env Environment) (*Server, error) {
+	c := Config{
+		Node:         cfg.Node,
+		VM:           cfg.VM,
+		Domain:       cfg.FailureDomain,
+		Upstream:     cfg.Upstream.ID,
+		Kind:         cfg.Upstream.Kind,
+		Models:       cfg.Upstream.Models,
+		BatchLimit:   cfg.BatchLimit,
+		QueueLimit:   cfg.QueueLimit,
+		SilenceLimit: cfg.SilenceLimit.Std(),
+		HoldInterval: cfg.Hold.ReconcileInterval.Std(),
+		Incarnation:  uuid.NewString(),
+		Log:          env.Log,
+	}
+	transport := env.Telemetry.Transport(http.DefaultTransport.(*http.Transport).Clone())
+	if cfg.Upstream.Kind == structs.KindModel {
+		model := engine.NewModel(cfg.Upstream.ID, cfg.Upstream.URL, transport)
+		c.Model, c.closeUpstream = model, model.Close
+	} else {
+		service := engine.NewService(cfg.Upstream.ID, cfg.Upstream.URL, transport)
+		c.Service, c.closeUpstream = service, service.Close
+	}
+	return New(c)
+}
+
+func (s *Server) closeUpstream() {
+	if s.cfg.closeUpstream != nil {
+		s.cfg.closeUpstream()
+	}
+}
+
+// healthRoutes serves /healthz, /readyz and /metrics.
+func (s *Server) healthRoutes(t *telemetry.Telemetry) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		reason := s.gate.Closed(time.Now())
+		s.mu.Unlock()
+		if reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle("GET /metrics", t.MetricsHandler())
+	return mux
+}
