Add the stand-ins and the HTTP clients of platform and upstreams

The clients map HTTP outcomes to the sentinels and refusals exactly: only a failed dial, or the service's own word, says that nothing was run or applied.

--- /dev/null
+++ b/internal/engine/service.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Service is the client of one application engine or tool service. Safe for
+// concurrent use.
+type Service struct {
+	client
+}
+
+// NewService returns a client of the service at a base URL; a nil transport takes one of its own.
+func NewService(id structs.UpstreamID, base string, transport http.RoundTripper) *Service {
+	return &Service{client: newClient(id, base, transport)}
+}
+
+// Close closes idle connections.
+func (s *Service) Close() { s.http.CloseIdleConnections() }
+
+// Invoke runs one call, bounded by its timeout when that is not zero, and returns the
+// result. It never repeats a request. A timeout gives CodeToolTimeout with outcome
+// unknown.
+func (s *Service) Invoke(ctx context.Context, call structs.ToolRequest) (string, error) {
+	if call.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, call.Timeout)
+		defer cancel()
+	}
+	request := InvokeRequest{Arguments: json.RawMessage(call.Arguments), Key: call.Key}
+	var answer InvokeAnswer
+	step := "tool " + call.Name
+	err := s.exchange(ctx, step, "/invoke/"+url.PathEscape(call.Name), request, &answer)
+	if err == nil {
+		return answer.Result, nil
+	}
+	if refusal := structs.AsRefusal(err); refusal.Code == structs.CodeDeadlineExceeded {
+		refusal.Code = structs.CodeToolTimeout
+		return "", refusal
+	}
+	return "", err
+}
+
+// Status asks what became of a key. ServiceNever is final: the service refuses
+// the key from then on.
+func (s *Service) Status(ctx context.Context, name, key string) (StatusAnswer, error) {
+	query := url.Values{"name": {name}, "key": {key}}
+	var answer StatusAnswer
+	err := s.exchange(ctx, "status of "+name, "/status?"+query.Encode(), nil, &answer)
+	return answer, err
+}
+
+// Load returns the service's load report.
+func (s *Service) Load(ctx context.Context) (structs.Load, error) {
+	var load structs.Load
+	err := s.exchange(ctx, "load", "/load", nil, &load)
+	return load, err
+}
--- /dev/null
+++ b/internal/engine/sse.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 4 << 20
+
+// ErrEventTooLong reports an event above maxEventBytes.
+var ErrEventTooLong = errors.Newf("stream event exceeds %d bytes", maxEventBytes)
+
+// eventReader reads the data of server-sent events; other fields are skipped.
+type eventReader struct {
+	reader *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader { return &eventReader{reader: bufio.NewReader(r)} }
+
+// next returns the data of the next event that has any. At the end of the stream
+// it returns io.EOF; an event cut off by the end is not returned.
+func (e *eventReader) next() ([]byte, error) {
+	var data []byte
+	hasData := false
+	for {
+		line, err := e.line()
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return data, nil
+			}
+			continue
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		if string(field) != "data" {
+			continue
+		}
+		if hasData {
+			data = append(data, '\n')
+		}
+		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+		hasData = true
+		if len(data) > maxEventBytes {
+			return nil, ErrEventTooLong
+		}
+	}
+}
+
+// line returns the next line without its end.
+func (e *eventReader) line() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxEventBytes {
+			return nil, ErrEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")), nil
+	}
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,210 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxAnswerBytes bounds an answer of the platform.
+	maxAnswerBytes = 64 << 20
+	// maxErrorBytes bounds the body of an error.
+	maxErrorBytes = 4 << 10
+	// defaultTimeout bounds one request when the caller's context does not.
+	defaultTimeout = 10 * time.Second
+	maxIdleConns   = 64
+)
+
+// Client speaks HTTP to the platform's services. It implements Table, VMList and
+// Weights; Objects returns its object store. Safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var (
+	_ Table   = (*Client)(nil)
+	_ VMList  = (*Client)(nil)
+	_ Weights = (*Client)(nil)
+	_ Objects = (*ObjectClient)(nil)
+)
+
+// NewClient returns a client of the platform at a base URL such as "http://10.0.0.5:7000".
+func NewClient(base string) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     time.Minute,
+	}
+	return NewClientWithTransport(base, transport)
+}
+
+// NewClientWithTransport returns a client that sends by the given transport.
+func NewClientWithTransport(base string, transport http.RoundTripper) *Client {
+	return &Client{
+		base: strings.TrimSuffix(base, "/"),
+		http: &http.Client{Transport: transport, Timeout: defaultTimeout},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Objects returns the object store.
+func (c *Client) Objects() *ObjectClient { return &ObjectClient{client: c} }
+
+// Apply implements Table.
+func (c *Client) Apply(ctx context.Context, txn Txn) error {
+	return c.postJSON(ctx, "/table/apply", txn, nil)
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.getJSON(ctx, "/table/row?"+url.Values{"key": {key}}.Encode(), &row)
+	return row, err
+}
+
+// Scan implements Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+		"limit":  {strconv.Itoa(limit)},
+	}
+	var answer ScanAnswer
+	err := c.getJSON(ctx, "/table/scan?"+query.Encode(), &answer)
+	return answer.Rows, err
+}
+
+// List implements VMList.
+func (c *Client) List(ctx context.Context) ([]VM, error) {
+	var answer VMsAnswer
+	err := c.getJSON(ctx, "/vms", &answer)
+	return answer.VMs, err
+}
+
+// Fetch implements Weights.
+func (c *Client) Fetch(ctx context.Context, model, version string) (int64, error) {
+	var answer FetchAnswer
+	err := c.postJSON(ctx, "/weights/fetch", FetchRequest{Model: model, Version: version}, &answer)
+	return answer.Bytes, err
+}
+
+// ObjectClient is the object store of a Client.
+type ObjectClient struct{ client *Client }
+
+// Put implements Objects.
+func (o *ObjectClient) Put(ctx context.Context, key string, value []byte) error {
+	_, err := o.client.do(ctx, http.MethodPut, objectPath(key), value)
+	return err
+}
+
+// Get implements Objects.
+func (o *ObjectClient) Get(ctx context.Context, key string) ([]byte, error) {
+	return o.client.do(ctx, http.MethodGet, objectPath(key), nil)
+}
+
+// Delete implements Objects. Deleting what does not exist succeeds.
+func (o *ObjectClient) Delete(ctx context.Context, key string) error {
+	_, err := o.client.do(ctx, http.MethodDelete, objectPath(key), nil)
+	return err
+}
+
+func objectPath(key string) string { return "/objects/" + url.PathEscape(key) }
+
+func (c *Client) postJSON(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode request of %s: %w: %w", path, ErrNotApplied, err)
+	}
+	answer, err := c.do(ctx, http.MethodPost, path, body)
+	return decodeAnswer(path, answer, out, err)
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, out any) error {
+	answer, err := c.do(ctx, http.MethodGet, path, nil)
+	return decodeAnswer(path, answer, out, err)
+}
+
+func decodeAnswer(path string, answer []byte, out any, err error) error {
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return fmt.Errorf("decode answer of %s: %w: %w", path, ErrUnavailable, err)
+	}
+	return nil
+}
+
+// do sends one request and returns the body of a success. Its errors wrap
+// exactly one sentinel of this package.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build request of %s: %w: %w", path, ErrNotApplied, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w: %w", method, path, sendFailure(err), err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, statusError(method, path, response)
+	}
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer of %s: %w: %w", path, ErrUnavailable, err)
+	}
+	if len(answer) > maxAnswerBytes {
+		return nil, fmt.Errorf("answer of %s exceeds %d bytes: %w", path, maxAnswerBytes, ErrUnavailable)
+	}
+	return answer, nil
+}
+
+// sendFailure tells a request that was never sent from one that may have been.
+func sendFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrNotApplied
+	}
+	return ErrUnavailable
+}
+
+// statusError maps a status to a sentinel. Only an answer that carries the
+// platform's own code proves that a write was not applied.
+func statusError(method, path string, response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	var body ErrorBody
+	if json.Unmarshal(text, &body) != nil {
+		body = ErrorBody{Detail: string(text)}
+	}
+	sentinel := statusSentinel(response.StatusCode, body.Code)
+	return fmt.Errorf("%s %s: status %d %s: %w: %s", method, path, response.StatusCode, body.Code, sentinel, body.Detail)
+}
+
+func statusSentinel(status int, code ErrorCode) error {
+	switch status {
+	case http.StatusConflict:
+		return ErrConditionFailed
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusTooManyRequests, http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return ErrNotApplied
+	case http.StatusServiceUnavailable:
+		if code == CodeNotApplied {
+			return ErrNotApplied
+		}
+	}
+	return ErrUnavailable
+}
--- /dev/null
+++ b/internal/standin/batch.go
@@ -0,0 +1,235 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// sequence is one attempt of a call inside an engine.
+type sequence struct {
+	call     structs.CallID
+	attempt  uint32
+	program  structs.ProgramID
+	priority int
+
+	answer       structs.Message
+	prompt       []uint64 // block chain of the prompt and the resumed part
+	whole        []uint64 // block chain with the answer
+	promptTokens int
+	answerTokens int
+	resumed      int // answer tokens that the caller already holds
+
+	cachedTokens int
+	prefillLeft  int
+	generated    int
+	pinned       []uint64
+	reserved     int
+
+	out       chan int
+	ended     bool
+	cancelled bool
+}
+
+func newSequence(request engine.ChatRequest, messages []structs.Message) *sequence {
+	answer := cutAnswer(ScriptedAnswer(messages), request.MaxTokens)
+	tokens := max(answer.Tokens(), 1)
+	resumed := min(request.ResumeOffset/structs.BytesPerToken, tokens)
+	return &sequence{
+		call:         request.CallID,
+		attempt:      request.Attempt,
+		program:      request.Program,
+		priority:     request.Priority,
+		answer:       answer,
+		prompt:       blocks(messages),
+		whole:        blocks(append(messages[:len(messages):len(messages)], answer)),
+		promptTokens: structs.Tokens(messages),
+		answerTokens: tokens,
+		resumed:      resumed,
+		out:          make(chan int, tokens-resumed+1),
+	}
+}
+
+// cutAnswer bounds the text of an answer; tool calls are never cut.
+func cutAnswer(answer structs.Message, maxTokens int) structs.Message {
+	if limit := maxTokens * structs.BytesPerToken; maxTokens > 0 && len(answer.Content) > limit {
+		answer.Content = answer.Content[:limit]
+	}
+	return answer
+}
+
+func (s *sequence) blocksNeeded() int {
+	return (s.promptTokens+s.answerTokens)/blockTokens + 2
+}
+
+// end closes the channel of tokens once.
+func (s *sequence) end(cancelled bool) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.cancelled = cancelled
+	close(s.out)
+}
+
+// loop runs the steps of the engine until Close.
+func (m *Model) loop() {
+	defer close(m.done)
+	next := time.Now()
+	for {
+		duration, idle := m.beginStep()
+		if idle {
+			select {
+			case <-m.wake:
+			case <-m.stop:
+				return
+			}
+			next = time.Now()
+			continue
+		}
+		next = next.Add(duration)
+		if !m.sleepUntil(next) {
+			return
+		}
+		m.endStep()
+		if lag := time.Since(next); lag > maxStepLag {
+			next = time.Now()
+		}
+	}
+}
+
+// maxStepLag is the delay of the machine's timers that a later step makes up for.
+const maxStepLag = 100 * time.Millisecond
+
+// sleepUntil reports whether the engine is still wanted at t.
+func (m *Model) sleepUntil(t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.stop:
+		return false
+	}
+}
+
+// beginStep admits waiting calls and returns the real time of the next step.
+func (m *Model) beginStep() (duration time.Duration, idle bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.admit()
+	m.report(time.Now())
+	if len(m.running) == 0 {
+		return 0, true
+	}
+	prefill, decoding := m.stepWork()
+	step := time.Duration(float64(prefill) / m.config.PrefillRate * float64(time.Second))
+	if decoding > 0 || prefill == 0 {
+		step += m.decodeTime(decoding)
+	}
+	if slow, hit := m.Faults.peek(FaultSlow); hit && slow.Factor > 0 {
+		step = time.Duration(float64(step) * slow.Factor)
+	}
+	return m.scaled(step), false
+}
+
+// decodeTime is the modelled time of one decode step of a batch.
+func (m *Model) decodeTime(batch int) time.Duration {
+	return time.Duration(m.config.StepTime) + time.Duration(max(batch-1, 0))*time.Duration(m.config.StepTimePerCall)
+}
+
+// stepWork returns the prompt tokens and the decoding calls of the next step.
+func (m *Model) stepWork() (prefill, decoding int) {
+	for _, s := range m.running {
+		if s.prefillLeft > 0 {
+			prefill += min(s.prefillLeft, m.config.PrefillChunk-prefill)
+		} else {
+			decoding++
+		}
+	}
+	return prefill, decoding
+}
+
+// admit moves waiting calls into the batch while there is room. When nothing runs
+// and holds fill the cache, the oldest holds are broken.
+func (m *Model) admit() {
+	for len(m.waiting) > 0 && len(m.running) < m.config.BatchLimit {
+		s := m.waiting[0]
+		if !m.place(s) {
+			if len(m.running) == 0 && m.cache.dropOldest() {
+				continue
+			}
+			return
+		}
+		m.waiting = m.waiting[1:]
+		m.running = append(m.running, s)
+	}
+}
+
+// place pins the cached prefix of a call and reserves the rest.
+func (m *Model) place(s *sequence) bool {
+	known := m.cache.match(s.prompt)
+	need := s.blocksNeeded() - known
+	m.cache.pin(s.prompt[:known])
+	if !m.cache.fits(need) {
+		m.cache.unpin(s.prompt[:known])
+		return false
+	}
+	m.cache.reserve(need)
+	s.pinned = s.prompt[:known]
+	s.reserved = need
+	s.cachedTokens = min(known*blockTokens, max(s.promptTokens-1, 0))
+	s.prefillLeft = s.promptTokens - s.cachedTokens + s.resumed
+	s.generated = s.resumed
+	return true
+}
+
+// free gives back what a call holds in the cache.
+func (m *Model) free(s *sequence) {
+	m.cache.release(s.reserved)
+	m.cache.unpin(s.pinned)
+	s.reserved = 0
+	s.pinned = nil
+}
+
+// endStep applies the work of a step.
+func (m *Model) endStep() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	prefillLeft := m.config.PrefillChunk
+	still := m.running[:0]
+	for _, s := range m.running {
+		if s.prefillLeft > 0 {
+			done := min(s.prefillLeft, prefillLeft)
+			prefillLeft -= done
+			s.prefillLeft -= done
+			still = append(still, s)
+			continue
+		}
+		if s.generated < s.answerTokens {
+			s.generated++
+			s.out <- 1
+		}
+		if s.generated < s.answerTokens {
+			still = append(still, s)
+			continue
+		}
+		m.finish(s)
+	}
+	clear(m.running[len(still):])
+	m.running = still
+}
+
+// finish stores the whole conversation in the cache and ends the call.
+func (m *Model) finish(s *sequence) {
+	m.free(s)
+	known := m.cache.store(s.whole)
+	if s.program != "" {
+		m.lastChain.put(s.program, s.whole[:known])
+	}
+	m.stats.PromptTokens += uint64(s.promptTokens)
+	m.stats.CachedTokens += uint64(s.cachedTokens)
+	m.stats.GeneratedTokens += uint64(s.answerTokens - s.resumed)
+	s.end(false)
+}
--- /dev/null
+++ b/internal/standin/events.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"container/list"
+	"sort"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+const (
+	// maxEvents bounds the cache events that a reader may still ask for.
+	maxEvents = 8192
+	// maxEventsAnswer bounds one answer.
+	maxEventsAnswer = 1024
+	// maxChains bounds the programs whose last block chain an engine knows.
+	maxChains = 8192
+)
+
+type timedEvent struct {
+	at    time.Time
+	event engine.CacheEvent
+}
+
+// eventLog keeps the last cache events of one incarnation of an engine.
+type eventLog struct {
+	incarnation string
+	sequence    uint64
+	events      []timedEvent
+}
+
+func newEventLog(incarnation string) *eventLog { return &eventLog{incarnation: incarnation} }
+
+func (l *eventLog) add(now time.Time, stored, removed []uint64) {
+	l.sequence++
+	event := engine.CacheEvent{Sequence: l.sequence, Stored: stored, Removed: removed}
+	if len(l.events) == maxEvents {
+		l.events = append(l.events[:0:0], l.events[maxEvents/2:]...)
+	}
+	l.events = append(l.events, timedEvent{at: now, event: event})
+}
+
+// after returns the events with a greater sequence that are older than the lag.
+func (l *eventLog) after(sequence uint64, now time.Time, lag time.Duration) []engine.CacheEvent {
+	var out []engine.CacheEvent
+	first := sort.Search(len(l.events), func(i int) bool { return l.events[i].event.Sequence > sequence })
+	for _, e := range l.events[first:] {
+		if now.Sub(e.at) < lag || len(out) == maxEventsAnswer {
+			break
+		}
+		out = append(out, e.event)
+	}
+	return out
+}
+
+// chainMemory remembers the block chains of the programs served last.
+type chainMemory struct {
+	entries map[structs.ProgramID]*list.Element
+	order   *list.List // of chainEntry; front is the most recent
+}
+
+type chainEntry struct {
+	program structs.ProgramID
+	chain   []uint64
+}
+
+func newChainMemory() *chainMemory {
+	return &chainMemory{entries: make(map[structs.ProgramID]*list.Element), order: list.New()}
+}
+
+func (c *chainMemory) put(program structs.ProgramID, chain []uint64) {
+	c.remove(program)
+	if c.order.Len() == maxChains {
+		c.remove(c.order.Back().Value.(chainEntry).program)
+	}
+	c.entries[program] = c.order.PushFront(chainEntry{program: program, chain: chain})
+}
+
+func (c *chainMemory) get(program structs.ProgramID) []uint64 {
+	if e := c.entries[program]; e != nil {
+		return e.Value.(chainEntry).chain
+	}
+	return nil
+}
+
+func (c *chainMemory) remove(program structs.ProgramID) {
+	if e := c.entries[program]; e != nil {
+		c.order.Remove(e)
+		delete(c.entries, program)
+	}
+}
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// reportInterval is the least time between two load reports.
+const reportInterval = 10 * time.Millisecond
+
+type timedLoad struct {
+	at   time.Time
+	load structs.Load
+}
+
+// report records the load; a report within the interval replaces the one before.
+func (m *Model) report(now time.Time) {
+	load := m.load()
+	last := len(m.reports) - 1
+	if last >= 0 && now.Sub(m.reports[last].at) < reportInterval {
+		m.reports[last].load = load
+		return
+	}
+	m.reports = append(m.reports, timedLoad{at: now, load: load})
+	m.prune(now)
+}
+
+// prune drops the reports older than the one that Load shows.
+func (m *Model) prune(now time.Time) {
+	shown := now.Add(-time.Duration(m.config.ReportLag))
+	first := 0
+	for i, r := range m.reports {
+		if !r.at.After(shown) {
+			first = i
+		}
+	}
+	m.reports = slices.Delete(m.reports, 0, first)
+}
+
+// Load returns the load as it was one report lag ago, times the factor of a lie.
+func (m *Model) Load() structs.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.prune(time.Now())
+	load := m.load()
+	if len(m.reports) > 0 {
+		load = m.reports[0].load
+	}
+	if lie, hit := m.Faults.peek(FaultLieLoad); hit {
+		load.Running = int(float64(load.Running) * lie.Factor)
+		load.Queued = int(float64(load.Queued) * lie.Factor)
+		load.QueuedPrefillTokens = int64(float64(load.QueuedPrefillTokens) * lie.Factor)
+		load.KVUsedTokens = int64(float64(load.KVUsedTokens) * lie.Factor)
+	}
+	m.reportCount++
+	load.Sequence = m.reportCount
+	return load
+}
+
+// load returns the true load. Rates and times are real ones, after the time scale.
+func (m *Model) load() structs.Load {
+	var queued int64
+	for _, s := range m.waiting {
+		queued += int64(s.promptTokens - m.cache.match(s.prompt)*blockTokens)
+	}
+	return structs.Load{
+		Upstream:            structs.UpstreamID(m.config.Name),
+		VM:                  m.config.VM,
+		Domain:              m.config.Domain,
+		Kind:                structs.KindModel,
+		Models:              m.models,
+		Running:             len(m.running),
+		Queued:              len(m.waiting),
+		QueuedPrefillTokens: queued,
+		BatchLimit:          m.config.BatchLimit,
+		KVUsedTokens:        int64(len(m.cache.entries)+m.cache.reserved) * blockTokens,
+		KVLimitTokens:       m.config.KVTokens,
+		PrefillRate:         m.config.PrefillRate / m.config.TimeScale,
+		StepTime:            m.scaled(m.decodeTime(max(len(m.running), 1))),
+		Incarnation:         m.events.incarnation,
+	}
+}
--- /dev/null
+++ b/internal/standin/plan.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// defaultAnswerTokens is the length of an answer without a plan.
+	defaultAnswerTokens = 40
+	// maxAnswerTokens bounds an answer.
+	maxAnswerTokens = 16384
+	// planPrefix starts the line of a user message that scripts the answers.
+	planPrefix = "plan:"
+)
+
+// planStep is one scripted answer: a tool call, or tokens of text.
+type planStep struct {
+	tool      string
+	arguments string
+	tokens    int
+}
+
+// ScriptedAnswer returns the answer that a model stand-in gives to a conversation.
+// The last user message may script it by a line "plan: STEP; STEP; …", where STEP is
+// "tool NAME {json}", "loop NAME {json}", "agent TASK" or "answer TOKENS". The number
+// of tool messages after it selects the step; a loop is never left. A TASK may be a
+// JSON string, to hold a plan of its own.
+func ScriptedAnswer(messages []structs.Message) structs.Message {
+	user, results := lastUser(messages)
+	step := selectStep(parsePlan(user), results)
+	if step.tool == "" {
+		return structs.Message{Role: structs.RoleAssistant, Content: text(user, results, step.tokens)}
+	}
+	call := structs.ToolCall{
+		ID:        fmt.Sprintf("call_%d_%016x", results, xxhash.Sum64String(user)),
+		Name:      step.tool,
+		Arguments: step.arguments,
+	}
+	return structs.Message{Role: structs.RoleAssistant, ToolCalls: []structs.ToolCall{call}}
+}
+
+// lastUser returns the content of the last user message and the number of tool
+// messages after it.
+func lastUser(messages []structs.Message) (content string, results int) {
+	for i := len(messages) - 1; i >= 0; i-- {
+		switch messages[i].Role {
+		case structs.RoleUser:
+			return messages[i].Content, results
+		case structs.RoleTool:
+			results++
+		}
+	}
+	return "", results
+}
+
+func selectStep(plan []planStep, n int) planStep {
+	for i, step := range plan {
+		if i == n || step.tokens == loopForever {
+			return step
+		}
+	}
+	return planStep{tokens: defaultAnswerTokens}
+}
+
+// loopForever in tokens marks a tool step that is never left.
+const loopForever = -1
+
+// parsePlan returns the steps of the plan in a user message; what does not parse
+// ends the plan.
+func parsePlan(user string) []planStep {
+	var line string
+	for l := range strings.Lines(user) {
+		if rest, found := strings.CutPrefix(strings.TrimSpace(l), planPrefix); found {
+			line = rest
+			break
+		}
+	}
+	var plan []planStep
+	for {
+		line = strings.TrimLeft(line, "; \t")
+		if line == "" {
+			return plan
+		}
+		step, rest, ok := parseStep(line)
+		if !ok {
+			return plan
+		}
+		plan = append(plan, step)
+		line = rest
+	}
+}
+
+func parseStep(line string) (step planStep, rest string, ok bool) {
+	verb, operand, _ := strings.Cut(line, " ")
+	switch verb {
+	case "tool", "loop":
+		name, after, _ := strings.Cut(strings.TrimLeft(operand, " "), " ")
+		name, isLast := strings.CutSuffix(name, ";")
+		step = planStep{tool: name, arguments: "{}"}
+		if !isLast {
+			step.arguments, after = cutJSON(after, "{}")
+		}
+		if verb == "loop" {
+			step.tokens = loopForever
+		}
+		return step, after, name != ""
+	case "agent":
+		task, after := cutTask(strings.TrimLeft(operand, " "))
+		arguments, _ := json.Marshal(map[string]string{"task": task})
+		return planStep{tool: structs.AgentTool, arguments: string(arguments)}, after, true
+	case "answer":
+		count, after, _ := strings.Cut(operand, ";")
+		n, err := strconv.Atoi(strings.TrimSpace(count))
+		return planStep{tokens: min(max(n, 1), maxAnswerTokens)}, after, err == nil
+	}
+	return planStep{}, "", false
+}
+
+// cutJSON returns the JSON object that starts the text, or fallback, and what follows.
+func cutJSON(text, fallback string) (value, rest string) {
+	trimmed := strings.TrimLeft(text, " ")
+	if !strings.HasPrefix(trimmed, "{") {
+		return fallback, trimmed
+	}
+	decoder := json.NewDecoder(strings.NewReader(trimmed))
+	var raw json.RawMessage
+	if decoder.Decode(&raw) != nil {
+		return fallback, ""
+	}
+	return string(raw), trimmed[decoder.InputOffset():]
+}
+
+func cutTask(text string) (task, rest string) {
+	if strings.HasPrefix(text, `"`) {
+		decoder := json.NewDecoder(strings.NewReader(text))
+		if decoder.Decode(&task) == nil {
+			return task, text[decoder.InputOffset():]
+		}
+	}
+	task, rest, _ = strings.Cut(text, ";")
+	return strings.TrimSpace(task), rest
+}
+
+// text returns n tokens of four bytes that depend on the user message and the step.
+func text(user string, step, n int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	state := xxhash.Sum64String(user) + uint64(step)
+	out := make([]byte, 0, n*structs.BytesPerToken)
+	for range n {
+		state = state*6364136223846793005 + 1442695040888963407
+		r := state >> 33
+		out = append(out, letters[r%26], letters[r/26%26], letters[r/676%26], ' ')
+	}
+	return string(out)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,313 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+)
+
+// PlatformConfig sets up a platform stand-in. Zero rates are without bound.
+type PlatformConfig struct {
+	Listen string `toml:"listen"`
+	// WritesPerSecond and ReadsPerSecond bound table and object store together.
+	WritesPerSecond float64 `toml:"writes_per_second"`
+	ReadsPerSecond  float64 `toml:"reads_per_second"`
+	// VMLag is the lag of the VM list.
+	VMLag structs.Duration `toml:"vm_lag"`
+	// WeightFetchesPerMinute bounds the weight store.
+	WeightFetchesPerMinute float64 `toml:"weight_fetches_per_minute"`
+	// WeightBytes is the size of every model's weights.
+	WeightBytes int64 `toml:"weight_bytes"`
+	// VMs is the list at the start.
+	VMs []platform.VMChange `toml:"vms"`
+}
+
+// defaultWeightBytes is the size of weights when the settings name none.
+const defaultWeightBytes = 16 << 30
+
+// Platform is the stand-in of the platform's services.
+type Platform struct {
+	Faults  *Faults
+	Table   *Table
+	Objects *Objects
+
+	config  PlatformConfig
+	weights *rate.Limiter
+	vms     *vmList
+}
+
+var (
+	_ platform.VMList  = (*Platform)(nil)
+	_ platform.Weights = (*Platform)(nil)
+)
+
+// NewPlatform returns a platform stand-in with empty table and store.
+func NewPlatform(config PlatformConfig) *Platform {
+	if config.WeightBytes == 0 {
+		config.WeightBytes = defaultWeightBytes
+	}
+	faults := newFaults()
+	limits := newRateLimits(config.WritesPerSecond, config.ReadsPerSecond)
+	p := &Platform{
+		Faults:  faults,
+		Table:   newTable(faults, limits),
+		Objects: newObjects(faults, limits),
+		config:  config,
+		weights: newLimiter(config.WeightFetchesPerMinute / 60),
+		vms:     &vmList{lag: time.Duration(config.VMLag), seen: make(map[structs.VMID]platform.VM)},
+	}
+	for _, vm := range config.VMs {
+		p.vms.start(vm)
+	}
+	return p
+}
+
+// rateLimits bounds writes and reads; nil limiters are without bound.
+type rateLimits struct{ writes, reads *rate.Limiter }
+
+func newRateLimits(writes, reads float64) *rateLimits {
+	return &rateLimits{writes: newLimiter(writes), reads: newLimiter(reads)}
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+func allow(l *rate.Limiter) bool { return l == nil || l.Allow() }
+
+func (l *rateLimits) write() bool { return allow(l.writes) }
+func (l *rateLimits) read() bool  { return allow(l.reads) }
+
+// Fetch implements platform.Weights.
+func (p *Platform) Fetch(ctx context.Context, _, _ string) (int64, error) {
+	const subject = "/weights/fetch"
+	if err := before(ctx, p.Faults, subject); err != nil {
+		return 0, err
+	}
+	if !allow(p.weights) {
+		return 0, errors.Wrap(platform.ErrNotApplied, "weight store rate")
+	}
+	if p.Faults.after(ctx, subject) {
+		return 0, errors.Wrap(platform.ErrUnavailable, "answer lost")
+	}
+	return p.config.WeightBytes, nil
+}
+
+// List implements platform.VMList.
+func (p *Platform) List(ctx context.Context) ([]platform.VM, error) {
+	const subject = "/vms"
+	if err := before(ctx, p.Faults, subject); err != nil {
+		return nil, err
+	}
+	if p.Faults.after(ctx, subject) {
+		return nil, errors.Wrap(platform.ErrUnavailable, "answer lost")
+	}
+	return p.vms.list(time.Now()), nil
+}
+
+// SetVM changes the true list; List shows it after the lag.
+func (p *Platform) SetVM(change platform.VMChange) { p.vms.change(time.Now(), change) }
+
+// maxPendingChanges bounds the changes that the lag hides.
+const maxPendingChanges = 4096
+
+type pendingVM struct {
+	shown time.Time
+	vm    platform.VM
+}
+
+// vmList is the list of VMs as it was one lag ago.
+type vmList struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	seen    map[structs.VMID]platform.VM
+	pending []pendingVM
+}
+
+func newVM(now time.Time, c platform.VMChange) platform.VM {
+	return platform.VM{ID: c.ID, Domain: c.Domain, State: c.State, Address: c.Address, Observed: now}
+}
+
+func (l *vmList) start(c platform.VMChange) {
+	if c.State == "" {
+		c.State = platform.VMLive
+	}
+	l.seen[c.ID] = newVM(time.Now(), c)
+}
+
+func (l *vmList) change(now time.Time, c platform.VMChange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) == maxPendingChanges {
+		l.show(l.pending[0].shown)
+	}
+	l.pending = append(l.pending, pendingVM{shown: now.Add(l.lag), vm: newVM(now, c)})
+}
+
+// show moves the changes that are due by now into the list.
+func (l *vmList) show(now time.Time) {
+	for len(l.pending) > 0 && !l.pending[0].shown.After(now) {
+		vm := l.pending[0].vm
+		old := l.seen[vm.ID]
+		if vm.Domain == "" {
+			vm.Domain = old.Domain
+		}
+		if vm.Address == "" {
+			vm.Address = old.Address
+		}
+		l.seen[vm.ID] = vm
+		l.pending = l.pending[1:]
+	}
+}
+
+func (l *vmList) list(now time.Time) []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.show(now)
+	out := make([]platform.VM, 0, len(l.seen))
+	for _, vm := range l.seen {
+		out = append(out, vm)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// maxTxnBytes bounds the body of a transaction.
+const maxTxnBytes = 64 << 20
+
+// Handler returns the platform's HTTP routes.
+func (p *Platform) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/table/apply", p.serveApply)
+	r.Get("/table/row", p.serveRow)
+	r.Get("/table/scan", p.serveScan)
+	r.Put("/objects/{key}", p.servePutObject)
+	r.Get("/objects/{key}", p.serveGetObject)
+	r.Delete("/objects/{key}", p.serveDeleteObject)
+	r.Get("/vms", p.serveVMs)
+	r.Post("/vms", p.serveSetVM)
+	r.Post("/weights/fetch", p.serveFetch)
+	r.Handle("/fault", p.Faults)
+	return r
+}
+
+func (p *Platform) serveApply(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if err := readJSON(w, r, maxTxnBytes, &txn); err != nil {
+		writePlatformError(w, errors.Wrap(platform.ErrNotApplied, err.Error()))
+		return
+	}
+	answer(w, struct{}{}, p.Table.Apply(r.Context(), txn))
+}
+
+func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
+	row, err := p.Table.Get(r.Context(), r.URL.Query().Get("key"))
+	answer(w, row, err)
+}
+
+func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	rows, err := p.Table.Scan(r.Context(), query.Get("prefix"), query.Get("after"), limit)
+	answer(w, platform.ScanAnswer{Rows: rows}, err)
+}
+
+func objectKey(r *http.Request) string {
+	text := chi.URLParam(r, "key")
+	if r.URL.RawPath == "" {
+		return text
+	}
+	if key, err := url.PathUnescape(text); err == nil {
+		return key
+	}
+	return text
+}
+
+func (p *Platform) servePutObject(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+	if err != nil {
+		writePlatformError(w, errors.Wrap(platform.ErrNotApplied, err.Error()))
+		return
+	}
+	answer(w, struct{}{}, p.Objects.Put(r.Context(), objectKey(r), value))
+}
+
+func (p *Platform) serveGetObject(w http.ResponseWriter, r *http.Request) {
+	value, err := p.Objects.Get(r.Context(), objectKey(r))
+	if err != nil {
+		writePlatformError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Write(value) //nolint:gosec // the store returns what was put; no browser reads it
+}
+
+func (p *Platform) serveDeleteObject(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, p.Objects.Delete(r.Context(), objectKey(r)))
+}
+
+func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request) {
+	vms, err := p.List(r.Context())
+	answer(w, platform.VMsAnswer{VMs: vms}, err)
+}
+
+func (p *Platform) serveSetVM(w http.ResponseWriter, r *http.Request) {
+	var change platform.VMChange
+	if err := readJSON(w, r, maxFaultBytes, &change); err != nil {
+		writePlatformError(w, errors.Wrap(platform.ErrNotApplied, err.Error()))
+		return
+	}
+	p.SetVM(change)
+	answer(w, struct{}{}, nil)
+}
+
+func (p *Platform) serveFetch(w http.ResponseWriter, r *http.Request) {
+	var request platform.FetchRequest
+	if err := readJSON(w, r, maxFaultBytes, &request); err != nil {
+		writePlatformError(w, errors.Wrap(platform.ErrNotApplied, err.Error()))
+		return
+	}
+	bytes, err := p.Fetch(r.Context(), request.Model, request.Version)
+	answer(w, platform.FetchAnswer{Bytes: bytes}, err)
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writePlatformError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+// writePlatformError answers with the status of a sentinel; ErrUnavailable and
+// unknown errors drop the connection.
+func writePlatformError(w http.ResponseWriter, err error) {
+	body := platform.ErrorBody{Detail: err.Error()}
+	status := 0
+	switch {
+	case errors.Is(err, platform.ErrConditionFailed):
+		status, body.Code = http.StatusConflict, platform.CodeConditionFailed
+	case errors.Is(err, platform.ErrNotFound):
+		status, body.Code = http.StatusNotFound, platform.CodeNotFound
+	case errors.Is(err, platform.ErrNotApplied):
+		status, body.Code = http.StatusServiceUnavailable, platform.CodeNotApplied
+	default:
+		dropConnection()
+	}
+	writeJSON(w, status, body)
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxRows bounds the table, maxRowBytes one row.
+	maxRows     = 1 << 20
+	maxRowBytes = 1 << 20
+	// maxTxnOperations bounds the conditions and writes of one transaction.
+	maxTxnOperations = 1024
+	maxScanRows      = 1000
+)
+
+// Table is the transactional table in memory. It implements platform.Table with
+// the platform's faults, so that tests may use it without HTTP.
+type Table struct {
+	faults *Faults
+	limits *rateLimits
+
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	sorted []string
+	writes uint64
+	reads  uint64
+}
+
+var _ platform.Table = (*Table)(nil)
+
+func newTable(faults *Faults, limits *rateLimits) *Table {
+	return &Table{faults: faults, limits: limits, rows: make(map[string]platform.Row)}
+}
+
+// Counts returns the applied transactions and the answered reads so far.
+func (t *Table) Counts() (writes, reads uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.writes, t.reads
+}
+
+// Apply implements platform.Table.
+func (t *Table) Apply(ctx context.Context, txn platform.Txn) error {
+	const subject = "/table/apply"
+	if err := before(ctx, t.faults, subject); err != nil {
+		return err
+	}
+	if err := checkTxn(txn); err != nil {
+		return err
+	}
+	if !t.limits.write() {
+		return errors.Wrap(platform.ErrNotApplied, "table write rate")
+	}
+	err := t.apply(txn)
+	if t.faults.after(ctx, subject) {
+		return errors.Wrap(platform.ErrUnavailable, "answer lost")
+	}
+	return err
+}
+
+func checkTxn(txn platform.Txn) error {
+	if n := len(txn.Conditions) + len(txn.Writes); n > maxTxnOperations {
+		return errors.Wrapf(platform.ErrNotApplied, "transaction of %d operations exceeds %d", n, maxTxnOperations)
+	}
+	for _, w := range txn.Writes {
+		if w.Key == "" || len(w.Value) > maxRowBytes {
+			return errors.Wrapf(platform.ErrNotApplied, "row %q of %d bytes", w.Key, len(w.Value))
+		}
+	}
+	return nil
+}
+
+func (t *Table) apply(txn platform.Txn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Conditions {
+		version := t.rows[c.Key].Version
+		if c.Version != platform.AnyVersion && c.Version != version {
+			return errors.Wrapf(platform.ErrConditionFailed, "row %q has version %d, not %d", c.Key, version, c.Version)
+		}
+	}
+	if len(t.rows)+len(txn.Writes) > maxRows {
+		return errors.Wrapf(platform.ErrNotApplied, "table of %d rows is full", len(t.rows))
+	}
+	for _, w := range txn.Writes {
+		t.put(w)
+	}
+	t.writes++
+	return nil
+}
+
+func (t *Table) put(w platform.Write) {
+	old, exists := t.rows[w.Key]
+	at := sort.SearchStrings(t.sorted, w.Key)
+	if w.Delete {
+		if exists {
+			delete(t.rows, w.Key)
+			t.sorted = slices.Delete(t.sorted, at, at+1)
+		}
+		return
+	}
+	if !exists {
+		t.sorted = slices.Insert(t.sorted, at, w.Key)
+	}
+	t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: old.Version + 1}
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.beforeRead(ctx, "/table/row"); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	row, exists := t.rows[key]
+	if !exists {
+		return platform.Row{}, errors.Wrapf(platform.ErrNotFound, "row %q", key)
+	}
+	return row, nil
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.beforeRead(ctx, "/table/scan"); err != nil {
+		return nil, err
+	}
+	if limit <= 0 || limit > maxScanRows {
+		limit = maxScanRows
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	var out []platform.Row
+	for _, key := range t.sorted[t.firstAfter(prefix, after):] {
+		if !strings.HasPrefix(key, prefix) || len(out) == limit {
+			break
+		}
+		out = append(out, t.rows[key])
+	}
+	return out, nil
+}
+
+func (t *Table) firstAfter(prefix, after string) int {
+	if after < prefix {
+		return sort.SearchStrings(t.sorted, prefix)
+	}
+	at, found := slices.BinarySearch(t.sorted, after)
+	if found {
+		at++
+	}
+	return at
+}
+
+func (t *Table) beforeRead(ctx context.Context, subject string) error {
+	if err := before(ctx, t.faults, subject); err != nil {
+		return err
+	}
+	if !t.limits.read() {
+		return errors.Wrap(platform.ErrNotApplied, "table read rate")
+	}
+	if t.faults.after(ctx, subject) {
+		return errors.Wrap(platform.ErrUnavailable, "answer lost")
+	}
+	return nil
+}
+
+// before turns the faults that act before a request into the platform's errors.
+func before(ctx context.Context, faults *Faults, subject string) error {
+	switch faults.before(ctx, subject) {
+	case dropped:
+		return errors.Wrapf(platform.ErrUnavailable, "%s is down", subject)
+	case refused:
+		return errors.Wrapf(platform.ErrNotApplied, "%s refuses", subject)
+	case rateLimited:
+		return errors.Wrapf(platform.ErrNotApplied, "%s is over its rate", subject)
+	}
+	if ctx.Err() != nil {
+		return errors.Wrapf(platform.ErrUnavailable, "%s: %v", subject, ctx.Err())
+	}
+	return nil
+}
