--- /dev/null
+++ b/internal/engine/sse_test.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+)
+
+// events reads all events of a stream, each followed by "|", and the error's text.
+func events(text string) string {
+	reader := newEventReader(strings.NewReader(text))
+	var out strings.Builder
+	for {
+		data, err := reader.next()
+		if err != nil {
+			return out.String() + err.Error()
+		}
+		out.Write(data)
+		out.WriteString("|")
+	}
+}
+
+func TestEventReader(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                                   "EOF",
+		"data: a\n\ndata:b\r\n\r\n":          "a|b|EOF",
+		"event: x\nid: 1\ndata: a\n\n":       "a|EOF",
+		": comment\n\n\n\ndata: a\n\n":       "a|EOF",
+		"data: a\ndata: b\n\n":               "a\nb|EOF",
+		"data: a\n\ndata: cut":               "a|EOF",
+		"data: a\n\ndata: cut\n":             "a|EOF",
+		"data\n\n":                           "|EOF",
+		strings.Repeat("x", maxEventBytes+1): ErrEventTooLong.Error(),
+		strings.Repeat("data: "+strings.Repeat("x", 4000)+"\n", maxEventBytes/4000+1): ErrEventTooLong.Error(),
+	} {
+		if got := events(text); got != want {
+			t.Errorf("events of %.40q = %.80q, want %.80q", text, got, want)
+		}
+	}
+}
+
+// FuzzEventReader checks that any bytes end in an error, and that events written
+// in the form of the engines come back whole however they are surrounded.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("data: {\"a\":1}\n\ndata: [DONE]\n\n"), []byte("x"))
+	f.Add([]byte(":\r\n\r\ndata\n"), []byte(""))
+	f.Fuzz(func(t *testing.T, stream, payload []byte) {
+		if bytes.ContainsAny(payload, "\r\n") {
+			return
+		}
+		text := bytes.Join([][]byte{stream, []byte("\n\ndata: "), payload, []byte("\n\n")}, nil)
+		reader := newEventReader(bytes.NewReader(text))
+		var last []byte
+		for {
+			data, err := reader.next()
+			if err != nil {
+				if !errors.Is(err, io.EOF) {
+					t.Fatalf("error %v", err)
+				}
+				break
+			}
+			last = data
+		}
+		if !bytes.Equal(last, payload) {
+			t.Fatalf("last event %q, want %q", last, payload)
+		}
+	})
+}
+
+// FuzzDecodeChunk checks that no chunk makes the answer reader panic or grow text
+// that its offset does not continue.
+func FuzzDecodeChunk(f *testing.F) {
+	f.Add([]byte(`{"call_id":"c","attempt":1,"offset":0,"choices":[{"delta":{"content":"abc"}}]}`))
+	f.Add([]byte(`{"call_id":"c","attempt":1,"offset":-4,"choices":[{"delta":{"content":"a"}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		chunk, err := decodeChunk(data)
+		if err != nil {
+			return
+		}
+		chunk.CallID, chunk.Attempt = "c", 1
+		a := newAnswerReader(client{}, modelCall("c", 1), "begin", nil)
+		_ = a.add(t.Context(), chunk)
+		if !strings.HasPrefix(a.text.String(), "begin") {
+			t.Fatalf("text %q lost its beginning", a.text.String())
+		}
+	})
+}
+
+func modelCall(call structs.CallID, attempt uint32) structs.ModelCall {
+	return structs.ModelCall{Call: call, Attempt: attempt}
+}
--- /dev/null
+++ b/internal/scenario/network.go
@@ -0,0 +1,217 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// NodeState is the state of a named node.
+type NodeState string
+
+// States of a node.
+const (
+	NodeLive   NodeState = "live"
+	NodePaused NodeState = "paused"
+	NodeKilled NodeState = "killed"
+)
+
+// Envelope is a message under way between two nodes.
+type Envelope struct {
+	From, To string
+	Message  any
+	due      time.Time
+}
+
+// Network carries messages between named nodes, with the faults that a script sets.
+// Messages to a paused node wait; those to a killed one, or over a cut, are lost.
+type Network struct {
+	clock *Clock
+	rng   *rand.Rand
+
+	nodes     map[string]NodeState
+	cuts      map[[2]string]bool
+	flight    []Envelope
+	late      time.Duration
+	duplicate int
+	reorder   bool
+
+	outage bool
+	lose   int
+}
+
+// NewNetwork returns a network and registers its verbs with the script:
+//
+//	start NODE…, kill NODE…, pause NODE…, resume NODE…
+//	cut A B, heal [A B]
+//	late DURATION, duplicate N, reorder on|off
+//	outage on|off, lose-answer [N]
+//
+// The seed decides the order of messages while reorder is on.
+func NewNetwork(s *Script, seed uint64) *Network {
+	n := &Network{
+		clock: &s.Clock,
+		rng:   rand.New(rand.NewPCG(seed, seed)),
+		nodes: make(map[string]NodeState),
+		cuts:  make(map[[2]string]bool),
+	}
+	n.handleNodes(s)
+	n.handleLinks(s)
+	n.handlePlatform(s)
+	return n
+}
+
+func (n *Network) handleNodes(s *Script) {
+	for verb, state := range map[string]NodeState{
+		"start": NodeLive, "kill": NodeKilled, "pause": NodePaused, "resume": NodeLive,
+	} {
+		s.Handle(verb, func(a Args) string {
+			for _, node := range a.Words() {
+				n.SetState(node, state)
+			}
+			return ""
+		})
+	}
+}
+
+func (n *Network) handleLinks(s *Script) {
+	s.Handle("cut", func(a Args) string {
+		n.cuts[link(a.Word(0), a.Word(1))] = true
+		return ""
+	})
+	s.Handle("heal", func(a Args) string {
+		if len(a.Words()) == 0 {
+			clear(n.cuts)
+			return ""
+		}
+		delete(n.cuts, link(a.Word(0), a.Word(1)))
+		return ""
+	})
+	s.Handle("late", func(a Args) string {
+		d, err := time.ParseDuration(a.Word(0))
+		if err != nil {
+			a.Fatalf("late %q: not a duration", a.Word(0))
+		}
+		n.late = d
+		return ""
+	})
+	s.Handle("duplicate", func(a Args) string {
+		n.duplicate = count(a, 0)
+		return ""
+	})
+	s.Handle("reorder", func(a Args) string {
+		n.reorder = isOn(a)
+		return ""
+	})
+}
+
+func (n *Network) handlePlatform(s *Script) {
+	s.Handle("outage", func(a Args) string {
+		n.outage = isOn(a)
+		return ""
+	})
+	s.Handle("lose-answer", func(a Args) string {
+		n.lose = count(a, 1)
+		return ""
+	})
+}
+
+func isOn(a Args) bool {
+	word := a.Word(0)
+	if word != "on" && word != "off" {
+		a.Fatalf("%s %q: on or off", a.Verb(), word)
+	}
+	return word == "on"
+}
+
+func count(a Args, fallback int) int {
+	if len(a.Words()) == 0 {
+		return fallback
+	}
+	var value int
+	if _, err := fmt.Sscan(a.Word(0), &value); err != nil || value < 0 {
+		a.Fatalf("%s %q: not a count", a.Verb(), a.Word(0))
+	}
+	return value
+}
+
+// link is the unordered pair of two nodes.
+func link(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// SetState changes a node's state. A killed node loses what is under way to it.
+func (n *Network) SetState(node string, state NodeState) {
+	n.nodes[node] = state
+	if state == NodeKilled {
+		n.flight = slices.DeleteFunc(n.flight, func(e Envelope) bool { return e.To == node })
+	}
+}
+
+// State returns a node's state; one never started is killed.
+func (n *Network) State(node string) NodeState {
+	if state, exists := n.nodes[node]; exists {
+		return state
+	}
+	return NodeKilled
+}
+
+// Outage reports whether the platform is out.
+func (n *Network) Outage() bool { return n.outage }
+
+// LoseAnswer reports whether the answer of this write of the platform is lost.
+func (n *Network) LoseAnswer() bool {
+	if n.lose == 0 {
+		return false
+	}
+	n.lose--
+	return true
+}
+
+// Send puts a message on its way, twice while duplicates are left.
+func (n *Network) Send(from, to string, message any) {
+	e := Envelope{From: from, To: to, Message: message, due: n.clock.Now().Add(n.late)}
+	n.flight = append(n.flight, e)
+	if n.duplicate > 0 {
+		n.duplicate--
+		n.flight = append(n.flight, e)
+	}
+}
+
+// Deliver takes the next message that is due off the network; ok is false when
+// there is none. Messages over a cut or to a killed node are dropped.
+func (n *Network) Deliver() (e Envelope, ok bool) {
+	n.flight = slices.DeleteFunc(n.flight, func(e Envelope) bool {
+		return n.cuts[link(e.From, e.To)] || n.State(e.To) == NodeKilled
+	})
+	var ready []int
+	for i, e := range n.flight {
+		if !e.due.After(n.clock.Now()) && n.State(e.To) == NodeLive {
+			ready = append(ready, i)
+		}
+	}
+	if len(ready) == 0 {
+		return Envelope{}, false
+	}
+	i := ready[0]
+	if n.reorder {
+		i = ready[n.rng.IntN(len(ready))]
+	}
+	e = n.flight[i]
+	n.flight = slices.Delete(n.flight, i, i+1)
+	return e, true
+}
+
+// String lists what is under way, for a script's output.
+func (n *Network) String() string {
+	var out strings.Builder
+	for _, e := range n.flight {
+		fmt.Fprintf(&out, "%s -> %s: %v\n", e.From, e.To, e.Message)
+	}
+	return out.String()
+}
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/kvcache"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -42,8 +43,8 @@
 		program:      request.Program,
 		priority:     request.Priority,
 		answer:       answer,
-		prompt:       blocks(messages),
-		whole:        blocks(append(messages[:len(messages):len(messages)], answer)),
+		prompt:       kvcache.Blocks(messages),
+		whole:        kvcache.Blocks(append(messages[:len(messages):len(messages)], answer)),
 		promptTokens: structs.Tokens(messages),
 		answerTokens: tokens,
 		resumed:      resumed,
@@ -60,7 +61,7 @@
 }
 
 func (s *sequence) blocksNeeded() int {
-	return (s.promptTokens+s.answerTokens)/blockTokens + 2
+	return (s.promptTokens+s.answerTokens)/kvcache.BlockTokens + 2
 }
 
 // end closes the channel of tokens once.
@@ -179,7 +180,7 @@
 	m.cache.reserve(need)
 	s.pinned = s.prompt[:known]
 	s.reserved = need
-	s.cachedTokens = min(known*blockTokens, max(s.promptTokens-1, 0))
+	s.cachedTokens = min(known*kvcache.BlockTokens, max(s.promptTokens-1, 0))
 	s.prefillLeft = s.promptTokens - s.cachedTokens + s.resumed
 	s.generated = s.resumed
 	return true
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -103,7 +103,7 @@
 		dropConnection()
 	}
 	if _, hit := m.Faults.take(FaultLoseAnswer, subject); hit {
-		for range running.Tokens() { //nolint:revive // waits for the end of the call
+		for range running.Tokens() {
 		}
 		dropConnection()
 	}
@@ -235,7 +235,7 @@
 	last.Choices = []engine.ChatChoice{}
 	last.Usage = &usage
 	s.send(last)
-	s.w.Write([]byte("data: [DONE]\n\n"))
+	fmt.Fprint(s.w, "data: [DONE]\n\n")
 	s.flush()
 }
 
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/kvcache"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
@@ -119,7 +120,7 @@
 		return engine.Hold{}, errors.Newf("%d programs are held", len(m.cache.holds))
 	}
 	known := m.cache.hold(program, m.lastChain.get(program))
-	return engine.Hold{Program: program, Tokens: int64(known) * blockTokens}, nil
+	return engine.Hold{Program: program, Tokens: int64(known) * kvcache.BlockTokens}, nil
 }
 
 func (m *Model) serveRelease(w http.ResponseWriter, r *http.Request) {
@@ -154,7 +155,7 @@
 	chain := m.lastChain.get(ref.Program)
 	chain = slices.Clone(chain[:m.cache.match(chain)])
 	m.mu.Unlock()
-	m.transfer(r.Context(), len(chain)*blockTokens)
+	m.transfer(r.Context(), len(chain)*kvcache.BlockTokens)
 	writeJSON(w, http.StatusOK, engine.CacheExport{Program: ref.Program, Blocks: chain})
 }
 
@@ -163,12 +164,12 @@
 	if !ok {
 		return
 	}
-	m.transfer(r.Context(), len(export.Blocks)*blockTokens)
+	m.transfer(r.Context(), len(export.Blocks)*kvcache.BlockTokens)
 	m.mu.Lock()
 	known := m.cache.store(export.Blocks)
 	m.lastChain.put(export.Program, export.Blocks[:known])
 	m.mu.Unlock()
-	writeJSON(w, http.StatusOK, engine.Hold{Program: export.Program, Tokens: int64(known) * blockTokens})
+	writeJSON(w, http.StatusOK, engine.Hold{Program: export.Program, Tokens: int64(known) * kvcache.BlockTokens})
 }
 
 // fenced reports whether an order's fencing number is older than one seen before.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -26,6 +26,8 @@
 	FaultSlow FaultKind = "slow"
 	// FaultLoseAnswer lets a request take effect and drops its answer.
 	FaultLoseAnswer FaultKind = "lose_answer"
+	// FaultLateWrite drops a table transaction's answer at once and applies it Delay later.
+	FaultLateWrite FaultKind = "late_write"
 	// FaultHang lets a request take effect and holds its answer until the client leaves.
 	FaultHang FaultKind = "hang"
 	// FaultCross puts a chunk of another call into a stream.
@@ -56,7 +58,7 @@
 	FaultDown: true, FaultRefuse: true, FaultSlow: true, FaultLoseAnswer: true, FaultHang: true,
 	FaultCross: true, FaultCrossAttempt: true, FaultCut: true, FaultDuplicateChunk: true,
 	FaultSkipChunk: true, FaultCrashMarked: true, FaultIgnoreFence: true, FaultLateEvents: true,
-	FaultDropEvents: true, FaultLieLoad: true, FaultRateLimit: true,
+	FaultDropEvents: true, FaultLieLoad: true, FaultRateLimit: true, FaultLateWrite: true,
 }
 
 // Fault is one fault in force.
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/kvcache"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -63,7 +64,7 @@
 func (m *Model) load() structs.Load {
 	var queued int64
 	for _, s := range m.waiting {
-		queued += int64(s.promptTokens - m.cache.match(s.prompt)*blockTokens)
+		queued += int64(s.promptTokens - m.cache.match(s.prompt)*kvcache.BlockTokens)
 	}
 	return structs.Load{
 		Upstream:            structs.UpstreamID(m.config.Name),
@@ -75,7 +76,7 @@
 		Queued:              len(m.waiting),
 		QueuedPrefillTokens: queued,
 		BatchLimit:          m.config.BatchLimit,
-		KVUsedTokens:        int64(len(m.cache.entries)+m.cache.reserved) * blockTokens,
+		KVUsedTokens:        int64(len(m.cache.entries)+m.cache.reserved) * kvcache.BlockTokens,
 		KVLimitTokens:       m.config.KVTokens,
 		PrefillRate:         m.config.PrefillRate / m.config.TimeScale,
 		StepTime:            m.scaled(m.decodeTime(max(len(m.running), 1))),
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/kvcache"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
 )
@@ -174,7 +175,7 @@
 func (m *Model) reset() {
 	m.events = newEventLog(fmt.Sprintf("%s-%d", m.config.Name, m.restarts))
 	events := m.events
-	m.cache = newPrefixCache(int(m.config.KVTokens/blockTokens), func(stored, removed []uint64) {
+	m.cache = newPrefixCache(int(m.config.KVTokens/kvcache.BlockTokens), func(stored, removed []uint64) {
 		events.add(time.Now(), stored, removed)
 	})
 	m.lastChain = newChainMemory()
--- a/internal/standin/prefixcache.go
+++ b/internal/standin/prefixcache.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/kvcache"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -166,7 +167,7 @@
 func (c *prefixCache) list() []engine.Hold {
 	out := make([]engine.Hold, 0, len(c.holds))
 	for program, held := range c.holds {
-		out = append(out, engine.Hold{Program: program, Tokens: int64(len(held)) * blockTokens})
+		out = append(out, engine.Hold{Program: program, Tokens: int64(len(held)) * kvcache.BlockTokens})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Program < out[j].Program })
 	return out
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -124,7 +124,7 @@
 		model.Close()
 	}
 	for _, l := range g.listeners {
-		l.Close()
+		_ = l.Close() // a port that does not close goes with the process
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/cockroachdb/errors"
@@ -58,6 +59,10 @@
 	if !t.limits.write() {
 		return errors.Wrap(platform.ErrNotApplied, "table write rate")
 	}
+	if late, hit := t.faults.take(FaultLateWrite, subject); hit {
+		time.AfterFunc(time.Duration(late.Delay), func() { _ = t.apply(txn) }) // nobody waits for the result
+		return errors.Wrap(platform.ErrUnavailable, "answer lost")
+	}
 	err := t.apply(txn)
 	if t.faults.after(ctx, subject) {
 		return errors.Wrap(platform.ErrUnavailable, "answer lost")
