--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -23,9 +23,12 @@
 	MaxMessageBytes = 8 << 20
 	keepaliveTime   = 10 * time.Second
 	keepaliveWait   = 3 * time.Second
-	minRedial       = 50 * time.Millisecond
-	maxRedial       = time.Second
-	dialTimeout     = 2 * time.Second
+	// serverKeepalive finds a silent client, such as a cut-off entry, within seconds.
+	serverKeepalive     = 2 * time.Second
+	serverKeepaliveWait = 2 * time.Second
+	minRedial           = 50 * time.Millisecond
+	maxRedial           = time.Second
+	dialTimeout         = 2 * time.Second
 )
 
 // Security says how processes authenticate each other. A nil TLS is plain TCP.
@@ -66,6 +69,7 @@
 		grpc.StatsHandler(o.telemetry().ServerStats()),
 		grpc.ChainUnaryInterceptor(o.Versions.unaryServer),
 		grpc.ChainStreamInterceptor(o.Versions.streamServer),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverKeepalive, Timeout: serverKeepaliveWait}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 	)
 }
--- a/internal/side/duties.go
+++ b/internal/side/duties.go
@@ -18,7 +18,6 @@
 	duties.Go(func() error { return every(ctx, s.cfg.LoadInterval, s.reportLoad) })
 	if s.cfg.Model != nil {
 		duties.Go(func() error { return s.followCache(ctx) })
-		duties.Go(func() error { return every(ctx, s.cfg.HoldInterval, s.tendHolds) })
 	}
 	if vms != nil {
 		duties.Go(func() error {
--- a/internal/side/history.go
+++ b/internal/side/history.go
@@ -130,15 +130,6 @@
 	}
 }
 
-// forget drops the program's conversation.
-func (h *histories) forget(program structs.ProgramID) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if e := h.byID[program]; e != nil {
-		h.drop(e)
-	}
-}
-
 func (h *histories) drop(e *list.Element) {
 	c := e.Value.(*conversation)
 	h.used -= len(c.compressed)
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -166,7 +166,7 @@
 		answer, err = s.runModel(stream, call)
 		return err
 	}
-	waiting := admission.NewWaiting(call, structs.Tokens(call.Messages))
+	waiting := admission.NewWaiting(call, int64(structs.Tokens(call.Messages)))
 	if err := s.dispatch.run(stream.Context(), waiting, req.GetAlone(), run); err != nil {
 		return s.status(err)
 	}
@@ -187,8 +187,8 @@
 }
 
 func (s *Server) finishModel(stream grpc.ServerStreamingServer[peerpb.CallModelChunk], call *structs.ModelCall, answer structs.ModelAnswer) error {
-	messages := append(call.Messages, answer.Message)
-	s.histories.put(call.Program, messages, call.Digest.Append(answer.Message))
+	call.Messages = append(call.Messages, answer.Message)
+	s.histories.put(call.Program, call.Messages, call.Digest.Append(answer.Message))
 	return stream.Send(&peerpb.CallModelChunk{
 		Call:    string(call.Call),
 		Attempt: call.Attempt,
@@ -264,8 +264,12 @@
 	s.announce()
 }
 
-// announce pushes the present load and gate to all entries.
+// announce pushes the present load and gate to all entries. An entry whose
+// connection is alive counts as heard.
 func (s *Server) announce() {
+	if s.watchers.len() > 0 {
+		s.Heard()
+	}
 	s.watchers.send(&peerpb.WatchReply{Load: peer.LoadToPB(s.load())})
 }
 
--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/httpapi"
@@ -90,7 +91,7 @@
 	if cfg.PlatformURL == "" {
 		return nil
 	}
-	return platform.NewClient(cfg.PlatformURL, env.Telemetry.Transport(http.DefaultTransport))
+	return platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
 }
 
 func newFromSettings(cfg *settings.Side, env Environment) (*Server, error) {
@@ -108,7 +109,7 @@
 		Incarnation:  uuid.NewString(),
 		Log:          env.Log,
 	}
-	transport := env.Telemetry.Transport(http.DefaultTransport.(*http.Transport).Clone())
+	transport := env.Telemetry.Transport(daemon.HTTPTransport())
 	if cfg.Upstream.Kind == structs.KindModel {
 		model := engine.NewModel(cfg.Upstream.ID, cfg.Upstream.URL, transport)
 		c.Model, c.closeUpstream = model, model.Close
