Keep one preset in force on all nodes

preset.Machine follows one table row by compare-and-swap. A switch is accepted once a majority of the voters has confirmed it in two rounds; a node takes work only while it has evidence, no older than a bound, that it knows every accepted switch. One round of answers was weighed and dropped: a voter that restarts between the answers would count although it has forgotten the version.

--- /dev/null
+++ b/preset/cluster_test.go
@@ -0,0 +1,354 @@
+package preset
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+const (
+	tickEvery = 25 * time.Millisecond
+	hop       = time.Millisecond
+	platform  = structs.NodeID("platform")
+)
+
+var epoch = time.Date(2026, 1, 1, 18, 0, 0, 0, time.UTC)
+
+// node is one process; machine is nil while it is dead.
+type node struct {
+	machine *Machine
+	starts  uint64
+	paused  bool
+	inbox   []Message
+}
+
+type delivery struct {
+	at    time.Time
+	order int
+	to    structs.NodeID
+	start uint64
+	msg   Message
+	run   func()
+}
+
+// cluster runs machines over a table and a network with scripted faults.
+type cluster struct {
+	now   time.Time
+	rng   *rand.Rand
+	names []structs.NodeID
+	nodes map[structs.NodeID]*node
+	queue []delivery
+	sent  int
+	cuts  map[[2]structs.NodeID]bool
+
+	rowVersion int64
+	value      []byte
+	outage     bool
+	loseAnswer int
+	lateWrite  time.Duration
+	duplicate  int
+	reorder    bool
+
+	nextID    uint64
+	orders    map[uint64]Switch
+	began     map[uint64]time.Time
+	log       []string
+	nonces    map[string]uint64
+	presets   map[uint64]string
+	accepted  map[uint64]time.Time
+	broken    []string
+	completed []completion
+}
+
+// completion is a switch with its answer.
+type completion struct {
+	order   Switch
+	began   time.Time
+	ended   time.Time
+	version uint64
+	code    structs.Code
+	outcome structs.Outcome
+}
+
+func newCluster(seed uint64, names ...structs.NodeID) *cluster {
+	return &cluster{
+		now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), names: names,
+		nodes: map[structs.NodeID]*node{}, cuts: map[[2]structs.NodeID]bool{},
+		orders: map[uint64]Switch{}, began: map[uint64]time.Time{},
+		nonces: map[string]uint64{}, presets: map[uint64]string{}, accepted: map[uint64]time.Time{},
+	}
+}
+
+func (c *cluster) start(n structs.NodeID) {
+	if c.nodes[n] == nil {
+		c.nodes[n] = &node{}
+	}
+	p := c.nodes[n]
+	p.starts++
+	cfg := DefaultConfig(n, p.starts)
+	cfg.Initial = &structs.Preset{Name: "ordinary"}
+	p.machine, p.paused, p.inbox = New(cfg, c.now), false, nil
+	c.step(n, Members{Nodes: c.names})
+	c.after(0, delivery{to: n, start: p.starts, msg: Tick{}})
+}
+
+func (c *cluster) kill(n structs.NodeID) { c.nodes[n].machine = nil }
+
+func (c *cluster) resume(n structs.NodeID) {
+	p := c.nodes[n]
+	inbox := p.inbox
+	p.paused, p.inbox = false, nil
+	for _, msg := range inbox {
+		c.step(n, msg)
+	}
+}
+
+// after queues a delivery.
+func (c *cluster) after(d time.Duration, e delivery) {
+	c.sent++
+	e.at, e.order = c.now.Add(d), c.sent
+	c.queue = append(c.queue, e)
+}
+
+func (c *cluster) advance(d time.Duration) {
+	end := c.now.Add(d)
+	for {
+		next := -1
+		for i, e := range c.queue {
+			if e.at.After(end) {
+				continue
+			}
+			if next < 0 || e.at.Before(c.queue[next].at) || (e.at.Equal(c.queue[next].at) && e.order < c.queue[next].order) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		e := c.queue[next]
+		c.queue = slices.Delete(c.queue, next, next+1)
+		c.now = e.at
+		c.deliver(e)
+	}
+	c.now = end
+}
+
+func (c *cluster) deliver(e delivery) {
+	if e.run != nil {
+		e.run()
+		return
+	}
+	p := c.nodes[e.to]
+	if p == nil || p.machine == nil || p.starts != e.start {
+		return
+	}
+	if _, tick := e.msg.(Tick); tick {
+		c.after(tickEvery, delivery{to: e.to, start: e.start, msg: Tick{}})
+		if p.paused {
+			return
+		}
+	}
+	if p.paused {
+		p.inbox = append(p.inbox, e.msg)
+		return
+	}
+	c.step(e.to, e.msg)
+}
+
+func (c *cluster) step(n structs.NodeID, msg Message) {
+	m := c.nodes[n].machine
+	before := m.Version()
+	for _, e := range m.Step(c.now, msg) {
+		c.carryOut(n, e)
+	}
+	if m.Version() < before {
+		c.violated("node %s reverted from version %d to %d", n, before, m.Version())
+	}
+	for v, at := range c.accepted {
+		if m.informed && m.evidence.After(at) && m.Version() < v {
+			c.violated("node %s has evidence after version %d was accepted and holds %d", n, v, m.Version())
+		}
+	}
+}
+
+func (c *cluster) violated(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) carryOut(n structs.NodeID, e Effect) {
+	switch e := e.(type) {
+	case Read:
+		c.read(n, e)
+	case Write:
+		c.write(n, e)
+	case Send:
+		c.send(n, e)
+	case Apply:
+		c.record(e.InForce)
+		c.note("%s applies %d %s", n, e.InForce.Version, e.InForce.Preset.Name)
+	case Freshness:
+		c.note("%s fresh=%v", n, e.Fresh)
+	case RowInvalid:
+		c.note("%s row invalid", n)
+	case Switched:
+		c.finish(n, e.ID, completion{version: e.Version}, fmt.Sprintf("version %d accepted=%v missing=%v", e.Version, e.Accepted, e.Missing))
+		if e.Accepted {
+			c.accepted[e.Version] = c.now
+		}
+	case SwitchRefused:
+		c.finish(n, e.ID, completion{code: e.Refusal.Code, outcome: e.Refusal.Outcome}, fmt.Sprintf("%s %s: %s", e.Refusal.Code, e.Refusal.Outcome, e.Refusal.Detail))
+	}
+}
+
+// record checks that a version never names two presets.
+func (c *cluster) record(p structs.PresetInForce) {
+	if other, found := c.presets[p.Version]; found && other != p.Preset.Name {
+		c.violated("version %d names presets %s and %s", p.Version, other, p.Preset.Name)
+	}
+	c.presets[p.Version] = p.Preset.Name
+}
+
+func (c *cluster) finish(n structs.NodeID, id uint64, done completion, text string) {
+	done.order, done.began, done.ended = c.orders[id], c.began[id], c.now
+	c.completed = append(c.completed, done)
+	c.note("%s switch %s by %s: %s", n, done.order.Preset.Name, done.order.Operator, text)
+}
+
+func (c *cluster) note(format string, args ...any) {
+	at := c.now.Sub(epoch).Truncate(time.Millisecond)
+	c.log = append(c.log, fmt.Sprintf("%v ", at)+fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) reaches(a, b structs.NodeID) bool { return !c.cuts[pair(a, b)] }
+
+func pair(a, b structs.NodeID) [2]structs.NodeID { return [2]structs.NodeID{min(a, b), max(a, b)} }
+
+func (c *cluster) read(n structs.NodeID, r Read) {
+	start := c.nodes[n].starts
+	c.after(hop, delivery{run: func() {
+		done := ReadDone{Number: r.Number, RowVersion: c.rowVersion, Value: c.value}
+		if c.outage || !c.reaches(n, platform) {
+			done = ReadDone{Number: r.Number, Failed: true}
+		}
+		c.after(hop, delivery{to: n, start: start, msg: done})
+	}})
+}
+
+func (c *cluster) write(n structs.NodeID, w Write) {
+	start := c.nodes[n].starts
+	answer := func(r WriteResult) { c.after(hop, delivery{to: n, start: start, msg: WriteDone{w.Number, r}}) }
+	c.after(hop, delivery{run: func() {
+		switch {
+		case c.lateWrite > 0:
+			c.after(c.lateWrite, delivery{run: func() { c.apply(w) }})
+			c.lateWrite = 0
+			answer(WriteUnknown)
+		case c.outage || !c.reaches(n, platform):
+			answer(WriteUnknown)
+		case !c.apply(w):
+			answer(WriteConflict)
+		case c.loseAnswer > 0:
+			c.loseAnswer--
+			answer(WriteUnknown)
+		default:
+			answer(WriteApplied)
+		}
+	}})
+}
+
+func (c *cluster) apply(w Write) bool {
+	if w.Expected != c.rowVersion {
+		return false
+	}
+	c.rowVersion++
+	c.value = w.Value
+	row, err := DecodeRow(w.Value)
+	if err != nil {
+		c.violated("row written: %v", err)
+		return true
+	}
+	last := row.Recent[len(row.Recent)-1]
+	if v := c.nonces[last.Nonce]; v != 0 {
+		c.violated("switch %s was written as versions %d and %d", last.Nonce, v, last.Version)
+	}
+	c.nonces[last.Nonce] = last.Version
+	return true
+}
+
+func (c *cluster) send(from structs.NodeID, s Send) {
+	p := c.nodes[s.To]
+	if p == nil || !c.reaches(from, s.To) {
+		return
+	}
+	copies := 1
+	if c.duplicate > 0 {
+		c.duplicate--
+		copies = 2
+	}
+	for i := range copies {
+		d := hop * time.Duration(1+i*300)
+		if c.reorder {
+			d += time.Duration(c.rng.Int64N(int64(400 * time.Millisecond)))
+		}
+		c.after(d, delivery{to: s.To, start: p.starts, msg: Received{From: from, Message: s.Message}})
+	}
+}
+
+func (c *cluster) order(n structs.NodeID, operator, name string, expected uint64, nonce string) {
+	p := c.nodes[n]
+	if p == nil || p.machine == nil {
+		return
+	}
+	c.nextID++
+	if nonce == "" {
+		nonce = fmt.Sprintf("order-%d", c.nextID)
+	}
+	s := Switch{ID: c.nextID, Operator: operator, Nonce: nonce, Preset: structs.Preset{Name: name}, Expected: expected}
+	c.orders[s.ID], c.began[s.ID] = s, c.now
+	c.after(0, delivery{to: n, start: p.starts, msg: s})
+}
+
+// verify checks what holds at any moment and returns what is broken.
+func (c *cluster) verify() []string {
+	out := c.broken
+	for _, d := range c.completed {
+		written := c.nonces[d.order.Nonce]
+		if d.outcome == structs.OutcomeNotRun && written != 0 && !c.repeated(d.order.Nonce) {
+			out = append(out, fmt.Sprintf("switch %s was refused as not run and is version %d", d.order.Nonce, written))
+		}
+		if d.version != 0 && written != d.version {
+			out = append(out, fmt.Sprintf("switch %s was answered with version %d and is %d", d.order.Nonce, d.version, written))
+		}
+	}
+	return out
+}
+
+// repeated reports whether an order was given more than once.
+func (c *cluster) repeated(nonce string) bool {
+	n := 0
+	for _, s := range c.orders {
+		if s.Nonce == nonce {
+			n++
+		}
+	}
+	return n > 1
+}
+
+func (c *cluster) state() string {
+	var b strings.Builder
+	for _, n := range c.names {
+		p := c.nodes[n]
+		switch {
+		case p == nil || p.machine == nil:
+			fmt.Fprintf(&b, "%s dead\n", n)
+		default:
+			in := p.machine.InForce()
+			fmt.Fprintf(&b, "%s version=%d preset=%s fresh=%v\n", n, in.Version, in.Preset.Name, p.machine.Fresh(c.now))
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/preset/preset_test.go
@@ -0,0 +1,271 @@
+package preset
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if !strings.HasSuffix(path, ".txt") {
+			return
+		}
+		var c *cluster
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "cluster" {
+				c = newCluster(1, idsOf(d)...)
+			} else {
+				run(t, c, d)
+			}
+			if broken := c.verify(); len(broken) > 0 {
+				return "BROKEN: " + strings.Join(broken, "\n")
+			}
+			out := strings.Join(c.log, "\n")
+			c.log = nil
+			if d.Cmd == "expect" {
+				out = c.state()
+			}
+			return out
+		})
+	})
+}
+
+func idsOf(d *datadriven.TestData) []structs.NodeID {
+	var out []structs.NodeID
+	for _, a := range d.CmdArgs {
+		if len(a.Vals) == 0 {
+			out = append(out, structs.NodeID(a.Key))
+		}
+	}
+	return out
+}
+
+func run(t *testing.T, c *cluster, d *datadriven.TestData) {
+	ids := idsOf(d)
+	each := func(f func(structs.NodeID)) {
+		for _, n := range ids {
+			f(n)
+		}
+	}
+	switch d.Cmd {
+	case "start":
+		each(c.start)
+	case "kill":
+		each(c.kill)
+	case "pause":
+		each(func(n structs.NodeID) { c.nodes[n].paused = true })
+	case "resume":
+		each(c.resume)
+	case "cut":
+		c.cuts[pair(ids[0], ids[1])] = true
+	case "heal":
+		clear(c.cuts)
+		c.outage, c.reorder = false, false
+	case "outage":
+		c.outage = true
+	case "lose-answer":
+		c.loseAnswer++
+	case "late":
+		c.lateWrite = parseDuration(t, d, string(ids[0]))
+	case "duplicate":
+		c.duplicate = 100
+	case "reorder":
+		c.reorder = true
+	case "advance":
+		c.advance(parseDuration(t, d, string(ids[0])))
+	case "switch":
+		var node, operator, preset, nonce string
+		var expected uint64
+		d.ScanArgs(t, "node", &node)
+		d.ScanArgs(t, "by", &operator)
+		d.ScanArgs(t, "to", &preset)
+		if d.HasArg("expected") {
+			d.ScanArgs(t, "expected", &expected)
+		}
+		if d.HasArg("nonce") {
+			d.ScanArgs(t, "nonce", &nonce)
+		}
+		c.order(structs.NodeID(node), operator, preset, expected, nonce)
+	case "garble":
+		c.value = []byte(`{"version":`)
+	case "expect":
+	default:
+		d.Fatalf(t, "unknown verb %q", d.Cmd)
+	}
+}
+
+func parseDuration(t *testing.T, d *datadriven.TestData, text string) time.Duration {
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
+
+// TestAnyInterleaving draws faults and switches in any order, checks the invariants
+// at each step and the history of switches against a register with compare-and-swap,
+// and lets the nodes converge once all faults are healed.
+func TestAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []structs.NodeID{"a", "b", "c", "d"}[:rapid.IntRange(3, 4).Draw(rt, "nodes")]
+		c := newCluster(rapid.Uint64().Draw(rt, "seed"), names...)
+		for _, n := range names {
+			c.start(n)
+		}
+		c.advance(time.Second)
+		for range rapid.IntRange(3, 30).Draw(rt, "faults") {
+			draw(rt, c)
+			c.advance(time.Duration(rapid.IntRange(1, 900).Draw(rt, "ms")) * time.Millisecond)
+			if broken := c.verify(); len(broken) > 0 {
+				rt.Fatalf("%s\n%s", broken, strings.Join(c.log, "\n"))
+			}
+		}
+		converge(rt, c)
+		if !porcupine.CheckOperations(register.ToModel(), history(c)) {
+			rt.Fatalf("history of switches is not linearizable\n%s", strings.Join(c.log, "\n"))
+		}
+	})
+}
+
+func draw(rt *rapid.T, c *cluster) {
+	n := rapid.SampledFrom(c.names).Draw(rt, "node")
+	other := rapid.SampledFrom(append([]structs.NodeID{platform, platform}, c.names...)).Draw(rt, "other")
+	p := c.nodes[n]
+	switch rapid.IntRange(0, 11).Draw(rt, "verb") {
+	case 0:
+		c.kill(n)
+	case 1:
+		c.start(n)
+	case 2:
+		p.paused = true
+	case 3:
+		if p.machine != nil {
+			c.resume(n)
+		}
+	case 4:
+		c.cuts[pair(n, other)] = true
+	case 5:
+		clear(c.cuts)
+	case 6:
+		c.outage = !c.outage
+	case 7:
+		c.loseAnswer = 1
+	case 8:
+		c.lateWrite = time.Duration(rapid.IntRange(1, 7000).Draw(rt, "late")) * time.Millisecond
+	case 9:
+		c.duplicate, c.reorder = 20, !c.reorder
+	default:
+		expected := uint64(0)
+		if p.machine != nil && rapid.Bool().Draw(rt, "exact") {
+			expected = p.machine.Version()
+		}
+		c.order(n, "op", fmt.Sprintf("p%d", c.nextID+1), expected, "")
+	}
+}
+
+// converge heals all faults and checks that all nodes are fresh at one version in time.
+func converge(rt *rapid.T, c *cluster) {
+	clear(c.cuts)
+	c.outage, c.reorder, c.lateWrite, c.loseAnswer = false, false, 0, 0
+	for _, n := range c.names {
+		if c.nodes[n].machine == nil {
+			c.start(n)
+		} else if c.nodes[n].paused {
+			c.resume(n)
+		}
+	}
+	// The longest late write and the longest switch end first.
+	c.advance(13 * time.Second)
+	if broken := c.verify(); len(broken) > 0 {
+		rt.Fatalf("%s\n%s", broken, strings.Join(c.log, "\n"))
+	}
+	want := c.nodes[c.names[0]].machine.InForce().Version
+	for _, n := range c.names {
+		if m := c.nodes[n].machine; m.Version() != want || !m.Fresh(c.now) {
+			rt.Fatalf("no convergence:\n%s%s", c.state(), strings.Join(c.log, "\n"))
+		}
+	}
+}
+
+// register is the version as a register: each switch that ran made the next version.
+var register = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(1)} },
+	Step: func(state, _, output any) []any {
+		version, d := state.(uint64), output.(completion)
+		matches := d.order.Expected == 0 || d.order.Expected == version
+		switch {
+		case d.version != 0 && matches && d.version == version+1:
+			return []any{version + 1}
+		case d.version != 0:
+			return nil
+		case d.code == structs.CodeConflict && d.outcome == structs.OutcomeNotRun && matches && d.order.Expected != 0:
+			return nil
+		case d.outcome == structs.OutcomeUnknown && matches:
+			return []any{version, version + 1}
+		}
+		return []any{version}
+	},
+	DescribeOperation: func(_, output any) string { return fmt.Sprintf("%+v", output) },
+}
+
+// history turns the answered and unanswered switches into operations; an unknown or
+// missing answer may take effect at any later time.
+func history(c *cluster) []porcupine.Operation {
+	answered := map[string]bool{}
+	done := append([]completion(nil), c.completed...)
+	for _, d := range done {
+		answered[d.order.Nonce] = true
+	}
+	for id := uint64(1); id <= c.nextID; id++ {
+		if s := c.orders[id]; !answered[s.Nonce] {
+			done = append(done, completion{order: s, began: c.began[id], outcome: structs.OutcomeUnknown})
+		}
+	}
+	var ops []porcupine.Operation
+	for i, d := range done {
+		end := d.ended
+		if d.outcome == structs.OutcomeUnknown {
+			end = c.now.Add(time.Hour)
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Call: d.began.UnixNano(), Return: end.UnixNano(), Output: d})
+	}
+	return ops
+}
+
+func FuzzDecodeRow(f *testing.F) {
+	good, _ := EncodeRow(Row{}.next(Switch{Operator: "o", Nonce: "n", Preset: structs.Preset{Name: "p"}}))
+	f.Add(good)
+	f.Add([]byte(`{"version":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		row, err := DecodeRow(data)
+		if err != nil {
+			return
+		}
+		if row.Version == 0 || row.Preset.Name == "" || len(row.Recent) > recentSwitches {
+			t.Errorf("accepted row %+v", row)
+		}
+		if next := row.next(Switch{Nonce: "x"}); next.Version != row.Version+1 || next.find("x") == 0 {
+			t.Errorf("row %+v is followed by %+v", row, next)
+		}
+	})
+}
+
+// BenchmarkSpread counts what one switch costs: the message delays until the last
+// node has it, and the messages and bytes of the whole and of the busiest node.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{10, 100, 750} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for range b.N {
+				spreadOnce(b, n)
+			}
+		})
+	}
+}
