--- /dev/null
+++ b/internal/entry/mail.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/internal/ring"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Machines whose messages travel between entries.
+const (
+	machineMembership = "membership"
+	machinePreset     = "preset"
+	machineQuarantine = "quarantine"
+)
+
+// Limits of messages between machines.
+const (
+	// outboxSize bounds the messages that wait for one peer; more are lost, and
+	// the machines send again.
+	outboxSize = 256
+	// deliverBatch bounds the messages of one call.
+	deliverBatch = 64
+	// deliverTimeout bounds one call, so that a paused peer holds nothing up.
+	deliverTimeout = time.Second
+)
+
+// ErrUnknownMessage reports an envelope of a machine or kind that this version does not know.
+var ErrUnknownMessage = errors.New("unknown message between machines")
+
+// envelope returns the wire form of a machine's message.
+func envelope(machine, kind string, message any) (*peerpb.Envelope, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrapf(err, "message %s of machine %s", kind, machine)
+	}
+	return &peerpb.Envelope{Machine: machine, Kind: kind, Body: body}, nil
+}
+
+// mail sends messages between machines. Each peer has a ring and a duty of its
+// own, so that a slow peer delays no other.
+type mail struct {
+	node structs.NodeID
+	pool *peer.Pool
+	lost atomic.Int64
+
+	mu       sync.Mutex
+	ctx      context.Context
+	outboxes map[string]*ring.Ring[*peerpb.Envelope]
+	duties   sync.WaitGroup
+	closed   bool
+}
+
+func newMail(ctx context.Context, node structs.NodeID, pool *peer.Pool) *mail {
+	return &mail{node: node, pool: pool, ctx: ctx, outboxes: map[string]*ring.Ring[*peerpb.Envelope]{}}
+}
+
+// send queues a message for the peer at the address. A full ring loses it.
+func (m *mail) send(address string, e *peerpb.Envelope) {
+	if o := m.outbox(address); o != nil && o.TryPush(e) {
+		return
+	}
+	m.lost.Add(1)
+}
+
+func (m *mail) outbox(address string) *ring.Ring[*peerpb.Envelope] {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil
+	}
+	o := m.outboxes[address]
+	if o == nil {
+		o = ring.New[*peerpb.Envelope](outboxSize)
+		m.outboxes[address] = o
+		m.duties.Go(func() { m.deliver(address, o) })
+	}
+	return o
+}
+
+// deliver sends what the ring holds, in batches, until the ring is closed.
+func (m *mail) deliver(address string, o *ring.Ring[*peerpb.Envelope]) {
+	for {
+		first, err := o.Pop(m.ctx)
+		if err != nil {
+			return
+		}
+		batch := []*peerpb.Envelope{first}
+		for len(batch) < deliverBatch && o.Len() > 0 {
+			next, err := o.Pop(m.ctx)
+			if err != nil {
+				break
+			}
+			batch = append(batch, next)
+		}
+		if err := m.call(address, batch); err != nil {
+			m.lost.Add(int64(len(batch)))
+		}
+	}
+}
+
+func (m *mail) call(address string, batch []*peerpb.Envelope) error {
+	conn, err := m.pool.Conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, deliverTimeout)
+	defer cancel()
+	_, err = peerpb.NewHomeClient(conn).Deliver(ctx, &peerpb.DeliverRequest{From: string(m.node), Messages: batch})
+	return err
+}
+
+// forget ends the duty of a peer that is gone.
+func (m *mail) forget(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o := m.outboxes[address]; o != nil {
+		o.Close()
+		delete(m.outboxes, address)
+	}
+}
+
+// close ends all duties; its context must have ended or end soon.
+func (m *mail) close() {
+	m.mu.Lock()
+	m.closed = true
+	for address, o := range m.outboxes {
+		o.Close()
+		delete(m.outboxes, address)
+	}
+	m.mu.Unlock()
+	m.duties.Wait()
+}
--- /dev/null
+++ b/internal/entry/platform.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// platformTimeout bounds one request to the platform.
+const platformTimeout = 2 * time.Second
+
+// platformRetry is when to come back after an outage of the platform was met.
+const platformRetry = 2 * time.Second
+
+// platformRefusal returns err of the platform as a refusal; nil stays nil.
+func platformRefusal(err error, step string) error {
+	if err == nil {
+		return nil
+	}
+	r := structs.Refusalf(structs.CodePlatformOutage, structs.OutcomeUnknown, step, "%s", err)
+	r.Peer = "platform"
+	r.RetryAfter = platformRetry
+	if errors.Is(err, platform.ErrNotApplied) {
+		r.Outcome = structs.OutcomeNotRun
+	}
+	return r
+}
--- /dev/null
+++ b/internal/entry/presets.go
@@ -0,0 +1,369 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/ring"
+	"github.com/buckthornroute/buckthornroute/preset"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// presetTick is the time between two ticks of the preset machine.
+const presetTick = 50 * time.Millisecond
+
+// presetInbox bounds the messages that wait for the preset machine.
+const presetInbox = 256
+
+// presets is the duty that follows the preset in force.
+type presets struct {
+	table  platform.Table
+	log    *eventlog.Logger
+	send   func(to structs.NodeID, e *peerpb.Envelope)
+	apply  func(structs.PresetInForce)
+	inbox  *ring.Ring[preset.Message]
+	cfg    preset.Config
+	work   sync.WaitGroup
+	lastID atomic.Uint64
+
+	inForce atomic.Pointer[structs.PresetInForce]
+
+	mu      sync.Mutex
+	machine *preset.Machine
+	waiting map[uint64]chan switchEnd
+}
+
+// switchEnd is how an operator's switch ended.
+type switchEnd struct {
+	version uint64
+	refusal *structs.Refusal
+}
+
+func newPresets(cfg preset.Config, table platform.Table, log *eventlog.Logger, send func(structs.NodeID, *peerpb.Envelope), apply func(structs.PresetInForce)) *presets {
+	p := &presets{
+		table:   table,
+		log:     log,
+		send:    send,
+		apply:   apply,
+		cfg:     cfg,
+		inbox:   ring.New[preset.Message](presetInbox),
+		machine: preset.New(cfg, time.Now()),
+		waiting: map[uint64]chan switchEnd{},
+	}
+	p.inForce.Store(&structs.PresetInForce{})
+	return p
+}
+
+// run steps the machine until ctx ends.
+func (p *presets) run(ctx context.Context) error {
+	ticker := time.NewTicker(presetTick)
+	defer ticker.Stop()
+	defer p.work.Wait()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				p.inbox.TryPush(preset.Tick{})
+			}
+		}
+	}()
+	for {
+		msg, err := p.inbox.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		for _, effect := range p.step(msg) {
+			p.carryOut(ctx, effect)
+		}
+	}
+}
+
+func (p *presets) step(msg preset.Message) []preset.Effect {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Step(time.Now(), msg)
+}
+
+func (p *presets) carryOut(ctx context.Context, effect preset.Effect) {
+	switch e := effect.(type) {
+	case preset.Read:
+		p.work.Go(func() { p.read(ctx, e) })
+	case preset.Write:
+		p.work.Go(func() { p.write(ctx, e) })
+	case preset.Send:
+		p.sendTo(e)
+	case preset.Apply:
+		inForce := e.InForce
+		p.inForce.Store(&inForce)
+		p.apply(inForce)
+	case preset.Freshness:
+		p.logFreshness(e)
+	case preset.RowInvalid:
+		p.log.Emit(eventlog.PresetRowInvalid, eventlog.Fields{Step: "read preset", Err: e.Err})
+	case preset.Switched:
+		p.end(e.ID, switchEnd{version: e.Version, refusal: notEverywhere(e)})
+	case preset.SwitchRefused:
+		p.end(e.ID, switchEnd{refusal: e.Refusal})
+	}
+}
+
+func (p *presets) logFreshness(e preset.Freshness) {
+	event := eventlog.PresetFresh
+	if !e.Fresh {
+		event = eventlog.PresetStale
+	}
+	p.log.Emit(event, eventlog.Fields{Step: "preset", Took: time.Since(e.Evidence)})
+}
+
+// notEverywhere returns a refusal for a switch that is written but not yet known
+// to a majority; it comes into force as the missing nodes can be reached.
+func notEverywhere(e preset.Switched) *structs.Refusal {
+	if e.Accepted {
+		return nil
+	}
+	names := make([]string, len(e.Missing))
+	for i, n := range e.Missing {
+		names[i] = string(n)
+	}
+	return structs.Refusalf(structs.CodeConflict, structs.OutcomeUnknown, "switch preset",
+		"version %d is written but these nodes did not confirm it: %s", e.Version, strings.Join(names, ", "))
+}
+
+func (p *presets) read(ctx context.Context, e preset.Read) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	row, err := p.table.Get(ctx, preset.InForceKey)
+	done := preset.ReadDone{Number: e.Number, RowVersion: row.Version, Value: row.Value}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		done.Failed = true
+	}
+	p.push(ctx, done)
+}
+
+func (p *presets) write(ctx context.Context, e preset.Write) {
+	writeContext, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	err := p.table.Apply(writeContext, platform.Txn{
+		Conditions: []platform.Condition{{Key: preset.InForceKey, Version: e.Expected}},
+		Writes:     []platform.Write{{Key: preset.InForceKey, Value: e.Value}},
+	})
+	p.push(ctx, preset.WriteDone{Number: e.Number, Result: writeResult(err)})
+}
+
+func writeResult(err error) preset.WriteResult {
+	switch {
+	case err == nil:
+		return preset.WriteApplied
+	case errors.Is(err, platform.ErrConditionFailed):
+		return preset.WriteConflict
+	case errors.Is(err, platform.ErrNotApplied):
+		return preset.WriteNotApplied
+	}
+	return preset.WriteUnknown
+}
+
+func (p *presets) push(ctx context.Context, msg preset.Message) {
+	_ = p.inbox.Push(ctx, msg) // fails only when the process ends
+}
+
+// Kinds of the preset machine's messages.
+const (
+	kindAsk    = "ask"
+	kindAnswer = "answer"
+	kindPush   = "push"
+	kindSeen   = "seen"
+)
+
+func (p *presets) sendTo(e preset.Send) {
+	kind := ""
+	switch e.Message.(type) {
+	case preset.Ask:
+		kind = kindAsk
+	case preset.Answer:
+		kind = kindAnswer
+	case preset.Push:
+		kind = kindPush
+	case preset.Seen:
+		kind = kindSeen
+	}
+	env, err := envelope(machinePreset, kind, e.Message)
+	if err != nil {
+		p.log.Emit(eventlog.PresetRowInvalid, eventlog.Fields{Step: "send preset", Peer: string(e.To), Err: err})
+		return
+	}
+	p.send(e.To, env)
+}
+
+// receive takes a message of a peer's machine. A full inbox loses it.
+func (p *presets) receive(from structs.NodeID, env *peerpb.Envelope) error {
+	message, err := decodePreset(env.GetKind(), env.GetBody())
+	if err != nil {
+		return err
+	}
+	p.inbox.TryPush(preset.Received{From: from, Message: message})
+	return nil
+}
+
+func decodePreset(kind string, body []byte) (preset.PeerMessage, error) {
+	switch kind {
+	case kindAsk:
+		return decodeAs[preset.Ask](body)
+	case kindAnswer:
+		return decodeAs[preset.Answer](body)
+	case kindPush:
+		return decodeAs[preset.Push](body)
+	case kindSeen:
+		return decodeAs[preset.Seen](body)
+	}
+	return nil, errors.Wrapf(ErrUnknownMessage, "kind %q of machine %q", kind, machinePreset)
+}
+
+func decodeAs[T any](body []byte) (T, error) {
+	var message T
+	err := json.Unmarshal(body, &message)
+	return message, errors.Wrapf(err, "message %T", message)
+}
+
+// members tells the machine which entries there are.
+func (p *presets) members(nodes []structs.NodeID) {
+	nodes = slices.Clone(nodes)
+	p.inbox.TryPush(preset.Members{Nodes: nodes})
+}
+
+// heardVersion tells the machine which version a message carried.
+func (p *presets) heardVersion(version uint64) {
+	p.inbox.TryPush(preset.HeardVersion{Version: version})
+}
+
+// ready reports whether the preset in force is known well enough to take new
+// work. A process that was paused is not ready when it wakes.
+func (p *presets) ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Fresh(time.Now())
+}
+
+// Put stores a definition.
+func (p *presets) Put(ctx context.Context, definition structs.Preset) error {
+	value, err := json.Marshal(definition)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	err = p.table.Apply(ctx, platform.Txn{Writes: []platform.Write{{Key: preset.DefinitionKey(definition.Name), Value: value}}})
+	return platformRefusal(err, "put preset")
+}
+
+// Switch puts the named preset in force and waits until a majority of the
+// voters has it.
+func (p *presets) Switch(ctx context.Context, name, operator string, expected uint64) (structs.PresetInForce, error) {
+	definition, err := p.Definition(ctx, name)
+	if err != nil {
+		return structs.PresetInForce{}, err
+	}
+	id := p.lastID.Add(1)
+	end := make(chan switchEnd, 1)
+	p.mu.Lock()
+	p.waiting[id] = end
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, id)
+		p.mu.Unlock()
+	}()
+	order := preset.Switch{ID: id, Operator: operator, Nonce: uuid.NewString(), Preset: definition, Expected: expected}
+	if err := p.inbox.Push(ctx, order); err != nil {
+		return structs.PresetInForce{}, err
+	}
+	select {
+	case <-ctx.Done():
+		return structs.PresetInForce{}, ctx.Err()
+	case e := <-end:
+		if e.refusal != nil {
+			return structs.PresetInForce{}, e.refusal
+		}
+		return structs.PresetInForce{Version: e.version, Preset: definition}, nil
+	}
+}
+
+func (p *presets) end(id uint64, e switchEnd) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if waiting := p.waiting[id]; waiting != nil {
+		waiting <- e
+		delete(p.waiting, id)
+	}
+}
+
+// Definition returns a stored preset.
+func (p *presets) Definition(ctx context.Context, name string) (structs.Preset, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	var definition structs.Preset
+	row, err := p.table.Get(ctx, preset.DefinitionKey(name))
+	if errors.Is(err, platform.ErrNotFound) {
+		return definition, structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, "read preset", "preset %q does not exist", name)
+	}
+	if err != nil {
+		return definition, platformRefusal(err, "read preset")
+	}
+	if err := json.Unmarshal(row.Value, &definition); err != nil {
+		return definition, errors.Wrapf(err, "definition of preset %q", name)
+	}
+	return definition, nil
+}
+
+// maxDefinitions bounds the presets of one list.
+const maxDefinitions = 1000
+
+// Definitions returns the stored presets in the order of their names.
+func (p *presets) Definitions(ctx context.Context) ([]structs.Preset, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	rows, err := p.table.Scan(ctx, preset.DefinitionPrefix(), "", maxDefinitions)
+	if err != nil {
+		return nil, platformRefusal(err, "list presets")
+	}
+	out := make([]structs.Preset, 0, len(rows))
+	for _, row := range rows {
+		var definition structs.Preset
+		if err := json.Unmarshal(row.Value, &definition); err != nil {
+			return nil, errors.Wrapf(err, "row %q", row.Key)
+		}
+		out = append(out, definition)
+	}
+	return out, nil
+}
+
+// define stores the definitions of the settings that the platform lacks.
+func (p *presets) define(ctx context.Context, definitions []structs.Preset) error {
+	for _, definition := range definitions {
+		value, err := json.Marshal(definition)
+		if err != nil {
+			return err
+		}
+		key := preset.DefinitionKey(definition.Name)
+		err = p.table.Apply(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Version: platform.Absent}},
+			Writes:     []platform.Write{{Key: key, Value: value}},
+		})
+		if err != nil && !errors.Is(err, platform.ErrConditionFailed) {
+			return errors.Wrapf(err, "define preset %q", definition.Name)
+		}
+	}
+	return nil
+}
--- a/internal/entry/tools.go
+++ b/internal/entry/tools.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/action"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
 	"github.com/buckthornroute/buckthornroute/internal/peer"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
@@ -152,24 +153,25 @@
 
 // Ask returns what the named service knows of a call, by its key. A service that
 // does not answer such questions gives CodeActionInDoubt.
-func (t *tools) Ask(ctx context.Context, name, key string) (engine.StatusAnswer, error) {
+func (t *tools) Ask(ctx context.Context, name, key string) (action.ServiceState, string, error) {
 	if tool, ok := t.tools[name]; ok {
 		if !tool.settings.AnswersStatus {
-			return engine.StatusAnswer{}, structs.Refusalf(structs.CodeActionInDoubt, structs.OutcomeUnknown, "ask "+name,
+			return "", "", structs.Refusalf(structs.CodeActionInDoubt, structs.OutcomeUnknown, "ask "+name,
 				"service %q does not tell what became of key %q", name, key)
 		}
-		return tool.client.Status(ctx, name, key)
+		answer, err := tool.client.Status(ctx, name, key)
+		return action.ServiceState(answer.State), answer.Result, err
 	}
 	id, ok := t.router.chooseService(t.now(), name, nil)
 	if !ok {
-		return engine.StatusAnswer{}, structs.Refusalf(structs.CodeOverloaded, structs.OutcomeUnknown, "ask "+name,
+		return "", "", structs.Refusalf(structs.CodeOverloaded, structs.OutcomeUnknown, "ask "+name,
 			"no application engine answers for service %q", name)
 	}
 	reply, err := t.links[id].client.Ask(ctx, &peerpb.AskRequest{Name: name, Key: key})
 	err = peer.FromStatus(err, "ask "+name, string(id))
 	t.router.doneService(t.now(), id, failed(err))
 	if err != nil {
-		return engine.StatusAnswer{}, err
+		return "", "", err
 	}
-	return engine.StatusAnswer{State: engine.ServiceState(reply.GetState()), Result: reply.GetResult()}, nil
+	return action.ServiceState(reply.GetState()), reply.GetResult(), nil
 }
