--- /dev/null
+++ b/program/agent.go
@@ -0,0 +1,103 @@
+package program
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// agentArguments are the arguments of structs.AgentTool.
+type agentArguments struct {
+	Task string `json:"task"`
+}
+
+// prepareAgent reserves a share of the budget for a sub-agent and its descendants.
+func (m *Machine) prepareAgent(now time.Time, c *call) {
+	var arguments agentArguments
+	if err := json.Unmarshal([]byte(c.tool.Arguments), &arguments); err != nil || arguments.Task == "" {
+		m.fail(now, c, structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, toolStep(c),
+			"arguments %.80q name no task", c.tool.Arguments))
+		return
+	}
+	c.task = arguments.Task
+	if depth := m.spec.Depth + 1; depth > m.spec.Budget.Depth {
+		m.fail(now, c, structs.Refusalf(structs.CodeBudgetExhausted, structs.OutcomeNotRun, toolStep(c),
+			"depth %d is over the budget of %d", depth, m.spec.Budget.Depth))
+		return
+	}
+	if share, found := m.ledger.shares[c.id]; found {
+		c.share, c.reserved, c.state = share, share, callWaiting
+		return
+	}
+	c.share = m.agentShare(c)
+	if !leastShare.within(c.share) || !m.reserve(c, c.share) {
+		m.fail(now, c, structs.Refusalf(structs.CodeBudgetExhausted, structs.OutcomeNotRun, toolStep(c),
+			"what is left of the budget does not suffice for a sub-agent"))
+		return
+	}
+	m.ledger.share(c.id, c.share)
+	m.record(drawEntry{Call: c.id, Share: c.share})
+}
+
+// leastShare is the least with which a sub-agent can make one model call.
+var leastShare = Amount{Tokens: 256, Calls: 1, Agents: 1}
+
+// agentShare divides what is free between the parent and the sub-agents not started yet.
+func (m *Machine) agentShare(c *call) Amount {
+	waiting := int64(1)
+	for _, other := range m.current.batch {
+		if other.kind == callAgent && other.state == callNew && other != c {
+			waiting++
+		}
+	}
+	free := m.ledger.free()
+	share := free.div(waiting + 1)
+	// One agent is the sub-agent itself; the parent needs none for itself.
+	share.Agents = free.Agents / waiting
+	return share
+}
+
+func (m *Machine) launchAgent(now time.Time, c *call) {
+	m.emit(StartAgent{
+		Call:    c.id,
+		Attempt: m.attempt(c),
+		Task:    c.task,
+		Spec: structs.ProgramSpec{
+			Organisation: m.spec.Organisation,
+			Kind:         m.spec.Kind,
+			Model:        m.spec.Model,
+			System:       m.spec.System,
+			Budget: structs.Budget{
+				Tokens:   c.share.Tokens,
+				Calls:    c.share.Calls,
+				ToolTime: c.share.ToolTime,
+				Agents:   c.share.Agents - 1,
+				Depth:    m.spec.Budget.Depth,
+			},
+			Patience: m.current.deadline.Sub(now),
+			Parent:   m.id,
+			Depth:    m.spec.Depth + 1,
+			Key:      string(c.id),
+		},
+	})
+}
+
+func (m *Machine) agentDone(now time.Time, msg AgentDone) {
+	c := m.active(msg.Call, msg.Attempt)
+	if c == nil || c.kind != callAgent {
+		return
+	}
+	charged := msg.Charged.add(Amount{Agents: 1})
+	m.settle(c, charged)
+	usage := msg.Usage
+	usage.Agents++
+	m.use(usage)
+	delete(m.ledger.shares, c.id)
+	if msg.Refusal != nil {
+		m.fail(now, c, msg.Refusal)
+	} else {
+		m.succeed(c, msg.Content)
+	}
+	m.advanceSame(now)
+}
--- /dev/null
+++ b/program/budget.go
@@ -0,0 +1,167 @@
+package program
+
+import (
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Amount is a quantity of each thing that a budget bounds.
+type Amount struct {
+	Tokens   int64         `json:"tokens,omitempty"`
+	Calls    int64         `json:"calls,omitempty"`
+	ToolTime time.Duration `json:"tool_time,omitempty"`
+	Agents   int64         `json:"agents,omitempty"`
+}
+
+func (a Amount) add(b Amount) Amount {
+	return Amount{a.Tokens + b.Tokens, a.Calls + b.Calls, a.ToolTime + b.ToolTime, a.Agents + b.Agents}
+}
+
+func (a Amount) sub(b Amount) Amount {
+	return Amount{a.Tokens - b.Tokens, a.Calls - b.Calls, a.ToolTime - b.ToolTime, a.Agents - b.Agents}
+}
+
+func (a Amount) min(b Amount) Amount {
+	return Amount{min(a.Tokens, b.Tokens), min(a.Calls, b.Calls), min(a.ToolTime, b.ToolTime), min(a.Agents, b.Agents)}
+}
+
+func (a Amount) max(b Amount) Amount {
+	return Amount{max(a.Tokens, b.Tokens), max(a.Calls, b.Calls), max(a.ToolTime, b.ToolTime), max(a.Agents, b.Agents)}
+}
+
+func (a Amount) div(n int64) Amount {
+	return Amount{a.Tokens / n, a.Calls / n, a.ToolTime / time.Duration(n), a.Agents / n}
+}
+
+// within reports whether no part of a exceeds that of b.
+func (a Amount) within(b Amount) bool { return a.min(b) == a }
+
+// draw is a recorded draw on the budget that the journal may not hold yet.
+type draw struct {
+	seq   uint64
+	total Amount
+}
+
+// ledger keeps the budget of one program.
+//
+// A reservation comes out of the part drawn. Each record states the total drawn; after a
+// crash all of it counts as spent, but for the shares of sub-agents that are known. So the
+// sum of what all homes spend stays within the budget as long as nothing runs on a draw
+// that is not committed.
+type ledger struct {
+	limit    Amount
+	lump     Amount
+	spent    Amount
+	reserved Amount
+	// stated is the total in the last record, drawn the committed total.
+	stated  Amount
+	drawn   Amount
+	pending []draw
+	// shares holds the reservation of each sub-agent under way.
+	shares map[structs.CallID]Amount
+}
+
+func newLedger(b structs.Budget, divisor int64) ledger {
+	limit := Amount{Tokens: b.Tokens, Calls: b.Calls, ToolTime: b.ToolTime, Agents: b.Agents}
+	return ledger{limit: limit, lump: limit.div(divisor).max(minLump).min(limit)}
+}
+
+// minLump is the least draw: about one turn of a small program.
+var minLump = Amount{Tokens: 16 << 10, Calls: 8, ToolTime: time.Minute, Agents: 1}
+
+// free returns what is neither spent nor reserved.
+func (l *ledger) free() Amount { return l.limit.sub(l.spent).sub(l.reserved) }
+
+// fits reports whether need can be reserved.
+func (l *ledger) fits(need Amount) bool {
+	return l.spent.add(l.reserved).add(need).within(l.limit)
+}
+
+// reserve takes need, which must fit, and states a larger total when the last one does not cover it.
+func (l *ledger) reserve(need Amount) {
+	l.reserved = l.reserved.add(need)
+	if !l.spent.add(l.reserved).within(l.stated) {
+		l.raise()
+	}
+}
+
+// covered reports whether the usable part covers all reservations.
+func (l *ledger) covered() bool { return l.spent.add(l.reserved).within(l.usable()) }
+
+// unrecorded reports whether the stated total is in no record yet.
+func (l *ledger) unrecorded() bool { return l.lastRecorded() != l.stated }
+
+func (l *ledger) lastRecorded() Amount {
+	if n := len(l.pending); n > 0 {
+		return l.pending[n-1].total
+	}
+	return l.drawn
+}
+
+// settle replaces a reservation by what was used.
+func (l *ledger) settle(reserved, used Amount) {
+	l.reserved = l.reserved.sub(reserved)
+	l.spent = l.spent.add(used)
+}
+
+// usable is the smallest total that a restart could find in the journal.
+func (l *ledger) usable() Amount {
+	usable := l.drawn
+	for _, d := range l.pending {
+		usable = usable.min(d.total)
+	}
+	return usable
+}
+
+// raise states a total that covers all reservations and one lump.
+func (l *ledger) raise() {
+	target := l.spent.add(l.reserved).add(l.lump).min(l.limit)
+	l.stated = l.stated.max(target)
+}
+
+// lower gives back what was drawn beyond the reservations and one lump.
+func (l *ledger) lower() {
+	target := l.spent.add(l.reserved).add(l.lump).min(l.limit)
+	l.stated = l.stated.min(target)
+}
+
+// recorded notes that record seq states the total drawn.
+func (l *ledger) recorded(seq uint64) {
+	if l.unrecorded() {
+		l.pending = append(l.pending, draw{seq: seq, total: l.stated})
+	}
+}
+
+// commit takes over the draws of the records up to seq.
+func (l *ledger) commit(seq uint64) {
+	n := 0
+	for n < len(l.pending) && l.pending[n].seq <= seq {
+		l.drawn = l.pending[n].total
+		n++
+	}
+	l.pending = l.pending[n:]
+	if len(l.pending) == 0 {
+		l.pending = nil
+	}
+}
+
+// restore takes the state that a record stated. All that was drawn counts as spent,
+// but for the shares of sub-agents, which stay reserved.
+func (l *ledger) restore(stated Amount, shares map[structs.CallID]Amount) {
+	var reserved Amount
+	for _, share := range shares {
+		reserved = reserved.add(share)
+	}
+	l.stated, l.drawn, l.pending = stated, stated, nil
+	l.shares = shares
+	l.reserved = reserved
+	l.spent = stated.sub(reserved)
+}
+
+func (l *ledger) share(call structs.CallID, amount Amount) {
+	if l.shares == nil {
+		l.shares = make(map[structs.CallID]Amount)
+	}
+	l.shares[call] = amount
+}
--- /dev/null
+++ b/program/call.go
@@ -0,0 +1,279 @@
+package program
+
+import (
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// callKind tells what a call goes to.
+type callKind uint8
+
+const (
+	callModel callKind = iota
+	callTool
+	callAgent
+)
+
+// callState is where a call stands.
+type callState uint8
+
+const (
+	// callNew: nothing is reserved yet.
+	callNew callState = iota
+	// callWaiting: the call waits for a commit.
+	callWaiting
+	// callBackoff: the call waits for its next attempt.
+	callBackoff
+	// callActive: the call is sent.
+	callActive
+	// callDone: the call has its result.
+	callDone
+)
+
+// call is one step of the turn under way.
+type call struct {
+	id       structs.CallID
+	kind     callKind
+	state    callState
+	attempts uint32
+	reserved Amount
+	// needSeq is the record that must be committed before the call is sent.
+	needSeq       uint64
+	nonRepeatable bool
+	timeout       time.Duration
+	started       time.Time
+	// deadline is the end of the call in flight, or of its back-off.
+	deadline time.Time
+
+	maxTokens int
+	tool      structs.ToolCall
+	task      string
+	share     Amount
+	result    string
+}
+
+// attempt numbers the present attempt, unlike those of other homes.
+func (m *Machine) attempt(c *call) uint32 { return m.cfg.AttemptBase + c.attempts }
+
+// active returns the call with this id when attempt is its present one and its answer is awaited.
+func (m *Machine) active(id structs.CallID, attempt uint32) *call {
+	t := m.current
+	if t == nil {
+		return nil
+	}
+	for _, c := range t.calls() {
+		if c.id == id && c.state == callActive && m.attempt(c) == attempt {
+			return c
+		}
+	}
+	return nil
+}
+
+// calls returns the calls of the present step.
+func (t *turn) calls() []*call {
+	if t.model != nil {
+		return []*call{t.model}
+	}
+	return t.batch
+}
+
+// reserve takes the amount out of the budget and lets the call wait for the commits that it needs.
+// It returns false when the budget does not suffice.
+func (m *Machine) reserve(c *call, need Amount) bool {
+	if !m.ledger.fits(need) {
+		return false
+	}
+	c.reserved = need
+	c.state = callWaiting
+	m.ledger.reserve(need)
+	return true
+}
+
+// launchReady sends the calls whose commits have come.
+func (m *Machine) launchReady(now time.Time) {
+	if m.current == nil {
+		return
+	}
+	if m.ledger.unrecorded() {
+		m.record(drawEntry{})
+	}
+	if !m.ledger.covered() {
+		return
+	}
+	for _, c := range m.current.calls() {
+		if c.state == callWaiting && c.needSeq <= m.committed {
+			m.launch(now, c)
+		}
+	}
+}
+
+func (m *Machine) launch(now time.Time, c *call) {
+	c.state = callActive
+	c.attempts++
+	c.started = now
+	c.deadline = time.Time{}
+	m.current.launched++
+	switch c.kind {
+	case callModel:
+		m.launchModel(c)
+	case callTool:
+		m.launchTool(now, c)
+	case callAgent:
+		m.launchAgent(now, c)
+	}
+}
+
+// settle ends the reservation of a call.
+func (m *Machine) settle(c *call, used Amount) {
+	m.ledger.settle(c.reserved, used)
+	c.reserved = Amount{}
+}
+
+// withdraw gives back the reservation of a call that did not run.
+func (m *Machine) withdraw(c *call) {
+	m.settle(c, Amount{})
+}
+
+// abandonCalls gives up the calls of the present step and returns the messages
+// that stand for their results. A call in flight is charged what was reserved.
+func (m *Machine) abandonCalls(refusal *structs.Refusal) []structs.Message {
+	t := m.current
+	if c := t.model; c != nil {
+		m.abandon(c)
+		t.model = nil
+		return nil
+	}
+	results := make([]structs.Message, 0, len(t.batch))
+	for _, c := range t.batch {
+		if c.state != callDone {
+			c.result = abandonedResult(c, refusal)
+		}
+		m.abandon(c)
+		results = append(results, toolMessage(c))
+	}
+	m.closeAgents()
+	t.batch = nil
+	return results
+}
+
+func (m *Machine) abandon(c *call) {
+	switch c.state {
+	case callActive:
+		m.emit(CancelCall{Call: c.id, Attempt: m.attempt(c)})
+		m.settle(c, c.reserved)
+	case callWaiting, callBackoff:
+		m.withdraw(c)
+	case callNew, callDone:
+	}
+	c.state = callDone
+}
+
+// closeAgents lets the sub-agents of finished calls end. It comes after the record
+// that holds their results, so that a restart finds either the sub-agent or its result.
+func (m *Machine) closeAgents() {
+	for _, c := range m.current.batch {
+		if c.kind == callAgent && c.attempts > 0 {
+			m.emit(CloseAgent{Call: c.id})
+		}
+	}
+}
+
+// nextDeadline returns when the machine must be woken; zero for never.
+func (m *Machine) nextDeadline() time.Time {
+	var next time.Time
+	earlier := func(t time.Time) {
+		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for _, e := range m.endings {
+		earlier(e.until)
+	}
+	t := m.current
+	if t == nil {
+		if !m.ended && !m.history.compact() {
+			earlier(m.idleSince.Add(m.cfg.CompressAfter))
+		}
+		return next
+	}
+	earlier(t.deadline)
+	if !t.recorded {
+		earlier(t.recordAt)
+	}
+	for _, c := range t.calls() {
+		if c.state == callActive || c.state == callBackoff {
+			earlier(c.deadline)
+		}
+	}
+	return next
+}
+
+func (m *Machine) tick(now time.Time) {
+	m.settleEndings(now)
+	if m.current == nil {
+		m.compressIdle(now)
+		return
+	}
+	m.tickTurn(now)
+}
+
+// compressIdle compresses the history of a program that waits for its caller.
+func (m *Machine) compressIdle(now time.Time) {
+	if !now.Before(m.idleSince.Add(m.cfg.CompressAfter)) {
+		m.history.compress()
+	}
+}
+
+func (m *Machine) tickTurn(now time.Time) {
+	t := m.current
+	if !now.Before(t.deadline) {
+		m.refuse(now, structs.CodeDeadlineExceeded, stepTurn, "patience of turn %d is over", t.number)
+		return
+	}
+	if !now.Before(t.recordAt) {
+		m.recordTurn()
+	}
+	for _, c := range t.calls() {
+		if c.deadline.IsZero() || now.Before(c.deadline) {
+			continue
+		}
+		switch c.state {
+		case callBackoff:
+			c.state = callWaiting
+			c.deadline = time.Time{}
+		case callActive:
+			m.timeOut(now, c)
+		case callNew, callWaiting, callDone:
+		}
+		if m.current != t {
+			return
+		}
+	}
+	m.launchReady(now)
+}
+
+func (m *Machine) commit(now time.Time, seq uint64) {
+	m.committed = max(m.committed, min(seq, m.seq))
+	m.ledger.commit(m.committed)
+	m.settleEndings(now)
+	m.launchReady(now)
+	if m.closing > 0 && m.closing <= m.committed && !m.ended {
+		m.ended = true
+		m.emit(Release{})
+	}
+}
+
+func (m *Machine) cancel(now time.Time) {
+	if m.current != nil {
+		m.refuse(now, structs.CodeCancelled, stepTurn, "turn %d was cancelled", m.current.number)
+	}
+}
+
+func (m *Machine) close(now time.Time) {
+	if m.closing > 0 {
+		return
+	}
+	m.cancel(now)
+	m.closing = m.record(closedEntry{})
+}
--- /dev/null
+++ b/program/tool.go
@@ -0,0 +1,244 @@
+package program
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cespare/xxhash/v2"
+)
+
+// makeBatch turns the tool calls of a model answer into steps.
+func (m *Machine) makeBatch(asked []structs.ToolCall) {
+	t := m.current
+	t.batch = make([]*call, 0, len(asked))
+	for _, tool := range asked {
+		t.step++
+		c := &call{id: structs.NewCallID(m.id, t.number, t.step), kind: callTool, tool: tool}
+		if tool.Name == structs.AgentTool {
+			c.kind = callAgent
+		}
+		t.batch = append(t.batch, c)
+	}
+}
+
+// advance starts what may start of the batch: tool calls one after the other,
+// sub-agents that follow each other side by side. It goes on with the model after the last.
+func (m *Machine) advance(now time.Time) {
+	t := m.current
+	for i, c := range t.batch {
+		if c.state == callNew {
+			m.prepare(now, c)
+		}
+		if m.current != t {
+			return
+		}
+		if c.state != callDone && !m.sideBySide(i) {
+			break
+		}
+	}
+	m.launchReady(now)
+	for _, c := range t.batch {
+		if c.state != callDone {
+			return
+		}
+	}
+	m.finishBatch(now)
+}
+
+// sideBySide reports whether call i of the batch and the next one are both sub-agents.
+func (m *Machine) sideBySide(i int) bool {
+	batch := m.current.batch
+	return batch[i].kind == callAgent && i+1 < len(batch) && batch[i+1].kind == callAgent
+}
+
+// prepare checks a call and reserves what it may use.
+func (m *Machine) prepare(now time.Time, c *call) {
+	if c.kind == callAgent {
+		m.prepareAgent(now, c)
+		return
+	}
+	policy, known := m.cfg.Tools[c.tool.Name]
+	if !known {
+		m.fail(now, c, structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, toolStep(c), "tool %q does not exist", c.tool.Name))
+		return
+	}
+	c.nonRepeatable = policy.NonRepeatable
+	c.timeout = policy.Timeout
+	setDefault(&c.timeout, m.cfg.ToolTimeout)
+	c.timeout = min(c.timeout, m.ledger.free().ToolTime)
+	if c.timeout <= 0 {
+		m.refuse(now, structs.CodeBudgetExhausted, toolStep(c), "budget of %s of tool time is used up", m.spec.Budget.ToolTime)
+		return
+	}
+	if !m.reserve(c, Amount{Calls: 1, ToolTime: c.timeout}) {
+		m.refuse(now, structs.CodeBudgetExhausted, toolStep(c), "budget of %d calls is used up", m.spec.Budget.Calls)
+		return
+	}
+	if c.nonRepeatable {
+		c.needSeq = m.seq
+	}
+}
+
+func toolStep(c *call) string { return "tool " + c.tool.Name }
+
+func (m *Machine) launchTool(now time.Time, c *call) {
+	if !c.nonRepeatable {
+		c.deadline = now.Add(c.timeout)
+	}
+	m.emit(CallTool{Request: structs.ToolRequest{
+		Call:          c.id,
+		Attempt:       m.attempt(c),
+		Program:       m.id,
+		Organisation:  m.spec.Organisation,
+		Name:          c.tool.Name,
+		Arguments:     c.tool.Arguments,
+		Key:           string(c.id),
+		Timeout:       c.timeout,
+		NonRepeatable: c.nonRepeatable,
+	}})
+}
+
+func (m *Machine) toolDone(now time.Time, msg ToolDone) {
+	c := m.active(msg.Call, msg.Attempt)
+	if c == nil || c.kind != callTool {
+		return
+	}
+	m.settleTool(now, c)
+	if len(msg.Result) > m.cfg.MaxToolBytes {
+		m.fail(now, c, structs.Refusalf(structs.CodeTooLarge, structs.OutcomeRan, toolStep(c),
+			"result has %d bytes of at most %d", len(msg.Result), m.cfg.MaxToolBytes))
+	} else {
+		m.succeed(c, msg.Result)
+	}
+	m.advanceSame(now)
+}
+
+// settleTool charges the time from sending to now.
+func (m *Machine) settleTool(now time.Time, c *call) {
+	elapsed := max(now.Sub(c.started), 0)
+	m.settle(c, Amount{Calls: 1, ToolTime: elapsed})
+	m.use(structs.Usage{Calls: 1, ToolTime: elapsed})
+}
+
+func (m *Machine) toolFailed(now time.Time, msg ToolFailed) {
+	c := m.active(msg.Call, msg.Attempt)
+	if c == nil || c.kind != callTool {
+		return
+	}
+	refusal := structs.AsRefusal(msg.Refusal)
+	if refusal.Outcome == structs.OutcomeNotRun {
+		m.withdraw(c)
+	} else {
+		m.settleTool(now, c)
+	}
+	m.fail(now, c, refusal)
+	m.advanceSame(now)
+}
+
+// timeOut gives up a repeatable tool call whose time is over.
+func (m *Machine) timeOut(now time.Time, c *call) {
+	m.emit(CancelCall{Call: c.id, Attempt: m.attempt(c)})
+	m.settleTool(now, c)
+	m.fail(now, c, structs.Refusalf(structs.CodeToolTimeout, structs.OutcomeUnknown, toolStep(c), "no result within %s", c.timeout))
+	m.advanceSame(now)
+}
+
+// advanceSame goes on with the batch unless the turn has ended.
+func (m *Machine) advanceSame(now time.Time) {
+	if m.current != nil && m.current.batch != nil {
+		m.advance(now)
+	}
+}
+
+func (m *Machine) succeed(c *call, result string) {
+	c.state = callDone
+	c.result = result
+}
+
+// fail gives the model an error message in place of a result. It ends the turn when an
+// action's outcome is in doubt, when the home is fenced, or after too many failures.
+func (m *Machine) fail(now time.Time, c *call, refusal *structs.Refusal) {
+	c.state = callDone
+	c.result = failedResult(c, refusal)
+	t := m.current
+	t.toolFailures++
+	switch {
+	case refusal.Code == structs.CodeFenced:
+		m.endTurn(now, refusal)
+	case c.nonRepeatable && refusal.Outcome == structs.OutcomeUnknown:
+		m.refuse(now, structs.CodeActionInDoubt, toolStep(c), "action %q: %s: %s", c.id, refusal.Code, refusal.Detail)
+	case t.toolFailures >= m.cfg.ToolFailures:
+		m.endTurn(now, refusal)
+	}
+}
+
+func failedResult(c *call, r *structs.Refusal) string {
+	return fmt.Sprintf("error: %s gave no result: %s (%s): %s", toolStep(c), r.Code, r.Outcome, r.Detail)
+}
+
+// abandonedResult stands in the history for a call that the end of its turn cut off.
+func abandonedResult(c *call, r *structs.Refusal) string {
+	outcome := structs.OutcomeNotRun
+	if c.state == callActive {
+		outcome = structs.OutcomeUnknown
+	}
+	return fmt.Sprintf("error: %s gave no result: the turn ended with %s (%s)", toolStep(c), r.Code, outcome)
+}
+
+func toolMessage(c *call) structs.Message {
+	return structs.Message{Role: structs.RoleTool, Content: c.result, ToolCallID: c.tool.ID}
+}
+
+// finishBatch adds the results to the history and goes on with the model.
+func (m *Machine) finishBatch(now time.Time) {
+	t := m.current
+	results := make([]structs.Message, 0, len(t.batch))
+	for _, c := range t.batch {
+		results = append(results, toolMessage(c))
+	}
+	m.ledger.shares = nil
+	m.recordStep(m.extend(results...), false)
+	m.closeAgents()
+	looping := m.countRepeats(t.batch)
+	t.batch = nil
+	if looping != nil {
+		m.refuse(now, structs.CodeLoopDetected, toolStep(looping),
+			"called %d times with the same arguments and result", m.cfg.RepeatedCalls)
+		return
+	}
+	m.startModel(now)
+}
+
+// repeatKey identifies a tool call with its result.
+type repeatKey uint64
+
+func newRepeatKey(tool structs.ToolCall, result string) repeatKey {
+	h := xxhash.New()
+	for _, part := range []string{tool.Name, tool.Arguments, result} {
+		// Writing to a hash does not fail.
+		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	return repeatKey(h.Sum64())
+}
+
+// countRepeats counts equal calls of the turn and returns one that reached the limit, or nil.
+func (m *Machine) countRepeats(batch []*call) *call {
+	var looping *call
+	for _, c := range batch {
+		if m.countRepeat(c.tool, c.result) >= m.cfg.RepeatedCalls {
+			looping = c
+		}
+	}
+	return looping
+}
+
+func (m *Machine) countRepeat(tool structs.ToolCall, result string) int {
+	t := m.current
+	if t.repeats == nil {
+		t.repeats = make(map[repeatKey]int)
+	}
+	key := newRepeatKey(tool, result)
+	t.repeats[key]++
+	return t.repeats[key]
+}
--- /dev/null
+++ b/program/turn.go
@@ -0,0 +1,362 @@
+package program
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Steps named in refusals.
+const (
+	stepSubmit = "submit turn"
+	stepModel  = "model call"
+	stepCommit = "commit"
+	stepTurn   = "turn"
+)
+
+// payloadDigest identifies the content of a turn.
+type payloadDigest [16]byte
+
+func digestPayload(content string) payloadDigest {
+	sum := sha256.Sum256([]byte(content))
+	return payloadDigest(sum[:16])
+}
+
+// turn is the turn under way.
+type turn struct {
+	number   uint32
+	key      string
+	content  string
+	payload  payloadDigest
+	deadline time.Time
+	// recorded says that a record states the turn; until recordAt it waits for its first answer.
+	recorded bool
+	recordAt time.Time
+	// applied says that the history holds the turn's message, at index start.
+	applied bool
+	start   int
+	// step numbers the last step made, recordedStep the last that a record covers.
+	step         uint32
+	recordedStep uint32
+	// launched counts the calls sent whose outcome is not "not run".
+	launched     int
+	toolFailures int
+	repeats      map[repeatKey]int
+	usage        structs.Usage
+
+	model *call
+	batch []*call
+}
+
+// turnResult is the end of a turn.
+type turnResult struct {
+	key     string
+	payload payloadDigest
+	// answer is the index of the answer in the history, unless refusal is set.
+	answer  int
+	refusal *structs.Refusal
+	usage   structs.Usage
+	// seq is the record that holds the end.
+	seq uint64
+}
+
+// ending is an end of a turn that callers wait to see committed.
+type ending struct {
+	turn  uint32
+	seq   uint64
+	until time.Time
+	// refusal is set for a turn that was not consumed; others are found in turns.
+	refusal *structs.Refusal
+	key     string
+	payload payloadDigest
+}
+
+func (m *Machine) submit(now time.Time, msg SubmitTurn) {
+	payload := digestPayload(msg.Content)
+	refusal := m.checkContent(msg)
+	if refusal == nil {
+		refusal = m.place(now, msg, payload)
+	}
+	if refusal != nil {
+		m.emit(Reject{Caller: msg.Caller, Refusal: refusal})
+	}
+}
+
+func (m *Machine) checkContent(msg SubmitTurn) *structs.Refusal {
+	switch {
+	case m.ended || m.closing > 0:
+		return structs.Refusalf(structs.CodeProgramEnded, structs.OutcomeNotRun, stepSubmit, "program %q has ended", m.id)
+	case msg.Number == 0:
+		return structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, stepSubmit, "turn number 0; turns count from 1")
+	case msg.Content == "":
+		return structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, stepSubmit, "turn %d has no content", msg.Number)
+	case len(msg.Content) > m.cfg.MaxTurnBytes:
+		return structs.Refusalf(structs.CodeTooLarge, structs.OutcomeNotRun, stepSubmit,
+			"content of turn %d has %d bytes of at most %d", msg.Number, len(msg.Content), m.cfg.MaxTurnBytes)
+	}
+	return nil
+}
+
+// place finds what a submission is: an earlier turn, the one under way, the next one, or none of them.
+func (m *Machine) place(now time.Time, msg SubmitTurn, payload payloadDigest) *structs.Refusal {
+	if msg.Number <= uint32(len(m.turns)) {
+		past := m.turns[msg.Number-1]
+		if past.key != msg.Key || past.payload != payload {
+			return keyReused(msg, "turn number")
+		}
+		m.emit(Accept{Caller: msg.Caller, Turn: msg.Number})
+		m.deliver(now, msg.Number)
+		return nil
+	}
+	if t := m.current; t != nil && t.number == msg.Number {
+		return m.attach(msg, t.key == msg.Key && t.payload == payload)
+	}
+	for _, e := range m.endings {
+		if e.turn == msg.Number {
+			return m.attach(msg, e.key == msg.Key && e.payload == payload)
+		}
+	}
+	if m.keyUsed(msg.Key) {
+		return keyReused(msg, "idempotency key")
+	}
+	return m.begin(now, msg, payload)
+}
+
+// attach joins a caller to a turn that has not ended yet.
+func (m *Machine) attach(msg SubmitTurn, same bool) *structs.Refusal {
+	if !same {
+		return keyReused(msg, "turn number")
+	}
+	m.emit(Accept{Caller: msg.Caller, Turn: msg.Number})
+	return nil
+}
+
+func keyReused(msg SubmitTurn, what string) *structs.Refusal {
+	return structs.Refusalf(structs.CodeKeyReused, structs.OutcomeNotRun, stepSubmit,
+		"%s of turn %d with key %q was used with another payload", what, msg.Number, msg.Key)
+}
+
+func (m *Machine) keyUsed(key string) bool {
+	if key == "" {
+		return false
+	}
+	if m.current != nil && m.current.key == key {
+		return true
+	}
+	for _, past := range m.turns {
+		if past.key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// begin starts the next turn.
+func (m *Machine) begin(now time.Time, msg SubmitTurn, payload payloadDigest) *structs.Refusal {
+	next := uint32(len(m.turns)) + 1
+	if m.current != nil && msg.Number == next+1 {
+		r := structs.Refusalf(structs.CodeTurnInProgress, structs.OutcomeNotRun, stepSubmit,
+			"turn %d is under way", m.current.number)
+		r.RetryAfter = turnRetryAfter
+		return r
+	}
+	if msg.Number != next {
+		return structs.Refusalf(structs.CodeTurnOutOfOrder, structs.OutcomeNotRun, stepSubmit,
+			"turn %d is not the next turn %d", msg.Number, next)
+	}
+	length := m.history.tokens + structs.Message{Content: msg.Content}.Tokens()
+	if length > m.cfg.MaxHistoryTokens {
+		return structs.Refusalf(structs.CodeTooLarge, structs.OutcomeNotRun, stepSubmit,
+			"history would have %d tokens of at most %d", length, m.cfg.MaxHistoryTokens)
+	}
+	m.current = &turn{
+		number:   msg.Number,
+		key:      msg.Key,
+		content:  msg.Content,
+		payload:  payload,
+		deadline: now.Add(m.patience(msg.Patience)),
+		recordAt: now.Add(m.cfg.RecordDelay),
+	}
+	m.emit(Accept{Caller: msg.Caller, Turn: msg.Number})
+	m.startModel(now)
+	return nil
+}
+
+// turnRetryAfter is when to come back while another turn is under way.
+const turnRetryAfter = time.Second
+
+func (m *Machine) patience(asked time.Duration) time.Duration {
+	switch {
+	case asked > 0:
+		return asked
+	case m.spec.Patience > 0:
+		return m.spec.Patience
+	}
+	return m.cfg.Patience
+}
+
+// recordTurn makes sure that a record states the turn under way.
+func (m *Machine) recordTurn() {
+	t := m.current
+	if t.recorded {
+		return
+	}
+	t.recorded = true
+	m.record(turnEntry{Number: t.number, Key: t.key, Content: t.content, Deadline: t.deadline})
+}
+
+// extend adds messages to the history, behind the turn's own message when it is not there yet.
+func (m *Machine) extend(ms ...structs.Message) delta {
+	d := delta{Messages: ms, Before: m.history.digest}
+	t := m.current
+	if !t.applied {
+		t.applied = true
+		t.start = m.history.count
+		m.history.append(structs.Message{Role: structs.RoleUser, Content: t.content})
+	}
+	m.history.append(ms...)
+	d.After = m.history.digest
+	return d
+}
+
+// finish ends the turn under way with the last message as its answer.
+func (m *Machine) finish(now time.Time, seq uint64) {
+	t := m.current
+	m.turns = append(m.turns, turnResult{
+		key: t.key, payload: t.payload, answer: m.history.count - 1, usage: t.usage, seq: seq,
+	})
+	m.current = nil
+	m.idleSince = now
+	m.deliver(now, t.number)
+}
+
+// refuse ends the turn under way. A turn of which the history holds nothing is not
+// consumed: the caller may send it again under the same number.
+func (m *Machine) refuse(now time.Time, code structs.Code, step, format string, args ...any) {
+	m.endTurn(now, structs.Refusalf(code, structs.OutcomeUnknown, step, format, args...))
+}
+
+func (m *Machine) endTurn(now time.Time, cause *structs.Refusal) {
+	t := m.current
+	refusal := *cause
+	refusal.Outcome = m.outcome(cause)
+	results := m.abandonCalls(&refusal)
+	m.current = nil
+	m.idleSince = now
+	m.ledger.shares = nil
+	m.ledger.lower()
+	if !t.recorded && !t.applied {
+		m.emit(Refuse{Turn: t.number, Refusal: &refusal})
+		return
+	}
+	end := endEntry{Turn: t.number, Step: t.step, Refusal: &refusal, Consumed: t.applied, Usage: t.usage}
+	end.Delta.Before = m.history.digest
+	if t.applied {
+		end.Delta.Messages = results
+		m.history.append(results...)
+	}
+	end.Delta.After = m.history.digest
+	seq := m.record(end)
+	e := ending{turn: t.number, seq: seq, until: now.Add(m.cfg.KeptWait), key: t.key, payload: t.payload}
+	if t.applied {
+		m.turns = append(m.turns, turnResult{key: t.key, payload: t.payload, refusal: &refusal, usage: t.usage, seq: seq})
+	} else {
+		e.refusal = &refusal
+	}
+	m.endings = append(m.endings, e)
+}
+
+// outcome says what is known of a turn that ends now without an answer.
+func (m *Machine) outcome(cause *structs.Refusal) structs.Outcome {
+	t := m.current
+	if t.launched == 0 && !t.applied {
+		return structs.OutcomeNotRun
+	}
+	if !t.applied || cause.Code == structs.CodeActionInDoubt || t.irreversibleInFlight() {
+		return structs.OutcomeUnknown
+	}
+	return structs.OutcomeRan
+}
+
+// irreversibleInFlight reports whether a call that may have an irreversible effect was sent and not answered.
+func (t *turn) irreversibleInFlight() bool {
+	for _, c := range t.batch {
+		if c.state == callActive && (c.nonRepeatable || c.kind == callAgent) {
+			return true
+		}
+	}
+	return false
+}
+
+// deliver gives the end of a turn to those who wait for it, and keeps watch until it is committed.
+func (m *Machine) deliver(now time.Time, number uint32) {
+	seq := m.turns[number-1].seq
+	if seq <= m.committed {
+		m.conclude(number, true)
+		return
+	}
+	if m.turns[number-1].refusal == nil {
+		m.answer(number, false, false)
+	}
+	for _, e := range m.endings {
+		if e.turn == number {
+			return
+		}
+	}
+	past := m.turns[number-1]
+	m.endings = append(m.endings, ending{
+		turn: number, seq: seq, until: now.Add(m.cfg.KeptWait), key: past.key, payload: past.payload,
+	})
+}
+
+// conclude gives the last word on a turn that was consumed.
+func (m *Machine) conclude(number uint32, kept bool) {
+	past := m.turns[number-1]
+	if past.refusal == nil {
+		m.answer(number, kept, true)
+		return
+	}
+	m.emit(Refuse{Turn: number, Refusal: past.refusal})
+}
+
+func (m *Machine) answer(number uint32, kept, final bool) {
+	past := m.turns[number-1]
+	message, err := m.history.message(past.answer)
+	if err != nil {
+		m.emit(Refuse{Turn: number, Refusal: structs.Refusalf(structs.CodeInternal, structs.OutcomeRan, stepTurn,
+			"answer of turn %d: %v", number, err)})
+		return
+	}
+	m.emit(Answer{Turn: number, Content: message.Content, Usage: past.usage, Kept: kept, Final: final})
+}
+
+// settleEndings concludes the endings that are committed, and those whose wait is over.
+func (m *Machine) settleEndings(now time.Time) {
+	rest := m.endings[:0]
+	for _, e := range m.endings {
+		kept := e.seq <= m.committed
+		if !kept && now.Before(e.until) {
+			rest = append(rest, e)
+			continue
+		}
+		if e.refusal == nil {
+			m.conclude(e.turn, kept)
+			continue
+		}
+		m.emit(Refuse{Turn: e.turn, Refusal: uncommitted(e.refusal, kept)})
+	}
+	m.endings = rest
+}
+
+// uncommitted takes back "not run" while a restart could still find the turn recorded.
+func uncommitted(r *structs.Refusal, kept bool) *structs.Refusal {
+	if kept || r.Outcome != structs.OutcomeNotRun {
+		return r
+	}
+	out := *r
+	out.Outcome = structs.OutcomeUnknown
+	out.Detail = fmt.Sprintf("%s; its end is not committed yet", r.Detail)
+	return &out
+}
