--- a/action/found.go
+++ b/action/found.go
@@ -11,6 +11,8 @@
 // foundRead goes by the row that stands in the way of the claim.
 func (m *Machine) foundRead(now time.Time, msg RowRead, row Row, err error) {
 	switch {
+	case m.abandoned:
+		m.phase = ended
 	case errors.Is(err, ErrBadRow):
 		m.badRow(err)
 	case err != nil:
@@ -44,10 +46,6 @@
 
 // goByNotRun claims the row anew, unless the log of this attempt is the reason that the claim failed.
 func (m *Machine) goByNotRun(now time.Time) {
-	if m.abandoned {
-		m.phase = ended
-		return
-	}
 	if m.claimedVersion(m.version) {
 		m.conclude(m.refuse(structs.CodeFenced, structs.OutcomeNotRun, "home log %q is sealed", m.row.Owner.Log))
 		return
--- a/action/machine.go
+++ b/action/machine.go
@@ -246,7 +246,7 @@
 // retryClaim waits to look at the row again, or gives the action up as not run.
 func (m *Machine) retryClaim(now time.Time, detail string) {
 	if !now.Before(m.until) {
-		m.giveUp(now, structs.CodePlatformOutage, detail)
+		m.giveUp(now, detail)
 		return
 	}
 	m.wait(now, claimWaiting)
@@ -254,14 +254,12 @@
 
 // giveUp refuses the action as not run: nothing was sent and nothing will be. The machine
 // goes on until the row cannot pass for a request that was sent.
-func (m *Machine) giveUp(now time.Time, code structs.Code, detail string) {
+func (m *Machine) giveUp(now time.Time, detail string) {
 	if !m.abandoned {
 		m.abandoned = true
 		m.until = now.Add(m.cfg.RecordFor)
-		end := m.refuse(code, structs.OutcomeNotRun, "%s; nothing was sent", detail)
-		if code == structs.CodePlatformOutage {
-			end.Refusal.RetryAfter = m.cfg.ClaimWait
-		}
+		end := m.refuse(structs.CodePlatformOutage, structs.OutcomeNotRun, "%s; nothing was sent", detail)
+		end.Refusal.RetryAfter = m.cfg.ClaimWait
 		m.finish(end)
 	}
 	if !now.Before(m.until) {
@@ -378,20 +376,16 @@
 // cancel gives up before the request is sent; afterwards the outcome is awaited.
 func (m *Machine) cancel(now time.Time) {
 	switch m.phase {
-	case claimWaiting, foundWaiting:
-		m.cancelWaiting(now)
-	default:
-		if !m.owned {
-			m.until = now
+	case claiming, claimWaiting, claimReading, confirming:
+		if m.abandoned {
+			return
 		}
+		m.abandoned = true
+		m.until = now.Add(m.cfg.RecordFor)
+		m.finish(m.refuse(structs.CodeCancelled, structs.OutcomeNotRun, "the caller gave the action up; nothing was sent"))
+	case foundReading, foundSeal, foundWaiting, foundAsking:
+		m.conclude(m.refuse(structs.CodeCancelled, structs.OutcomeUnknown,
+			"the caller gave up waiting for another attempt at action %q", m.row.Key))
+	case sending, asking, askWaiting, recording, recordWaiting, recordReading, ended:
 	}
 }
-
-func (m *Machine) cancelWaiting(now time.Time) {
-	if m.phase == claimWaiting {
-		m.giveUp(now, structs.CodeCancelled, "the caller gave the action up")
-		return
-	}
-	m.conclude(m.refuse(structs.CodeCancelled, structs.OutcomeUnknown,
-		"the caller gave up waiting for the owner %q", m.found.Owner.Call))
-}
--- a/program/message.go
+++ b/program/message.go
@@ -20,6 +20,13 @@
 	Patience time.Duration
 }
 
+// Attach asks for the events of a turn that was submitted before.
+type Attach struct {
+	// Caller is echoed in Accept and Reject.
+	Caller uint64
+	Number uint32
+}
+
 // ModelStarted reports that an engine began to generate.
 type ModelStarted struct {
 	Call    structs.CallID
@@ -77,6 +84,7 @@
 type Close struct{}
 
 func (SubmitTurn) message()   {}
+func (Attach) message()       {}
 func (ModelStarted) message() {}
 func (ModelDone) message()    {}
 func (ModelFailed) message()  {}
--- a/program/program.go
+++ b/program/program.go
@@ -159,9 +159,7 @@
 }
 
 func newMachine(cfg *Config, id structs.ProgramID, spec structs.ProgramSpec) *Machine {
-	if spec.Parent == "" {
-		fillBudget(&spec.Budget, cfg.Budget)
-	}
+	spec = cfg.Complete(spec)
 	m := &Machine{cfg: cfg, id: id, spec: spec}
 	m.ledger = newLedger(spec.Budget, cfg.LumpDivisor)
 	if spec.System != "" {
@@ -170,13 +168,19 @@
 	return m
 }
 
-// fillBudget replaces zero fields; a sub-agent's share is exact and stays as it is.
-func fillBudget(b *structs.Budget, by structs.Budget) {
-	setDefault(&b.Tokens, by.Tokens)
-	setDefault(&b.Calls, by.Calls)
-	setDefault(&b.ToolTime, by.ToolTime)
-	setDefault(&b.Agents, by.Agents)
-	setDefault(&b.Depth, by.Depth)
+// Complete returns spec with the zero fields of its budget replaced by the defaults of c.
+// A sub-agent's share is exact and stays as it is.
+func (c Config) Complete(spec structs.ProgramSpec) structs.ProgramSpec {
+	if spec.Parent != "" {
+		return spec
+	}
+	b := &spec.Budget
+	setDefault(&b.Tokens, c.Budget.Tokens)
+	setDefault(&b.Calls, c.Budget.Calls)
+	setDefault(&b.ToolTime, c.Budget.ToolTime)
+	setDefault(&b.Agents, c.Budget.Agents)
+	setDefault(&b.Depth, c.Budget.Depth)
+	return spec
 }
 
 // ID returns the program's id.
@@ -185,12 +189,26 @@
 // Spec returns what the program was opened with, its budget filled.
 func (m *Machine) Spec() structs.ProgramSpec { return m.spec }
 
+// Busy reports whether a turn is under way, or has an end that a caller waits to see committed.
+func (m *Machine) Busy() bool { return m.current != nil || len(m.endings) > 0 }
+
+// Ended reports whether the program takes no more turns.
+func (m *Machine) Ended() bool { return m.closing > 0 }
+
+// Charged returns what counts against the budget.
+func (m *Machine) Charged() Amount { return m.ledger.spent }
+
+// Usage returns what the program and its sub-agents used.
+func (m *Machine) Usage() structs.Usage { return m.usage }
+
 // Step takes one message and returns the effects in the order in which they must be carried out.
 // The slice is valid until the next Step.
 func (m *Machine) Step(now time.Time, msg Message) []Effect {
 	switch msg := msg.(type) {
 	case SubmitTurn:
 		m.submit(now, msg)
+	case Attach:
+		m.rejoin(now, msg)
 	case ModelStarted:
 		m.modelStarted(msg)
 	case ModelDone:
--- a/program/turn.go
+++ b/program/turn.go
@@ -124,6 +124,34 @@
 	return m.begin(now, msg, payload)
 }
 
+// rejoin gives a caller the events of a turn that it submitted before.
+func (m *Machine) rejoin(now time.Time, msg Attach) {
+	accept := Accept{Caller: msg.Caller, Turn: msg.Number}
+	switch {
+	case msg.Number >= 1 && msg.Number <= uint32(len(m.turns)):
+		m.emit(accept)
+		m.deliver(now, msg.Number)
+	case m.pendingTurn(msg.Number):
+		m.emit(accept)
+	default:
+		m.emit(Reject{Caller: msg.Caller, Refusal: structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun,
+			stepSubmit, "turn %d of program %q does not exist", msg.Number, m.id)})
+	}
+}
+
+// pendingTurn reports whether the turn is under way, or waits for the commit of its end.
+func (m *Machine) pendingTurn(number uint32) bool {
+	if m.current != nil && m.current.number == number {
+		return true
+	}
+	for _, e := range m.endings {
+		if e.turn == number {
+			return true
+		}
+	}
+	return false
+}
+
 // attach joins a caller to a turn that has not ended yet.
 func (m *Machine) attach(msg SubmitTurn, same bool) *structs.Refusal {
 	if !same {
