Test the runner over kills, outages, hand-over, hung tools and fencing

The bubble's clock drives every wait. The home is killed at each third millisecond of a turn with two irreversible calls and a sub-agent; the adopter answers and no action ran twice.

--- /dev/null
+++ b/internal/runner/agent.go
@@ -0,0 +1,83 @@
+package runner
+
+import (
+	"github.com/buckthornroute/buckthornroute/program"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// startAgent opens the sub-agent of a call, or finds the one that was opened before, and
+// gives it its task as the first turn. It runs on the shard of its parent.
+func (s *shard) startAgent(parent *slot, e program.StartAgent) {
+	child := s.childOf(e.Call)
+	if child == nil {
+		child = s.openAgent(e)
+	}
+	child.parent = &parentCall{program: parent.machine.ID(), call: e.Call, attempt: e.Attempt}
+	id := child.machine.ID()
+	parent.cancels[e.Call] = func() { s.closeAgent(e.Call) }
+	parent.log(turnOf(parent)).add(structs.TurnEvent{Call: e.Call, Step: "agent " + string(id)})
+	s.local = append(s.local, delivery{id, program.SubmitTurn{
+		Number:   1,
+		Key:      string(e.Call),
+		Content:  e.Task,
+		Patience: e.Spec.Patience,
+	}})
+}
+
+// childOf returns the sub-agent of a call when it runs here.
+func (s *shard) childOf(call structs.CallID) *slot {
+	s.r.mu.RLock()
+	id, found := s.r.children[call]
+	s.r.mu.RUnlock()
+	if !found {
+		return nil
+	}
+	return s.slots[id]
+}
+
+func (s *shard) openAgent(e program.StartAgent) *slot {
+	s.r.mu.Lock()
+	id := s.r.newID()
+	s.r.where[id] = s.index()
+	s.r.children[e.Call] = id
+	s.r.mu.Unlock()
+	return s.open(id, e.Spec)
+}
+
+// index returns the shard's own number.
+func (s *shard) index() int {
+	for i, other := range s.r.shards {
+		if other == s {
+			return i
+		}
+	}
+	return 0
+}
+
+// open begins to run a new program.
+func (s *shard) open(id structs.ProgramID, spec structs.ProgramSpec) *slot {
+	machine, effects := program.New(now(), &s.r.cfg.Program, id, spec)
+	slot := newSlot(machine)
+	s.slots[id] = slot
+	s.carryOut(slot, effects)
+	return slot
+}
+
+// closeAgent ends a sub-agent with all of its own.
+func (s *shard) closeAgent(call structs.CallID) {
+	if child := s.childOf(call); child != nil {
+		child.parent = nil
+		s.local = append(s.local, delivery{child.machine.ID(), program.Close{}})
+	}
+}
+
+// agentDone tells the parent how its sub-agent ended, once.
+func (s *shard) agentDone(child *slot, done program.AgentDone) {
+	parent := child.parent
+	child.parent = nil
+	done.Call = parent.call
+	done.Attempt = parent.attempt
+	done.Usage = child.machine.Usage()
+	done.Charged = child.machine.Charged()
+	s.local = append(s.local, delivery{parent.program, done})
+}
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,299 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/home"
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/program"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func sortRows(rows []platform.Row) {
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// bench is one home with its surroundings.
+type bench struct {
+	t     *testing.T
+	world *fakeWorld
+	table *fakeTable
+	log   *fakeJournal
+	r     *Runner
+}
+
+func newBench(t *testing.T, log structs.LogID, from *bench) *bench {
+	b := &bench{t: t, world: &fakeWorld{delay: 10 * time.Millisecond}, table: newFakeTable()}
+	if from != nil {
+		b.world, b.table = from.world, from.table
+	}
+	b.log = &fakeJournal{delay: 5 * time.Millisecond}
+	b.r = New(Config{
+		Log: log, Node: "entry-1", Engines: b.world, Tools: b.world, Journal: b.log, Table: b.table,
+		Program: program.Config{Tools: map[string]program.Tool{
+			"search": {}, "publish": {NonRepeatable: true},
+		}},
+	})
+	b.log.runner = b.r
+	return b
+}
+
+func (b *bench) open(spec structs.ProgramSpec) structs.ProgramID {
+	b.t.Helper()
+	id, err := b.r.Open(b.t.Context(), spec)
+	if err != nil {
+		b.t.Fatalf("open: %v", err)
+	}
+	return id
+}
+
+// turn runs a turn and returns its streamed text, its answer and its refusal.
+func (b *bench) turn(id structs.ProgramID, number uint32, plan string) (string, *structs.TurnAnswer, *structs.Refusal) {
+	return b.ask(home.Turn{Program: id, Organisation: "council", Number: number, Key: plan, Content: plan})
+}
+
+func (b *bench) ask(turn home.Turn) (string, *structs.TurnAnswer, *structs.Refusal) {
+	texts := map[structs.CallID]string{}
+	var last structs.CallID
+	var answer *structs.TurnAnswer
+	err := b.r.Turn(b.t.Context(), turn, func(e structs.TurnEvent) error {
+		if e.Answer != nil {
+			answer = e.Answer
+		}
+		if e.Text != "" {
+			last = e.Call
+			texts[last] = texts[last][:e.Offset] + e.Text
+		}
+		return nil
+	})
+	return texts[last], answer, structs.AsRefusal(err)
+}
+
+func TestTurnStreamsItsOwnWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		id := b.open(structs.ProgramSpec{Organisation: "council", Key: "k"})
+		if again := b.open(structs.ProgramSpec{Organisation: "council", Key: "k"}); again != id {
+			t.Fatalf("the same key opened %q and %q", id, again)
+		}
+		b.world.wrong = true
+		text, answer, refusal := b.turn(id, 1, "tool search {}; tool publish {}; agent 7; answer 42")
+		if refusal != nil || answer == nil || !answer.Kept || answer.Content != "the answer is 42" || text != answer.Content {
+			t.Fatalf("turn gave %q, %+v, %v", text, answer, refusal)
+		}
+		_, again, refusal := b.turn(id, 1, "tool search {}; tool publish {}; agent 7; answer 42")
+		if refusal != nil || again.Content != answer.Content || b.world.runs["publish "+string(id)+"/1/4"] != 1 {
+			t.Fatalf("the same turn again gave %+v, %v; runs %v", again, refusal, b.world.runs)
+		}
+		view, err := b.r.Read(t.Context(), home.Read{Program: id, History: true})
+		if err != nil || len(view.History) != 8 || view.Usage.Agents != 1 {
+			t.Fatalf("history %+v, usage %+v, %v", view.History, view.Usage, err)
+		}
+		if _, err := b.r.Read(t.Context(), home.Read{Program: id, Organisation: "other"}); structs.AsRefusal(err).Code != structs.CodeNotFound {
+			t.Fatalf("another organisation reads the program: %v", err)
+		}
+	})
+}
+
+// await runs until the condition holds, moving the bubble's clock.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 10000 {
+		if holds() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%s did not come", what)
+}
+
+// TestKilledHomeGoesOnElsewhere kills the home at each millisecond of a turn.
+func TestKilledHomeGoesOnElsewhere(t *testing.T) {
+	plan := "tool search {}; tool publish {}; agent 7; tool publish {\"n\":2}; answer done"
+	for at := time.Millisecond; at < 120*time.Millisecond; at += 3 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			a := newBench(t, "e1-a", nil)
+			id := a.open(structs.ProgramSpec{Organisation: "council"})
+			go func() { _, _, _ = a.turn(id, 1, plan) }()
+			time.Sleep(at)
+			kept := a.log.seal()
+			_ = a.table.Apply(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "seal/e1-a"}}})
+			a.r.Close()
+			b := newBench(t, "e2-b", a)
+			defer b.r.Close()
+			if err := b.r.Adopt(t.Context(), kept); err != nil {
+				t.Fatalf("killed at %s: %v", at, err)
+			}
+			_, answer, refusal := b.turn(id, 1, plan)
+			for key, n := range a.world.runs {
+				if strings.HasPrefix(key, "publish") && n > 1 {
+					t.Fatalf("killed at %s: %s ran %d times", at, key, n)
+				}
+			}
+			if refusal != nil && refusal.Code == structs.CodeActionInDoubt {
+				return
+			}
+			if refusal != nil || !answer.Kept || answer.Content != "the answer is done" {
+				t.Fatalf("killed at %s: %+v, %v", at, answer, refusal)
+			}
+		})
+	}
+}
+
+// TestOutageKeepsOnlyWhatIsKept has the platform away for a minute in mid-turn.
+func TestOutageKeepsOnlyWhatIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		id := b.open(structs.ProgramSpec{Organisation: "council"})
+		b.log.setDown(true)
+		b.table.down = true
+		_, answer, refusal := b.turn(id, 1, "tool search {}; answer 1")
+		if refusal != nil || answer.Kept || answer.Content != "the answer is 1" {
+			t.Fatalf("repeatable work in an outage: %+v, %v", answer, refusal)
+		}
+		time.AfterFunc(time.Minute, func() {
+			b.table.mu.Lock()
+			b.table.down = false
+			b.table.mu.Unlock()
+			b.log.setDown(false)
+		})
+		_, answer, refusal = b.turn(id, 2, "tool publish {}; answer 2")
+		if refusal != nil || !answer.Kept || b.world.runs["publish "+string(id)+"/2/2"] != 1 {
+			t.Fatalf("an action over an outage: %+v, %v, runs %v", answer, refusal, b.world.runs)
+		}
+		if _, answer, _ = b.ask(home.Turn{Program: id, Number: 1, Attach: true}); !answer.Kept {
+			t.Fatalf("after the outage turn 1 is still not kept: %+v", answer)
+		}
+	})
+}
+
+// TestHandOver drains a home under work and goes on at another.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newBench(t, "e1-a", nil)
+		defer a.r.Close()
+		id := a.open(structs.ProgramSpec{Organisation: "council"})
+		done := make(chan *structs.Refusal, 1)
+		go func() {
+			_, _, refusal := a.turn(id, 1, "tool search {}; answer 1")
+			done <- refusal
+		}()
+		time.Sleep(15 * time.Millisecond)
+		if err := a.r.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if refusal := <-done; refusal != nil {
+			t.Fatalf("the drain cut a turn: %v", refusal)
+		}
+		if _, _, refusal := a.turn(id, 2, "answer 2"); refusal == nil || refusal.Code != structs.CodeDraining || refusal.Outcome != structs.OutcomeNotRun {
+			t.Fatalf("a new turn while draining: %v", refusal)
+		}
+		entries, err := a.r.HandOver(t.Context())
+		if err != nil || len(entries) != 1 {
+			t.Fatalf("hand over gave %d entries, %v", len(entries), err)
+		}
+		b := newBench(t, "e2-b", a)
+		defer b.r.Close()
+		if err := b.r.Adopt(t.Context(), entries); err != nil {
+			t.Fatal(err)
+		}
+		if _, answer, refusal := b.turn(id, 2, "answer 2"); refusal != nil || answer.Content != "the answer is 2" {
+			t.Fatalf("turn at the next home: %+v, %v", answer, refusal)
+		}
+	})
+}
+
+// TestFencedHomeStops has the log sealed under a home that is at work.
+func TestFencedHomeStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		id := b.open(structs.ProgramSpec{Organisation: "council"})
+		time.AfterFunc(15*time.Millisecond, func() {
+			b.log.seal()
+			b.r.Stopped("e2-b")
+		})
+		_, _, refusal := b.turn(id, 1, "tool search {}; answer 1")
+		if refusal == nil || refusal.Code != structs.CodeFenced || refusal.Outcome != structs.OutcomeUnknown {
+			t.Fatalf("turn of a fenced home: %v", refusal)
+		}
+		if _, err := b.r.Open(t.Context(), structs.ProgramSpec{}); structs.AsRefusal(err).Outcome != structs.OutcomeNotRun {
+			t.Fatalf("open at a fenced home: %v", err)
+		}
+	})
+}
+
+// TestHungToolAndCancel has a tool hang until its timeout, and a caller cancel meanwhile.
+func TestHungToolAndCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		id := b.open(structs.ProgramSpec{Organisation: "council"})
+		b.world.hang = true
+		_, answer, refusal := b.turn(id, 1, "tool search {}; answer 1")
+		if refusal != nil || answer.Content != "the answer is 1" {
+			t.Fatalf("turn with a hung tool: %+v, %v", answer, refusal)
+		}
+		time.AfterFunc(time.Second, func() { _ = b.r.Cancel(context.Background(), home.End{Program: id}) })
+		_, _, refusal = b.turn(id, 2, "agent 7; tool publish {}; answer 1")
+		if refusal == nil || refusal.Code != structs.CodeCancelled || refusal.Outcome != structs.OutcomeUnknown {
+			t.Fatalf("turn cancelled in an action: %v", refusal)
+		}
+		if err := b.r.End(t.Context(), home.End{Program: id}); err != nil {
+			t.Fatal(err)
+		}
+		await(t, "the release", func() bool { return b.r.shardOf(id) == nil })
+		views, err := b.r.List(t.Context(), home.List{})
+		if err != nil || len(views) != 0 {
+			t.Fatalf("programs after the end: %v, %v", views, err)
+		}
+	})
+}
+
+// TestDirectActions sends keyed requests to plain services.
+func TestDirectActions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		request := structs.ToolRequest{
+			Organisation: "council", Name: "order", Arguments: "{}", Key: "k", NonRepeatable: true, Timeout: time.Second,
+		}
+		b.table.lose = true
+		first, err := b.r.Invoke(t.Context(), request)
+		again, err2 := b.r.Invoke(t.Context(), request)
+		if err != nil || err2 != nil || first != again || b.world.runs["order k"] != 1 {
+			t.Fatalf("the same request gave %q, %v and %q, %v", first, err, again, err2)
+		}
+		request.Arguments = "{\"n\":2}"
+		if _, err := b.r.Invoke(t.Context(), request); structs.AsRefusal(err).Code != structs.CodeKeyReused {
+			t.Fatalf("the key with another payload: %v", err)
+		}
+		request.Key, b.world.hang = "hung", true
+		_, err = b.r.Invoke(t.Context(), request)
+		if err != nil || b.world.runs["order hung"] != 1 {
+			t.Fatalf("the service was not asked: %v", err)
+		}
+		b.table.down = true
+		request.Key = "outage"
+		if _, err := b.r.Invoke(t.Context(), request); structs.AsRefusal(err).Outcome != structs.OutcomeNotRun {
+			t.Fatalf("an action in an outage: %v", err)
+		}
+		b.table.mu.Lock()
+		b.table.down = false
+		b.table.mu.Unlock()
+		rows, _, err := b.r.OpenActions(t.Context(), "council", "", 10)
+		if err != nil || len(rows) != 0 || b.world.runs["order outage"] != 0 {
+			t.Fatalf("open actions %+v, %v, runs %v", rows, err, b.world.runs)
+		}
+	})
+}
--- /dev/null
+++ b/internal/runner/shard.go
@@ -0,0 +1,254 @@
+package runner
+
+import (
+	"container/heap"
+	"context"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/ring"
+	"github.com/buckthornroute/buckthornroute/program"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// task is one piece of a shard's work. It runs in the shard's duty.
+type task func(*shard)
+
+// shard steps the programs that are assigned to it. Its fields belong to its duty, but for tasks.
+type shard struct {
+	r       *Runner
+	tasks   *ring.Ring[task]
+	records *appender
+	slots   map[structs.ProgramID]*slot
+	// local are messages between programs of this shard.
+	local  []delivery
+	timers timerHeap
+	alarm  *time.Timer
+	// dropped says that the shard's programs run elsewhere now.
+	dropped bool
+}
+
+// delivery is a message to a program of the same shard.
+type delivery struct {
+	to  structs.ProgramID
+	msg program.Message
+}
+
+// slot holds one program and what goes on around it.
+type slot struct {
+	machine *program.Machine
+	// logs are the events of turns that somebody may wait for.
+	logs map[uint32]*turnLog
+	// replies answer the callers whose submissions the machine is deciding on.
+	replies map[uint64]chan<- submitted
+	cancels map[structs.CallID]context.CancelFunc
+	// parent is the call for which this program is a sub-agent, while its end is awaited.
+	parent *parentCall
+	timer  time.Time
+	busy   bool
+	turn   bool
+	// kept is closed when the log holds the program.
+	kept chan struct{}
+}
+
+type parentCall struct {
+	program structs.ProgramID
+	call    structs.CallID
+	attempt uint32
+}
+
+// submitted is the machine's decision on a submission.
+type submitted struct {
+	log     *turnLog
+	refusal *structs.Refusal
+}
+
+func newSlot(m *program.Machine) *slot {
+	return &slot{
+		machine: m,
+		logs:    map[uint32]*turnLog{},
+		replies: map[uint64]chan<- submitted{},
+		cancels: map[structs.CallID]context.CancelFunc{},
+		kept:    make(chan struct{}),
+	}
+}
+
+func newShard(r *Runner) *shard {
+	s := &shard{
+		r:     r,
+		tasks: ring.New[task](r.cfg.RingSize),
+		slots: map[structs.ProgramID]*slot{},
+	}
+	s.records = newAppender(s)
+	return s
+}
+
+// run is the shard's duty.
+func (s *shard) run() {
+	s.alarm = time.AfterFunc(time.Hour, func() { _ = s.tasks.Push(s.r.ctx, (*shard).fire) })
+	defer s.alarm.Stop()
+	for {
+		t, err := s.tasks.Pop(s.r.ctx)
+		if err != nil {
+			return
+		}
+		t(s)
+		s.deliverLocal()
+	}
+}
+
+// ask runs f in the shard's duty and returns its result, or an error when it does not come to run.
+func ask[T any](ctx context.Context, s *shard, f func(*shard) T) (T, error) {
+	var zero T
+	result := make(chan T, 1)
+	if err := s.tasks.Push(ctx, func(s *shard) { result <- f(s) }); err != nil {
+		return zero, err
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-s.r.ctx.Done():
+		return zero, s.r.ctx.Err()
+	}
+}
+
+// post hands a program a message from another goroutine.
+func (s *shard) post(to structs.ProgramID, msg program.Message) {
+	_ = s.tasks.Push(s.r.ctx, func(s *shard) { s.step(to, msg) })
+}
+
+// deliverLocal steps the programs that others of the shard have messages for.
+func (s *shard) deliverLocal() {
+	for len(s.local) > 0 {
+		d := s.local[0]
+		s.local = s.local[1:]
+		s.step(d.to, d.msg)
+	}
+}
+
+func (s *shard) step(id structs.ProgramID, msg program.Message) {
+	slot := s.slots[id]
+	if slot == nil {
+		return
+	}
+	if call, over := answeredCall(msg); over {
+		delete(slot.cancels, call)
+	}
+	s.carryOut(slot, slot.machine.Step(now(), msg))
+}
+
+// answeredCall returns the call that the message ends.
+func answeredCall(msg program.Message) (structs.CallID, bool) {
+	switch msg := msg.(type) {
+	case program.ModelDone:
+		return msg.Answer.Call, true
+	case program.ModelFailed:
+		return msg.Call, true
+	case program.ToolDone:
+		return msg.Call, true
+	case program.ToolFailed:
+		return msg.Call, true
+	case program.AgentDone:
+		return msg.Call, true
+	}
+	return "", false
+}
+
+// carryOut does what the machine asked for and keeps the counts of the runner.
+func (s *shard) carryOut(slot *slot, effects []program.Effect) {
+	for _, e := range effects {
+		s.effect(slot, e)
+	}
+	s.count(slot, slot.machine.Busy(), slot.machine.Running())
+}
+
+// count keeps the runner's counts of programs that are busy and of turns under way.
+func (s *shard) count(slot *slot, busy, turn bool) {
+	if slot.turn != turn {
+		slot.turn = turn
+		s.r.turns.Add(change(turn))
+	}
+	if slot.busy == busy {
+		return
+	}
+	slot.busy = busy
+	if s.r.busy.Add(change(busy)) == 0 {
+		select {
+		case s.r.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func change(up bool) int64 {
+	if up {
+		return 1
+	}
+	return -1
+}
+
+// commit tells the programs which of their records the journal holds.
+func (s *shard) commit() {
+	for _, d := range s.records.committed(s.r.through.Load()) {
+		if slot := s.slots[d.to]; slot != nil && slot.kept != nil {
+			close(slot.kept)
+			slot.kept = nil
+		}
+		s.step(d.to, d.msg)
+		s.deliverLocal()
+	}
+}
+
+// timerEntry is a time at which a program asked to be woken.
+type timerEntry struct {
+	at time.Time
+	id structs.ProgramID
+}
+
+// timerHeap orders timers by time. Entries that a later SetTimer replaced stay until their time.
+type timerHeap []timerEntry
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timerEntry)) }
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+func (s *shard) setTimer(slot *slot, at time.Time) {
+	slot.timer = at
+	if at.IsZero() {
+		return
+	}
+	heap.Push(&s.timers, timerEntry{at: at, id: slot.machine.ID()})
+	if s.timers[0].at.Equal(at) {
+		s.alarm.Reset(time.Until(at))
+	}
+}
+
+// fire wakes the programs whose time has come and sets the alarm for the next.
+func (s *shard) fire() {
+	now := time.Now()
+	for len(s.timers) > 0 && !now.Before(s.timers[0].at) {
+		e := heap.Pop(&s.timers).(timerEntry)
+		slot := s.slots[e.id]
+		if slot == nil || !slot.timer.Equal(e.at) {
+			continue
+		}
+		slot.timer = time.Time{}
+		s.step(e.id, program.Tick{})
+		s.deliverLocal()
+	}
+	if len(s.timers) > 0 {
+		s.alarm.Reset(time.Until(s.timers[0].at))
+	}
+}
--- a/program/call.go
+++ b/program/call.go
@@ -152,8 +152,6 @@
 		m.abandon(c)
 		results = append(results, toolMessage(c))
 	}
-	m.closeAgents()
-	t.batch = nil
 	return results
 }
 
@@ -171,8 +169,8 @@
 
 // closeAgents lets the sub-agents of finished calls end. It comes after the record
 // that holds their results, so that a restart finds either the sub-agent or its result.
-func (m *Machine) closeAgents() {
-	for _, c := range m.current.batch {
+func (m *Machine) closeAgents(batch []*call) {
+	for _, c := range batch {
 		if c.kind == callAgent && c.attempts > 0 {
 			m.emit(CloseAgent{Call: c.id})
 		}
--- a/program/program.go
+++ b/program/program.go
@@ -192,6 +192,30 @@
 // Busy reports whether a turn is under way, or has an end that a caller waits to see committed.
 func (m *Machine) Busy() bool { return m.current != nil || len(m.endings) > 0 }
 
+// Running reports whether a turn is under way.
+func (m *Machine) Running() bool { return m.current != nil }
+
+// Turn returns the number of the turn under way, or 0.
+func (m *Machine) Turn() uint32 {
+	if m.current == nil {
+		return 0
+	}
+	return m.current.number
+}
+
+// InStep reports whether the call belongs to the present step, of which no record holds the results.
+func (m *Machine) InStep(call structs.CallID) bool {
+	if m.current == nil {
+		return false
+	}
+	for _, c := range m.current.calls() {
+		if c.id == call {
+			return true
+		}
+	}
+	return false
+}
+
 // Ended reports whether the program takes no more turns.
 func (m *Machine) Ended() bool { return m.closing > 0 }
 
--- a/program/tool.go
+++ b/program/tool.go
@@ -199,7 +199,7 @@
 	}
 	m.ledger.shares = nil
 	m.recordStep(m.extend(results...), false)
-	m.closeAgents()
+	m.closeAgents(t.batch)
 	looping := m.countRepeats(t.batch)
 	t.batch = nil
 	if looping != nil {
--- a/program/turn.go
+++ b/program/turn.go
@@ -287,6 +287,7 @@
 	}
 	end.Delta.After = m.history.digest
 	seq := m.record(end)
+	m.closeAgents(t.batch)
 	e := ending{turn: t.number, seq: seq, until: now.Add(m.cfg.KeptWait), key: t.key, payload: t.payload}
 	if t.applied {
 		m.turns = append(m.turns, turnResult{key: t.key, payload: t.payload, refusal: &refusal, usage: t.usage, seq: seq})
