--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// scripted answers every request alike.
+type scripted struct {
+	status int
+	body   string
+	err    error
+}
+
+func (s *scripted) RoundTrip(*http.Request) (*http.Response, error) {
+	if s.err != nil {
+		return nil, s.err
+	}
+	body := io.NopCloser(strings.NewReader(s.body))
+	return &http.Response{StatusCode: s.status, Header: http.Header{}, Body: body}, nil
+}
+
+// TestOutcomes gives the sentinels of each answer to a write, a read and a delete.
+func TestOutcomes(t *testing.T) {
+	datadriven.RunTest(t, "testdata/outcomes.txt", func(t *testing.T, d *datadriven.TestData) string {
+		s := &scripted{body: d.Input}
+		switch d.Cmd {
+		case "status":
+			status, err := strconv.Atoi(d.CmdArgs[0].Key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.status = status
+		case "fail":
+			s.err = &net.OpError{Op: d.CmdArgs[0].Key, Err: errors.New("scripted")}
+		}
+		c := NewClientWithTransport("http://platform", s)
+		_, read := c.Get(context.Background(), "k")
+		return "write " + sentinels(c.Apply(context.Background(), Txn{})) +
+			", read " + sentinels(read) +
+			", delete " + sentinels(c.Objects().Delete(context.Background(), "k"))
+	})
+}
+
+func sentinels(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	var out []string
+	for _, sentinel := range []error{ErrConditionFailed, ErrNotFound, ErrNotApplied, ErrUnavailable} {
+		if errors.Is(err, sentinel) {
+			out = append(out, sentinel.Error())
+		}
+	}
+	return strings.Join(out, "+")
+}
