Let application engines share a ledger that finds doubles by action too

Engines before one portal know of each other's executions; an action that runs under two keys is as much a double as one key that runs twice.

--- /dev/null
+++ b/internal/standin/ledger.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/cockroachdb/errors"
+)
+
+// maxExecutions bounds the keys that a ledger remembers.
+const maxExecutions = 1 << 20
+
+// executionKey names what must run at most once: a service's name and the key that
+// the system showed, or with action set the id that the test put into the arguments.
+type executionKey struct {
+	name, key string
+	action    bool
+}
+
+type execution struct {
+	count   int
+	running int
+	result  string
+	// withdrawn says that a status query has answered "never": the key runs no more.
+	withdrawn bool
+}
+
+// Ledger records the executions of the services that share it. It never suppresses
+// a double. Safe for concurrent use.
+type Ledger struct {
+	mu         sync.Mutex
+	executions map[executionKey]*execution
+	order      []executionKey // oldest first
+	total      uint64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{executions: make(map[executionKey]*execution)} }
+
+// Double is a key, or an action id of a test, that was executed more than once.
+type Double struct {
+	Name   string `json:"name"`
+	Key    string `json:"key"`
+	Action bool   `json:"action"`
+	Count  int    `json:"count"`
+}
+
+// Doubles returns what was executed more than once, oldest first.
+func (l *Ledger) Doubles() []Double {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	doubles := []Double{}
+	for _, key := range l.order {
+		if n := l.executions[key].count; n > 1 {
+			doubles = append(doubles, Double{Name: key.name, Key: key.key, Action: key.action, Count: n})
+		}
+	}
+	return doubles
+}
+
+// Total returns the number of executions.
+func (l *Ledger) Total() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total
+}
+
+// ActionExecutions returns how often the action with a test's id was executed.
+func (l *Ledger) ActionExecutions(name, actionID string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.executions[executionKey{name: name, key: actionID, action: true}]; e != nil {
+		return e.count
+	}
+	return 0
+}
+
+// record returns the record of a key; calls without a key have none that lasts.
+func (l *Ledger) record(key executionKey) *execution {
+	if key.key == "" {
+		return &execution{}
+	}
+	if e := l.executions[key]; e != nil {
+		return e
+	}
+	if len(l.order) == maxExecutions {
+		delete(l.executions, l.order[0])
+		l.order = l.order[1:]
+	}
+	e := &execution{}
+	l.executions[key] = e
+	l.order = append(l.order, key)
+	return e
+}
+
+func (l *Ledger) begin(name, key, actionID string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.record(executionKey{name: name, key: key})
+	if e.withdrawn {
+		return errors.Wrapf(ErrWithdrawn, "%q", key)
+	}
+	l.total++
+	e.running++
+	e.count++
+	e.result = fmt.Sprintf("%s done, number %d", name, l.total)
+	l.record(executionKey{name: name, key: actionID, action: true}).count++
+	return nil
+}
+
+func (l *Ledger) end(name, key string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.record(executionKey{name: name, key: key})
+	e.running--
+	if e.result == "" {
+		return name + " done"
+	}
+	return e.result
+}
+
+// Status returns the state of a key and withdraws it when it has never run.
+func (l *Ledger) Status(name, key string) engine.StatusAnswer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.record(executionKey{name: name, key: key})
+	switch {
+	case e.running > 0:
+		return engine.StatusAnswer{State: engine.ServiceRunning}
+	case e.count > 0:
+		return engine.StatusAnswer{State: engine.ServiceDone, Result: e.result}
+	}
+	e.withdrawn = true
+	return engine.StatusAnswer{State: engine.ServiceNever}
+}
--- a/internal/standin/model_test.go
+++ b/internal/standin/model_test.go
@@ -48,16 +48,20 @@
 			pending: make(map[string]chan string),
 			cancels: make(map[string]context.CancelFunc),
 		}
+		defer m.Close()
+		defer stop()
+		defer s.client.Close()
+		defer s.cancelAll()
 		datadriven.RunTest(t, "testdata/model.txt", s.run)
-		for _, cancel := range s.cancels {
-			cancel()
-		}
-		s.client.Close()
-		stop()
-		m.Close()
 	})
 }
 
+func (s *modelScript) cancelAll() {
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+}
+
 func (s *modelScript) run(t *testing.T, d *datadriven.TestData) string {
 	a := scenario.NewArgs(t, d)
 	ctx := context.Background()
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -36,9 +36,9 @@
 		listener, stop := Serve(s.standin.Handler())
 		s.stop = stop
 		s.client = platform.NewClientWithTransport("http://platform", listener.Transport())
+		defer stop()
+		defer s.client.Close()
 		datadriven.RunTest(t, "testdata/platform.txt", s.run)
-		s.client.Close()
-		stop()
 	})
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -21,7 +21,8 @@
 	Tools        []ServiceConfig `toml:"tools"`
 }
 
-// Group is the running stand-ins of one process.
+// Group is the running stand-ins of one process. All application engines share one
+// ledger, all tools another.
 type Group struct {
 	Platform     *Platform
 	Models       []*Model
@@ -83,10 +84,11 @@
 }
 
 func (g *Group) services(configs []ServiceConfig, timeScale float64) ([]*Service, error) {
+	ledger := NewLedger()
 	var out []*Service
 	for _, c := range configs {
 		orDefault(&c.TimeScale, timeScale)
-		service := NewService(c)
+		service := NewServiceOf(ledger, c)
 		out = append(out, service)
 		if err := g.listen(c.Name, c.Listen, service.Handler()); err != nil {
 			return out, err
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -34,86 +33,58 @@
 
 const (
 	defaultServiceLimit = 1024
-	// maxExecutions bounds the keys that a service remembers.
-	maxExecutions = 1 << 20
 	// maxInvokeBytes bounds the body of an invocation.
 	maxInvokeBytes = 4 << 20
 )
 
-// executionKey names what must run at most once.
-type executionKey struct{ name, key string }
-
-type execution struct {
-	count   int
-	running int
-	result  string
-	// withdrawn says that a status query has answered "never": the key runs no more.
-	withdrawn bool
-}
-
 // Service is a stand-in of an application engine or tool service. It never
 // suppresses a double: it counts executions, so that tests can find them.
 type Service struct {
 	Faults *Faults
 	config ServiceConfig
 
-	mu         sync.Mutex
-	executions map[executionKey]*execution
-	order      []executionKey // oldest first
-	running    int
-	total      uint64
-	downUntil  time.Time
-	lastStart  time.Time
-	id         string
+	ledger *Ledger
+	id     string
+
+	mu        sync.Mutex
+	running   int
+	downUntil time.Time
+	lastStart time.Time
 }
 
-// NewService returns a service stand-in.
-func NewService(config ServiceConfig) *Service {
+// NewService returns a service stand-in with a ledger of its own.
+func NewService(config ServiceConfig) *Service { return NewServiceOf(NewLedger(), config) }
+
+// NewServiceOf returns a service stand-in that shares a ledger with others, as
+// the engines before one portal do.
+func NewServiceOf(ledger *Ledger, config ServiceConfig) *Service {
 	orDefault(&config.Limit, defaultServiceLimit)
 	orDefault(&config.TimeScale, 1)
 	return &Service{
-		Faults:     newFaults(),
-		config:     config,
-		executions: make(map[executionKey]*execution),
-		id:         uuid.NewString(),
+		Faults: newFaults(),
+		config: config,
+		ledger: ledger,
+		id:     uuid.NewString(),
 	}
 }
 
-// Double is a key that a service executed more than once.
-type Double struct {
-	Name  string `json:"name"`
-	Key   string `json:"key"`
-	Count int    `json:"count"`
-}
-
-// ServiceStats counts what a service did since its start.
+// ServiceStats counts what a service did since its start. Executions and doubles
+// are those of the ledger.
 type ServiceStats struct {
 	Executions uint64    `json:"executions"`
 	Doubles    []Double  `json:"doubles"`
 	LastStart  time.Time `json:"last_start"`
 }
 
-// Stats returns the counts so far and the keys executed more than once.
+// Stats returns the counts so far and what was executed more than once.
 func (s *Service) Stats() ServiceStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stats := ServiceStats{Executions: s.total, Doubles: []Double{}, LastStart: s.lastStart}
-	for _, key := range s.order {
-		if n := s.executions[key].count; n > 1 {
-			stats.Doubles = append(stats.Doubles, Double{Name: key.name, Key: key.key, Count: n})
-		}
+	return ServiceStats{
+		Executions: s.ledger.Total(),
+		Doubles:    s.ledger.Doubles(),
+		LastStart:  s.lastStart,
 	}
-	return stats
-}
-
-// Executions returns how often a key was executed.
-func (s *Service) Executions(name, key string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e := s.executions[executionKey{name, key}]; e != nil {
-		return e.count
-	}
-	return 0
 }
 
 // Handler returns the service's HTTP routes.
@@ -123,10 +94,6 @@
 	r.Get("/status", s.serveStatus)
 	r.Get("/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Load()) })
 	r.Get("/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Stats()) })
-	r.Get("/executions", func(w http.ResponseWriter, r *http.Request) {
-		query := r.URL.Query()
-		writeJSON(w, http.StatusOK, s.Executions(query.Get("name"), query.Get("key")))
-	})
 	r.Handle("/fault", s.Faults)
 	return r
 }
@@ -157,21 +124,22 @@
 		refuse(w, http.StatusBadRequest, structs.CodeBadRequest, err)
 		return
 	}
-	key := executionKey{name: chi.URLParam(r, "name"), key: request.Key}
-	subject := key.name + " " + key.key + " " + string(request.Arguments)
+	name := chi.URLParam(r, "name")
+	subject := name + " " + request.Key + " " + string(request.Arguments)
 	if s.crashed(subject) {
 		dropConnection()
 	}
 	if !passes(w, r, s.Faults, subject) {
 		return
 	}
-	if err := s.begin(key); err != nil {
+	arguments := readArguments(request.Arguments)
+	if err := s.begin(name, request.Key, arguments.ActionID); err != nil {
 		refuseInvoke(w, err)
 		return
 	}
 	// The execution goes on when its client leaves, as a real one does.
-	pause(context.WithoutCancel(r.Context()), s.duration(request.Arguments))
-	result := s.end(key)
+	pause(context.WithoutCancel(r.Context()), s.duration(arguments))
+	result := s.end(name, request.Key)
 	if s.Faults.after(r.Context(), subject) {
 		dropConnection()
 	}
@@ -207,67 +175,52 @@
 	return time.Now().Before(s.downUntil)
 }
 
-func (s *Service) begin(key executionKey) error {
+func (s *Service) begin(name, key, actionID string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.config.Names) > 0 && !slices.Contains(s.config.Names, key.name) {
-		return errors.Wrapf(ErrUnknownService, "%q", key.name)
+	if len(s.config.Names) > 0 && !slices.Contains(s.config.Names, name) {
+		return errors.Wrapf(ErrUnknownService, "%q", name)
 	}
 	if s.running >= s.config.Limit {
 		return errors.Wrapf(ErrBusy, "%d invocations run", s.running)
 	}
-	e := s.execution(key)
-	if e.withdrawn {
-		return errors.Wrapf(ErrWithdrawn, "%q", key.key)
+	if err := s.ledger.begin(name, key, actionID); err != nil {
+		return err
 	}
 	s.running++
-	s.total++
 	s.lastStart = time.Now()
-	e.running++
-	e.count++
-	e.result = fmt.Sprintf("%s done, number %d", key.name, s.total)
 	return nil
 }
 
-// execution returns the record of a key. Calls without a key share one that is
-// not counted as double.
-func (s *Service) execution(key executionKey) *execution {
-	if key.key == "" {
-		return &execution{}
-	}
-	if e := s.executions[key]; e != nil {
-		return e
-	}
-	if len(s.order) == maxExecutions {
-		delete(s.executions, s.order[0])
-		s.order = s.order[1:]
-	}
-	e := &execution{}
-	s.executions[key] = e
-	s.order = append(s.order, key)
-	return e
-}
-
-func (s *Service) end(key executionKey) string {
+func (s *Service) end(name, key string) string {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.running--
-	e := s.execution(key)
-	e.running--
-	if e.result == "" {
-		return key.name + " done"
+	s.mu.Unlock()
+	return s.ledger.end(name, key)
+}
+
+// serviceArguments are the arguments that a stand-in heeds.
+type serviceArguments struct {
+	// PauseMS is how long the invocation takes.
+	PauseMS *float64 `json:"pause_ms"`
+	// ActionID is the test's own name of the action, by which doubles under
+	// different keys are found.
+	ActionID string `json:"action_id"`
+}
+
+func readArguments(text json.RawMessage) serviceArguments {
+	var arguments serviceArguments
+	if len(text) > 0 && json.Unmarshal(text, &arguments) != nil {
+		return serviceArguments{}
 	}
-	return e.result
+	return arguments
 }
 
 // duration is the real time of an invocation.
-func (s *Service) duration(arguments json.RawMessage) time.Duration {
-	var timed struct {
-		PauseMS *float64 `json:"pause_ms"`
-	}
+func (s *Service) duration(arguments serviceArguments) time.Duration {
 	d := time.Duration(s.config.Time)
-	if json.Unmarshal(arguments, &timed) == nil && timed.PauseMS != nil {
-		d = time.Duration(*timed.PauseMS * float64(time.Millisecond))
+	if arguments.PauseMS != nil {
+		d = time.Duration(*arguments.PauseMS * float64(time.Millisecond))
 	}
 	return time.Duration(float64(d) * s.config.TimeScale)
 }
@@ -286,16 +239,4 @@
 }
 
 // Status returns the state of a key and withdraws it when it has never run.
-func (s *Service) Status(name, key string) engine.StatusAnswer {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.execution(executionKey{name: name, key: key})
-	switch {
-	case e.running > 0:
-		return engine.StatusAnswer{State: engine.ServiceRunning}
-	case e.count > 0:
-		return engine.StatusAnswer{State: engine.ServiceDone, Result: e.result}
-	}
-	e.withdrawn = true
-	return engine.StatusAnswer{State: engine.ServiceNever}
-}
+func (s *Service) Status(name, key string) engine.StatusAnswer { return s.ledger.Status(name, key) }
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -18,11 +18,11 @@
 		service := NewService(ServiceConfig{Name: "printer", Names: []string{"order", "quote"}, Limit: 2})
 		listener, stop := Serve(service.Handler())
 		client := engine.NewService("printer", "http://printer", listener.Transport())
+		defer stop()
+		defer client.Close()
 		datadriven.RunTest(t, "testdata/service.txt", func(t *testing.T, d *datadriven.TestData) string {
 			return runService(t, d, service, client)
 		})
-		client.Close()
-		stop()
 	})
 }
 
@@ -35,7 +35,7 @@
 		result, err := client.Invoke(ctx, structs.ToolRequest{
 			Name:      a.Word(0),
 			Key:       a.Text("key", ""),
-			Arguments: fmt.Sprintf(`{"pause_ms": %d}`, a.Int("pause", 0)),
+			Arguments: fmt.Sprintf(`{"pause_ms": %d, "action_id": %q}`, a.Int("pause", 0), a.Text("action", "")),
 			Timeout:   a.Duration("timeout", 0),
 		})
 		return orRefusal(err, "%s", result) + fmt.Sprintf(" at %v", time.Since(begin))
