--- a/internal/entry/sidelink.go
+++ b/internal/entry/sidelink.go
@@ -253,3 +253,8 @@
 		Removed:     c.GetRemoved(),
 	})
 }
+
+// peerFailure returns the refusal of a failed call to the side.
+func peerFailure(err error, step string, l *sideLink) error {
+	return peer.FromStatus(err, step, string(l.upstream))
+}
