--- a/internal/entry/mail.go
+++ b/internal/entry/mail.go
@@ -118,16 +118,6 @@
 	return err
 }
 
-// forget ends the duty of a peer that is gone.
-func (m *mail) forget(address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if o := m.outboxes[address]; o != nil {
-		o.Close()
-		delete(m.outboxes, address)
-	}
-}
-
 // close ends all duties; its context must have ended or end soon.
 func (m *mail) close() {
 	m.mu.Lock()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -232,7 +232,7 @@
 			continue
 		}
 		found = true
-		if err := l.order(ctx, drain); err != nil {
+		if err := l.orderGate(ctx, drain); err != nil {
 			return err
 		}
 	}
@@ -256,9 +256,9 @@
 	orderUndrain = "undrain"
 )
 
-// order tells the side to close its gate or to open it. The time of the order is
+// orderGate tells the side to close its gate or to open it. The time of the order is
 // its fencing number, so that a late order changes nothing.
-func (l *sideLink) order(ctx context.Context, drain bool) error {
+func (l *sideLink) orderGate(ctx context.Context, drain bool) error {
 	name := orderUndrain
 	if drain {
 		name = orderDrain
