--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,10 @@
 	Log       *eventlog.Logger
 	Telemetry *telemetry.Telemetry
 	Security  peer.Security
+	// PeerListener and HTTPListener replace the settings' addresses when they are
+	// set; Run closes them.
+	PeerListener net.Listener
+	HTTPListener net.Listener
 }
 
 // entry is one entry process and its parts.
@@ -77,14 +81,9 @@
 // and when the log was sealed by another entry. ready is called once both
 // listeners are open.
 func Run(ctx context.Context, cfg *settings.Entry, env Environment, ready func()) error {
-	peerListener, err := net.Listen("tcp", cfg.ListenPeer)
+	peerListener, httpListener, err := daemon.Listen(env.PeerListener, cfg.ListenPeer, env.HTTPListener, cfg.ListenHTTP)
 	if err != nil {
-		return errors.Wrapf(err, "listen_peer %q", cfg.ListenPeer)
-	}
-	httpListener, err := net.Listen("tcp", cfg.ListenHTTP)
-	if err != nil {
-		_ = peerListener.Close()
-		return errors.Wrapf(err, "listen_http %q", cfg.ListenHTTP)
+		return err
 	}
 	// Duties go on after ctx ends, until the shutdown is through.
 	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
@@ -100,7 +99,7 @@
 	h := httpapi.NewServer(e.api())
 	var servers errgroup.Group
 	servers.Go(func() error { return g.Serve(peerListener) })
-	servers.Go(func() error { return ignoreClosed(h.Serve(httpListener)) })
+	servers.Go(func() error { return daemon.IgnoreClosed(h.Serve(httpListener)) })
 	duties, dutyContext := errgroup.WithContext(dutyContext)
 	e.start(dutyContext, duties)
 	env.Log.Emit(eventlog.EntryStarted, eventlog.Fields{Detail: string(e.log)})
@@ -116,13 +115,6 @@
 	return errors.CombineErrors(cause, errors.CombineErrors(servers.Wait(), duties.Wait()))
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // ErrSealed reports that another entry has sealed the log of this process: its
 // programs go on there, and this process has to start anew.
 var ErrSealed = errors.New("the home log was sealed by another entry")
--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -27,6 +26,10 @@
 	Log       *eventlog.Logger
 	Telemetry *telemetry.Telemetry
 	Security  peer.Security
+	// PeerListener and HTTPListener replace the settings' addresses when they are
+	// set; Run closes them.
+	PeerListener net.Listener
+	HTTPListener net.Listener
 }
 
 // vmListInterval is the time between two reads of the platform's list.
@@ -41,14 +44,9 @@
 		return err
 	}
 	defer s.closeUpstream()
-	peerListener, err := net.Listen("tcp", cfg.ListenPeer)
+	peerListener, httpListener, err := daemon.Listen(env.PeerListener, cfg.ListenPeer, env.HTTPListener, cfg.ListenHTTP)
 	if err != nil {
-		return errors.Wrapf(err, "listen_peer %q", cfg.ListenPeer)
-	}
-	httpListener, err := net.Listen("tcp", cfg.ListenHTTP)
-	if err != nil {
-		_ = peerListener.Close()
-		return errors.Wrapf(err, "listen_http %q", cfg.ListenHTTP)
+		return err
 	}
 	g := peer.NewServer(peer.Options{Security: env.Security, Telemetry: env.Telemetry})
 	s.Register(g)
@@ -64,7 +62,7 @@
 	defer stopDuties()
 	var group errgroup.Group
 	group.Go(func() error { return g.Serve(peerListener) })
-	group.Go(func() error { return ignoreClosed(h.Serve(httpListener)) })
+	group.Go(func() error { return daemon.IgnoreClosed(h.Serve(httpListener)) })
 	group.Go(func() error { return s.Run(dutyContext, vmListOf(cfg, env), vmListInterval) })
 
 	<-ctx.Done()
@@ -80,13 +78,6 @@
 	return group.Wait()
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 func vmListOf(cfg *settings.Side, env Environment) platform.VMList {
 	if cfg.PlatformURL == "" {
 		return nil
