--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -40,9 +40,9 @@
 
 // read takes the whole stream.
 func (a *answerReader) read(ctx context.Context, body io.Reader) error {
-	events := newEventReader(body)
+	events := NewEventReader(body)
 	for {
-		data, err := events.next()
+		data, err := events.Next()
 		if err != nil {
 			return a.fail(ctx, ErrStreamCut, errors.Wrapf(err, "after %d bytes", a.text.Len()))
 		}
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -14,16 +14,17 @@
 // ErrEventTooLong reports an event above maxEventBytes.
 var ErrEventTooLong = errors.Newf("stream event exceeds %d bytes", maxEventBytes)
 
-// eventReader reads the data of server-sent events; other fields are skipped.
-type eventReader struct {
+// EventReader reads the data of server-sent events; other fields are skipped.
+type EventReader struct {
 	reader *bufio.Reader
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{reader: bufio.NewReader(r)} }
+// NewEventReader returns a reader of the stream.
+func NewEventReader(r io.Reader) *EventReader { return &EventReader{reader: bufio.NewReader(r)} }
 
-// next returns the data of the next event that has any. At the end of the stream
+// Next returns the data of the next event that has any. At the end of the stream
 // it returns io.EOF; an event cut off by the end is not returned.
-func (e *eventReader) next() ([]byte, error) {
+func (e *EventReader) Next() ([]byte, error) {
 	var data []byte
 	hasData := false
 	for {
@@ -53,7 +54,7 @@
 }
 
 // line returns the next line without its end.
-func (e *eventReader) line() ([]byte, error) {
+func (e *EventReader) line() ([]byte, error) {
 	var line []byte
 	for {
 		part, err := e.reader.ReadSlice('\n')
--- a/internal/engine/sse_test.go
+++ b/internal/engine/sse_test.go
@@ -12,10 +12,10 @@
 
 // events reads all events of a stream, each followed by "|", and the error's text.
 func events(text string) string {
-	reader := newEventReader(strings.NewReader(text))
+	reader := NewEventReader(strings.NewReader(text))
 	var out strings.Builder
 	for {
-		data, err := reader.next()
+		data, err := reader.Next()
 		if err != nil {
 			return out.String() + err.Error()
 		}
@@ -53,10 +53,10 @@
 			return
 		}
 		text := bytes.Join([][]byte{stream, []byte("\n\ndata: "), payload, []byte("\n\n")}, nil)
-		reader := newEventReader(bytes.NewReader(text))
+		reader := NewEventReader(bytes.NewReader(text))
 		var last []byte
 		for {
-			data, err := reader.next()
+			data, err := reader.Next()
 			if err != nil {
 				if !errors.Is(err, io.EOF) {
 					t.Fatalf("error %v", err)
--- /dev/null
+++ b/internal/faulttrial/caller.go
@@ -0,0 +1,201 @@
+package faulttrial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+)
+
+// errNotSent: no connection could be made, as with a process that is gone.
+var errNotSent = errors.New("request was not sent")
+
+// errCut: the connection broke after the request was sent.
+var errCut = errors.New("request was cut")
+
+const (
+	// eventTimeout is how long a caller waits for the next event of a stream before
+	// it asks again elsewhere.
+	eventTimeout = 8 * time.Second
+	// plainTimeout bounds a request that is not a stream.
+	plainTimeout = 15 * time.Second
+	maxAnswer    = 64 << 20
+)
+
+// caller speaks HTTP to the entries as a caller or an operator does. Each request
+// has a connection of its own, so that an idle connection closed by an entry does
+// not look like a cut request.
+type caller struct {
+	entries []string // addresses
+	http    *http.Client
+	next    atomic.Uint64
+}
+
+func newCaller(entries []*process) *caller {
+	c := &caller{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	for _, p := range entries {
+		c.entries = append(c.entries, p.httpAddr)
+	}
+	return c
+}
+
+// pick returns the next entry in turn.
+func (c *caller) pick() string {
+	return c.entries[c.next.Add(1)%uint64(len(c.entries))]
+}
+
+// request is one request of a caller or operator.
+type request struct {
+	entry, method, path string
+	token, key          string
+	body                any
+	stream              bool
+}
+
+// send returns the response of a success; a problem document becomes a refusal.
+func (c *caller) send(ctx context.Context, r request) (*http.Response, error) {
+	body, err := json.Marshal(r.body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	var reader io.Reader
+	if r.body != nil {
+		reader = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.entry+r.path, reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+r.token)
+	if r.key != "" {
+		req.Header.Set("Idempotency-Key", r.key)
+	}
+	if r.stream {
+		req.Header.Set("Accept", "text/event-stream")
+	}
+	response, err := c.http.Do(req)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		defer response.Body.Close()
+		return nil, problem(response)
+	}
+	return response, nil
+}
+
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", errNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", errCut, err)
+}
+
+func problem(response *http.Response) error {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	return refusalOf(text, response.StatusCode)
+}
+
+// refusalOf decodes a problem document.
+func refusalOf(text []byte, status int) error {
+	var p httpapi.Problem
+	if json.Unmarshal(text, &p) != nil || p.Code == "" {
+		return structs.Refusalf(structs.CodeInternal, structs.OutcomeUnknown, "", "status %d: %.200s", status, text)
+	}
+	return &structs.Refusal{
+		Code:       p.Code,
+		Outcome:    p.Outcome,
+		Step:       p.Step,
+		Peer:       p.Peer,
+		Detail:     p.Detail,
+		RetryAfter: time.Duration(p.RetryAfterSeconds * float64(time.Second)),
+	}
+}
+
+// exchange sends a request and decodes its answer into out, when out is not nil.
+func (c *caller) exchange(ctx context.Context, r request, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, plainTimeout)
+	defer cancel()
+	response, err := c.send(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(text, out), "answer of %s", r.path)
+}
+
+// errSilent: a stream gave no event for eventTimeout.
+var errSilent = errors.New("stream is silent")
+
+// turn sends a turn and follows its stream to the answer; event is called at each event.
+func (c *caller) turn(ctx context.Context, r request, event func()) (structs.TurnAnswer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(eventTimeout, func() { cancel(errSilent) })
+	defer silence.Stop()
+	r.stream = true
+	response, err := c.send(ctx, r)
+	if err != nil {
+		return structs.TurnAnswer{}, silentOr(ctx, err)
+	}
+	defer response.Body.Close()
+	events := engine.NewEventReader(response.Body)
+	for {
+		data, err := events.Next()
+		if err != nil {
+			return structs.TurnAnswer{}, silentOr(ctx, fmt.Errorf("%w: %w", errCut, err))
+		}
+		silence.Reset(eventTimeout)
+		answer, err := turnEvent(data)
+		if err != nil {
+			return structs.TurnAnswer{}, err
+		}
+		event()
+		if answer != nil {
+			return *answer, nil
+		}
+	}
+}
+
+func silentOr(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// turnEvent decodes one event: the answer when it is the last, a refusal as error.
+func turnEvent(data []byte) (*structs.TurnAnswer, error) {
+	var e struct {
+		structs.TurnEvent
+		Code structs.Code `json:"code"`
+	}
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "event of a turn")
+	}
+	if e.Code != "" {
+		return nil, refusalOf(data, http.StatusOK)
+	}
+	return e.Answer, nil
+}
--- /dev/null
+++ b/internal/faulttrial/presets.go
@@ -0,0 +1,151 @@
+package faulttrial
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/internal/query"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// switchRounds is the number of times that two operators switch at once.
+	switchRounds = 8
+	// presetLimit bounds the wait for a switch to be in force everywhere.
+	presetLimit = 10 * time.Second
+)
+
+// operate sends an operator's POST to the next entry.
+func (t *trial) operate(ctx context.Context, token, path string, body, out any) error {
+	return t.load.caller.exchange(ctx, request{
+		entry: t.load.caller.pick(), method: http.MethodPost, path: path, token: token, body: body,
+	}, out)
+}
+
+func operators(ctx context.Context, t *trial) error {
+	var took []time.Duration
+	for range switchRounds {
+		d, err := t.raceSwitch(ctx)
+		if err != nil {
+			return err
+		}
+		took = append(took, d)
+	}
+	t.result.PresetSeconds = seconds(took)
+	return nil
+}
+
+// raceSwitch lets two operators switch at once from the same version. At least
+// one must win; the version that won last must be in force everywhere.
+func (t *trial) raceSwitch(ctx context.Context) (time.Duration, error) {
+	current, err := t.load.caller.inForce(ctx, t.load.caller.pick())
+	if err != nil {
+		return 0, errors.Wrap(err, "preset in force")
+	}
+	var mu sync.Mutex
+	var won []structs.PresetInForce
+	var refusals []error
+	var racing sync.WaitGroup
+	for token, name := range map[string]string{operatorOne: presetFirst, operatorTwo: presetSecond} {
+		racing.Go(func() {
+			var inForce structs.PresetInForce
+			err := t.operate(ctx, token, "/operator/presets/"+name+"/switch",
+				httpapi.SwitchRequest{ExpectedVersion: current.Version}, &inForce)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				won = append(won, inForce)
+			} else {
+				refusals = append(refusals, err)
+			}
+		})
+	}
+	racing.Wait()
+	accepted := time.Now()
+	if len(won) == 0 {
+		return 0, errors.Newf("neither operator's switch was accepted: %v", refusals)
+	}
+	winner := slices.MaxFunc(won, func(a, b structs.PresetInForce) int { return int(a.Version) - int(b.Version) })
+	if len(won) > 1 && won[0].Version == won[1].Version {
+		return 0, errors.Newf("version %d was given to two switches", winner.Version)
+	}
+	return t.awaitPreset(ctx, winner, accepted)
+}
+
+// awaitPreset waits until every entry, and every node that an entry knows of, has
+// the version in force.
+func (t *trial) awaitPreset(ctx context.Context, want structs.PresetInForce, accepted time.Time) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, presetLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		if t.everywhere(ctx, want) {
+			return time.Since(accepted), nil
+		}
+		sleep(ctx, readyInterval)
+	}
+	return 0, errors.Newf("preset version %d is not in force everywhere after %v", want.Version, presetLimit)
+}
+
+func (t *trial) everywhere(ctx context.Context, want structs.PresetInForce) bool {
+	for _, entry := range t.load.caller.entries {
+		inForce, err := t.load.caller.inForce(ctx, entry)
+		if err != nil || inForce.Version < want.Version {
+			return false
+		}
+		if inForce.Version == want.Version && inForce.Preset.Name != want.Preset.Name {
+			return false
+		}
+		var nodes []query.Node
+		if t.load.caller.get(ctx, entry, "/operator/nodes", &nodes) != nil {
+			return false
+		}
+		for _, n := range nodes {
+			if n.Ready && n.PresetVersion > 0 && n.PresetVersion < want.Version {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (c *caller) get(ctx context.Context, entry, path string, out any) error {
+	return c.exchange(ctx, request{entry: entry, method: http.MethodGet, path: path, token: operatorOne}, out)
+}
+
+func (c *caller) inForce(ctx context.Context, entry string) (structs.PresetInForce, error) {
+	var inForce structs.PresetInForce
+	err := c.get(ctx, entry, "/operator/preset", &inForce)
+	return inForce, err
+}
+
+// watchInterval is the time between two looks at an entry's preset.
+const watchInterval = 100 * time.Millisecond
+
+// watchPresets counts how often an entry shows a lower version than it did before,
+// until ctx ends; the channel is closed then.
+func watchPresets(ctx context.Context, l *load) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		seen := make(map[string]uint64)
+		for ctx.Err() == nil {
+			for _, entry := range l.caller.entries {
+				inForce, err := l.caller.inForce(ctx, entry)
+				if err != nil {
+					continue
+				}
+				if inForce.Version < seen[entry] {
+					l.count(func(c *Counts) { c.PresetReverts++ })
+				}
+				seen[entry] = inForce.Version
+			}
+			sleep(ctx, watchInterval)
+		}
+	}()
+	return done
+}
--- /dev/null
+++ b/internal/faulttrial/report.go
@@ -0,0 +1,141 @@
+package faulttrial
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Targets of the trial.
+const (
+	RecoveryTarget = 3 * time.Second
+	PresetTarget   = time.Second
+	DrainTarget    = 2 * time.Second
+)
+
+// Counts is what one scenario counted. LostTurns, DoubleActions, FalseNotRun and
+// CutRequests must be zero.
+type Counts struct {
+	Programs     int `json:"programs"`
+	Answers      int `json:"answers"`
+	WholeAnswers int `json:"whole_answers"`
+	// Orders are the calls of a plain service, each sent once.
+	Orders int `json:"orders"`
+	// LostTurns were acknowledged as kept and are not in the history, or were never answered.
+	LostTurns int `json:"lost_turns"`
+	// DoubleActions are executions beyond the first of an action.
+	DoubleActions int `json:"double_actions"`
+	// FalseNotRun were refused as not run and ran.
+	FalseNotRun int `json:"false_not_run"`
+	// CutRequests broke off during a drain or a graceful shutdown.
+	CutRequests int `json:"cut_requests"`
+
+	// Unopened programs were never opened, WrongAnswers are not the scripted answer.
+	Unopened        int `json:"unopened"`
+	WrongAnswers    int `json:"wrong_answers"`
+	UnreadHistories int `json:"unread_histories"`
+	// LeakedHolds is KV cache still held for programs that ended.
+	LeakedHolds int `json:"leaked_holds"`
+	// PresetReverts is how often an entry showed a lower preset version than before.
+	PresetReverts int `json:"preset_reverts"`
+}
+
+func (c *Counts) add(o Counts) {
+	c.Programs += o.Programs
+	c.Answers += o.Answers
+	c.WholeAnswers += o.WholeAnswers
+	c.Orders += o.Orders
+	c.LostTurns += o.LostTurns
+	c.DoubleActions += o.DoubleActions
+	c.FalseNotRun += o.FalseNotRun
+	c.CutRequests += o.CutRequests
+	c.Unopened += o.Unopened
+	c.WrongAnswers += o.WrongAnswers
+	c.UnreadHistories += o.UnreadHistories
+	c.LeakedHolds += o.LeakedHolds
+	c.PresetReverts += o.PresetReverts
+}
+
+// Failed reports whether one of the counts that must be zero is not.
+func (c Counts) Failed() bool {
+	return c.LostTurns+c.DoubleActions+c.FalseNotRun+c.CutRequests > 0
+}
+
+// Result is the outcome of one scenario.
+type Result struct {
+	Scenario string `json:"scenario"`
+	Counts
+	// RecoverySeconds are the times that the programs of a killed or stopped entry
+	// took to go on, the longest last; Stuck programs did not.
+	RecoverySeconds []float64 `json:"recovery_seconds,omitempty"`
+	Stuck           int       `json:"stuck,omitempty"`
+	// PresetSeconds are the times that a switch took to be in force everywhere.
+	PresetSeconds []float64 `json:"preset_seconds,omitempty"`
+	// DrainSeconds is the time from a drain to the last new work at its upstream;
+	// negative when there was none behind the drain.
+	DrainSeconds []float64 `json:"drain_seconds,omitempty"`
+	// ShutdownSeconds are the times that graceful shutdowns took.
+	ShutdownSeconds []float64 `json:"shutdown_seconds,omitempty"`
+	Seconds         float64   `json:"seconds"`
+	// Error is what kept the scenario from its end.
+	Error string `json:"error,omitempty"`
+}
+
+// Report is the outcome of a trial.
+type Report struct {
+	Total     Counts   `json:"total"`
+	Scenarios []Result `json:"scenarios"`
+}
+
+// Failed reports whether a scenario did not reach its end or a count that must be
+// zero is not.
+func (r Report) Failed() bool {
+	for _, s := range r.Scenarios {
+		if s.Error != "" {
+			return true
+		}
+	}
+	return r.Total.Failed()
+}
+
+func (r *Report) add(result Result) {
+	r.Scenarios = append(r.Scenarios, result)
+	r.Total.add(result.Counts)
+}
+
+func seconds(times []time.Duration) []float64 {
+	out := make([]float64, len(times))
+	for i, t := range times {
+		out[i] = t.Seconds()
+	}
+	slices.Sort(out)
+	return out
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) {
+	const row = "%-16s %8v %6v %6v %5v %6v %9v %5v %6v %6v %8v %8v %8v\n"
+	fmt.Fprintf(w, row, "scenario", "programs", "whole", "wrong", "lost", "double", "false n.r.", "cut", "holds",
+		"stuck", "recovery", "preset", "drain")
+	for _, s := range r.Scenarios {
+		fmt.Fprintf(w, row, s.Scenario, s.Programs, s.WholeAnswers, s.WrongAnswers, s.LostTurns, s.DoubleActions,
+			s.FalseNotRun, s.CutRequests, s.LeakedHolds, s.Stuck, longest(s.RecoverySeconds), longest(s.PresetSeconds), longest(s.DrainSeconds))
+		if s.Error != "" {
+			fmt.Fprintf(w, "  %s did not reach its end: %s\n", s.Scenario, s.Error)
+		}
+	}
+	t := r.Total
+	fmt.Fprintf(w, row, "total", t.Programs, t.WholeAnswers, t.WrongAnswers, t.LostTurns, t.DoubleActions,
+		t.FalseNotRun, t.CutRequests, t.LeakedHolds, "", "", "", "")
+	fmt.Fprintf(w, "targets: recovery %v, preset %v, drain %v; lost, double, false n.r. and cut must be 0\n",
+		RecoveryTarget, PresetTarget, DrainTarget)
+}
+
+// longest is the longest of sorted times, as text.
+func longest(times []float64) string {
+	if len(times) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2fs", times[len(times)-1])
+}
--- /dev/null
+++ b/internal/faulttrial/settings.go
@@ -0,0 +1,143 @@
+package faulttrial
+
+import (
+	"os"
+	"path/filepath"
+	"text/template"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Names of the trial's deployment.
+const (
+	modelName     = "desk"
+	toolSearch    = "search_records"
+	toolPublish   = "publish_dataset"
+	serviceOrder  = "order_printing"
+	callerToken   = "trial-caller-token"
+	operatorOne   = "trial-operator-token"
+	operatorTwo   = "trial-operator2-token"
+	presetFirst   = "ordinary"
+	presetSecond  = "peak"
+	shutdownGrace = "30s"
+)
+
+// upstreamSettings describes one upstream and its side.
+type upstreamSettings struct {
+	ID, Kind, URL, VM, Domain string
+	Peer, HTTP, Platform      string
+}
+
+// entrySettings describes one entry.
+type entrySettings struct {
+	Node, VM, Domain         string
+	Peer, HTTP, Platform     string
+	Peers                    []string
+	Sides                    []upstreamSettings
+	Tools                    string
+	ModelName, Caller        string
+	OperatorOne, OperatorTwo string
+}
+
+var sideTemplate = template.Must(template.New("side").Parse(`node = "side-{{.ID}}"
+vm = "{{.VM}}"
+failure_domain = "{{.Domain}}"
+region = "trial"
+platform_url = "{{.Platform}}"
+listen_peer = "{{.Peer}}"
+listen_http = "{{.HTTP}}"
+shutdown_grace = "` + shutdownGrace + `"
+
+[upstream]
+id = "{{.ID}}"
+kind = "{{.Kind}}"
+url = "{{.URL}}"
+{{if eq .Kind "model"}}models = ["` + modelName + `"]{{end}}
+
+[tls]
+insecure_plain = true
+`))
+
+var entryTemplate = template.Must(template.New("entry").Parse(`node = "{{.Node}}"
+vm = "{{.VM}}"
+failure_domain = "{{.Domain}}"
+region = "trial"
+platform_url = "{{.Platform}}"
+listen_peer = "{{.Peer}}"
+listen_http = "{{.HTTP}}"
+peers = [{{range .Peers}}"{{.}}", {{end}}]
+initial_preset = "` + presetFirst + `"
+shutdown_grace = "` + shutdownGrace + `"
+
+[tls]
+insecure_plain = true
+{{range .Sides}}
+[[sides]]
+upstream = "{{.ID}}"
+kind = "{{.Kind}}"
+address = "{{.Peer}}"
+vm = "{{.VM}}"
+failure_domain = "{{.Domain}}"
+{{end}}
+[[tools]]
+name = "` + toolSearch + `"
+url = "{{.Tools}}"
+timeout = "10s"
+
+[[tools]]
+name = "` + toolPublish + `"
+url = "{{.Tools}}"
+timeout = "10s"
+non_repeatable = true
+answers_status = true
+
+[[services]]
+name = "` + serviceOrder + `"
+kind = "application"
+timeout = "10s"
+non_repeatable = true
+answers_status = true
+
+[[callers]]
+token = "` + callerToken + `"
+organisation = "trial-council"
+
+[[operators]]
+token = "` + operatorOne + `"
+name = "one"
+
+[[operators]]
+token = "` + operatorTwo + `"
+name = "two"
+
+[[preset]]
+name = "` + presetFirst + `"
+latency_weight = 1.0
+waste_weight = 0.5
+admit_new = true
+max_queue = 64
+policy = "cost"
+hold_max = "20s"
+patience = { default = "60s" }
+
+[[preset]]
+name = "` + presetSecond + `"
+latency_weight = 2.0
+waste_weight = 0.5
+admit_new = true
+max_queue = 64
+policy = "cost"
+hold_max = "8s"
+patience = { default = "60s" }
+`))
+
+// write executes a template into a file of the directory and returns its path.
+func write(dir, name string, t *template.Template, data any) (string, error) {
+	path := filepath.Join(dir, name+".toml")
+	file, err := os.Create(path)
+	if err != nil {
+		return "", errors.Wrapf(err, "settings of %s", name)
+	}
+	defer file.Close()
+	return path, errors.Wrapf(t.Execute(file, data), "settings of %s", name)
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// Ledger returns the ledger of the service's executions.
+func (s *Service) Ledger() *Ledger { return s.ledger }
+
 // Handler returns the service's HTTP routes.
 func (s *Service) Handler() http.Handler {
 	r := chi.NewRouter()
