--- a/internal/entry/engines.go
+++ b/internal/entry/engines.go
@@ -18,6 +18,8 @@
 	links  map[structs.UpstreamID]*sideLink
 	log    structs.LogID
 	guard  *callGuard
+	holds  *cacheHolds
+	preset func() structs.Preset
 	now    func() time.Time
 }
 
@@ -29,6 +31,10 @@
 	if err != nil {
 		return structs.ModelAnswer{}, err
 	}
+	e.holds.resumed(e.now(), call.Program)
+	if isBaseline(e.preset()) {
+		inArrivalOrder(&call)
+	}
 	blocks := kvcache.Blocks(call.Messages)
 	tried := map[structs.UpstreamID]bool{}
 	for {
@@ -50,6 +56,23 @@
 	}
 }
 
+// isBaseline reports whether the preset's policy is one of those that ours is
+// measured against. They bring neither an order of calls by program, nor holds,
+// nor admission by patience.
+func isBaseline(p structs.Preset) bool {
+	switch p.Policy {
+	case routing.PolicyRoundRobin, routing.PolicyLeastLoad, routing.PolicyStickyHash:
+		return true
+	}
+	return false
+}
+
+// inArrivalOrder lets a side's queue serve the call in its order of arrival.
+func inArrivalOrder(call *structs.ModelCall) {
+	call.Attained = 0
+	call.Turn = 2 // every program counts as under way
+}
+
 // sendElsewhere reports whether another side may take the same attempt.
 func sendElsewhere(err error) bool {
 	var r *structs.Refusal
@@ -79,6 +102,11 @@
 	if load.Upstream != "" {
 		e.router.exact(now, load)
 	}
+	if err == nil {
+		// Let go of the former hold before the next one begins.
+		e.holds.done(call.Program)
+		e.holds.paused(now, call, answer, load)
+	}
 	if err != nil && isDraining(err) {
 		e.router.drain(d.Upstream)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,8 @@
 	router    *router
 	links     map[structs.UpstreamID]*sideLink
 	tools     *tools
+	holds     *cacheHolds
+	fences    *fences
 	local     *local
 	directory *home.Directory
 	presets   *presets
@@ -164,8 +166,25 @@
 	return nil
 }
 
+func (e *entry) newEngines() *engines {
+	return &engines{
+		router: e.router,
+		links:  e.links,
+		log:    e.log,
+		guard:  &callGuard{},
+		holds:  e.holds,
+		preset: e.preset,
+		now:    time.Now,
+	}
+}
+
+// preset returns the preset in force here.
+func (e *entry) preset() structs.Preset { return e.presets.inForce.Load().Preset }
+
 // newHome sets up the journal and the runner of programs.
 func (e *entry) newHome() {
+	e.fences = newFences(e.log, time.Now())
+	e.holds = newCacheHolds(e.log, e.links, e.preset, e.fences.of)
 	e.committer = committer.New(committer.Config{
 		Journal:     e.journalConfig(),
 		OnCommitted: func(through uint64) { e.runner.Committed(through) },
@@ -175,11 +194,12 @@
 		Log:      e.log,
 		Node:     e.cfg.Node,
 		Program:  e.programConfig(),
-		Engines:  &engines{router: e.router, links: e.links, log: e.log, guard: &callGuard{}, now: time.Now},
+		Engines:  e.newEngines(),
 		Tools:    e.tools,
 		Journal:  e.committer,
 		Table:    e.platform,
 		Patience: e.patience,
+		Released: e.holds.done,
 		RingSize: e.cfg.Limits.RingSize,
 	})
 	e.local = &local{
@@ -187,6 +207,7 @@
 		log:       e.log,
 		router:    e.router,
 		notReady:  e.notReady,
+		preset:    e.preset,
 		patience:  e.patience,
 		machine:   admission.New(admission.Config{}),
 		turnTimes: map[string]time.Duration{},
@@ -309,7 +330,11 @@
 	duties.Go(func() error { return e.presets.run(ctx) })
 	duties.Go(func() error { return e.peers.run(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
-	for _, l := range e.links {
+	for _, s := range e.cfg.Sides {
+		l := e.links[s.Upstream]
+		if s.Kind == structs.KindModel {
+			duties.Go(func() error { return e.holds.run(ctx, s.Upstream) })
+		}
 		duties.Go(func() error {
 			l.watch(ctx, e.cfg.Node, e.router)
 			return nil
@@ -354,6 +379,7 @@
 		Services:  services{e},
 		Presets:   o,
 		Drainer:   o,
+		Orderer:   o,
 		Actions:   o,
 		System:    o,
 		Limits:    command.DefaultLimits,
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -20,6 +20,7 @@
 	log      structs.LogID
 	router   *router
 	notReady func() string
+	preset   func() structs.Preset
 	patience func(kind string) time.Duration
 
 	// followers are the turns that are followed to their end.
@@ -67,6 +68,9 @@
 	if reason := l.notReady(); reason != "" {
 		return errNotReady("turn", reason)
 	}
+	if isBaseline(l.preset()) {
+		return l.Home.Turn(ctx, turn, event)
+	}
 	if err := l.admit(view, turn); err != nil {
 		return err
 	}
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
@@ -55,11 +56,17 @@
 	return &peerpb.AdoptReply{}, nil
 }
 
+// adoptionTimeout bounds one takeover; the next try goes on where it stopped.
+const adoptionTimeout = 30 * time.Second
+
 // adopt takes over the programs of a log and goes on with them.
 func (e *entry) adopt(ctx context.Context, log structs.LogID) error {
 	if e.stopping.Load() {
 		return errors.Newf("entry %q is stopping", e.cfg.Node)
 	}
+	// A caller that gives up must not leave programs between two homes.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), adoptionTimeout)
+	defer cancel()
 	e.local.beginAdoption()
 	defer e.local.endAdoption()
 	entries, err := e.committer.Adopt(ctx, log)
@@ -70,6 +77,7 @@
 		e.env.Log.Emit(eventlog.LogAdoptionFailed, eventlog.Fields{Step: "adopt", Peer: string(log), Err: err})
 		return err
 	}
+	e.fences.adoptedAt(time.Now())
 	if err := e.runner.Adopt(ctx, entries); err != nil {
 		e.env.Log.Emit(eventlog.HistoryMismatch, eventlog.Fields{Step: "adopt", Peer: string(log), Err: err})
 	}
--- a/internal/entry/sidelink.go
+++ b/internal/entry/sidelink.go
@@ -33,9 +33,9 @@
 	address  string
 	client   peerpb.UpstreamClient
 
-	mu    sync.Mutex
-	order *list.List
-	bases map[structs.ProgramID]*list.Element
+	mu     sync.Mutex
+	recent *list.List
+	bases  map[structs.ProgramID]*list.Element
 }
 
 func newSideLink(upstream structs.UpstreamID, vm structs.VMID, address string, conn *grpc.ClientConn) *sideLink {
@@ -44,7 +44,7 @@
 		vm:       vm,
 		address:  address,
 		client:   peerpb.NewUpstreamClient(conn),
-		order:    list.New(),
+		recent:   list.New(),
 		bases:    map[structs.ProgramID]*list.Element{},
 	}
 }
@@ -56,7 +56,7 @@
 	if e == nil {
 		return base{program: program}
 	}
-	l.order.MoveToFront(e)
+	l.recent.MoveToFront(e)
 	return e.Value.(base)
 }
 
@@ -65,12 +65,12 @@
 	defer l.mu.Unlock()
 	if e := l.bases[b.program]; e != nil {
 		e.Value = b
-		l.order.MoveToFront(e)
+		l.recent.MoveToFront(e)
 		return
 	}
-	l.bases[b.program] = l.order.PushFront(b)
-	if l.order.Len() > maxBases {
-		l.drop(l.order.Back())
+	l.bases[b.program] = l.recent.PushFront(b)
+	if l.recent.Len() > maxBases {
+		l.drop(l.recent.Back())
 	}
 }
 
@@ -83,7 +83,7 @@
 }
 
 func (l *sideLink) drop(e *list.Element) {
-	l.order.Remove(e)
+	l.recent.Remove(e)
 	delete(l.bases, e.Value.(base).program)
 }
 
@@ -91,7 +91,6 @@
 type modelSend struct {
 	log   structs.LogID
 	alone bool
-	hold  time.Duration
 }
 
 // call runs one attempt at the side. It sends only the messages that the side
@@ -133,7 +132,6 @@
 	req.Delta = peer.MessagesToPB(call.Messages[known.count:])
 	req.Log = string(send.log)
 	req.Alone = send.alone
-	req.Hold = peer.DurationToPB(send.hold)
 	stream, err := l.client.CallModel(ctx, req)
 	if err != nil {
 		return structs.ModelAnswer{}, structs.Load{}, peer.FromStatus(err, "model call", string(l.upstream))
@@ -253,8 +251,3 @@
 		Removed:     c.GetRemoved(),
 	})
 }
-
-// peerFailure returns the refusal of a failed call to the side.
-func peerFailure(err error, step string, l *sideLink) error {
-	return peer.FromStatus(err, step, string(l.upstream))
-}
--- a/internal/httpapi/api.go
+++ b/internal/httpapi/api.go
@@ -23,6 +23,7 @@
 	Services command.Invoker
 	Presets  command.Presets
 	Drainer  command.Drainer
+	Orderer  command.Orderer
 	Actions  command.Actions
 	System   query.System
 	Limits   command.Limits
@@ -54,6 +55,7 @@
 	switchTo command.SwitchPresetHandler
 	drain    command.DrainVMHandler
 	settle   command.SettleActionHandler
+	order    command.OrderUpstreamHandler
 	read     query.ReadProgramHandler
 	list     query.ListProgramsHandler
 }
@@ -76,6 +78,7 @@
 		switchTo: command.SwitchPresetHandler{Presets: c.Presets},
 		drain:    command.DrainVMHandler{Drainer: c.Drainer},
 		settle:   command.SettleActionHandler{Actions: c.Actions},
+		order:    command.OrderUpstreamHandler{Orderer: c.Orderer},
 		read:     query.ReadProgramHandler{Home: c.Home},
 		list:     query.ListProgramsHandler{Home: c.Home},
 	}
@@ -114,6 +117,7 @@
 	r.Get("/nodes", a.listNodes)
 	r.Post("/vms/{vm}/drain", a.drainVM)
 	r.Post("/vms/{vm}/undrain", a.undrainVM)
+	r.Post("/upstreams/{upstream}/orders", a.orderUpstream)
 	r.Get("/programs", a.listPrograms)
 	r.Get("/programs/{program}", a.readProgram)
 	r.Get("/programs/{program}/history", a.readHistory)
--- a/internal/httpapi/operators.go
+++ b/internal/httpapi/operators.go
@@ -15,6 +15,13 @@
 	ExpectedVersion uint64 `json:"expected_version"`
 }
 
+// OrderRequest is the body of POST /operator/upstreams/{upstream}/orders.
+type OrderRequest struct {
+	// Order is "load_model" or "role".
+	Order    string `json:"order"`
+	Argument string `json:"argument"`
+}
+
 // SettleRequest is the body of POST /operator/actions/settle.
 type SettleRequest struct {
 	Organisation structs.OrganisationID `json:"organisation"`
@@ -101,6 +108,25 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (a *api) orderUpstream(w http.ResponseWriter, r *http.Request) {
+	var body OrderRequest
+	if err := decode(w, r, a.BodyBytes, &body); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	err := a.order.Handle(r.Context(), command.OrderUpstream{
+		Upstream: structs.UpstreamID(chi.URLParam(r, "upstream")),
+		Order:    body.Order,
+		Argument: body.Argument,
+		Operator: operatorOf(r.Context()),
+	})
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (a *api) listPrograms(w http.ResponseWriter, r *http.Request) {
 	a.writePrograms(w, r, structs.OrganisationID(r.URL.Query().Get("organisation")))
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -89,6 +89,8 @@
 		Draining:            l.Draining,
 		Sequence:            l.Sequence,
 		Incarnation:         l.Incarnation,
+		HeldTokens:          l.HeldTokens,
+		Turnover:            durationpb.New(l.Turnover),
 	}
 }
 
@@ -111,6 +113,8 @@
 		Draining:            l.GetDraining(),
 		Sequence:            l.GetSequence(),
 		Incarnation:         l.GetIncarnation(),
+		HeldTokens:          l.GetHeldTokens(),
+		Turnover:            l.GetTurnover().AsDuration(),
 	}
 }
 
--- a/internal/side/duties.go
+++ b/internal/side/duties.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/buckthornroute/buckthornroute/hold"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
@@ -15,15 +16,25 @@
 // and, when vms is not nil, the platform's list.
 func (s *Server) Run(ctx context.Context, vms platform.VMList, vmInterval time.Duration) error {
 	duties, ctx := errgroup.WithContext(ctx)
+	defer s.endLife()
 	duties.Go(func() error { return every(ctx, s.cfg.LoadInterval, s.reportLoad) })
 	if s.cfg.Model != nil {
 		duties.Go(func() error { return s.followCache(ctx) })
+		duties.Go(func() error { return s.holds.run(s.life, s.cfg.Hold.LeaseTime) })
+	}
+	if s.cfg.Table != nil {
+		duties.Go(func() error { return s.readDrain(ctx) })
 	}
 	if vms != nil {
 		duties.Go(func() error {
 			return every(ctx, vmInterval, func(ctx context.Context) { s.readVMs(ctx, vms) })
 		})
 	}
+	duties.Go(func() error {
+		<-ctx.Done()
+		s.endLife()
+		return nil
+	})
 	return duties.Wait()
 }
 
@@ -73,6 +84,9 @@
 		if err != nil {
 			return
 		}
+		if incarnation != "" && events.Incarnation != incarnation {
+			s.holds.step(ctx, hold.EngineRestarted{})
+		}
 		if events.Incarnation != incarnation || gap(events.Events, sequence) {
 			incarnation, sequence = s.resync(ctx, incarnation, sequence)
 			return
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -12,10 +12,12 @@
 	"google.golang.org/grpc"
 
 	"github.com/buckthornroute/buckthornroute/admission"
+	"github.com/buckthornroute/buckthornroute/hold"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/peer"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -37,8 +39,10 @@
 	SilenceLimit time.Duration
 	// LoadInterval is the time between two load reports; 250 ms by default.
 	LoadInterval time.Duration
-	// HoldInterval is the time between two rounds of the holds; 1 s by default.
-	HoldInterval time.Duration
+	// Hold bounds the leases on KV cache of a model side.
+	Hold hold.Config
+	// Table holds the fencing numbers and drains; nil knows none.
+	Table platform.Table
 	// Incarnation tells restarts of this side apart.
 	Incarnation string
 	// Model is the engine of a model side, Service that of an application side.
@@ -53,7 +57,6 @@
 const (
 	defaultHistoryBytes = 32 << 20
 	defaultLoadInterval = 250 * time.Millisecond
-	defaultHoldInterval = time.Second
 )
 
 // Server is one side. Its methods may be called from any goroutine.
@@ -64,11 +67,19 @@
 	dispatch  *dispatcher
 	histories *histories
 	watchers  *watchers
+	// holds is nil at an application engine.
+	holds *holds
+	// vms is the platform's list; nil when the settings name no platform.
+	vms platform.VMList
+	// life ends with the duties.
+	life    context.Context
+	endLife context.CancelFunc
 
 	mu       sync.Mutex
 	gate     *Gate
 	sequence uint64
 	engine   structs.Load
+	turnover turnover
 	inFlight sync.WaitGroup
 }
 
@@ -80,9 +91,6 @@
 	if cfg.LoadInterval == 0 {
 		cfg.LoadInterval = defaultLoadInterval
 	}
-	if cfg.HoldInterval == 0 {
-		cfg.HoldInterval = defaultHoldInterval
-	}
 	if cfg.Log == nil {
 		cfg.Log = eventlog.Discard()
 	}
@@ -90,13 +98,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{
+	s := &Server{
 		cfg:       cfg,
 		dispatch:  newDispatcher(time.Now, cfg.BatchLimit, cfg.QueueLimit),
 		histories: h,
 		watchers:  newWatchers(),
 		gate:      NewGate(time.Now(), cfg.SilenceLimit),
-	}, nil
+	}
+	s.life, s.endLife = context.WithCancel(context.Background())
+	if cfg.Model != nil {
+		s.holds = newHolds(cfg.Hold, cfg.Model, cfg.Table, cfg.Log)
+	}
+	return s, nil
 }
 
 // Register adds the side's service to a gRPC server.
@@ -125,6 +138,7 @@
 // load returns the load of this moment.
 func (s *Server) load() structs.Load {
 	running, queued, prefill := s.dispatch.depth()
+	held := s.heldTokens()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
@@ -145,7 +159,16 @@
 		Draining:            s.gate.Closed(time.Now()) != "",
 		Sequence:            s.sequence,
 		Incarnation:         s.cfg.Incarnation,
+		HeldTokens:          held,
+		Turnover:            s.turnover.estimate(time.Now(), s.engine.KVLimitTokens),
+	}
+}
+
+func (s *Server) heldTokens() int64 {
+	if s.holds == nil {
+		return 0
 	}
+	return s.holds.tokens()
 }
 
 // CallModel implements the Upstream service.
@@ -187,6 +210,7 @@
 }
 
 func (s *Server) finishModel(stream grpc.ServerStreamingServer[peerpb.CallModelChunk], call *structs.ModelCall, answer structs.ModelAnswer) error {
+	s.countTokens(answer.Usage)
 	call.Messages = append(call.Messages, answer.Message)
 	s.histories.put(call.Program, call.Messages, call.Digest.Append(answer.Message))
 	return stream.Send(&peerpb.CallModelChunk{
@@ -201,6 +225,12 @@
 	})
 }
 
+func (s *Server) countTokens(u structs.Usage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnover.add(time.Now(), u.PromptTokens-u.CachedTokens+u.GeneratedTokens)
+}
+
 // status returns err as a status with this side as its peer.
 func (s *Server) status(err error) error {
 	r := *structs.AsRefusal(err)
--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/buckthornroute/buckthornroute/hold"
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
@@ -63,7 +64,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return g.Serve(peerListener) })
 	group.Go(func() error { return daemon.IgnoreClosed(h.Serve(httpListener)) })
-	group.Go(func() error { return s.Run(dutyContext, vmListOf(cfg, env), vmListInterval) })
+	group.Go(func() error { return s.Run(dutyContext, s.vms, vmListInterval) })
 
 	<-ctx.Done()
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.ShutdownGrace.Std())
@@ -78,13 +79,6 @@
 	return group.Wait()
 }
 
-func vmListOf(cfg *settings.Side, env Environment) platform.VMList {
-	if cfg.PlatformURL == "" {
-		return nil
-	}
-	return platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
-}
-
 func newFromSettings(cfg *settings.Side, env Environment) (*Server, error) {
 	c := Config{
 		Node:         cfg.Node,
@@ -96,7 +90,7 @@
 		BatchLimit:   cfg.BatchLimit,
 		QueueLimit:   cfg.QueueLimit,
 		SilenceLimit: cfg.SilenceLimit.Std(),
-		HoldInterval: cfg.Hold.ReconcileInterval.Std(),
+		Hold:         holdConfig(cfg),
 		Incarnation:  uuid.NewString(),
 		Log:          env.Log,
 	}
@@ -108,7 +102,26 @@
 		service := engine.NewService(cfg.Upstream.ID, cfg.Upstream.URL, transport)
 		c.Service, c.closeUpstream = service, service.Close
 	}
-	return New(c)
+	var vms platform.VMList
+	if cfg.PlatformURL != "" {
+		client := platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
+		c.Table, vms = client, client
+	}
+	s, err := New(c)
+	if err != nil {
+		return nil, err
+	}
+	s.vms = vms
+	return s, nil
+}
+
+func holdConfig(cfg *settings.Side) hold.Config {
+	h := hold.DefaultConfig(cfg.Upstream.ID)
+	h.LeaseTime = cfg.Hold.LeaseTime.Std()
+	h.ReconcileInterval = cfg.Hold.ReconcileInterval.Std()
+	h.MaxTokens = cfg.Hold.MaxTokens
+	h.MaxLeases = cfg.Hold.MaxLeases
+	return h
 }
 
 func (s *Server) closeUpstream() {
