--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -112,8 +112,7 @@
 
 // attemptBase sets the attempts of different homes of one program apart.
 func attemptBase(log structs.LogID) uint32 {
-	const attemptBits = 8
-	return uint32(xxhash.Sum64String(string(log))) &^ (1<<attemptBits - 1)
+	return uint32(xxhash.Sum64String(string(log))) &^ (1<<program.AttemptBits - 1)
 }
 
 // Runner runs programs. All methods may be called from any goroutine.
--- a/program/agent.go
+++ b/program/agent.go
@@ -53,15 +53,15 @@
 	}
 	free := m.ledger.free()
 	share := free.div(waiting + 1)
-	// One agent is the sub-agent itself; the parent needs none for itself.
-	share.Agents = free.Agents / waiting
+	// The parent needs no agent for itself; the first of a share is the sub-agent.
+	share.Agents = min(max(free.Agents/waiting, 1), free.Agents)
 	return share
 }
 
 func (m *Machine) launchAgent(now time.Time, c *call) {
 	m.emit(StartAgent{
 		Call:    c.id,
-		Attempt: m.attempt(c),
+		Attempt: c.attempt,
 		Task:    c.task,
 		Spec: structs.ProgramSpec{
 			Organisation: m.spec.Organisation,
@@ -88,12 +88,14 @@
 	if c == nil || c.kind != callAgent {
 		return
 	}
-	charged := msg.Charged.add(Amount{Agents: 1})
-	m.settle(c, charged)
+	// After a restart a sub-agent may report more than the record of its end says.
+	charged := msg.Charged.add(Amount{Agents: 1}).min(c.reserved)
+	m.ledger.settleShare(c.id, c.reserved, charged, m.seq+1)
+	c.reserved = Amount{}
+	m.record(drawEntry{Call: c.id, Share: charged})
 	usage := msg.Usage
 	usage.Agents++
 	m.use(usage)
-	delete(m.ledger.shares, c.id)
 	if msg.Refusal != nil {
 		m.fail(now, c, msg.Refusal)
 	} else {
--- a/program/budget.go
+++ b/program/budget.go
@@ -58,16 +58,24 @@
 	stated  Amount
 	drawn   Amount
 	pending []draw
-	// shares holds the reservation of each sub-agent under way.
+	// shares holds the reservation of each sub-agent of the present step.
 	shares map[structs.CallID]Amount
+	// returning is what finished sub-agents left of their shares. A restart that does not
+	// find the record of it keeps the whole share for the sub-agent, so until the commit
+	// nothing may run on what is left.
+	returning []draw
 }
 
 func newLedger(b structs.Budget, divisor int64) ledger {
 	limit := Amount{Tokens: b.Tokens, Calls: b.Calls, ToolTime: b.ToolTime, Agents: b.Agents}
-	return ledger{limit: limit, lump: limit.div(divisor).max(minLump).min(limit)}
+	least := minLump.min(limit.div(minLumps))
+	return ledger{limit: limit, lump: limit.div(divisor).max(least)}
 }
 
-// minLump is the least draw: about one turn of a small program.
+// minLumps is the least number of lumps of a budget, since each crash loses up to one and a half.
+const minLumps = 4
+
+// minLump is the least draw of a larger budget: about one turn of a small program.
 var minLump = Amount{Tokens: 16 << 10, Calls: 8, ToolTime: time.Minute, Agents: 1}
 
 // free returns what is neither spent nor reserved.
@@ -81,13 +89,22 @@
 // reserve takes need, which must fit, and states a larger total when the last one does not cover it.
 func (l *ledger) reserve(need Amount) {
 	l.reserved = l.reserved.add(need)
-	if !l.spent.add(l.reserved).within(l.stated) {
+	if !l.taken().min(l.limit).within(l.stated) {
 		l.raise()
 	}
 }
 
-// covered reports whether the usable part covers all reservations.
-func (l *ledger) covered() bool { return l.spent.add(l.reserved).within(l.usable()) }
+// taken is what no restart may find free: what is spent, reserved or not yet returned.
+func (l *ledger) taken() Amount {
+	taken := l.spent.add(l.reserved)
+	for _, r := range l.returning {
+		taken = taken.add(r.total)
+	}
+	return taken
+}
+
+// covered reports whether the usable part covers all that is taken.
+func (l *ledger) covered() bool { return l.taken().within(l.usable()) }
 
 // unrecorded reports whether the stated total is in no record yet.
 func (l *ledger) unrecorded() bool { return l.lastRecorded() != l.stated }
@@ -105,6 +122,14 @@
 	l.spent = l.spent.add(used)
 }
 
+// settleShare ends the reservation of a sub-agent that used so much of it, as the next
+// record, numbered seq, says.
+func (l *ledger) settleShare(call structs.CallID, share, used Amount, seq uint64) {
+	l.settle(share, used)
+	l.shares[call] = used
+	l.returning = append(l.returning, draw{seq: seq, total: share.sub(used)})
+}
+
 // usable is the smallest total that a restart could find in the journal.
 func (l *ledger) usable() Amount {
 	usable := l.drawn
@@ -116,13 +141,21 @@
 
 // raise states a total that covers all reservations and one lump.
 func (l *ledger) raise() {
-	target := l.spent.add(l.reserved).add(l.lump).min(l.limit)
+	target := l.taken().add(l.lump).min(l.limit)
 	l.stated = l.stated.max(target)
 }
 
+// topUp states a larger total before the lump is used up, so that the draw is committed
+// by the time it is needed.
+func (l *ledger) topUp() {
+	if !l.taken().add(l.lump.div(2)).min(l.limit).within(l.stated) {
+		l.raise()
+	}
+}
+
 // lower gives back what was drawn beyond the reservations and one lump.
 func (l *ledger) lower() {
-	target := l.spent.add(l.reserved).add(l.lump).min(l.limit)
+	target := l.taken().add(l.lump).min(l.limit)
 	l.stated = l.stated.min(target)
 }
 
@@ -133,17 +166,31 @@
 	}
 }
 
-// commit takes over the draws of the records up to seq.
+// commit takes over the draws and the returns of the records up to seq.
 func (l *ledger) commit(seq uint64) {
+	n := reached(l.pending, seq)
+	if n > 0 {
+		l.drawn = l.pending[n-1].total
+	}
+	l.pending = drop(l.pending, n)
+	l.returning = drop(l.returning, reached(l.returning, seq))
+}
+
+// reached returns the number of draws in the records up to seq.
+func reached(draws []draw, seq uint64) int {
 	n := 0
-	for n < len(l.pending) && l.pending[n].seq <= seq {
-		l.drawn = l.pending[n].total
+	for n < len(draws) && draws[n].seq <= seq {
 		n++
 	}
-	l.pending = l.pending[n:]
-	if len(l.pending) == 0 {
-		l.pending = nil
+	return n
+}
+
+// drop removes the first n draws and lets go of the memory when none is left.
+func drop(draws []draw, n int) []draw {
+	if n == len(draws) {
+		return nil
 	}
+	return draws[n:]
 }
 
 // restore takes the state that a record stated. All that was drawn counts as spent,
@@ -154,6 +201,7 @@
 		reserved = reserved.add(share)
 	}
 	l.stated, l.drawn, l.pending = stated, stated, nil
+	l.returning = nil
 	l.shares = shares
 	l.reserved = reserved
 	l.spent = stated.sub(reserved)
--- a/program/call.go
+++ b/program/call.go
@@ -33,10 +33,12 @@
 
 // call is one step of the turn under way.
 type call struct {
-	id       structs.CallID
-	kind     callKind
-	state    callState
-	attempts uint32
+	id    structs.CallID
+	kind  callKind
+	state callState
+	// attempts counts the attempts, attempt numbers the present one.
+	attempts int
+	attempt  uint32
 	reserved Amount
 	// needSeq is the record that must be committed before the call is sent.
 	needSeq       uint64
@@ -53,9 +55,6 @@
 	result    string
 }
 
-// attempt numbers the present attempt, unlike those of other homes.
-func (m *Machine) attempt(c *call) uint32 { return m.cfg.AttemptBase + c.attempts }
-
 // active returns the call with this id when attempt is its present one and its answer is awaited.
 func (m *Machine) active(id structs.CallID, attempt uint32) *call {
 	t := m.current
@@ -63,7 +62,7 @@
 		return nil
 	}
 	for _, c := range t.calls() {
-		if c.id == id && c.state == callActive && m.attempt(c) == attempt {
+		if c.id == id && c.state == callActive && c.attempt == attempt {
 			return c
 		}
 	}
@@ -111,6 +110,8 @@
 func (m *Machine) launch(now time.Time, c *call) {
 	c.state = callActive
 	c.attempts++
+	m.attempts++
+	c.attempt = m.cfg.AttemptBase + m.attempts
 	c.started = now
 	c.deadline = time.Time{}
 	m.current.launched++
@@ -158,7 +159,7 @@
 func (m *Machine) abandon(c *call) {
 	switch c.state {
 	case callActive:
-		m.emit(CancelCall{Call: c.id, Attempt: m.attempt(c)})
+		m.emit(CancelCall{Call: c.id, Attempt: c.attempt})
 		m.settle(c, c.reserved)
 	case callWaiting, callBackoff:
 		m.withdraw(c)
--- a/program/checkpoint.go
+++ b/program/checkpoint.go
@@ -48,10 +48,12 @@
 
 // Snapshot returns the whole state as one checkpoint record. It covers the records made
 // so far, committed or not.
-func (m *Machine) Snapshot() Entry {
+func (m *Machine) Snapshot() Entry { return m.snapshot(m.ledger.lastRecorded()) }
+
+func (m *Machine) snapshot(drawn Amount) Entry {
 	frames := m.history.snapshot()
 	c := checkpoint{
-		header:       header{Program: m.id, Seq: m.seq, Drawn: m.ledger.stated},
+		header:       header{Program: m.id, Seq: m.seq, Drawn: drawn},
 		Spec:         m.spec,
 		Shares:       m.ledger.shares,
 		Usage:        m.usage,
@@ -80,10 +82,7 @@
 // HandOver returns the checkpoint with which another home continues the program. The
 // machine takes no further message. Calls in flight are charged as reserved, and nothing
 // that was drawn is lost.
-func (m *Machine) HandOver() Entry {
-	m.ledger.stated = m.ledger.spent.add(m.ledger.reserved)
-	return m.Snapshot()
-}
+func (m *Machine) HandOver() Entry { return m.snapshot(m.ledger.taken()) }
 
 // encodeCheckpoint writes the length of the JSON part, the JSON part and the frames.
 func encodeCheckpoint(c checkpoint, frames []frame) []byte {
--- a/program/entry.go
+++ b/program/entry.go
@@ -90,7 +90,8 @@
 	Final bool `json:"final,omitempty"`
 }
 
-// drawEntry states a draw; Call is empty or the sub-agent whose share it is.
+// drawEntry states a draw. Call is empty, or a sub-agent whose share is stated: what it
+// may use or, once it has ended, what it used.
 type drawEntry struct {
 	Call  structs.CallID `json:"call,omitempty"`
 	Share Amount         `json:"share"`
@@ -124,6 +125,7 @@
 // record numbers a record and emits it.
 func (m *Machine) record(body entryBody) uint64 {
 	m.seq++
+	m.ledger.topUp()
 	m.ledger.recorded(m.seq)
 	head := header{Program: m.id, Seq: m.seq, Drawn: m.ledger.stated}
 	m.emit(Record{Seq: m.seq, Kind: body.kind(), Data: encodeEntry(head, body)})
--- a/program/program.go
+++ b/program/program.go
@@ -58,10 +58,14 @@
 	KeptWait time.Duration
 	// CompressAfter is the idle time after which the history is compressed.
 	CompressAfter time.Duration
-	// AttemptBase is added to each attempt number, so that homes of one program number apart.
+	// AttemptBase is added to each attempt number, so that homes of one program number
+	// apart. Its lower AttemptBits bits are 0.
 	AttemptBase uint32
 }
 
+// AttemptBits is the number of bits in which a home numbers the calls of one program.
+const AttemptBits = 16
+
 // Defaults of Config.
 const (
 	DefaultTokens           = 4_000_000
@@ -134,6 +138,9 @@
 	turns   []turnResult
 	current *turn
 	endings []ending
+	// freed is the last turn that was not consumed. Until its end is committed a restart
+	// could go on with it, so its number takes the same submission only.
+	freed   ending
 	ended   bool
 	closing uint64
 	// restored says that Resume has not come yet.
@@ -143,6 +150,10 @@
 	seq       uint64
 	committed uint64
 
+	// attempts numbers the calls sent from this home. A turn that was not consumed leaves
+	// its call ids to the next one of its number, so no attempt number is used twice.
+	attempts uint32
+
 	idleSince time.Time
 	timer     time.Time
 	effects   []Effect
--- a/program/tool.go
+++ b/program/tool.go
@@ -88,7 +88,7 @@
 	}
 	m.emit(CallTool{Request: structs.ToolRequest{
 		Call:          c.id,
-		Attempt:       m.attempt(c),
+		Attempt:       c.attempt,
 		Program:       m.id,
 		Organisation:  m.spec.Organisation,
 		Name:          c.tool.Name,
@@ -114,9 +114,10 @@
 	m.advanceSame(now)
 }
 
-// settleTool charges the time from sending to now.
+// settleTool charges the time from sending to now. The service is not given more than the
+// timeout; what an action waits for its row beyond it is not the tool's time.
 func (m *Machine) settleTool(now time.Time, c *call) {
-	elapsed := max(now.Sub(c.started), 0)
+	elapsed := min(max(now.Sub(c.started), 0), c.timeout)
 	m.settle(c, Amount{Calls: 1, ToolTime: elapsed})
 	m.use(structs.Usage{Calls: 1, ToolTime: elapsed})
 }
@@ -138,7 +139,7 @@
 
 // timeOut gives up a repeatable tool call whose time is over.
 func (m *Machine) timeOut(now time.Time, c *call) {
-	m.emit(CancelCall{Call: c.id, Attempt: m.attempt(c)})
+	m.emit(CancelCall{Call: c.id, Attempt: c.attempt})
 	m.settleTool(now, c)
 	m.fail(now, c, structs.Refusalf(structs.CodeToolTimeout, structs.OutcomeUnknown, toolStep(c), "no result within %s", c.timeout))
 	m.advanceSame(now)
@@ -169,7 +170,7 @@
 	case c.nonRepeatable && refusal.Outcome == structs.OutcomeUnknown:
 		m.refuse(now, structs.CodeActionInDoubt, toolStep(c), "action %q: %s: %s", c.id, refusal.Code, refusal.Detail)
 	case t.toolFailures >= m.cfg.ToolFailures:
-		m.endTurn(now, refusal)
+		m.refuse(now, refusal.Code, toolStep(c), "%d calls of the turn failed, the last: %s", t.toolFailures, refusal.Detail)
 	}
 }
 
@@ -197,8 +198,8 @@
 	for _, c := range t.batch {
 		results = append(results, toolMessage(c))
 	}
-	m.ledger.shares = nil
 	m.recordStep(m.extend(results...), false)
+	m.ledger.shares = nil
 	m.closeAgents(t.batch)
 	looping := m.countRepeats(t.batch)
 	t.batch = nil
--- a/program/turn.go
+++ b/program/turn.go
@@ -199,6 +199,9 @@
 		return structs.Refusalf(structs.CodeTooLarge, structs.OutcomeNotRun, stepSubmit,
 			"history would have %d tokens of at most %d", length, m.cfg.MaxHistoryTokens)
 	}
+	if f := m.freed; f.seq > m.committed && (f.key != msg.Key || f.payload != payload) {
+		return keyReused(msg, "turn number")
+	}
 	m.current = &turn{
 		number:   msg.Number,
 		key:      msg.Key,
@@ -273,7 +276,6 @@
 	results := m.abandonCalls(&refusal)
 	m.current = nil
 	m.idleSince = now
-	m.ledger.shares = nil
 	m.ledger.lower()
 	if !t.recorded && !t.applied {
 		m.emit(Refuse{Turn: t.number, Refusal: &refusal})
@@ -287,12 +289,14 @@
 	}
 	end.Delta.After = m.history.digest
 	seq := m.record(end)
+	m.ledger.shares = nil
 	m.closeAgents(t.batch)
 	e := ending{turn: t.number, seq: seq, until: now.Add(m.cfg.KeptWait), key: t.key, payload: t.payload}
 	if t.applied {
 		m.turns = append(m.turns, turnResult{key: t.key, payload: t.payload, refusal: &refusal, usage: t.usage, seq: seq})
 	} else {
 		e.refusal = &refusal
+		m.freed = e
 	}
 	m.endings = append(m.endings, e)
 }
@@ -347,7 +351,7 @@
 		m.answer(number, kept, true)
 		return
 	}
-	m.emit(Refuse{Turn: number, Refusal: past.refusal})
+	m.emit(Refuse{Turn: number, Refusal: uncommitted(past.refusal, kept)})
 }
 
 func (m *Machine) answer(number uint32, kept, final bool) {
@@ -379,9 +383,10 @@
 	m.endings = rest
 }
 
-// uncommitted takes back "not run" while a restart could still find the turn recorded.
+// uncommitted says that the outcome is unknown while a restart could still find the turn as
+// it was before its end.
 func uncommitted(r *structs.Refusal, kept bool) *structs.Refusal {
-	if kept || r.Outcome != structs.OutcomeNotRun {
+	if kept {
 		return r
 	}
 	out := *r
