--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -122,3 +123,15 @@
 	}
 	return structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, "read body", "the body is not the JSON expected: %s", err)
 }
+
+// Refusal returns the refusal that the problem document stands for.
+func (p Problem) Refusal() *structs.Refusal {
+	return &structs.Refusal{
+		Code:       p.Code,
+		Outcome:    p.Outcome,
+		Step:       p.Step,
+		Peer:       p.Peer,
+		RetryAfter: time.Duration(p.RetryAfterSeconds * float64(time.Second)),
+		Detail:     p.Detail,
+	}
+}
