--- a/internal/committer/close.go
+++ b/internal/committer/close.go
@@ -13,7 +13,7 @@
 type Handover func(ctx context.Context, log structs.LogID) error
 
 // Close refuses further appends, waits until all that was appended is kept, and then
-// deletes the log if no program is live, or hands it over. It ends the duties in any case.
+// deletes the log if it holds nothing, or hands it over. It ends the duties in any case.
 // When the hand-over fails or ctx ends, the log stays unsealed, and other processes adopt
 // it as they do after a crash; Close then returns the error.
 func (c *Committer) Close(ctx context.Context, handover Handover) error {
@@ -47,7 +47,7 @@
 	if err != nil {
 		return errors.Wrap(err, "commit before closing")
 	}
-	if c.Status().Programs > 0 {
+	if s := c.Status(); s.Programs > 0 || s.Redirects > 0 {
 		if handover == nil {
 			return nil
 		}
--- a/internal/committer/committer_test.go
+++ b/internal/committer/committer_test.go
@@ -173,7 +173,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakePlatform()
 		a := open(t, f, "a", Config{})
-		b := open(t, f, "b", Config{})
+		b := open(t, f, "b", Config{Journal: journal.Config{RedirectRetention: time.Millisecond}})
 		submit(t, a, 1, "x", journal.MarkNone)
 		f.loseAnswers = 1
 		submit(t, a, 1, "y", journal.MarkNone)
@@ -190,6 +190,7 @@
 		sequence, err := b.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "end", Mark: journal.MarkEnd})
 		must(t, err)
 		must(t, b.Wait(t.Context(), sequence))
+		must(t, b.await(t.Context(), func(s journal.Status) bool { return s.Redirects == 0 }))
 		must(t, b.Close(t.Context(), nil))
 		if len(f.rows)+len(f.objects) != 0 {
 			t.Fatalf("rows %v and objects %v are left", f.rows, f.objects)
--- a/journal/adopt.go
+++ b/journal/adopt.go
@@ -117,24 +117,43 @@
 			if len(records) > 0 {
 				number = records[len(records)-1].Number + 1
 			}
-			m.apply(sealTxn(next.log, number, m.cfg.Log), func(o Outcome) {
-				if o == Done {
+			m.apply(sealTxn(next.log, number, base.version, m.cfg.Log), func(o Outcome) {
+				switch o {
+				case Done:
 					m.take(a, next)
-					return
+				case ConditionFailed:
+					m.whileUnsealed(func() { m.sealAgain(a, next, nil) })
+				default:
+					m.sealAgain(a, next, nil)
 				}
-				m.sealAgain(a, next, nil)
 			})
 		})
 	})
 }
 
-// sealTxn creates the seal record and the seal row, and deletes the open row. The open
-// row's condition is part of the fence: it never comes back.
-func sealTxn(log structs.LogID, number uint64, successor structs.LogID) Txn {
+// whileUnsealed goes on with f unless the own log is sealed.
+func (m *Machine) whileUnsealed(f func()) {
+	m.getRow(SealKey(m.cfg.Log), func(r Result) {
+		if r.Outcome == Done {
+			m.lost()
+			return
+		}
+		f()
+	})
+}
+
+// sealTxn creates the seal record and the seal row, and deletes the open row, which never
+// comes back. The successor has to be unsealed itself: else two logs could seal each other,
+// and nobody would hold the programs of either. The checkpoint has to be the one that was
+// read: else the number may be that of a record created and trimmed since.
+func sealTxn(log structs.LogID, number uint64, checkpointVersion int64, successor structs.LogID) Txn {
 	key := RecordKey(log, number)
 	record := Record{Kind: RecordSeal, Log: log, Number: number, Successor: successor}
 	return Txn{
-		Conditions: append(Unsealed(log), Condition{Key: key, Version: platform.Absent}),
+		Conditions: slices.Concat(Unsealed(log), Unsealed(successor), []Condition{
+			{Key: key, Version: platform.Absent},
+			{Key: CheckpointKey(log), Version: checkpointVersion},
+		}),
 		Writes: []Write{
 			{Key: key, Value: record.Encode()},
 			{Key: SealKey(log), Value: mustJSON(Seal{Successor: successor, Number: number})},
@@ -235,6 +254,7 @@
 	m.whenCommitted(m.lastSequence, func() {
 		m.endAdoption(a, a.entries, nil)
 		for _, t := range a.taken {
+			m.keepRedirect(t.log)
 			m.removeLog(t.log)
 		}
 	})
--- a/journal/checkpoint.go
+++ b/journal/checkpoint.go
@@ -149,13 +149,7 @@
 // that an earlier attempt took effect, or that the log is sealed, which the next record finds.
 func (m *Machine) retryCheckpoint(job *checkpointJob, o Outcome) {
 	if o == ConditionFailed {
-		m.getRow(SealKey(m.cfg.Log), func(r Result) {
-			if r.Outcome == Done {
-				m.lost()
-				return
-			}
-			m.repeatCheckpoint(job)
-		})
+		m.whileUnsealed(func() { m.repeatCheckpoint(job) })
 		return
 	}
 	m.repeatCheckpoint(job)
--- a/journal/config.go
+++ b/journal/config.go
@@ -34,6 +34,9 @@
 	MaxParts int
 	// TxnWrites bounds the writes of one transaction.
 	TxnWrites int
+	// RedirectRetention is the time for which a redirect row is kept at least. It has to
+	// exceed the longest time for which a request to the platform may be delayed on its way.
+	RedirectRetention time.Duration
 	// BackoffMin and BackoffMax bound the wait before a failed request is repeated.
 	BackoffMin time.Duration
 	BackoffMax time.Duration
@@ -41,18 +44,19 @@
 
 // Defaults of Config.
 const (
-	DefaultPlatformWrites  = 300.0
-	DefaultShare           = 0.6
-	DefaultMinInterval     = 5 * time.Millisecond
-	DefaultBurst           = 4
-	DefaultInlineBytes     = 32 << 10
-	DefaultBatchBytes      = 4 << 20
-	DefaultPendingBytes    = 16 << 20
-	DefaultCheckpointEvery = 64
-	DefaultMaxParts        = 16
-	DefaultTxnWrites       = 100
-	DefaultBackoffMin      = 20 * time.Millisecond
-	DefaultBackoffMax      = 2 * time.Second
+	DefaultPlatformWrites    = 300.0
+	DefaultShare             = 0.6
+	DefaultMinInterval       = 5 * time.Millisecond
+	DefaultBurst             = 4
+	DefaultInlineBytes       = 32 << 10
+	DefaultBatchBytes        = 4 << 20
+	DefaultPendingBytes      = 16 << 20
+	DefaultCheckpointEvery   = 64
+	DefaultMaxParts          = 16
+	DefaultTxnWrites         = 100
+	DefaultRedirectRetention = time.Hour
+	DefaultBackoffMin        = 20 * time.Millisecond
+	DefaultBackoffMax        = 2 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -66,6 +70,7 @@
 	setDefault(&c.CheckpointEvery, DefaultCheckpointEvery)
 	setDefault(&c.MaxParts, DefaultMaxParts)
 	setDefault(&c.TxnWrites, DefaultTxnWrites)
+	setDefault(&c.RedirectRetention, DefaultRedirectRetention)
 	setDefault(&c.BackoffMin, DefaultBackoffMin)
 	setDefault(&c.BackoffMax, DefaultBackoffMax)
 	return c
--- a/journal/keys.go
+++ b/journal/keys.go
@@ -108,6 +108,8 @@
 	Through uint64 `json:"through"`
 	Trimmed uint64 `json:"trimmed"`
 	Parts   []part `json:"parts"`
+	// version is the row's; zero says that there is none.
+	version int64
 }
 
 func decodeCheckpoint(value []byte) (checkpoint, error) {
--- a/journal/machine.go
+++ b/journal/machine.go
@@ -39,8 +39,12 @@
 	checkpoints checkpointer
 	adoption    *adoption
 	toAdopt     []structs.LogID
-	forgetting  bool
-	retire      retirement
+	// removing are the logs whose records are being deleted.
+	removing map[structs.LogID]bool
+	// keepUntil is the time before which a log's redirect row is not deleted.
+	keepUntil  map[structs.LogID]time.Time
+	forgetting bool
+	retire     retirement
 
 	outageSince time.Time
 }
@@ -54,6 +58,9 @@
 		calls: make(map[uint64]*call),
 		pace:  newPace(cfg),
 		state: newState(),
+
+		removing:  make(map[structs.LogID]bool),
+		keepUntil: make(map[structs.LogID]time.Time),
 	}
 }
 
@@ -187,8 +194,9 @@
 	Committed, Last uint64
 	// PendingBytes is the size of the entries not yet committed.
 	PendingBytes int
-	// Programs is the number of live programs.
-	Programs int
+	// Programs is the number of live programs, Redirects that of the logs taken over whose
+	// redirect row exists.
+	Programs, Redirects int
 	// OutageSince is when the platform ceased to answer; zero while it does.
 	OutageSince time.Time
 	// Interval is the time that one write takes up.
@@ -200,7 +208,7 @@
 	return Status{
 		Opened: m.opened, Stopped: m.stopped, Successor: m.successor,
 		Records: m.nextNumber, Committed: m.committed, Last: m.lastSequence,
-		PendingBytes: m.pendingBytes(), Programs: len(m.state.live),
+		PendingBytes: m.pendingBytes(), Programs: len(m.state.live), Redirects: len(m.state.adopted),
 		OutageSince: m.outageSince, Interval: m.pace.interval(),
 	}
 }
--- a/journal/read.go
+++ b/journal/read.go
@@ -25,6 +25,7 @@
 				done(base, nil, err)
 				return
 			}
+			base.version = r.Row.Version
 			after = RecordKey(log, base.Through)
 		}
 		m.scanAll(RecordPrefix(log), after, func(rows []Row) {
--- a/journal/remove.go
+++ b/journal/remove.go
@@ -8,6 +8,8 @@
 // committed in the own log; whoever adopts this log does so again. The seal row stays as
 // the redirect of callers until forgetRedirects.
 func (m *Machine) removeLog(log structs.LogID) {
+	m.removing[log] = true
+	removed := func() { delete(m.removing, log) }
 	m.getRow(CheckpointKey(log), func(r Result) {
 		var objects []string
 		if c, err := decodeCheckpoint(r.Row.Value); r.Outcome == Done && err == nil {
@@ -17,6 +19,7 @@
 		}
 		m.scanAll(RecordPrefix(log), "", func(rows []Row) {
 			if len(rows) == 0 {
+				removed()
 				return
 			}
 			writes := []Write{{Key: CheckpointKey(log), Delete: true}}
@@ -24,7 +27,7 @@
 				writes = append(writes, Write{Key: row.Key, Delete: true})
 				objects = append(objects, objectsOf(log, row)...)
 			}
-			m.deleteObjects(objects, func() { m.deleteRows(writes, func() {}) })
+			m.deleteObjects(objects, func() { m.deleteRows(writes, removed) })
 		})
 	})
 }
@@ -59,24 +62,36 @@
 	})
 }
 
-// forgetRedirects deletes the redirect rows that no live program needs any more.
+// forgetRedirects deletes the redirect rows that no live program needs any more. A log
+// whose deletion is under way is kept in mind, so that whoever adopts this one finishes it.
+// A row stays for a while in any case: a repetition of the transaction that opened the log,
+// delayed on its way until both the open row and the seal row are gone, would open it again.
 func (m *Machine) forgetRedirects() {
 	if m.stopped || len(m.state.adopted) == 0 || m.forgetting || m.adoption != nil {
 		return
 	}
 	for _, log := range sortedKeys(m.state.adopted) {
-		if m.state.redirectNeeded(log) {
+		if m.now.Before(m.keepUntil[log]) || m.removing[log] || m.state.redirectNeeded(log) {
 			continue
 		}
 		m.forgetting = true
 		m.deleteRows([]Write{{Key: SealKey(log), Delete: true}}, func() {
 			sequence := m.appendOwn(kindForgotten, log)
-			m.whenCommitted(sequence, func() { m.forgetting = false })
+			m.whenCommitted(sequence, func() {
+				m.forgetting = false
+				delete(m.keepUntil, log)
+			})
 		})
 		return
 	}
 }
 
+// keepRedirect keeps the log's redirect row for the time that the settings give.
+func (m *Machine) keepRedirect(log structs.LogID) {
+	m.keepUntil[log] = m.now.Add(m.cfg.RedirectRetention)
+	m.after(m.cfg.RedirectRetention, func() {})
+}
+
 // retirement is the deletion of the own log by its holder.
 type retirement struct {
 	wanted bool
--- /dev/null
+++ b/journal/script_test.go
@@ -0,0 +1,178 @@
+package journal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// TestScripts runs the scripts of testdata. Each line of a block is one verb:
+//
+//	start NODE | kill NODE | pause NODE | resume NODE | cut NODE | heal [NODE] | outage
+//	lose-answer|late|duplicate|reorder|refuse NODE [TIMES]   the node's next requests
+//	submit NODE PROGRAM TEXT [end|reset|bytes=N]
+//	adopt NODE LOG | retire NODE | nodes NODE COUNT | advance DURATION
+//	expect NODE | expect PROGRAM | expect rows | expect writes
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		var w *world
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "world" {
+				w = newWorld(scriptConfig(t, d))
+			}
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				if words := strings.Fields(line); len(words) > 0 {
+					out.WriteString(w.run(t, d, words))
+				}
+				if w.broken != "" {
+					d.Fatalf(t, "after %q: %s", strings.TrimSpace(line), w.broken)
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+func scriptConfig(t *testing.T, d *datadriven.TestData) Config {
+	cfg := Config{MinInterval: time.Millisecond, CheckpointEvery: 4, MaxParts: 2, RedirectRetention: time.Second}
+	for name, field := range map[string]*int{
+		"inline": &cfg.InlineBytes, "pending": &cfg.PendingBytes,
+		"checkpoint": &cfg.CheckpointEvery, "batch": &cfg.BatchBytes,
+	} {
+		if d.HasArg(name) {
+			d.ScanArgs(t, name, field)
+		}
+	}
+	return cfg
+}
+
+// run carries out one verb and returns its output.
+func (w *world) run(t *testing.T, d *datadriven.TestData, words []string) string {
+	verb, args := words[0], words[1:]
+	var n *node
+	if len(args) > 0 {
+		n = w.nodes[args[0]]
+	}
+	switch verb {
+	case "start":
+		w.start(args[0])
+	case "kill":
+		n.dead = true
+	case "pause":
+		n.paused = true
+	case "resume":
+		w.resume(n)
+	case "cut":
+		n.cut = true
+	case "outage":
+		w.outage = true
+	case "heal":
+		w.outage = false
+		for _, n := range w.nodes {
+			n.cut = n.cut && len(args) > 0 && n.name != args[0]
+		}
+	case "lose-answer", "late", "duplicate", "reorder", "refuse":
+		times := 1
+		if len(args) > 1 {
+			fmt.Sscan(args[1], &times)
+		}
+		for range times {
+			n.faults = append(n.faults, verb)
+		}
+	case "submit":
+		if !w.runSubmit(n, args) {
+			return fmt.Sprintf("%s refuses %s\n", n.name, strings.Join(args[1:], " "))
+		}
+	case "adopt":
+		w.deliver(n, Adopt{Log: structs.LogID(args[1])})
+	case "retire":
+		w.deliver(n, Retire{})
+	case "nodes":
+		count := 0
+		fmt.Sscan(args[1], &count)
+		w.deliver(n, Nodes{Count: count})
+	case "advance":
+		step, err := time.ParseDuration(args[0])
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		w.advance(step)
+	case "corrupt":
+		value := w.objects[args[0]]
+		if value == nil {
+			value = w.rows[args[0]].Value
+		}
+		value[len(value)/2] ^= 1
+	case "expect":
+		return w.describe(args[0])
+	default:
+		d.Fatalf(t, "unknown verb %q", verb)
+	}
+	return ""
+}
+
+func (w *world) runSubmit(n *node, args []string) bool {
+	text, mark := args[2], MarkNone
+	for _, option := range args[3:] {
+		size := 0
+		if k, _ := fmt.Sscanf(option, "bytes=%d", &size); k == 1 {
+			text += strings.Repeat(".", size)
+		}
+		if option == "end" {
+			mark = MarkEnd
+		}
+		if option == "reset" {
+			mark = MarkReset
+			w.kept[structs.ProgramID(args[1])] = nil
+		}
+	}
+	return w.submit(n, structs.ProgramID(args[1]), text, mark)
+}
+
+// describe returns what a script expects: a node's state, a program's kept entries and
+// who runs it, the platform's rows and objects, or its writes so far.
+func (w *world) describe(what string) string {
+	if n := w.nodes[what]; n != nil {
+		s := n.machine.Status()
+		text := fmt.Sprintf("%s: committed %d of %d, %d programs", what, s.Committed, s.Last, s.Programs)
+		if !s.OutageSince.IsZero() {
+			text += ", outage"
+		}
+		for _, o := range n.outcomes {
+			text += "\n  " + o
+		}
+		n.outcomes = nil
+		return text + "\n"
+	}
+	switch what {
+	case "rows":
+		var out strings.Builder
+		for _, key := range sortedKeys(w.rows) {
+			fmt.Fprintf(&out, "%s\n", key)
+		}
+		for _, key := range sortedKeys(w.objects) {
+			fmt.Fprintf(&out, "object %s\n", key)
+		}
+		return out.String()
+	case "writes":
+		writes := w.writes
+		w.writes = 0
+		return fmt.Sprintf("%d writes\n", writes)
+	}
+	p := structs.ProgramID(what)
+	return fmt.Sprintf("%s: %s at %s\n", what, shorten(w.kept[p]), w.owner[p])
+}
+
+func shorten(texts []string) string {
+	short := make([]string, len(texts))
+	for i, s := range texts {
+		short[i] = strings.TrimRight(s, ".")
+	}
+	return strings.Join(short, " ")
+}
