--- /dev/null
+++ b/cmd/buckthorn-playground/programs.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/internal/inprocess"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// script is one program: its caller and the contents of its turns. A line that
+// begins with "plan:" tells the model stand-in what to do.
+type script struct {
+	name         string
+	organisation structs.OrganisationID
+	request      httpapi.OpenRequest
+	turns        []string
+}
+
+// taichungPrograms are a clerk's drafting session and two citizens' questions.
+func taichungPrograms() []script {
+	draft := httpapi.OpenRequest{Kind: "draft", Model: "portal-chat", System: "You help clerks describe datasets of the council's portal."}
+	question := httpapi.OpenRequest{Kind: "question", Model: "portal-chat", System: "You answer questions about council budgets and meeting records."}
+	return []script{
+		{
+			name: "clerk's draft", organisation: taichungOrganisations[0], request: draft,
+			turns: []string{
+				"Draft a description of the parks budget.\nplan: tool search_records {\"pause_ms\":400}; answer 60",
+				"Add what the council said in May.\nplan: tool read_minutes {\"pause_ms\":800}; agent summarise the May meeting; answer 80",
+				"Publish it.\nplan: tool publish_dataset {\"name\":\"parks-budget\"}; answer 15",
+			},
+		},
+		{
+			name: "citizen's question", organisation: taichungOrganisations[0], request: question,
+			turns: []string{"How much goes to street lights?\nplan: tool search_records {\"pause_ms\":300}; answer 40"},
+		},
+		{
+			name: "reporter's question", organisation: taichungOrganisations[1], request: question,
+			turns: []string{
+				"Which meetings spoke of the bridge?\nplan: tool search_records {\"pause_ms\":300}; answer 40",
+				"And what did they decide?\nplan: tool read_minutes {\"pause_ms\":500}; answer 40",
+			},
+		},
+	}
+}
+
+// hokkaidoPrograms are a newsletter item with sub-agents and a printer order, and a
+// member's question.
+func hokkaidoPrograms() []script {
+	item := httpapi.OpenRequest{Kind: "newsletter", Model: "newsletter", System: "You turn minutes into newsletter items of the branches."}
+	question := httpapi.OpenRequest{Kind: "question", Model: "newsletter", System: "You answer members' questions about past notices."}
+	return []script{
+		{
+			name: "newsletter item", organisation: hokkaidoOrganisations[0], request: item,
+			turns: []string{
+				"Make an item of these minutes.\nplan: tool read_minutes {\"pause_ms\":600}; agent check the dates; agent shorten the raffle; answer 80",
+				"Submit it and order the print.\nplan: tool submit_item {\"branch\":\"kushiro\"}; tool order_printing {\"copies\":420}; answer 15",
+			},
+		},
+		{
+			name: "member's question", organisation: hokkaidoOrganisations[1], request: question,
+			turns: []string{"When was the last bazaar?\nplan: tool search_notices {\"pause_ms\":300}; answer 30"},
+		},
+	}
+}
+
+// report is what became of one program.
+type report struct {
+	script  script
+	id      structs.ProgramID
+	answers int
+	kept    int
+	latency time.Duration
+	usage   structs.Usage
+	err     error
+}
+
+// runPrograms runs all programs at once, each through every entry in turn.
+func runPrograms(ctx context.Context, s *inprocess.System, scripts []script) []report {
+	reports := make([]report, len(scripts))
+	var running sync.WaitGroup
+	for i, program := range scripts {
+		running.Go(func() { reports[i] = runProgram(ctx, s, i, program) })
+	}
+	running.Wait()
+	return reports
+}
+
+func runProgram(ctx context.Context, s *inprocess.System, first int, program script) report {
+	r := report{script: program}
+	client := func(n int) inprocess.Client {
+		return inprocess.Client{URL: s.Entries[n%len(s.Entries)].URL, Token: inprocess.CallerToken(program.organisation)}
+	}
+	started := time.Now()
+	r.id, r.err = client(first).Open(ctx, program.request, program.name)
+	for i, content := range program.turns {
+		if r.err != nil {
+			return r
+		}
+		number := uint32(i + 1)
+		var answer structs.TurnAnswer
+		answer, r.err = client(first+i).Turn(ctx, r.id, number, fmt.Sprintf("turn-%d", number), content)
+		if r.err != nil {
+			return r
+		}
+		r.answers++
+		if answer.Kept {
+			r.kept++
+		}
+		r.usage = r.usage.Add(answer.Usage)
+	}
+	r.latency = time.Since(started)
+	return r
+}
+
+// errNotWhole reports a program that did not finish whole.
+var errNotWhole = errors.New("program did not finish whole")
+
+// wholeness returns an error that names the first program that did not get each of
+// its answers, kept.
+func wholeness(reports []report) error {
+	for _, r := range reports {
+		if r.err != nil {
+			return errors.Wrapf(r.err, "%s (%s)", r.script.name, r.id)
+		}
+		if r.kept != len(r.script.turns) {
+			return errors.Wrapf(errNotWhole, "%s (%s): %d of %d answers kept", r.script.name, r.id, r.kept, len(r.script.turns))
+		}
+	}
+	return nil
+}
