--- a/internal/home/directory.go
+++ b/internal/home/directory.go
@@ -199,9 +199,11 @@
 		return false
 	}
 	switch r.Code {
-	case structs.CodeFenced, structs.CodeHomeUnreachable:
+	case structs.CodeFenced, structs.CodeHomeUnreachable, structs.CodeDraining:
 	case structs.CodeNotReady:
-		return r.Step == StepAdoption
+		if r.Step != StepAdoption {
+			return false
+		}
 	default:
 		return false
 	}
--- /dev/null
+++ b/internal/side/gate_test.go
@@ -0,0 +1,42 @@
+package side
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/buckthornroute/buckthornroute/internal/scenario"
+)
+
+// TestGate drives the gate by the scripts in testdata/gate.txt.
+func TestGate(t *testing.T) {
+	var now time.Time
+	var gate *Gate
+	datadriven.RunTest(t, "testdata/gate.txt", func(t *testing.T, d *datadriven.TestData) string {
+		args := scenario.NewArgs(t, d)
+		switch d.Cmd {
+		case "start":
+			now = time.Unix(0, 0)
+			gate = NewGate(now, args.Duration("silence", 0))
+		case "advance":
+			now = now.Add(args.Duration("by", 0))
+		case "heard":
+			gate.Heard(now)
+		case "drain", "undrain":
+			if err := gate.Operator(uint64(args.Int("version", 0)), d.Cmd == "drain"); err != nil {
+				return err.Error()
+			}
+		case "leaving":
+			gate.Leaving()
+		case "stop":
+			gate.Stop()
+		default:
+			d.Fatalf(t, "unknown verb %q", d.Cmd)
+		}
+		if reason := gate.Closed(now); reason != "" {
+			return "closed: " + reason
+		}
+		return "open"
+	})
+}
