Bound retries by budget, patience and circuits

retry.Machine answers each failed attempt once: with a wait or a final answer. An irreversible step is tried again only when it was surely not run; a circuit is closed by its probe alone. Scripts of preset gained the guards that trials had left unproved: a rate-limited rewrite after an uncertain write, a forgotten switch, a voter that restarts between two answers.

--- a/preset/cluster_test.go
+++ b/preset/cluster_test.go
@@ -30,6 +30,7 @@
 	at    time.Time
 	order int
 	to    structs.NodeID
+	// start is the life of the process that the message is for; 0 reaches any.
 	start uint64
 	msg   Message
 	run   func()
@@ -50,8 +51,10 @@
 	outage     bool
 	loseAnswer int
 	lateWrite  time.Duration
-	duplicate  int
-	reorder    bool
+	// limited is the number of writes that the platform's rate limit refuses next.
+	limited   int
+	duplicate int
+	reorder   bool
 
 	nextID    uint64
 	orders    map[uint64]Switch
@@ -143,7 +146,7 @@
 		return
 	}
 	p := c.nodes[e.to]
-	if p == nil || p.machine == nil || p.starts != e.start {
+	if p == nil || p.machine == nil || (p.starts != e.start && e.start != 0) {
 		return
 	}
 	if _, tick := e.msg.(Tick); tick {
@@ -247,6 +250,9 @@
 			c.after(c.lateWrite, delivery{run: func() { c.apply(w) }})
 			c.lateWrite = 0
 			answer(WriteUnknown)
+		case c.limited > 0:
+			c.limited--
+			answer(WriteNotApplied)
 		case c.outage || !c.reaches(n, platform):
 			answer(WriteUnknown)
 		case !c.apply(w):
@@ -294,7 +300,7 @@
 		if c.reorder {
 			d += time.Duration(c.rng.Int64N(int64(400 * time.Millisecond)))
 		}
-		c.after(d, delivery{to: s.To, start: p.starts, msg: Received{From: from, Message: s.Message}})
+		c.after(d, delivery{to: s.To, msg: Received{From: from, Message: s.Message}})
 	}
 }
 
--- a/preset/preset_test.go
+++ b/preset/preset_test.go
@@ -68,13 +68,15 @@
 		c.cuts[pair(ids[0], ids[1])] = true
 	case "heal":
 		clear(c.cuts)
-		c.outage, c.reorder = false, false
+		c.outage, c.reorder, c.limited = false, false, 0
 	case "outage":
 		c.outage = true
 	case "lose-answer":
 		c.loseAnswer++
 	case "late":
 		c.lateWrite = parseDuration(t, d, string(ids[0]))
+	case "rate-limit":
+		c.limited = 30
 	case "duplicate":
 		c.duplicate = 100
 	case "reorder":
@@ -93,7 +95,13 @@
 		if d.HasArg("nonce") {
 			d.ScanArgs(t, "nonce", &nonce)
 		}
-		c.order(structs.NodeID(node), operator, preset, expected, nonce)
+		times := 1
+		if d.HasArg("times") {
+			d.ScanArgs(t, "times", &times)
+		}
+		for range times {
+			c.order(structs.NodeID(node), operator, preset, expected, nonce)
+		}
 	case "garble":
 		c.value = []byte(`{"version":`)
 	case "expect":
@@ -162,6 +170,7 @@
 		c.lateWrite = time.Duration(rapid.IntRange(1, 7000).Draw(rt, "late")) * time.Millisecond
 	case 9:
 		c.duplicate, c.reorder = 20, !c.reorder
+		c.limited = rapid.IntRange(0, 25).Draw(rt, "limited")
 	default:
 		expected := uint64(0)
 		if p.machine != nil && rapid.Bool().Draw(rt, "exact") {
@@ -174,7 +183,7 @@
 // converge heals all faults and checks that all nodes are fresh at one version in time.
 func converge(rt *rapid.T, c *cluster) {
 	clear(c.cuts)
-	c.outage, c.reorder, c.lateWrite, c.loseAnswer = false, false, 0, 0
+	c.outage, c.reorder, c.lateWrite, c.loseAnswer, c.limited = false, false, 0, 0, 0
 	for _, n := range c.names {
 		if c.nodes[n].machine == nil {
 			c.start(n)
@@ -240,6 +249,34 @@
 	return ops
 }
 
+// TestQuorumOfOneMoment checks that only voters of one life count: b forgot the version
+// between its two answers, c never answered the first round and d has a lower version.
+func TestQuorumOfOneMoment(t *testing.T) {
+	q := newQuorum(3)
+	answers := []struct {
+		from      structs.NodeID
+		seen      Seen
+		ended     bool
+		confirmed int
+	}{
+		{"d", Seen{1, 2, 1}, false, 0},
+		{"a", Seen{1, 3, 1}, false, 0},
+		{"b", Seen{2, 3, 1}, true, 0},
+		{"b", Seen{2, 3, 1}, false, 0},
+		{"a", Seen{4, 3, 1}, false, 1},
+		{"c", Seen{6, 3, 1}, false, 1},
+		{"b", Seen{5, 3, 2}, false, 0},
+		{"a", Seen{7, 3, 1}, true, 0},
+		{"a", Seen{11, 3, 1}, false, 1},
+		{"b", Seen{12, 3, 2}, false, 2},
+	}
+	for i, s := range answers {
+		if ended := q.count(s.from, s.seen, 2, uint64(i+1)); ended != s.ended || len(q.confirmed) != s.confirmed {
+			t.Errorf("answer %d: round ended %v, %d confirmed; want %v, %d", i, ended, len(q.confirmed), s.ended, s.confirmed)
+		}
+	}
+}
+
 func FuzzDecodeRow(f *testing.F) {
 	good, _ := EncodeRow(Row{}.next(Switch{Operator: "o", Nonce: "n", Preset: structs.Preset{Name: "p"}}))
 	f.Add(good)
--- a/preset/quorum.go
+++ b/preset/quorum.go
@@ -8,6 +8,8 @@
 // a voter that restarts later learns it from those that did not. With one round, a
 // voter that restarted between the answers would count although it has forgotten.
 type quorum struct {
+	// version is the one that the voters must have in force.
+	version uint64
 	// incarnations are those that answered in the first round.
 	incarnations map[structs.NodeID]uint64
 	// after is the last number of a push of the first round; 0 while that goes on.
@@ -15,8 +17,9 @@
 	confirmed map[structs.NodeID]bool
 }
 
-func newQuorum() quorum {
+func newQuorum(version uint64) quorum {
 	return quorum{
+		version:      version,
 		incarnations: make(map[structs.NodeID]uint64),
 		confirmed:    make(map[structs.NodeID]bool),
 	}
@@ -25,6 +28,9 @@
 // count counts one answer; last is the last number given to a push. It reports
 // whether the first round has just ended.
 func (q *quorum) count(from structs.NodeID, s Seen, majority int, last uint64) bool {
+	if s.Version < q.version {
+		return false
+	}
 	before, found := q.incarnations[from]
 	if found && before != s.Incarnation {
 		// The voter restarted: the majority has to be found anew.
@@ -32,7 +38,7 @@
 		clear(q.incarnations)
 		clear(q.confirmed)
 	}
-	known := found && before == s.Incarnation
+	_, known := q.incarnations[from]
 	if known && q.after > 0 && s.Number > q.after {
 		q.confirmed[from] = true
 	}
--- a/preset/spread.go
+++ b/preset/spread.go
@@ -120,7 +120,8 @@
 	m.heardVersion(to, q.Version)
 }
 
-// answered takes an answer's version and evidence. The evidence counts from the
+// answered takes an answer's version and evidence. The answer carries what the asker
+// lacks, so the asker now knows what the evidence covers. The evidence counts from the
 // moment of the question, so that an answer that waited, or a process that was
 // paused, never makes it younger.
 func (m *Machine) answered(from structs.NodeID, a Answer) {
@@ -128,7 +129,7 @@
 		m.learnAndPush(from, *a.InForce)
 	}
 	q, asked := m.answeredQuestion(from, a.Number)
-	if !asked || m.inForce.Version < a.Version {
+	if !asked {
 		return
 	}
 	if a.Proved {
--- a/preset/switch.go
+++ b/preset/switch.go
@@ -53,7 +53,6 @@
 	p := &pendingSwitch{
 		order:    s,
 		deadline: m.now.Add(m.cfg.SwitchTimeout),
-		quorum:   newQuorum(),
 	}
 	m.switches[s.ID] = p
 	m.readRow(p, phaseRead)
@@ -106,7 +105,7 @@
 			m.readRow(p, p.phase)
 		case phaseSpread:
 			// A voter of the first round may have gone: the rounds begin again.
-			p.quorum = newQuorum()
+			p.quorum = newQuorum(p.version)
 			m.pushToVoters(p)
 		case phaseWrite:
 			// A write is answered, if only with WriteUnknown.
@@ -217,6 +216,7 @@
 	p.phase = phaseSpread
 	p.number = 0
 	p.version = version
+	p.quorum = newQuorum(version)
 	m.learnAndPush("", structs.PresetInForce{Version: version, Preset: p.order.Preset})
 	m.pushToVoters(p)
 }
@@ -255,7 +255,7 @@
 }
 
 func (m *Machine) countVote(p *pendingSwitch, from structs.NodeID, s Seen) {
-	if s.Version < p.version || !m.tree.votes(from) {
+	if !m.tree.votes(from) {
 		return
 	}
 	confirming := p.quorum.count(from, s, m.tree.majority(), m.number)
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,171 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 18, 0, 0, 0, time.UTC)
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if !strings.HasSuffix(path, ".txt") {
+			return
+		}
+		m, now := New(DefaultConfig(1)), epoch
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return run(t, m, &now, d)
+		})
+	})
+}
+
+func run(t *testing.T, m *Machine, now *time.Time, d *datadriven.TestData) string {
+	text := func(key, missing string) string {
+		if d.HasArg(key) {
+			d.ScanArgs(t, key, &missing)
+		}
+		return missing
+	}
+	span := func(key string) time.Duration {
+		v, err := time.ParseDuration(text(key, "0s"))
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		return v
+	}
+	var attempt, times int
+	fmt.Sscan(text("attempt", "1"), &attempt)
+	fmt.Sscan(text("times", "1"), &times)
+	call, upstream := structs.CallID(text("call", "c1")), structs.UpstreamID(text("at", "m1"))
+	var out []string
+	for range times {
+		var effects []Effect
+		switch d.Cmd {
+		case "advance":
+			*now = now.Add(span("by"))
+		case "submit":
+			effects = m.Step(*now, Sent{call, uint32(attempt), upstream})
+		case "answer":
+			effects = m.Step(*now, Succeeded{call, uint32(attempt), upstream})
+		case "fail":
+			f := Failed{Call: call, Attempt: uint32(attempt), Upstream: upstream, NonRepeatable: d.HasArg("once"),
+				Refusal: &structs.Refusal{Code: structs.Code(text("code", "upstream_failed")),
+					Outcome: structs.Outcome(text("outcome", "unknown")), RetryAfter: span("retry-after")}}
+			if d.HasArg("patience") {
+				f.Deadline = now.Add(span("patience"))
+			}
+			if d.HasArg("queued") {
+				var queued int
+				d.ScanArgs(t, "queued", &queued)
+				f.Loads = []structs.Load{{Queued: queued, BatchLimit: 8, StepTime: 20 * time.Millisecond, QueuedPrefillTokens: int64(queued) * 1000, PrefillRate: 8000}}
+			}
+			effects = m.Step(*now, f)
+		case "expect":
+			out = append(out, fmt.Sprintf("budget %.1f open %v allows %v", m.Budget(), m.Open(), m.Allows(*now, upstream)))
+		default:
+			d.Fatalf(t, "unknown verb %q", d.Cmd)
+		}
+		if !d.HasArg("quiet") {
+			out = append(out, describe(effects, *now)...)
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+func describe(effects []Effect, now time.Time) (out []string) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Again:
+			out = append(out, fmt.Sprintf("again attempt %d in %v", e.Attempt, e.At.Sub(now).Round(time.Millisecond)))
+		case GiveUp:
+			out = append(out, fmt.Sprintf("give up: %s %s, retry after %v, budget spent %v", e.Refusal.Code, e.Refusal.Outcome, e.Refusal.RetryAfter.Round(time.Millisecond), e.BudgetSpent))
+		case CircuitChanged:
+			out = append(out, fmt.Sprintf("circuit of %s open=%v", e.Upstream, e.Open))
+		}
+	}
+	return out
+}
+
+// TestAnyInterleaving checks the bounds of retries and of probes over random calls.
+func TestAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := DefaultConfig(rapid.Uint64().Draw(rt, "seed"))
+		cfg.BudgetMax = 5
+		m, now := New(cfg), epoch
+		first, retries := 0, 0
+		codes := []structs.Code{structs.CodeUpstreamFailed, structs.CodeOverloaded, structs.CodeBadRequest, structs.CodeToolTimeout, structs.CodeQuarantined}
+		outcomes := []structs.Outcome{structs.OutcomeNotRun, structs.OutcomeRan, structs.OutcomeUnknown}
+		for i := range rapid.IntRange(1, 120).Draw(rt, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
+			u := structs.UpstreamID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(rt, "upstream"))
+			call := structs.CallID(fmt.Sprint("c", i))
+			attempt := uint32(rapid.IntRange(1, 5).Draw(rt, "attempt"))
+			if !m.Allows(now, u) {
+				continue
+			}
+			isOpen := m.circuits[u] != nil && m.circuits[u].open
+			m.Step(now, Sent{call, attempt, u})
+			if attempt == 1 {
+				first++
+			}
+			if isOpen && m.Allows(now, u) {
+				rt.Fatalf("a second probe is allowed at %s", u)
+			}
+			switch rapid.IntRange(0, 2).Draw(rt, "end") {
+			case 0:
+				m.Step(now, Succeeded{call, attempt, u})
+				if m.circuits[u].open {
+					rt.Fatalf("circuit of %s stays open after its probe", u)
+				}
+			case 1:
+				f := Failed{Call: call, Attempt: attempt, Upstream: u, NonRepeatable: rapid.Bool().Draw(rt, "once"), Deadline: now.Add(time.Second),
+					Refusal: &structs.Refusal{Code: rapid.SampledFrom(codes).Draw(rt, "code"), Outcome: rapid.SampledFrom(outcomes).Draw(rt, "outcome")}}
+				retries += checkDecision(rt, cfg, f, m.Step(now, f))
+			}
+			if limit := cfg.BudgetMax + cfg.BudgetRatio*float64(first); float64(retries) > limit {
+				rt.Fatalf("%d retries exceed %.1f", retries, limit)
+			}
+		}
+	})
+}
+
+// checkDecision checks that a failure has one decision, within its bounds; it returns the retries made.
+func checkDecision(rt *rapid.T, cfg Config, f Failed, effects []Effect) int {
+	retries, decisions := 0, 0
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Again:
+			retries++
+			decisions++
+			if f.NonRepeatable && f.Refusal.Outcome != structs.OutcomeNotRun || e.Attempt > cfg.MaxAttempts || !e.At.Before(f.Deadline) {
+				rt.Fatalf("retry %+v after %+v", e, f)
+			}
+		case GiveUp:
+			decisions++
+			if e.Refusal.Outcome != f.Refusal.Outcome {
+				rt.Fatalf("outcome %s became %s", f.Refusal.Outcome, e.Refusal.Outcome)
+			}
+		}
+	}
+	if decisions != 1 {
+		rt.Fatalf("%d decisions for one failure", decisions)
+	}
+	return retries
+}
+
+func TestBackoffBounds(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for attempt := range uint32(40) {
+		mean := min(50*time.Millisecond<<min(max(attempt, 1)-1, 10), 2*time.Second)
+		if w := Backoff(rng, 50*time.Millisecond, 2*time.Second, attempt); w < mean/2 || w > mean*3/2 {
+			t.Errorf("attempt %d waits %v, mean %v", attempt, w, mean)
+		}
+	}
+}
