--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,10 @@
 	Log       *eventlog.Logger
 	Telemetry *telemetry.Telemetry
 	Security  peer.Security
+	// PeerListener and HTTPListener replace the settings' addresses when they are
+	// set; Run closes them.
+	PeerListener net.Listener
+	HTTPListener net.Listener
 }
 
 // entry is one entry process and its parts.
@@ -59,6 +63,8 @@
 	router    *router
 	links     map[structs.UpstreamID]*sideLink
 	tools     *tools
+	holds     *cacheHolds
+	fences    *fences
 	local     *local
 	directory *home.Directory
 	presets   *presets
@@ -77,14 +83,9 @@
 // and when the log was sealed by another entry. ready is called once both
 // listeners are open.
 func Run(ctx context.Context, cfg *settings.Entry, env Environment, ready func()) error {
-	peerListener, err := net.Listen("tcp", cfg.ListenPeer)
+	peerListener, httpListener, err := daemon.Listen(env.PeerListener, cfg.ListenPeer, env.HTTPListener, cfg.ListenHTTP)
 	if err != nil {
-		return errors.Wrapf(err, "listen_peer %q", cfg.ListenPeer)
-	}
-	httpListener, err := net.Listen("tcp", cfg.ListenHTTP)
-	if err != nil {
-		_ = peerListener.Close()
-		return errors.Wrapf(err, "listen_http %q", cfg.ListenHTTP)
+		return err
 	}
 	// Duties go on after ctx ends, until the shutdown is through.
 	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
@@ -100,7 +101,7 @@
 	h := httpapi.NewServer(e.api())
 	var servers errgroup.Group
 	servers.Go(func() error { return g.Serve(peerListener) })
-	servers.Go(func() error { return ignoreClosed(h.Serve(httpListener)) })
+	servers.Go(func() error { return daemon.IgnoreClosed(h.Serve(httpListener)) })
 	duties, dutyContext := errgroup.WithContext(dutyContext)
 	e.start(dutyContext, duties)
 	env.Log.Emit(eventlog.EntryStarted, eventlog.Fields{Detail: string(e.log)})
@@ -116,13 +117,6 @@
 	return errors.CombineErrors(cause, errors.CombineErrors(servers.Wait(), duties.Wait()))
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // ErrSealed reports that another entry has sealed the log of this process: its
 // programs go on there, and this process has to start anew.
 var ErrSealed = errors.New("the home log was sealed by another entry")
@@ -172,8 +166,25 @@
 	return nil
 }
 
+func (e *entry) newEngines() *engines {
+	return &engines{
+		router: e.router,
+		links:  e.links,
+		log:    e.log,
+		guard:  &callGuard{},
+		holds:  e.holds,
+		preset: e.preset,
+		now:    time.Now,
+	}
+}
+
+// preset returns the preset in force here.
+func (e *entry) preset() structs.Preset { return e.presets.inForce.Load().Preset }
+
 // newHome sets up the journal and the runner of programs.
 func (e *entry) newHome() {
+	e.fences = newFences(e.log, time.Now())
+	e.holds = newCacheHolds(e.log, e.links, e.preset, e.fences.of)
 	e.committer = committer.New(committer.Config{
 		Journal:     e.journalConfig(),
 		OnCommitted: func(through uint64) { e.runner.Committed(through) },
@@ -183,11 +194,12 @@
 		Log:      e.log,
 		Node:     e.cfg.Node,
 		Program:  e.programConfig(),
-		Engines:  &engines{router: e.router, links: e.links, log: e.log, guard: &callGuard{}, now: time.Now},
+		Engines:  e.newEngines(),
 		Tools:    e.tools,
 		Journal:  e.committer,
 		Table:    e.platform,
 		Patience: e.patience,
+		Released: e.holds.done,
 		RingSize: e.cfg.Limits.RingSize,
 	})
 	e.local = &local{
@@ -195,6 +207,7 @@
 		log:       e.log,
 		router:    e.router,
 		notReady:  e.notReady,
+		preset:    e.preset,
 		patience:  e.patience,
 		machine:   admission.New(admission.Config{}),
 		turnTimes: map[string]time.Duration{},
@@ -317,7 +330,11 @@
 	duties.Go(func() error { return e.presets.run(ctx) })
 	duties.Go(func() error { return e.peers.run(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
-	for _, l := range e.links {
+	for _, s := range e.cfg.Sides {
+		l := e.links[s.Upstream]
+		if s.Kind == structs.KindModel {
+			duties.Go(func() error { return e.holds.run(ctx, s.Upstream) })
+		}
 		duties.Go(func() error {
 			l.watch(ctx, e.cfg.Node, e.router)
 			return nil
@@ -362,6 +379,7 @@
 		Services:  services{e},
 		Presets:   o,
 		Drainer:   o,
+		Orderer:   o,
 		Actions:   o,
 		System:    o,
 		Limits:    command.DefaultLimits,
