Make no connections once a pool is closed

Cause: a machine's message that was sent while the process shut down dialled anew after the pool was closed, and that connection was never closed: goleak found its goroutines in one of two runs of internal/inprocess under -race. Ruled out: watches of sides, which end with the duties. A closed pool now refuses as not run; three runs under -race are clean.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -78,8 +78,9 @@
 type Pool struct {
 	options Options
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu     sync.Mutex
+	closed bool
+	conns  map[string]*grpc.ClientConn
 }
 
 // NewPool returns an empty pool.
@@ -91,6 +92,9 @@
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, structs.Refusalf(structs.CodeNotReady, structs.OutcomeNotRun, "connect", "the process ends")
+	}
 	if c := p.conns[address]; c != nil {
 		return c, nil
 	}
@@ -127,10 +131,11 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Close closes all connections.
+// Close closes all connections; no others are made after it.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for address, c := range p.conns {
 		_ = c.Close()
 		delete(p.conns, address)
