--- a/journal/script_test.go
+++ b/journal/script_test.go
@@ -13,9 +13,10 @@
 
 // TestScripts runs the scripts of testdata. Each line of a block is one verb:
 //
-//	start NODE | kill NODE | pause NODE | resume NODE | cut NODE | heal [NODE] | outage
+//	start NODE [FAULT...] | kill NODE | pause NODE | resume NODE | cut NODE | heal [NODE] | outage
 //	lose-answer|late|duplicate|reorder|refuse NODE [TIMES]   the node's next requests
 //	submit NODE PROGRAM TEXT [end|reset|bytes=N]
+//	corrupt ROW-OR-OBJECT | drop ROW | copy ROW ROW
 //	adopt NODE LOG | retire NODE | nodes NODE COUNT | advance DURATION
 //	expect NODE | expect PROGRAM | expect rows | expect writes
 func TestScripts(t *testing.T) {
@@ -61,7 +62,7 @@
 	}
 	switch verb {
 	case "start":
-		w.start(args[0])
+		w.start(args[0], args[1:]...)
 	case "kill":
 		n.dead = true
 	case "pause":
@@ -109,6 +110,10 @@
 			value = w.rows[args[0]].Value
 		}
 		value[len(value)/2] ^= 1
+	case "drop":
+		delete(w.rows, args[0])
+	case "copy":
+		w.rows[args[1]] = Row{Key: args[1], Value: w.rows[args[0]].Value, Version: 1}
 	case "expect":
 		return w.describe(args[0])
 	default:
--- a/journal/world_test.go
+++ b/journal/world_test.go
@@ -84,12 +84,12 @@
 	w.events = append(w.events, event{w.now.Add(after), w.ordinal, run})
 }
 
-// start opens a log named after the node.
-func (w *world) start(name string) {
+// start opens a log named after the node; faults befall its first requests.
+func (w *world) start(name string, faults ...string) {
 	cfg := w.cfg
 	cfg.Log = structs.LogID(name)
 	cfg.Seed = uint64(len(w.nodes))
-	w.nodes[name] = &node{name: name, machine: New(cfg)}
+	w.nodes[name] = &node{name: name, machine: New(cfg), faults: faults}
 	w.deliver(w.nodes[name], Start{})
 }
 
