--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	presets   *presets
 	peers     *peers
 	mail      *mail
+	bus       *bus
 
 	opened   atomic.Bool
 	stopping atomic.Bool
@@ -134,6 +135,10 @@
 	e.pool = peer.NewPool(peer.Options{Security: env.Security, Versions: e.versions, Telemetry: env.Telemetry})
 	e.platform = platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
 	e.mail = newMail(ctx, cfg.Node, e.pool)
+	var err error
+	if e.bus, err = newBus(env.Log); err != nil {
+		return nil, err
+	}
 	if err := e.newRouting(); err != nil {
 		return nil, err
 	}
@@ -141,9 +146,31 @@
 	e.newPresets()
 	e.newPeers()
 	e.newDirectory()
+	e.subscribe()
 	return e, nil
 }
 
+// subscribe sets up the duties that take events of the others.
+func (e *entry) subscribe() {
+	handle(e.bus, "admission", topicPreset, func(_ context.Context, p structs.PresetInForce) error {
+		e.local.setPreset(p.Preset)
+		return nil
+	})
+	handle(e.bus, "routing", topicPreset, func(_ context.Context, p structs.PresetInForce) error {
+		return e.router.setPreset(p.Preset)
+	})
+	handle(e.bus, "adoption", topicOrphaned, func(ctx context.Context, o orphaned) error {
+		return e.adopt(ctx, o.Log)
+	})
+	handle(e.bus, "release", topicReleased, func(_ context.Context, r released) error {
+		e.holds.done(r.Program)
+		for _, l := range e.links {
+			l.forget(r.Program)
+		}
+		return nil
+	})
+}
+
 // newRouting sets up the router and the links to the sides.
 func (e *entry) newRouting() error {
 	first := structs.Preset{Policy: "cost"}
@@ -199,7 +226,7 @@
 		Journal:  e.committer,
 		Table:    e.platform,
 		Patience: e.patience,
-		Released: e.holds.done,
+		Released: func(id structs.ProgramID) { publish(e.bus, topicReleased, released{Program: id}) },
 		RingSize: e.cfg.Limits.RingSize,
 	})
 	e.local = &local{
@@ -288,10 +315,7 @@
 // applyPreset puts a preset in force in all parts of the process.
 func (e *entry) applyPreset(p structs.PresetInForce) {
 	e.versions.Set(p.Version)
-	e.local.setPreset(p.Preset)
-	if err := e.router.setPreset(p.Preset); err != nil {
-		e.env.Log.Emit(eventlog.PresetRowInvalid, eventlog.Fields{Step: "apply preset", Err: err})
-	}
+	publish(e.bus, topicPreset, p)
 	e.env.Log.Emit(eventlog.PresetInForce, eventlog.Fields{Step: "apply preset", Count: int64(p.Version), Detail: p.Preset.Name})
 }
 
@@ -327,6 +351,8 @@
 // start starts the duties of the process.
 func (e *entry) start(ctx context.Context, duties *errgroup.Group) {
 	e.committer.Start(ctx)
+	duties.Go(func() error { return e.bus.run(ctx) })
+	e.bus.awaitRunning(ctx)
 	duties.Go(func() error { return e.presets.run(ctx) })
 	duties.Go(func() error { return e.peers.run(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
--- a/internal/eventlog/catalogue_entry.go
+++ b/internal/eventlog/catalogue_entry.go
@@ -58,6 +58,8 @@
 		"An answer carried another call's id and was dropped; the call is sent again.")
 	AnswerCut = register(1027, "answer_cut", logrus.WarnLevel,
 		"An answer's stream ended early; it is resumed by offset or the call is sent again.")
+	DutyFailed = register(1029, "duty_failed", logrus.ErrorLevel,
+		"A duty failed to handle an event; the step names the duty. Report it with the cause.")
 	AdmissionOverloaded = register(1028, "admission_overloaded", logrus.WarnLevel,
 		"New work is refused since it can't finish in its callers' patience.")
 )
