--- a/internal/entry/bus.go
+++ b/internal/entry/bus.go
@@ -56,7 +56,7 @@
 // An event that it fails is logged and not delivered again: what is lost by it is
 // found again by the next event or tick.
 func handle[T any](b *bus, duty, topic string, f func(ctx context.Context, event T) error) {
-	b.router.AddNoPublisherHandler(duty, topic, b.events, func(m *message.Message) error {
+	b.router.AddConsumerHandler(duty, topic, b.events, func(m *message.Message) error {
 		var event T
 		err := json.Unmarshal(m.Payload, &event)
 		if err == nil {
--- a/program/model.go
+++ b/program/model.go
@@ -67,6 +67,7 @@
 	m.emit(CallModel{Call: structs.ModelCall{
 		Call:         c.id,
 		Attempt:      c.attempt,
+		Try:          uint32(c.attempts),
 		Program:      m.id,
 		Organisation: m.spec.Organisation,
 		Kind:         m.spec.Kind,
@@ -185,7 +186,7 @@
 // tryAgain decides on another attempt at a model call, which may be repeated.
 // Work under way is tried again even when engines are full; a turn that has not begun is refused at once.
 func (m *Machine) tryAgain(now time.Time, c *call, r *structs.Refusal) (time.Duration, bool) {
-	if c.attempts >= m.cfg.ModelAttempts {
+	if c.attempts >= m.cfg.ModelAttempts || r.Final {
 		return 0, false
 	}
 	switch r.Code {
--- a/structs/refusal.go
+++ b/structs/refusal.go
@@ -68,8 +68,13 @@
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// Detail names the thing and its value.
 	Detail string `json:"detail,omitempty"`
+	// Final says that the step is given up: no further attempt is made at it.
+	Final bool `json:"final,omitempty"`
 }
 
+// StepCrash is the step of a refusal of an upstream that crashed while it ran the call.
+const StepCrash = "crash"
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s at step %q of peer %q (outcome %s): %s", r.Code, r.Step, r.Peer, r.Outcome, r.Detail)
