--- a/internal/entry/bus.go
+++ b/internal/entry/bus.go
@@ -21,11 +21,20 @@
 	topicOrphaned = "log.orphaned"
 	// topicReleased carries released when a program has ended.
 	topicReleased = "program.released"
+	// topicGate carries gateChange when a VM stops or resumes to take new work.
+	topicGate = "vm.gate"
 )
 
-// orphaned is a log whose holder is gone.
+// orphaned is a log whose holder is gone, and why it is thought so.
 type orphaned struct {
-	Log structs.LogID `json:"log"`
+	Log    structs.LogID `json:"log"`
+	Reason string        `json:"reason"`
+}
+
+// gateChange says whether a VM takes new work.
+type gateChange struct {
+	VM     structs.VMID `json:"vm"`
+	Closed bool         `json:"closed"`
 }
 
 // released is a program that has ended.
--- a/internal/entry/drains.go
+++ b/internal/entry/drains.go
@@ -14,6 +14,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/side"
+	"github.com/buckthornroute/buckthornroute/membership"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -33,6 +34,7 @@
 	if drain {
 		order, event = side.OrderDrain, eventlog.DrainOrdered
 	}
+	o.peers.tell(ctx, membership.Drained{Gate: membership.Gate{VM: vm, Version: version, Drained: drain}})
 	o.env.Log.Emit(event, eventlog.Fields{Step: "drain VM", Peer: string(vm), Count: int64(version), Detail: operator})
 	var orders errgroup.Group
 	for _, l := range links {
@@ -111,5 +113,33 @@
 	return peer.FromStatus(err, "order "+req.GetOrder(), string(l.upstream))
 }
 
+// setGate stops or resumes sending new work to a VM's upstreams.
+func (e *entry) setGate(_ context.Context, change gateChange) error {
+	e.router.setGate(change.VM, change.Closed)
+	return nil
+}
+
+// orderGate tells the sides of a VM that takes no new work to close their gates, so
+// that a side hears of it from every entry that reaches it.
+func (e *entry) orderGate(ctx context.Context, change gateChange) error {
+	if !change.Closed {
+		return nil
+	}
+	gate := e.peers.gate(change.VM)
+	order := side.OrderDrain
+	if gate.State >= membership.RankLeaving {
+		order = side.OrderLeave
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	var orders errgroup.Group
+	for _, l := range e.linksOf(change.VM) {
+		orders.Go(func() error {
+			return l.order(ctx, &peerpb.OrderRequest{Order: order, Fencing: gate.Version, Id: uuid.NewString()})
+		})
+	}
+	return orders.Wait()
+}
+
 // orderTimeout bounds an order to a side: longer than an engine takes to load a model.
 const orderTimeout = 4 * platformTimeout
--- a/internal/entry/engines.go
+++ b/internal/entry/engines.go
@@ -25,9 +25,10 @@
 
 // Call runs one attempt of a model call. A side that refuses it as not run lets
 // another one be chosen under the same attempt; any other failure ends the
-// attempt, and the program decides whether there is another one.
+// attempt. Its refusal tells the program when to try again, or that the call is
+// given up.
 func (e *engines) Call(ctx context.Context, call structs.ModelCall, onChunk func(offset int, text string)) (structs.ModelAnswer, error) {
-	pass, err := e.guard.admit(e.now(), &call)
+	pass, err := e.guard.admit(ctx, &call)
 	if err != nil {
 		return structs.ModelAnswer{}, err
 	}
@@ -35,23 +36,33 @@
 	if isBaseline(e.preset()) {
 		inArrivalOrder(&call)
 	}
+	answer, upstream, err := e.place(ctx, &call, pass, onChunk)
+	e.guard.finished(&call, upstream, pass, err)
+	now := e.now()
+	return answer, e.guard.judge(now, &call, upstream, err, e.router.loads(now))
+}
+
+// place sends the call to upstreams, one after the other, until one has not refused
+// it as not run. It returns the upstream that was sent the call last; "" for none.
+func (e *engines) place(ctx context.Context, call *structs.ModelCall, pass callPass, onChunk func(offset int, text string)) (structs.ModelAnswer, structs.UpstreamID, error) {
 	blocks := kvcache.Blocks(call.Messages)
 	tried := map[structs.UpstreamID]bool{}
+	avoided := map[structs.UpstreamID]bool{}
+	if pass.avoid != "" {
+		avoided[pass.avoid] = true
+	}
 	for {
-		d, ok := e.router.choose(e.now(), &call, blocks, tried)
-		if !ok || tried[d.Upstream] {
-			if ok {
-				e.router.done(e.now(), &call, routing.Result{Void: true})
-			}
-			return structs.ModelAnswer{}, e.noUpstream(&call, tried)
+		now := e.now()
+		allows := func(u structs.UpstreamID) bool { return !tried[u] && e.guard.allows(now, u) }
+		d, ok := e.router.choose(now, call, blocks, avoided, allows)
+		if !ok {
+			return structs.ModelAnswer{}, "", e.noUpstream(call, tried)
 		}
 		tried[d.Upstream] = true
-		answer, err := e.attempt(ctx, &call, d, pass, onChunk)
-		if err == nil {
-			return answer, nil
-		}
-		if !sendElsewhere(err) {
-			return structs.ModelAnswer{}, err
+		e.guard.sent(now, call, d.Upstream)
+		answer, err := e.attempt(ctx, call, d, pass, onChunk)
+		if err == nil || !sendElsewhere(err) {
+			return answer, d.Upstream, err
 		}
 	}
 }
@@ -107,18 +118,9 @@
 		e.holds.done(call.Program)
 		e.holds.paused(now, call, answer, load)
 	}
-	if err != nil && isDraining(err) {
-		e.router.drain(d.Upstream)
-	}
-	e.guard.ended(now, call, d.Upstream, pass, err)
 	return answer, err
 }
 
-func isDraining(err error) bool {
-	var r *structs.Refusal
-	return errors.As(err, &r) && r.Code == structs.CodeDraining
-}
-
 // resultOf tells what the end of an attempt says of the upstream. A refusal as
 // not run, or the caller's own cancellation, says nothing of it.
 func resultOf(answer structs.ModelAnswer, err error) routing.Result {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,7 @@
 	peers     *peers
 	mail      *mail
 	bus       *bus
+	guard     *callGuard
 
 	opened   atomic.Bool
 	stopping atomic.Bool
@@ -160,8 +161,10 @@
 		return e.router.setPreset(p.Preset)
 	})
 	handle(e.bus, "adoption", topicOrphaned, func(ctx context.Context, o orphaned) error {
-		return e.adopt(ctx, o.Log)
+		return e.adoptOrphan(ctx, o)
 	})
+	handle(e.bus, "gates", topicGate, e.setGate)
+	handle(e.bus, "gate orders", topicGate, e.orderGate)
 	handle(e.bus, "release", topicReleased, func(_ context.Context, r released) error {
 		e.holds.done(r.Program)
 		for _, l := range e.links {
@@ -198,7 +201,7 @@
 		router: e.router,
 		links:  e.links,
 		log:    e.log,
-		guard:  &callGuard{},
+		guard:  e.guard,
 		holds:  e.holds,
 		preset: e.preset,
 		now:    time.Now,
@@ -210,6 +213,7 @@
 
 // newHome sets up the journal and the runner of programs.
 func (e *entry) newHome() {
+	e.guard = newCallGuard(e.cfg.Node, e.incarnation, e.env.Log, e.sendTo, func() []structs.NodeID { return e.peers.others() })
 	e.fences = newFences(e.log, time.Now())
 	e.holds = newCacheHolds(e.log, e.links, e.preset, e.fences.of)
 	e.committer = committer.New(committer.Config{
@@ -335,6 +339,8 @@
 		return "it is stopping"
 	case !e.opened.Load():
 		return "its home log is not open yet"
+	case e.peers.isolated.Load():
+		return "it is cut off from the platform and from all other entries"
 	case !e.presets.ready():
 		return "it does not know which preset is in force"
 	}
@@ -355,6 +361,10 @@
 	e.bus.awaitRunning(ctx)
 	duties.Go(func() error { return e.presets.run(ctx) })
 	duties.Go(func() error { return e.peers.run(ctx) })
+	duties.Go(func() error { return e.peers.follow(ctx) })
+	duties.Go(func() error { return e.peers.readVMs(ctx) })
+	duties.Go(func() error { return e.peers.findLogs(ctx) })
+	duties.Go(func() error { return e.guard.run(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
 	for _, s := range e.cfg.Sides {
 		l := e.links[s.Upstream]
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -240,3 +240,10 @@
 	defer l.mu.Unlock()
 	l.machine.Step(time.Now(), admission.Switch{Preset: p})
 }
+
+// running returns the number of admitted turns under way.
+func (l *local) running() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Running()
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/committer"
+	"github.com/buckthornroute/buckthornroute/membership"
+)
+
+// Times of what a few entries read from the platform for all.
+const (
+	// listReaders is the number of entries that read the VM list at each interval;
+	// the others read it at readsApart of them, in case all the readers are gone.
+	listReaders = 3
+	readsApart  = 30
+	// logsInterval is the time between two looks for logs whose holders died while
+	// nobody watched.
+	logsInterval = 30 * time.Second
+	// logsDelay lets the members be heard before the first look.
+	logsDelay = 2 * time.Second
+)
+
+// readVMs reads the platform's VM list for the membership until ctx ends.
+func (p *peers) readVMs(ctx context.Context) error {
+	ticker := time.NewTicker(p.entry.cfg.Membership.VMListInterval.Std())
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		if p.reads() || round%readsApart == 0 {
+			p.readVMList(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// reads reports whether this entry is one of those that read for all.
+func (p *peers) reads() bool {
+	own := p.entry.cfg.Node
+	before := 0
+	for _, node := range p.nodes() {
+		if node == own {
+			break
+		}
+		before++
+	}
+	return before < listReaders
+}
+
+func (p *peers) readVMList(ctx context.Context) {
+	readContext, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	list, err := p.entry.platform.List(readContext)
+	if err != nil {
+		p.tell(ctx, membership.Platform{Answered: false})
+		return
+	}
+	p.tell(ctx, membership.Listed{VMs: list})
+}
+
+// findLogs tells the membership of the holders of open logs until ctx ends.
+func (p *peers) findLogs(ctx context.Context) error {
+	wait := logsDelay
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
+		}
+		wait = logsInterval
+		if !p.reads() {
+			continue
+		}
+		logs, err := p.entry.committer.OpenLogs(ctx)
+		if err == nil && len(logs) > 0 {
+			p.tell(ctx, membership.Learned{Members: holders(logs)})
+		}
+	}
+}
+
+func holders(logs []committer.OpenLog) []membership.Member {
+	var out []membership.Member
+	for _, l := range logs {
+		out = append(out, membership.Member{
+			Node:   l.Owner.Node,
+			Log:    l.Log,
+			VM:     l.Owner.VM,
+			Domain: l.Owner.Domain,
+		})
+	}
+	return out
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,176 +1,291 @@
 package entry
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
-	"github.com/buckthornroute/buckthornroute/internal/query"
+	"github.com/buckthornroute/buckthornroute/internal/ring"
+	"github.com/buckthornroute/buckthornroute/membership"
 	"github.com/buckthornroute/buckthornroute/routing"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
-// member is what is known of one entry.
-type member struct {
-	Node    structs.NodeID        `json:"node"`
-	Log     structs.LogID         `json:"log"`
-	Address string                `json:"address"`
-	VM      structs.VMID          `json:"vm"`
-	Domain  structs.FailureDomain `json:"domain"`
-	// Preset is the version in force there, Ready whether it takes new work.
-	Preset uint64 `json:"preset"`
-	Ready  bool   `json:"ready"`
-
-	heard time.Time
-}
-
-// peers knows the other entries.
+// peers is the duty of membership: it knows the other entries, finds logs whose
+// holders are gone, and spreads which VMs take no new work.
 type peers struct {
 	entry *entry
+	inbox *ring.Ring[membership.Message]
+
+	isolated atomic.Bool
+	view     atomic.Pointer[memberView]
 
 	mu      sync.Mutex
-	members map[structs.NodeID]member
+	machine *membership.Machine
 }
 
-func (e *entry) newPeers() {
-	e.peers = &peers{entry: e, members: map[structs.NodeID]member{}}
+// memberView is what was known of all members at one moment.
+type memberView struct {
+	// all are the members in the order of their logs, this process among them.
+	all    []membership.View
+	byLog  map[structs.LogID]membership.View
+	byNode map[structs.NodeID]membership.View
 }
 
-const kindHello = "hello"
+// peersInbox bounds the messages that wait for the membership machine; packets that
+// find no room are lost, and come again.
+const peersInbox = 1024
 
-// run greets the other entries at each heartbeat until ctx ends.
-func (p *peers) run(ctx context.Context) error {
-	ticker := time.NewTicker(p.entry.cfg.Membership.Heartbeat.Std())
-	defer ticker.Stop()
-	for {
-		p.greet()
-		p.entry.presets.members(p.nodes())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+func (e *entry) newPeers() {
+	p := &peers{
+		entry: e,
+		inbox: ring.New[membership.Message](peersInbox),
+		machine: membership.New(membership.Config{
+			Self: membership.Member{
+				Node:        e.cfg.Node,
+				Log:         e.log,
+				VM:          e.cfg.VM,
+				Domain:      e.cfg.FailureDomain,
+				Address:     e.cfg.AdvertisePeer,
+				Incarnation: uint64(time.Now().UnixNano()),
+			},
+			Seeds:     e.cfg.Peers,
+			Heartbeat: e.cfg.Membership.Heartbeat.Std(),
+			Suspicion: e.cfg.Membership.Suspicion.Std(),
+			CutOff:    e.cfg.PresetSpread.CutOffAfter.Std(),
+		}),
 	}
+	p.refresh()
+	e.peers = p
 }
 
-func (p *peers) own() member {
-	e := p.entry
-	return member{
-		Node:    e.cfg.Node,
-		Log:     e.log,
-		Address: e.cfg.AdvertisePeer,
-		VM:      e.cfg.VM,
-		Domain:  e.cfg.FailureDomain,
-		Preset:  e.presets.inForce.Load().Version,
-		Ready:   e.notReady() == "",
+// run steps the machine until ctx ends.
+func (p *peers) run(ctx context.Context) error {
+	wake := time.Now()
+	for ctx.Err() == nil {
+		msg := p.next(ctx, wake)
+		wake = p.carryOut(p.step(msg), wake)
+		p.refresh()
 	}
+	return nil
 }
 
-func (p *peers) greet() {
-	env, err := envelope(machineMembership, kindHello, p.own())
+// next returns the next message, or a Tick at the time wake.
+func (p *peers) next(ctx context.Context, wake time.Time) membership.Message {
+	ctx, cancel := context.WithDeadline(ctx, wake)
+	defer cancel()
+	msg, err := p.inbox.Pop(ctx)
 	if err != nil {
-		return
-	}
-	for _, address := range p.entry.cfg.Peers {
-		p.entry.mail.send(address, env)
+		return membership.Tick{}
 	}
+	return msg
 }
 
-// receive takes a message of another entry's membership.
-func (p *peers) receive(from structs.NodeID, env *peerpb.Envelope) error {
-	var m member
-	if err := json.Unmarshal(env.GetBody(), &m); err != nil {
-		return errors.Wrapf(err, "hello of %q", from)
-	}
-	m.heard = time.Now()
+func (p *peers) step(msg membership.Message) []membership.Effect {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members[m.Node] = m
-	return nil
+	return p.machine.Step(time.Now(), msg)
+}
+
+// carryOut does what the machine asks for and returns when to wake it.
+func (p *peers) carryOut(effects []membership.Effect, wake time.Time) time.Time {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case membership.Send:
+			p.entry.mail.send(e.Address, &peerpb.Envelope{
+				Machine: machineMembership,
+				Kind:    kindPacket,
+				Body:    e.Packet.Encode(),
+			})
+		case membership.Adopt:
+			publish(p.entry.bus, topicOrphaned, orphaned{Log: e.Log, Reason: string(e.Reason)})
+		case membership.Isolated:
+			p.isolated.Store(e.Cut)
+		case membership.GateChanged:
+			publish(p.entry.bus, topicGate, gateChange{VM: e.VM, Closed: e.Closed})
+		case membership.Superseded:
+			p.entry.env.Log.Emit(eventlog.LogSealedByOther, eventlog.Fields{Step: "membership", Peer: string(e.Successor)})
+		case membership.Noticed:
+			p.log(e)
+		case membership.WakeAt:
+			wake = e.At
+		}
+	}
+	return wake
 }
 
-// silent is the number of heartbeats after which an entry counts as absent.
-const silent = 10
+// noticed maps the machine's events to those of the catalogue.
+var noticed = map[membership.Event]eventlog.Event{
+	membership.EventJoined:     eventlog.PeerJoined,
+	membership.EventSuspected:  eventlog.PeerSuspected,
+	membership.EventConfirmed:  eventlog.PeerConfirmedSilent,
+	membership.EventHeardAgain: eventlog.PeerHeardAgain,
+	membership.EventRestarted:  eventlog.PeerRestarted,
+	membership.EventGone:       eventlog.PeerGone,
+	membership.EventVMLeaving:  eventlog.VMLeaving,
+	membership.EventVMGone:     eventlog.VMGone,
+	membership.EventListStale:  eventlog.VMListStale,
+}
+
+func (p *peers) log(e membership.Noticed) {
+	p.entry.env.Log.Emit(noticed[e.Event], eventlog.Fields{
+		Step:   "membership",
+		Peer:   string(e.Node),
+		Detail: cmp.Or(string(e.Log), string(e.VM)),
+	})
+}
 
-// live returns the entries heard lately, this one among them, in node order.
-func (p *peers) live() []member {
+// refresh takes a new view of the members.
+func (p *peers) refresh() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := []member{p.own()}
-	bound := silent * p.entry.cfg.Membership.Heartbeat.Std()
-	for _, m := range p.members {
-		if time.Since(m.heard) < bound {
-			out = append(out, m)
+	all := p.machine.Members()
+	p.mu.Unlock()
+	v := &memberView{
+		all:    all,
+		byLog:  make(map[structs.LogID]membership.View, len(all)),
+		byNode: make(map[structs.NodeID]membership.View, len(all)),
+	}
+	for _, m := range all {
+		v.byLog[m.Log] = m
+		if other, ok := v.byNode[m.Node]; !ok || other.Incarnation < m.Incarnation {
+			v.byNode[m.Node] = m
 		}
 	}
-	slices.SortFunc(out, func(a, b member) int {
-		if a.Node < b.Node {
-			return -1
+	p.view.Store(v)
+}
+
+// kindPacket is the kind of the membership machine's messages.
+const kindPacket = "packet"
+
+// receive takes a packet of another entry. One that finds no room is lost.
+func (p *peers) receive(env *peerpb.Envelope) error {
+	packet, err := membership.DecodePacket(env.GetBody())
+	if err != nil {
+		return err
+	}
+	p.inbox.TryPush(membership.Received{Packet: packet})
+	return nil
+}
+
+// tell gives the machine a message, waiting for room.
+func (p *peers) tell(ctx context.Context, msg membership.Message) {
+	_ = p.inbox.Push(ctx, msg) // fails only when the process ends
+}
+
+// tellInterval is the time between two looks at what others must know of this process.
+const tellInterval = 100 * time.Millisecond
+
+// follow keeps the machine and the preset duty informed of each other until ctx ends.
+func (p *peers) follow(ctx context.Context) error {
+	var ready bool
+	var version uint64
+	var known []structs.NodeID
+	ticker := time.NewTicker(tellInterval)
+	defer ticker.Stop()
+	for {
+		e := p.entry
+		r, v := e.notReady() == "", e.presets.inForce.Load().Version
+		if r != ready || v != version {
+			ready, version = r, v
+			p.tell(ctx, membership.Changed{Ready: r, Preset: v})
 		}
-		return 1
-	})
-	return out
+		if nodes := p.nodes(); !slices.Equal(nodes, known) {
+			known = nodes
+			e.presets.members(nodes)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
 }
 
+// nodes returns the names of all entries that are there, sorted.
 func (p *peers) nodes() []structs.NodeID {
 	var out []structs.NodeID
-	for _, m := range p.live() {
-		out = append(out, m.Node)
+	for node := range p.view.Load().byNode {
+		out = append(out, node)
 	}
+	slices.Sort(out)
 	return out
 }
 
+// others returns the names of the other entries, sorted.
+func (p *peers) others() []structs.NodeID {
+	own := p.entry.cfg.Node
+	return slices.DeleteFunc(p.nodes(), func(n structs.NodeID) bool { return n == own })
+}
+
 // Address implements home.Members.
 func (p *peers) Address(log structs.LogID) (string, bool) {
-	for _, m := range p.live() {
-		if m.Log == log {
-			return m.Address, true
-		}
-	}
-	return "", false
+	m, ok := p.view.Load().byLog[log]
+	return m.Address, ok && m.Address != ""
 }
 
-// Relays implements home.Members.
+// maxRelays bounds the entries through which one call is relayed.
+const maxRelays = 3
+
+// Relays implements home.Members: first the members known to hear the log's holder,
+// then others that are not suspected.
 func (p *peers) Relays(log structs.LogID) []string {
-	var out []string
-	for _, m := range p.live() {
-		if m.Log != log && m.Node != p.entry.cfg.Node {
+	p.mu.Lock()
+	out := p.machine.Relays(log)
+	p.mu.Unlock()
+	for _, m := range p.ranked(string(log)) {
+		if len(out) >= maxRelays {
+			break
+		}
+		if m.Log != log && !m.Suspected && !slices.Contains(out, m.Address) {
 			out = append(out, m.Address)
 		}
 	}
-	return out
+	return out[:min(len(out), maxRelays)]
 }
 
-// Place implements home.Members.
+// Place implements home.Members: the entry of greatest rendezvous weight among those
+// that take new work.
 func (p *peers) Place(organisation structs.OrganisationID, key string) structs.LogID {
 	best, most := p.entry.log, uint64(0)
-	for _, m := range p.live() {
+	for _, m := range p.view.Load().all {
+		if m.Suspected || m.State != membership.Up || !m.Ready {
+			continue
+		}
 		weight := routing.Rendezvous(string(organisation)+"\x00"+key, string(m.Node))
-		if weight >= most {
+		if weight > most {
 			best, most = m.Log, weight
 		}
 	}
 	return best
 }
 
-// successors returns the addresses of the entries that may take over a log, the
-// first choice first.
-func (p *peers) successors(log structs.LogID) []string {
-	live := p.live()
-	slices.SortFunc(live, func(a, b member) int {
-		if routing.Rendezvous(string(log), string(a.Node)) > routing.Rendezvous(string(log), string(b.Node)) {
-			return -1
+// ranked returns the other members that are up, by rendezvous weight for the key.
+func (p *peers) ranked(key string) []membership.View {
+	var out []membership.View
+	for _, m := range p.view.Load().all {
+		if m.Log != p.entry.log && m.State == membership.Up && m.Address != "" {
+			out = append(out, m)
 		}
-		return 1
+	}
+	slices.SortFunc(out, func(a, b membership.View) int {
+		return cmp.Or(
+			cmp.Compare(routing.Rendezvous(key, string(b.Node)), routing.Rendezvous(key, string(a.Node))),
+			cmp.Compare(a.Log, b.Log))
 	})
+	return out
+}
+
+// successors returns the addresses of the entries that may take over this process's
+// log, the first choice first.
+func (p *peers) successors(log structs.LogID) []string {
 	var out []string
-	for _, m := range live {
-		if m.Log != log {
+	for _, m := range p.ranked(string(log)) {
+		if !m.Suspected && m.Ready {
 			out = append(out, m.Address)
 		}
 	}
@@ -179,47 +294,14 @@
 
 // sendTo sends a machine's message to an entry; one to an unknown entry is lost.
 func (e *entry) sendTo(to structs.NodeID, env *peerpb.Envelope) {
-	e.peers.mu.Lock()
-	m, ok := e.peers.members[to]
-	e.peers.mu.Unlock()
-	if ok {
+	if m, ok := e.peers.view.Load().byNode[to]; ok && m.Address != "" {
 		e.mail.send(m.Address, env)
 	}
 }
 
-// Nodes implements query.System.
-func (o operators) Nodes(context.Context) ([]query.Node, error) {
-	var out []query.Node
-	for _, m := range o.peers.live() {
-		out = append(out, query.Node{
-			Node:          m.Node,
-			Kind:          "entry",
-			VM:            m.VM,
-			Domain:        m.Domain,
-			State:         "live",
-			PresetVersion: m.Preset,
-			Ready:         m.Ready,
-		})
-	}
-	return out, nil
-}
-
-// Status implements query.System.
-func (o operators) Status(context.Context) (query.Status, error) {
-	inForce := o.presets.inForce.Load()
-	upstreams, draining := o.router.counts(time.Now())
-	journal := o.committer.Status()
-	reason := o.notReady()
-	return query.Status{
-		Node:          o.cfg.Node,
-		Log:           o.log,
-		Ready:         reason == "",
-		NotReady:      reason,
-		Preset:        inForce.Preset.Name,
-		PresetVersion: inForce.Version,
-		Programs:      journal.Programs,
-		Upstreams:     upstreams,
-		Draining:      draining,
-		PendingBytes:  journal.PendingBytes,
-	}, nil
+// gate returns what is known of a VM's willingness to take new work.
+func (p *peers) gate(vm structs.VMID) membership.Gate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Gate(vm)
 }
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -12,6 +12,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/peer"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
 	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/membership"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -42,8 +43,10 @@
 	switch m.GetMachine() {
 	case machinePreset:
 		return e.presets.receive(from, m)
+	case machineQuarantine:
+		return e.guard.receive(from, m)
 	case machineMembership:
-		return e.peers.receive(from, m)
+		return e.peers.receive(m)
 	}
 	return errors.Wrapf(ErrUnknownMessage, "machine %q", m.GetMachine())
 }
@@ -71,12 +74,14 @@
 	defer e.local.endAdoption()
 	entries, err := e.committer.Adopt(ctx, log)
 	if errors.Is(err, journal.ErrNoLog) || errors.Is(err, journal.ErrAdoptedElsewhere) {
+		e.peers.tell(ctx, membership.Taken{Log: log})
 		return nil // its programs have ended or run elsewhere
 	}
 	if err != nil {
 		e.env.Log.Emit(eventlog.LogAdoptionFailed, eventlog.Fields{Step: "adopt", Peer: string(log), Err: err})
 		return err
 	}
+	e.peers.tell(ctx, membership.Taken{Log: log, Successor: e.log})
 	e.fences.adoptedAt(time.Now())
 	if err := e.runner.Adopt(ctx, entries); err != nil {
 		e.env.Log.Emit(eventlog.HistoryMismatch, eventlog.Fields{Step: "adopt", Peer: string(log), Err: err})
@@ -84,3 +89,12 @@
 	e.env.Log.Emit(eventlog.LogAdopted, eventlog.Fields{Step: "adopt", Peer: string(log), Count: int64(len(entries))})
 	return nil
 }
+
+// adoptOrphan takes over the programs of a log whose holder is gone. A try that
+// fails is asked for again by the membership.
+func (e *entry) adoptOrphan(ctx context.Context, o orphaned) error {
+	if m, ok := e.peers.view.Load().byLog[o.Log]; !ok || m.State == membership.Gone {
+		return nil // taken over meanwhile
+	}
+	return errors.Wrapf(e.adopt(ctx, o.Log), "log %q, %s", o.Log, o.Reason)
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 	policy   routing.Policy
 	services *routing.Services
 	seed     uint64
+	// closed are the VMs that take no new work by the membership's word.
+	closed map[structs.VMID]bool
 }
 
 func newRouter(cfg routing.Config, preset structs.Preset, seed uint64) (*router, error) {
@@ -28,6 +31,7 @@
 		policy:   policy,
 		services: routing.NewServices(seed),
 		seed:     seed,
+		closed:   map[structs.VMID]bool{},
 	}, nil
 }
 
@@ -78,11 +82,12 @@
 }
 
 // choose decides where an attempt of a call runs and records it as sent.
-// Upstreams in tried get it only when there is no other.
-func (r *router) choose(now time.Time, call *structs.ModelCall, blocks []uint64, tried map[structs.UpstreamID]bool) (routing.Decision, bool) {
+// Upstreams in tried get it only when there is no other, those that allows refuses never.
+func (r *router) choose(now time.Time, call *structs.ModelCall, blocks []uint64, tried map[structs.UpstreamID]bool, allows func(structs.UpstreamID) bool) (routing.Decision, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := r.state.Candidates(now, structs.KindModel)
+	all := r.candidates(now, structs.KindModel)
+	all = slices.DeleteFunc(all, func(c routing.Candidate) bool { return !allows(c.Load.Upstream) })
 	d, ok := r.policy.Choose(now, call, blocks, untried(all, tried))
 	if !ok && len(tried) > 0 {
 		d, ok = r.policy.Choose(now, call, blocks, all)
@@ -97,7 +102,7 @@
 func (r *router) predict(now time.Time, call *structs.ModelCall, blocks []uint64) (routing.Decision, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.policy.Choose(now, call, blocks, r.state.Candidates(now, structs.KindModel))
+	return r.policy.Choose(now, call, blocks, r.candidates(now, structs.KindModel))
 }
 
 func untried(all []routing.Candidate, tried map[structs.UpstreamID]bool) []routing.Candidate {
@@ -122,7 +127,7 @@
 func (r *router) chooseService(now time.Time, name string, tried map[structs.UpstreamID]bool) (structs.UpstreamID, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := r.state.Candidates(now, structs.KindApplication)
+	all := r.candidates(now, structs.KindApplication)
 	id, ok := r.services.Choose(name, untried(all, tried))
 	if ok {
 		r.state.SentService(now, id)
@@ -136,10 +141,15 @@
 	r.state.DoneService(now, id, failed)
 }
 
-func (r *router) drain(id structs.UpstreamID) {
+// loads returns the loads of the model engines.
+func (r *router) loads(now time.Time) []structs.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state.Drain(id)
+	var out []structs.Load
+	for _, c := range r.candidates(now, structs.KindModel) {
+		out = append(out, c.Load)
+	}
+	return out
 }
 
 // slots returns the number of calls that the model engines not draining run at once.
@@ -147,7 +157,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
-	for _, c := range r.state.Candidates(now, structs.KindModel) {
+	for _, c := range r.candidates(now, structs.KindModel) {
 		if !c.Load.Draining && !c.Excluded {
 			n += c.Load.BatchLimit
 		}
@@ -155,17 +165,37 @@
 	return n
 }
 
-// counts returns the number of upstreams heard of and of those draining.
-func (r *router) counts(now time.Time) (upstreams, draining int) {
+// sides returns the loads of all upstreams heard of, model engines first.
+func (r *router) sides(now time.Time) []structs.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var out []structs.Load
 	for _, kind := range []structs.UpstreamKind{structs.KindModel, structs.KindApplication} {
-		for _, c := range r.state.Candidates(now, kind) {
-			upstreams++
-			if c.Load.Draining {
-				draining++
-			}
+		for _, c := range r.candidates(now, kind) {
+			out = append(out, c.Load)
+		}
+	}
+	return out
+}
+
+// candidates returns the upstreams of a kind; those on closed VMs count as draining.
+func (r *router) candidates(now time.Time, kind structs.UpstreamKind) []routing.Candidate {
+	all := r.state.Candidates(now, kind)
+	for i := range all {
+		if r.closed[all[i].Load.VM] {
+			all[i].Load.Draining = true
 		}
 	}
-	return upstreams, draining
+	return all
+}
+
+// setGate closes a VM to new work, or opens it again.
+func (r *router) setGate(vm structs.VMID, closed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if closed {
+		r.closed[vm] = true
+		return
+	}
+	delete(r.closed, vm)
 }
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -10,6 +10,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
 	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/membership"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -20,6 +21,7 @@
 	e.env.Log.Emit(eventlog.EntryStopping, eventlog.Fields{})
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.ShutdownGrace.Std())
 	defer cancel()
+	e.peers.tell(ctx, membership.Leave{})
 	var cause error
 	select {
 	case <-e.sealed:
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/query"
+	"github.com/buckthornroute/buckthornroute/membership"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// Nodes implements query.System: the entries by membership, and the upstreams' VMs
+// by what is heard of their sides.
+func (o operators) Nodes(context.Context) ([]query.Node, error) {
+	var out []query.Node
+	for _, m := range o.peers.view.Load().all {
+		out = append(out, query.Node{
+			Node:          m.Node,
+			Kind:          "entry",
+			VM:            m.VM,
+			Domain:        m.Domain,
+			State:         stateOf(m),
+			PresetVersion: m.Preset,
+			Ready:         m.Ready && !m.Suspected,
+		})
+	}
+	for _, s := range o.router.sides(time.Now()) {
+		out = append(out, query.Node{
+			Node:   structs.NodeID(s.Upstream),
+			Kind:   string(s.Kind),
+			VM:     s.VM,
+			Domain: s.Domain,
+			State:  sideState(s),
+			Ready:  !s.Draining,
+		})
+	}
+	return out, nil
+}
+
+func stateOf(m membership.View) string {
+	switch {
+	case m.State == membership.Leaving:
+		return "leaving"
+	case m.Suspected:
+		return "suspected"
+	}
+	return "live"
+}
+
+func sideState(s structs.Load) string {
+	if s.Draining {
+		return "draining"
+	}
+	return "live"
+}
+
+// Status implements query.System.
+func (o operators) Status(context.Context) (query.Status, error) {
+	inForce := o.presets.inForce.Load()
+	journal := o.committer.Status()
+	reason := o.notReady()
+	status := query.Status{
+		Node:          o.cfg.Node,
+		Log:           o.log,
+		Ready:         reason == "",
+		NotReady:      reason,
+		Preset:        inForce.Preset.Name,
+		PresetVersion: inForce.Version,
+		Programs:      journal.Programs,
+		RunningTurns:  o.local.running(),
+		Platform:      "answers",
+		PendingBytes:  journal.PendingBytes,
+		OpenCircuits:  o.guard.openCircuits(),
+	}
+	if !journal.OutageSince.IsZero() {
+		status.Platform = "silent since " + journal.OutageSince.UTC().Format(time.RFC3339)
+	}
+	for _, s := range o.router.sides(time.Now()) {
+		status.Upstreams++
+		if s.Draining {
+			status.Draining++
+		}
+	}
+	return status, nil
+}
--- a/internal/entry/tools.go
+++ b/internal/entry/tools.go
@@ -128,9 +128,6 @@
 	err = peer.FromStatus(err, "service "+req.Name, string(id))
 	t.router.doneService(t.now(), id, failed(err))
 	if err != nil {
-		if isDraining(err) {
-			t.router.drain(id)
-		}
 		return "", err
 	}
 	if structs.CallID(reply.GetCall()) != req.Call || reply.GetAttempt() != req.Attempt {
--- a/internal/eventlog/catalogue_entry.go
+++ b/internal/eventlog/catalogue_entry.go
@@ -60,6 +60,8 @@
 		"An answer's stream ended early; it is resumed by offset or the call is sent again.")
 	DutyFailed = register(1029, "duty_failed", logrus.ErrorLevel,
 		"A duty failed to handle an event; the step names the duty. Report it with the cause.")
+	RequestCleared = register(1030, "request_cleared", logrus.InfoLevel,
+		"A suspected request ran alone to its end and is no longer suspected.")
 	AdmissionOverloaded = register(1028, "admission_overloaded", logrus.WarnLevel,
 		"New work is refused since it can't finish in its callers' patience.")
 )
--- a/internal/eventlog/catalogue_membership.go
+++ b/internal/eventlog/catalogue_membership.go
@@ -24,4 +24,6 @@
 		"An operator has ordered the VM in detail to drain.")
 	DrainRevoked = register(4010, "drain_revoked", logrus.InfoLevel,
 		"An operator has taken back the drain of the VM in detail.")
+	PeerGone = register(4011, "peer_gone", logrus.InfoLevel,
+		"An entry's log is sealed or deleted; its programs, if any, run elsewhere.")
 )
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -45,6 +45,8 @@
 	Platform      string         `json:"platform"`
 	// PendingBytes is what waits for its commit in the home log.
 	PendingBytes int `json:"pending_bytes"`
+	// OpenCircuits are the upstreams that get no calls since they fail.
+	OpenCircuits []structs.UpstreamID `json:"open_circuits,omitempty"`
 }
 
 // System answers the operators' queries of one entry.
--- a/internal/side/order.go
+++ b/internal/side/order.go
@@ -19,6 +19,8 @@
 	// OrderDrain closes the gate, OrderUndrain opens it.
 	OrderDrain   = "drain"
 	OrderUndrain = "undrain"
+	// OrderLeave closes the gate for good: the platform lists the VM as leaving.
+	OrderLeave = "leave"
 )
 
 // Order implements the Upstream service.
@@ -30,6 +32,8 @@
 		err = s.operatorDrain(req.GetFencing(), true)
 	case OrderUndrain:
 		err = s.operatorDrain(req.GetFencing(), false)
+	case OrderLeave:
+		s.Leaving()
 	case orderLoadModel, orderRole:
 		err = s.orderEngine(ctx, req)
 	default:
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -197,8 +197,8 @@
 }
 
 func (s *Server) runModel(stream grpc.ServerStreamingServer[peerpb.CallModelChunk], call *structs.ModelCall) (structs.ModelAnswer, error) {
-	options := engine.CallOptions{}
-	return s.cfg.Model.Call(stream.Context(), *call, options, func(offset int, text string) {
+	incarnation := s.engineIncarnation()
+	answer, err := s.cfg.Model.Call(stream.Context(), *call, engine.CallOptions{}, func(offset int, text string) {
 		// A failed send ends the stream's context, which cancels the call.
 		_ = stream.Send(&peerpb.CallModelChunk{
 			Call:    string(call.Call),
@@ -207,6 +207,7 @@
 			Text:    text,
 		})
 	})
+	return answer, s.judge(err, incarnation)
 }
 
 func (s *Server) finishModel(stream grpc.ServerStreamingServer[peerpb.CallModelChunk], call *structs.ModelCall, answer structs.ModelAnswer) error {
--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -33,8 +33,9 @@
 	HTTPListener net.Listener
 }
 
-// vmListInterval is the time between two reads of the platform's list.
-const vmListInterval = 500 * time.Millisecond
+// vmListInterval is the time between two reads of the platform's list. Entries tell
+// a side within a heartbeat or two; its own reads are for a side that none reaches.
+const vmListInterval = 15 * time.Second
 
 // Run runs a side by its settings until ctx ends, and then shuts it down
 // gracefully: the gate closes, the calls in flight finish, the listeners close.
