Quarantine requests that crash the upstreams that run them

A crash makes suspects of all that ran there; a suspect gets one further try, alone and elsewhere, and is blamed only for a crash at which it was alone. The fingerprint is of the content, so a new key does not help.

--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,183 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what is known of a request.
+type State uint8
+
+// States of requests, in the order in which they follow each other in one episode.
+const (
+	Suspect State = iota + 1
+	Cleared
+	Quarantined
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Suspect:
+		return "suspect"
+	case Cleared:
+		return "cleared"
+	case Quarantined:
+		return "quarantined"
+	default:
+		return "unknown"
+	}
+}
+
+// Record is what entries tell each other of one request.
+type Record struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Episode grows when a cleared request becomes a suspect again.
+	Episode uint32 `json:"episode"`
+	State   State  `json:"state"`
+	// Claim grows when another entry takes the suspect's try over; Owner makes it.
+	Claim uint32         `json:"claim,omitempty"`
+	Owner structs.NodeID `json:"owner,omitempty"`
+	// Avoid is the upstream that crashed.
+	Avoid structs.UpstreamID `json:"avoid,omitempty"`
+	// Lasts is how long the record lasts from now.
+	Lasts time.Duration `json:"lasts"`
+}
+
+// hopAge is taken off a record's time with each hop, and exceeds the time that a hop
+// takes. So a record that has expired everywhere but on the wire does not come back.
+const hopAge = time.Second
+
+// sound reports whether a record from a peer can be used.
+func (r Record) sound() bool {
+	return r.Episode > 0 && r.State >= Suspect && r.State <= Quarantined && r.Lasts > hopAge
+}
+
+// newer orders the records of one request, the same on each entry: by episode, state
+// and claim; of two owners at once the first by name is it.
+func (r Record) newer(than Record) bool {
+	if r.Episode != than.Episode {
+		return r.Episode > than.Episode
+	}
+	if r.State != than.State {
+		return r.State > than.State
+	}
+	if r.Claim != than.Claim {
+		return r.Claim > than.Claim
+	}
+	return r.Owner < than.Owner
+}
+
+// row is a record with its times here.
+type row struct {
+	Record
+	heard   time.Time
+	expires time.Time
+}
+
+// table is a bounded set of records.
+type table struct {
+	limit int
+	rows  map[Fingerprint]*row
+}
+
+func newTable(limit int) table {
+	return table{limit: limit, rows: make(map[Fingerprint]*row)}
+}
+
+// order returns the fingerprints in order.
+func (t table) order() []Fingerprint {
+	out := make([]Fingerprint, 0, len(t.rows))
+	for f := range t.rows {
+		out = append(out, f)
+	}
+	slices.SortFunc(out, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return out
+}
+
+// get returns the record, and nil when there is none or it has expired.
+func (t table) get(now time.Time, f Fingerprint) *row {
+	r := t.rows[f]
+	if r == nil || now.Before(r.expires) {
+		return r
+	}
+	delete(t.rows, f)
+	return nil
+}
+
+func (t table) put(r Record, now time.Time, lasts time.Duration) {
+	if t.rows[r.Fingerprint] == nil && len(t.rows) >= t.limit {
+		t.evict()
+	}
+	t.rows[r.Fingerprint] = &row{Record: r, heard: now, expires: now.Add(lasts)}
+}
+
+// evict drops the record that is missed least: a quarantined one last, then that
+// which expires first.
+func (t table) evict() {
+	order := t.order()
+	if len(order) == 0 {
+		return
+	}
+	least := slices.MinFunc(order, func(a, b Fingerprint) int {
+		ra, rb := t.rows[a], t.rows[b]
+		return cmp.Or(
+			cmp.Compare(ra.evictionRank(), rb.evictionRank()),
+			ra.expires.Compare(rb.expires),
+			bytes.Compare(a[:], b[:]),
+		)
+	})
+	delete(t.rows, least)
+}
+
+func (r *row) evictionRank() int {
+	switch r.State {
+	case Cleared:
+		return 0
+	case Suspect:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (t table) expire(now time.Time) {
+	for f, r := range t.rows {
+		if !now.Before(r.expires) {
+			delete(t.rows, f)
+		}
+	}
+}
+
+// digest sums up which requests are suspected or quarantined.
+func (t table) digest() uint64 {
+	var sum uint64
+	for f, r := range t.rows {
+		if r.State == Cleared {
+			continue
+		}
+		var b [len(f) + 5]byte
+		copy(b[:], f[:])
+		binary.BigEndian.PutUint32(b[len(f):], r.Episode)
+		b[len(b)-1] = byte(r.State)
+		sum ^= xxhash.Sum64(b[:])
+	}
+	return sum
+}
+
+// wire returns the records as peers get them.
+func (t table) wire(now time.Time, of []Fingerprint) []Record {
+	out := make([]Record, 0, len(of))
+	for _, f := range of {
+		r := t.rows[f].Record
+		r.Lasts = t.rows[f].expires.Sub(now)
+		out = append(out, r)
+	}
+	return out
+}
