--- a/action/found.go
+++ b/action/found.go
@@ -11,6 +11,9 @@
 // foundRead goes by the row that stands in the way of the claim.
 func (m *Machine) foundRead(now time.Time, msg RowRead, row Row, err error) {
 	switch {
+	case err == nil && m.holds(msg, row):
+		m.version = msg.Row.Version
+		m.claimHeld(now)
 	case m.abandoned:
 		m.phase = ended
 	case errors.Is(err, ErrBadRow):
--- a/action/machine.go
+++ b/action/machine.go
@@ -10,7 +10,7 @@
 
 // Config holds the waits of an action. A zero field takes its default.
 type Config struct {
-	// Retry is the wait before the table is asked again.
+	// Retry is the first wait before the table or the service is asked again; it doubles up to 16 times itself.
 	Retry time.Duration
 	// ClaimWait bounds the time to claim the row; after it the action is refused as not run.
 	ClaimWait time.Duration
@@ -110,6 +110,7 @@
 	// owned says that the table has held this attempt's claim; abandoned that the caller
 	// was told that nothing ran, so nothing may be sent.
 	owned     bool
+	waits     int
 	abandoned bool
 	finished  bool
 	finishBy  time.Time
@@ -204,13 +205,25 @@
 
 func (m *Machine) wait(now time.Time, p phase) {
 	m.phase = p
-	until := now.Add(m.cfg.Retry)
+	until := now.Add(m.backoff())
 	if p == recordWaiting && !m.finished && m.finishBy.After(now) && m.finishBy.Before(until) {
 		until = m.finishBy
 	}
 	m.emit(Wait{Until: until})
 }
 
+// backoff grows with each wait. The owner's nonce spreads attempts that began together.
+func (m *Machine) backoff() time.Duration {
+	const (
+		maxDoublings = 4
+		jitterParts  = 4
+	)
+	wait := m.cfg.Retry << min(m.waits, maxDoublings)
+	m.waits++
+	jitter := wait / jitterParts
+	return wait - jitter/2 + time.Duration(m.row.Owner.Nonce%256)*jitter/256
+}
+
 // claim asks the table to make this attempt the owner.
 func (m *Machine) claim(now time.Time, version int64) {
 	m.phase = claiming
@@ -252,13 +265,13 @@
 	m.wait(now, claimWaiting)
 }
 
-// giveUp refuses the action as not run: nothing was sent and nothing will be. The machine
-// goes on until the row cannot pass for a request that was sent.
+// giveUp refuses the action: nothing was sent and nothing will be. The machine goes on
+// until the row cannot pass for a request that was sent.
 func (m *Machine) giveUp(now time.Time, detail string) {
 	if !m.abandoned {
 		m.abandoned = true
 		m.until = now.Add(m.cfg.RecordFor)
-		end := m.refuse(structs.CodePlatformOutage, structs.OutcomeNotRun, "%s; nothing was sent", detail)
+		end := m.refuse(structs.CodePlatformOutage, m.unsent(), "%s; nothing was sent", detail)
 		end.Refusal.RetryAfter = m.cfg.ClaimWait
 		m.finish(end)
 	}
@@ -285,6 +298,14 @@
 	}
 }
 
+// unsent is the outcome when this attempt sends nothing and has not seen the row.
+func (m *Machine) unsent() structs.Outcome {
+	if m.request.Resent {
+		return structs.OutcomeUnknown
+	}
+	return structs.OutcomeNotRun
+}
+
 func (m *Machine) tick(now time.Time) {
 	switch m.phase {
 	case claimWaiting:
@@ -336,14 +357,16 @@
 		m.retryClaim(now, "the platform does not tell whether the claim was taken")
 	case !msg.Found || (row.State == NotRun && row.Owner != m.row.Owner):
 		m.claimAgain(now, msg)
-	case row.Owner == m.row.Owner && row.State == Intended:
-		m.version = msg.Row.Version
-		m.claimHeld(now)
 	default:
 		m.foundRead(now, msg, row, nil)
 	}
 }
 
+// holds reports whether the row read is this attempt's claim.
+func (m *Machine) holds(msg RowRead, row Row) bool {
+	return msg.Found && row.Owner == m.row.Owner && row.State == Intended
+}
+
 // claimAgain makes the claim again, or ends once it is known to be gone.
 func (m *Machine) claimAgain(now time.Time, msg RowRead) {
 	if m.abandoned {
@@ -361,9 +384,6 @@
 	case err != nil:
 		m.claimed = now.Add(-2 * m.cfg.SendWithin)
 		m.retryClaim(now, "the platform does not confirm the claim")
-	case msg.Found && row.Owner == m.row.Owner && row.State == Intended:
-		m.version = msg.Row.Version
-		m.claimHeld(now)
 	default:
 		m.foundRead(now, msg, row, nil)
 	}
@@ -382,7 +402,7 @@
 		}
 		m.abandoned = true
 		m.until = now.Add(m.cfg.RecordFor)
-		m.finish(m.refuse(structs.CodeCancelled, structs.OutcomeNotRun, "the caller gave the action up; nothing was sent"))
+		m.finish(m.refuse(structs.CodeCancelled, m.unsent(), "the caller gave the action up; nothing was sent"))
 	case foundReading, foundSeal, foundWaiting, foundAsking:
 		m.conclude(m.refuse(structs.CodeCancelled, structs.OutcomeUnknown,
 			"the caller gave up waiting for another attempt at action %q", m.row.Key))
--- a/program/bench_test.go
+++ b/program/bench_test.go
@@ -124,7 +124,8 @@
 	case CallModel:
 		b.printf("call model %s attempt %d: %d messages, at most %d tokens", short(e.Call.Call), e.Call.Attempt, len(e.Call.Messages), e.Call.MaxTokens)
 	case CallTool:
-		b.printf("call tool %s attempt %d: %s %s within %s", short(e.Request.Call), e.Request.Attempt, e.Request.Name, e.Request.Arguments, e.Request.Timeout)
+		again := map[bool]string{true: " again"}[e.Request.Resent]
+		b.printf("call tool %s attempt %d%s: %s %s within %s", short(e.Request.Call), e.Request.Attempt, again, e.Request.Name, e.Request.Arguments, e.Request.Timeout)
 	case StartAgent:
 		budget := e.Spec.Budget
 		b.printf("start agent %s attempt %d: %q with %d tokens, %d calls, %s, %d agents", short(e.Call), e.Attempt, e.Task,
--- a/program/call.go
+++ b/program/call.go
@@ -43,8 +43,10 @@
 	// needSeq is the record that must be committed before the call is sent.
 	needSeq       uint64
 	nonRepeatable bool
-	timeout       time.Duration
-	started       time.Time
+	// resent says that an earlier home may have sent the call.
+	resent  bool
+	timeout time.Duration
+	started time.Time
 	// deadline is the end of the call in flight, or of its back-off.
 	deadline time.Time
 
--- a/program/restore.go
+++ b/program/restore.go
@@ -211,6 +211,9 @@
 	last := messages[len(messages)-1]
 	if last.Role == structs.RoleAssistant {
 		m.makeBatch(last.ToolCalls)
+		for _, c := range t.batch {
+			c.resent = true
+		}
 		m.advance(now)
 		return
 	}
--- a/program/tool.go
+++ b/program/tool.go
@@ -96,6 +96,7 @@
 		Key:           string(c.id),
 		Timeout:       c.timeout,
 		NonRepeatable: c.nonRepeatable,
+		Resent:        c.resent,
 	}})
 }
 
--- a/structs/program.go
+++ b/structs/program.go
@@ -75,4 +75,7 @@
 	Timeout time.Duration `json:"timeout"`
 	// NonRepeatable marks an irreversible action.
 	NonRepeatable bool `json:"non_repeatable,omitempty"`
+	// Resent says that an earlier request with the same key may have been sent, so that
+	// "not run" cannot be said of the key without looking at its row.
+	Resent bool `json:"resent,omitempty"`
 }
