--- a/action/bench_test.go
+++ b/action/bench_test.go
@@ -34,7 +34,9 @@
 	name    string
 	m       *Machine
 	pending Effect
-	ends    []Finish
+	// held is an answer that the attempt has not looked at yet.
+	held Message
+	ends []Finish
 }
 
 func newBench() *bench {
@@ -128,6 +130,8 @@
 	late fault = "late"
 	// refused: the service or table says that the effect did not take place.
 	refused fault = "refuse"
+	// hold: the effect takes place, and its answer is seen at the next step only.
+	hold fault = "hold"
 	// failed: the service ran the request and says that it failed.
 	failed fault = "fail"
 )
@@ -137,6 +141,15 @@
 
 // deliver carries out the pending effect and steps the machine with the answer.
 func (b *bench) deliver(a *attempt, f fault) {
+	if msg := a.held; msg != nil {
+		a.held = nil
+		b.step(a, msg)
+		return
+	}
+	if apply, is := a.pending.(Apply); is && f == hold {
+		a.held = Applied{Err: b.applyWith(apply.Txn, noFault)}
+		return
+	}
 	switch e := a.pending.(type) {
 	case Read:
 		b.step(a, b.read(e.Key, f))
--- a/action/property_test.go
+++ b/action/property_test.go
@@ -149,7 +149,7 @@
 // effect, pauses, kills, seals and operators. The action runs at most once, every history
 // of callers is one of a register that runs once, and whoever was told "not run" sends nothing.
 func TestInterleavings(t *testing.T) {
-	faults := []fault{noFault, noFault, noFault, lost, cut, late, refused, failed}
+	faults := []fault{noFault, noFault, noFault, lost, cut, late, hold, refused, failed}
 	rapid.Check(t, func(t *rapid.T) {
 		c := &crowd{bench: newBench(), t: t, begun: map[string]int64{}}
 		t.Repeat(map[string]func(*rapid.T){
--- a/action/script_test.go
+++ b/action/script_test.go
@@ -11,7 +11,7 @@
 // TestScripts runs testdata/scripts/*.txt. Attempts have names. The verbs are:
 //
 //	start    NAME [log=L] [key=K | call=C] [arguments=A] [resent]: begin an attempt
-//	next     NAME [lose-answer|cut|late|refuse|fail]: carry out what it asked for, with a fault
+//	next     NAME [lose-answer|cut|late|hold|refuse|fail]: carry out what it asked for, with a fault
 //	run      NAME: carry out all that it asks for
 //	release  let the delayed transactions reach the table
 //	outage, heal: the table is down, and up again
@@ -20,6 +20,7 @@
 //	service  never|running|done|mute: its account of requests
 //	advance  D
 //	settle   key=K [ran]: an operator's word
+//	row      key=K: put the input as the row's value
 //	expect   print the rows and the runs of the service
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -99,6 +100,10 @@
 		if err := b.settle("council", key, d.HasArg("ran")); err != nil {
 			b.printf("error: %v", err)
 		}
+	case "row":
+		var key string
+		d.ScanArgs(t, "key", &key)
+		b.rows[RowKey("council", key)] = TableRow{Value: []byte(d.Input), Version: 1}
 	case "expect":
 		b.printRows()
 		for _, key := range sortedKeys(b.ran) {
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/action"
@@ -21,11 +22,17 @@
 	kept    int
 	down    bool
 	sealed  bool
-	runner  *Runner
-	delay   time.Duration
+	// full makes appends wait.
+	full   atomic.Bool
+	runner *Runner
+	delay  time.Duration
 }
 
-func (j *fakeJournal) Append(_ context.Context, entries ...journal.Entry) (uint64, error) {
+func (j *fakeJournal) Append(ctx context.Context, entries ...journal.Entry) (uint64, error) {
+	if j.full.Load() {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.sealed {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"go.uber.org/goleak"
@@ -30,18 +31,22 @@
 	r     *Runner
 }
 
-func newBench(t *testing.T, log structs.LogID, from *bench) *bench {
+func newBench(t *testing.T, log structs.LogID, from *bench, options ...func(*Config)) *bench {
 	b := &bench{t: t, world: &fakeWorld{delay: 10 * time.Millisecond}, table: newFakeTable()}
 	if from != nil {
 		b.world, b.table = from.world, from.table
 	}
 	b.log = &fakeJournal{delay: 5 * time.Millisecond}
-	b.r = New(Config{
+	cfg := Config{
 		Log: log, Node: "entry-1", Engines: b.world, Tools: b.world, Journal: b.log, Table: b.table,
 		Program: program.Config{Tools: map[string]program.Tool{
 			"search": {}, "publish": {NonRepeatable: true},
 		}},
-	})
+	}
+	for _, option := range options {
+		option(&cfg)
+	}
+	b.r = New(cfg)
 	b.log.runner = b.r
 	return b
 }
@@ -111,7 +116,7 @@
 		if holds() {
 			return
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatalf("%s did not come", what)
 }
@@ -145,7 +150,129 @@
 			if refusal != nil || !answer.Kept || answer.Content != "the answer is done" {
 				t.Fatalf("killed at %s: %+v, %v", at, answer, refusal)
 			}
+			b.onlyProgram(id)
+		})
+	}
+}
+
+// onlyProgram waits until no program but the one given runs: sub-agents have ended.
+func (b *bench) onlyProgram(id structs.ProgramID) {
+	b.t.Helper()
+	await(b.t, "the end of all sub-agents", func() bool {
+		views, err := b.r.List(b.t.Context(), home.List{})
+		return err == nil && len(views) == 1 && views[0].ID == id
+	})
+}
+
+// TestAdoptionOfSubAgents has an adopter find a sub-agent whose result its parent has, and
+// one at work; the same entries adopted again change nothing.
+func TestAdoptionOfSubAgents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newBench(t, "e1-a", nil)
+		id := a.open(structs.ProgramSpec{Organisation: "council"})
+		_, _, _ = a.turn(id, 1, "agent 7; answer done")
+		a.onlyProgram(id)
+		time.Sleep(time.Second)
+		kept := slices.DeleteFunc(a.log.seal(), func(e journal.Entry) bool {
+			if e.Kind == program.KindClosed && e.Mark != journal.MarkEnd {
+				t.Errorf("the end of %q has mark %d", e.Program, e.Mark)
+			}
+			return e.Kind == program.KindClosed
 		})
+		a.r.Close()
+		b := newBench(t, "e2-b", a)
+		defer b.r.Close()
+		for range 2 {
+			if err := b.r.Adopt(t.Context(), kept); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.onlyProgram(id)
+		calls := b.world.calls
+		go func() { _, _, _ = b.turn(id, 2, "agent 8; answer done") }()
+		time.Sleep(30 * time.Millisecond)
+		half := append(slices.Clone(kept), b.log.seal()...)
+		b.r.Close()
+		c := newBench(t, "e3-c", a)
+		defer c.r.Close()
+		for range 2 {
+			if err := c.r.Adopt(t.Context(), half); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(8 * time.Millisecond)
+		}
+		if _, answer, refusal := c.turn(id, 2, "agent 8; answer done"); refusal != nil || answer.Content != "the answer is done" {
+			t.Fatalf("turn with a sub-agent: %+v, %v", answer, refusal)
+		}
+		c.onlyProgram(id)
+		if made := c.world.calls - calls; made != 3 {
+			t.Fatalf("%d model calls for a turn of 3", made)
+		}
+	})
+}
+
+// TestLimits refuses what is too much, at once and truthfully.
+func TestLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil, func(c *Config) { c.MaxTurns, c.MaxBacklog = 1, 100 })
+		defer b.r.Close()
+		expect := func(what string, err error, code structs.Code) {
+			t.Helper()
+			if r := structs.AsRefusal(err); r == nil || r.Code != code || r.Outcome != structs.OutcomeNotRun {
+				t.Errorf("%s: %v, want %s", what, err, code)
+			}
+		}
+		id := b.open(structs.ProgramSpec{Organisation: "council", Key: "k"})
+		_, err := b.r.Open(t.Context(), structs.ProgramSpec{Organisation: "council", Key: "k", Kind: "draft"})
+		expect("a key with another specification", err, structs.CodeKeyReused)
+		_, err = b.r.Invoke(t.Context(), structs.ToolRequest{Name: "order", NonRepeatable: true})
+		expect("an action without a key", err, structs.CodeBadRequest)
+		go func() { _, _, _ = b.turn(id, 1, "answer 1") }()
+		synctest.Wait()
+		expect("the end of a program at work", b.r.End(t.Context(), home.End{Program: id}), structs.CodeTurnInProgress)
+		_, err = b.r.Open(t.Context(), structs.ProgramSpec{})
+		expect("a program beside too many turns", err, structs.CodeOverloaded)
+		time.Sleep(time.Second)
+		b.log.full.Store(true)
+		_, _, _ = b.turn(id, 2, "answer 2")
+		_, _, refusal := b.turn(id, 3, "answer 3")
+		expect("a turn while the journal is behind", refusal, structs.CodePlatformOutage)
+	})
+}
+
+// TestDrainWaitsForActions drains while a direct action runs.
+func TestDrainWaitsForActions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		go func() {
+			_, _ = b.r.Invoke(context.Background(), structs.ToolRequest{Name: "order", Key: "k", NonRepeatable: true, Timeout: time.Second})
+		}()
+		synctest.Wait()
+		began := time.Now()
+		if err := b.r.Drain(t.Context()); err != nil || time.Since(began) < b.world.delay {
+			t.Fatalf("drained after %s: %v", time.Since(began), err)
+		}
+	})
+}
+
+// TestTextOfAttempts gives chunks that go on, start anew and leave gaps.
+func TestTextOfAttempts(t *testing.T) {
+	log := newTurnLog()
+	text := newTextOf(log, "call", 1)
+	for _, c := range []struct {
+		offset int
+		text   string
+	}{{0, "ab"}, {2, "c"}, {9, "gap"}, {3, "after the gap"}, {0, "xy"}, {2, "z"}} {
+		text.add(c.offset, c.text)
+	}
+	log.end(nil, nil)
+	got := map[uint32]string{}
+	if err := log.follow(t.Context(), func(e structs.TurnEvent) error {
+		got[e.Attempt] += e.Text
+		return nil
+	}); err != nil || len(got) != 2 || got[16] != "abc" || got[17] != "xyz" {
+		t.Fatalf("texts %v, %v", got, err)
 	}
 }
 
@@ -199,7 +326,7 @@
 			t.Fatalf("a new turn while draining: %v", refusal)
 		}
 		entries, err := a.r.HandOver(t.Context())
-		if err != nil || len(entries) != 1 {
+		if err != nil || len(entries) != 1 || entries[0].Mark != journal.MarkReset {
 			t.Fatalf("hand over gave %d entries, %v", len(entries), err)
 		}
 		b := newBench(t, "e2-b", a)
@@ -219,10 +346,7 @@
 		b := newBench(t, "e1-a", nil)
 		defer b.r.Close()
 		id := b.open(structs.ProgramSpec{Organisation: "council"})
-		time.AfterFunc(15*time.Millisecond, func() {
-			b.log.seal()
-			b.r.Stopped("e2-b")
-		})
+		time.AfterFunc(15*time.Millisecond, func() { b.r.Stopped("e2-b") })
 		_, _, refusal := b.turn(id, 1, "tool search {}; answer 1")
 		if refusal == nil || refusal.Code != structs.CodeFenced || refusal.Outcome != structs.OutcomeUnknown {
 			t.Fatalf("turn of a fenced home: %v", refusal)
@@ -249,6 +373,10 @@
 		if refusal == nil || refusal.Code != structs.CodeCancelled || refusal.Outcome != structs.OutcomeUnknown {
 			t.Fatalf("turn cancelled in an action: %v", refusal)
 		}
+		await(t, "the record of the action's end", func() bool {
+			rows, _, err := b.r.OpenActions(t.Context(), "", "", 10)
+			return err == nil && len(rows) == 0
+		})
 		if err := b.r.End(t.Context(), home.End{Program: id}); err != nil {
 			t.Fatal(err)
 		}
--- a/program/history.go
+++ b/program/history.go
@@ -144,12 +144,20 @@
 
 // The encoder and decoder are safe for concurrent EncodeAll and DecodeAll, which start no goroutine.
 var (
-	frameEncoder, _ = zstd.NewWriter(nil,
-		zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderCRC(true))
+	frameEncoder    = newFrameEncoder()
 	frameDecoder, _ = zstd.NewReader(nil,
 		zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxFrameBytes))
 )
 
+// newFrameEncoder returns an encoder that is initialized. The library would do so at the
+// first use, with a channel that would belong to the synctest bubble of that use.
+func newFrameEncoder() *zstd.Encoder {
+	encoder, _ := zstd.NewWriter(nil,
+		zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderCRC(true))
+	encoder.EncodeAll([]byte{0}, nil)
+	return encoder
+}
+
 func newFrame(ms []structs.Message) frame {
 	plain := encodeMessages(ms)
 	return frame{messages: len(ms), plain: len(plain), data: frameEncoder.EncodeAll(plain, nil)}
--- a/program/script_test.go
+++ b/program/script_test.go
@@ -25,7 +25,8 @@
 //	duplicate    deliver the last message again
 //	advance      D: move the clock, with timers; pause D: move it without them
 //	checkpoint   replace the log by a checkpoint; handover: by one of a graceful shutdown
-//	corrupt      entry=N what=program|digest|drop|kind|data: damage the log, then kill
+//	reorder      put a checkpoint before the records that it covers
+//	corrupt      entry=N what=program|filed|digest|before|turn|history|drop|kind|data: damage the log, then kill
 //	expect       print the state; history: print the conversation
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -61,6 +62,9 @@
 	s.maybe(d, "max-tokens", &cfg.MaxTokens)
 	s.maybe(d, "max-steps", &cfg.MaxSteps)
 	s.maybe(d, "max-history", &cfg.MaxHistoryTokens)
+	s.maybe(d, "max-turn-bytes", &cfg.MaxTurnBytes)
+	s.maybe(d, "max-tool-bytes", &cfg.MaxToolBytes)
+	s.maybe(d, "level", &spec.Depth)
 	spec.Budget.ToolTime = s.duration(d, "tool-time")
 	s.b = newBench(cfg, spec)
 	s.b.open()
@@ -124,6 +128,9 @@
 		b.advance(step)
 	case "checkpoint":
 		b.log, b.kept = []Entry{b.m.Snapshot()}, 1
+	case "reorder":
+		b.log = append([]Entry{b.m.Snapshot()}, b.log...)
+		b.kept = len(b.log)
 	case "handover":
 		b.log, b.kept = []Entry{b.m.HandOver()}, 1
 	case "corrupt":
@@ -149,6 +156,12 @@
 		e.Program = "e1.2"
 	case "digest":
 		e.Data = []byte(strings.Replace(string(e.Data), `"content":"`, `"content":"!`, 1))
+	case "before":
+		e.Data = flipDigit(e.Data, `"before":"`)
+	case "turn":
+		e.Data = []byte(strings.Replace(string(e.Data), `"number":1`, `"number":2`, 1))
+	case "history":
+		e.Data = flipDigit(e.Data, `"digest":"`)
 	case "drop":
 		b.log = append(b.log[:i-1:i-1], b.log[i:]...)
 		b.kept--
@@ -163,6 +176,17 @@
 	b.log, b.kept = saved, len(saved)
 }
 
+// flipDigit changes the hexadecimal digit behind the prefix.
+func flipDigit(data []byte, prefix string) []byte {
+	out := []byte(string(data))
+	i := strings.Index(string(data), prefix) + len(prefix)
+	out[i] = "10"[(out[i]-'0')%2]
+	if out[i] == data[i] {
+		out[i] = '7'
+	}
+	return out
+}
+
 // calls does the verbs of callers, engines, tools and sub-agents.
 func (s *script) calls(d *datadriven.TestData) bool {
 	b := s.b
