--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,10 @@
 	Log       *eventlog.Logger
 	Telemetry *telemetry.Telemetry
 	Security  peer.Security
+	// PeerListener and HTTPListener replace the settings' addresses when they are
+	// set; Run closes them.
+	PeerListener net.Listener
+	HTTPListener net.Listener
 }
 
 // entry is one entry process and its parts.
@@ -59,11 +63,14 @@
 	router    *router
 	links     map[structs.UpstreamID]*sideLink
 	tools     *tools
+	holds     *cacheHolds
+	fences    *fences
 	local     *local
 	directory *home.Directory
 	presets   *presets
 	peers     *peers
 	mail      *mail
+	bus       *bus
 
 	opened   atomic.Bool
 	stopping atomic.Bool
@@ -77,14 +84,9 @@
 // and when the log was sealed by another entry. ready is called once both
 // listeners are open.
 func Run(ctx context.Context, cfg *settings.Entry, env Environment, ready func()) error {
-	peerListener, err := net.Listen("tcp", cfg.ListenPeer)
+	peerListener, httpListener, err := daemon.Listen(env.PeerListener, cfg.ListenPeer, env.HTTPListener, cfg.ListenHTTP)
 	if err != nil {
-		return errors.Wrapf(err, "listen_peer %q", cfg.ListenPeer)
-	}
-	httpListener, err := net.Listen("tcp", cfg.ListenHTTP)
-	if err != nil {
-		_ = peerListener.Close()
-		return errors.Wrapf(err, "listen_http %q", cfg.ListenHTTP)
+		return err
 	}
 	// Duties go on after ctx ends, until the shutdown is through.
 	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
@@ -100,7 +102,7 @@
 	h := httpapi.NewServer(e.api())
 	var servers errgroup.Group
 	servers.Go(func() error { return g.Serve(peerListener) })
-	servers.Go(func() error { return ignoreClosed(h.Serve(httpListener)) })
+	servers.Go(func() error { return daemon.IgnoreClosed(h.Serve(httpListener)) })
 	duties, dutyContext := errgroup.WithContext(dutyContext)
 	e.start(dutyContext, duties)
 	env.Log.Emit(eventlog.EntryStarted, eventlog.Fields{Detail: string(e.log)})
@@ -116,13 +118,6 @@
 	return errors.CombineErrors(cause, errors.CombineErrors(servers.Wait(), duties.Wait()))
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // ErrSealed reports that another entry has sealed the log of this process: its
 // programs go on there, and this process has to start anew.
 var ErrSealed = errors.New("the home log was sealed by another entry")
@@ -140,6 +135,10 @@
 	e.pool = peer.NewPool(peer.Options{Security: env.Security, Versions: e.versions, Telemetry: env.Telemetry})
 	e.platform = platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
 	e.mail = newMail(ctx, cfg.Node, e.pool)
+	var err error
+	if e.bus, err = newBus(env.Log); err != nil {
+		return nil, err
+	}
 	if err := e.newRouting(); err != nil {
 		return nil, err
 	}
@@ -147,9 +146,31 @@
 	e.newPresets()
 	e.newPeers()
 	e.newDirectory()
+	e.subscribe()
 	return e, nil
 }
 
+// subscribe sets up the duties that take events of the others.
+func (e *entry) subscribe() {
+	handle(e.bus, "admission", topicPreset, func(_ context.Context, p structs.PresetInForce) error {
+		e.local.setPreset(p.Preset)
+		return nil
+	})
+	handle(e.bus, "routing", topicPreset, func(_ context.Context, p structs.PresetInForce) error {
+		return e.router.setPreset(p.Preset)
+	})
+	handle(e.bus, "adoption", topicOrphaned, func(ctx context.Context, o orphaned) error {
+		return e.adopt(ctx, o.Log)
+	})
+	handle(e.bus, "release", topicReleased, func(_ context.Context, r released) error {
+		e.holds.done(r.Program)
+		for _, l := range e.links {
+			l.forget(r.Program)
+		}
+		return nil
+	})
+}
+
 // newRouting sets up the router and the links to the sides.
 func (e *entry) newRouting() error {
 	first := structs.Preset{Policy: "cost"}
@@ -172,8 +193,25 @@
 	return nil
 }
 
+func (e *entry) newEngines() *engines {
+	return &engines{
+		router: e.router,
+		links:  e.links,
+		log:    e.log,
+		guard:  &callGuard{},
+		holds:  e.holds,
+		preset: e.preset,
+		now:    time.Now,
+	}
+}
+
+// preset returns the preset in force here.
+func (e *entry) preset() structs.Preset { return e.presets.inForce.Load().Preset }
+
 // newHome sets up the journal and the runner of programs.
 func (e *entry) newHome() {
+	e.fences = newFences(e.log, time.Now())
+	e.holds = newCacheHolds(e.log, e.links, e.preset, e.fences.of)
 	e.committer = committer.New(committer.Config{
 		Journal:     e.journalConfig(),
 		OnCommitted: func(through uint64) { e.runner.Committed(through) },
@@ -183,11 +221,12 @@
 		Log:      e.log,
 		Node:     e.cfg.Node,
 		Program:  e.programConfig(),
-		Engines:  &engines{router: e.router, links: e.links, log: e.log, guard: &callGuard{}, now: time.Now},
+		Engines:  e.newEngines(),
 		Tools:    e.tools,
 		Journal:  e.committer,
 		Table:    e.platform,
 		Patience: e.patience,
+		Released: func(id structs.ProgramID) { publish(e.bus, topicReleased, released{Program: id}) },
 		RingSize: e.cfg.Limits.RingSize,
 	})
 	e.local = &local{
@@ -195,6 +234,7 @@
 		log:       e.log,
 		router:    e.router,
 		notReady:  e.notReady,
+		preset:    e.preset,
 		patience:  e.patience,
 		machine:   admission.New(admission.Config{}),
 		turnTimes: map[string]time.Duration{},
@@ -275,10 +315,7 @@
 // applyPreset puts a preset in force in all parts of the process.
 func (e *entry) applyPreset(p structs.PresetInForce) {
 	e.versions.Set(p.Version)
-	e.local.setPreset(p.Preset)
-	if err := e.router.setPreset(p.Preset); err != nil {
-		e.env.Log.Emit(eventlog.PresetRowInvalid, eventlog.Fields{Step: "apply preset", Err: err})
-	}
+	publish(e.bus, topicPreset, p)
 	e.env.Log.Emit(eventlog.PresetInForce, eventlog.Fields{Step: "apply preset", Count: int64(p.Version), Detail: p.Preset.Name})
 }
 
@@ -314,10 +351,16 @@
 // start starts the duties of the process.
 func (e *entry) start(ctx context.Context, duties *errgroup.Group) {
 	e.committer.Start(ctx)
+	duties.Go(func() error { return e.bus.run(ctx) })
+	e.bus.awaitRunning(ctx)
 	duties.Go(func() error { return e.presets.run(ctx) })
 	duties.Go(func() error { return e.peers.run(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
-	for _, l := range e.links {
+	for _, s := range e.cfg.Sides {
+		l := e.links[s.Upstream]
+		if s.Kind == structs.KindModel {
+			duties.Go(func() error { return e.holds.run(ctx, s.Upstream) })
+		}
 		duties.Go(func() error {
 			l.watch(ctx, e.cfg.Node, e.router)
 			return nil
@@ -362,6 +405,7 @@
 		Services:  services{e},
 		Presets:   o,
 		Drainer:   o,
+		Orderer:   o,
 		Actions:   o,
 		System:    o,
 		Limits:    command.DefaultLimits,
--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/buckthornroute/buckthornroute/hold"
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
@@ -27,6 +27,10 @@
 	Log       *eventlog.Logger
 	Telemetry *telemetry.Telemetry
 	Security  peer.Security
+	// PeerListener and HTTPListener replace the settings' addresses when they are
+	// set; Run closes them.
+	PeerListener net.Listener
+	HTTPListener net.Listener
 }
 
 // vmListInterval is the time between two reads of the platform's list.
@@ -41,14 +45,9 @@
 		return err
 	}
 	defer s.closeUpstream()
-	peerListener, err := net.Listen("tcp", cfg.ListenPeer)
+	peerListener, httpListener, err := daemon.Listen(env.PeerListener, cfg.ListenPeer, env.HTTPListener, cfg.ListenHTTP)
 	if err != nil {
-		return errors.Wrapf(err, "listen_peer %q", cfg.ListenPeer)
-	}
-	httpListener, err := net.Listen("tcp", cfg.ListenHTTP)
-	if err != nil {
-		_ = peerListener.Close()
-		return errors.Wrapf(err, "listen_http %q", cfg.ListenHTTP)
+		return err
 	}
 	g := peer.NewServer(peer.Options{Security: env.Security, Telemetry: env.Telemetry})
 	s.Register(g)
@@ -64,8 +63,8 @@
 	defer stopDuties()
 	var group errgroup.Group
 	group.Go(func() error { return g.Serve(peerListener) })
-	group.Go(func() error { return ignoreClosed(h.Serve(httpListener)) })
-	group.Go(func() error { return s.Run(dutyContext, vmListOf(cfg, env), vmListInterval) })
+	group.Go(func() error { return daemon.IgnoreClosed(h.Serve(httpListener)) })
+	group.Go(func() error { return s.Run(dutyContext, s.vms, vmListInterval) })
 
 	<-ctx.Done()
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.ShutdownGrace.Std())
@@ -80,20 +79,6 @@
 	return group.Wait()
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-func vmListOf(cfg *settings.Side, env Environment) platform.VMList {
-	if cfg.PlatformURL == "" {
-		return nil
-	}
-	return platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
-}
-
 func newFromSettings(cfg *settings.Side, env Environment) (*Server, error) {
 	c := Config{
 		Node:         cfg.Node,
@@ -105,7 +90,7 @@
 		BatchLimit:   cfg.BatchLimit,
 		QueueLimit:   cfg.QueueLimit,
 		SilenceLimit: cfg.SilenceLimit.Std(),
-		HoldInterval: cfg.Hold.ReconcileInterval.Std(),
+		Hold:         holdConfig(cfg),
 		Incarnation:  uuid.NewString(),
 		Log:          env.Log,
 	}
@@ -117,7 +102,26 @@
 		service := engine.NewService(cfg.Upstream.ID, cfg.Upstream.URL, transport)
 		c.Service, c.closeUpstream = service, service.Close
 	}
-	return New(c)
+	var vms platform.VMList
+	if cfg.PlatformURL != "" {
+		client := platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
+		c.Table, vms = client, client
+	}
+	s, err := New(c)
+	if err != nil {
+		return nil, err
+	}
+	s.vms = vms
+	return s, nil
+}
+
+func holdConfig(cfg *settings.Side) hold.Config {
+	h := hold.DefaultConfig(cfg.Upstream.ID)
+	h.LeaseTime = cfg.Hold.LeaseTime.Std()
+	h.ReconcileInterval = cfg.Hold.ReconcileInterval.Std()
+	h.MaxTokens = cfg.Hold.MaxTokens
+	h.MaxLeases = cfg.Hold.MaxLeases
+	return h
 }
 
 func (s *Server) closeUpstream() {
