--- /dev/null
+++ b/program/bench_history_test.go
@@ -0,0 +1,164 @@
+package program
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// text returns so many bytes of words whose frequencies fall as in written language, from
+// a vocabulary of 20,000 words of 2 to 10 letters.
+func text(random *rand.Rand, bytes int) string {
+	const vocabulary = 20000
+	words := rand.NewZipf(random, 1.1, 3, vocabulary-1)
+	var out strings.Builder
+	for out.Len() < bytes {
+		spelling := rand.New(rand.NewPCG(words.Uint64(), 0))
+		for range 2 + spelling.IntN(9) {
+			out.WriteByte("etaoinshrdlucmfwypvbgkjqxz"[min(spelling.IntN(26), spelling.IntN(26))])
+		}
+		out.WriteByte(' ')
+	}
+	return out.String()[:bytes]
+}
+
+// conversation returns the records of a program whose history has about so many tokens,
+// and the number of its turns. A turn is a question, a tool's result and an answer.
+func conversation(tb testing.TB, tokens int) (*bench, uint32) {
+	tb.Helper()
+	const turnTokens = 2400
+	random := rand.New(rand.NewPCG(1, 2))
+	b := newBench(Config{}, structs.ProgramSpec{Budget: structs.Budget{Tokens: 1 << 40, Calls: 1 << 30}})
+	b.open()
+	turns := uint32(max(tokens/turnTokens, 1))
+	for n := uint32(1); n <= turns; n++ {
+		b.step(SubmitTurn{Number: n, Key: fmt.Sprint(n), Content: text(random, 1600)})
+		b.answerWith(structs.Message{ToolCalls: []structs.ToolCall{{ID: "t", Name: "search", Arguments: fmt.Sprintf(`{"q":%d}`, n)}}})
+		b.step(ToolDone{Call: structs.NewCallID(benchProgram, n, 2), Attempt: b.m.attempts, Result: text(random, 5600)})
+		b.answerWith(structs.Message{Content: text(random, 2400)})
+		b.out.Reset()
+	}
+	return b, turns
+}
+
+// answerWith answers the model call under way.
+func (b *bench) answerWith(m structs.Message) {
+	call := b.models[b.m.current.model.id]
+	usage := structs.Usage{PromptTokens: int64(structs.Tokens(call.Messages)), GeneratedTokens: int64(m.Tokens())}
+	b.step(ModelDone{Answer: structs.ModelAnswer{Call: call.Call, Attempt: call.Attempt, Message: m, Usage: usage}})
+}
+
+// historySizes are tokens of history: one turn of 40, 10 times that and the planned 330,000.
+var historySizes = []int{3_300, 33_000, 330_000}
+
+// BenchmarkTurn steps one turn of four steps on a history that is in plain text.
+func BenchmarkTurn(b *testing.B) {
+	for _, size := range historySizes {
+		b.Run(fmt.Sprintf("tokens=%d", size), func(b *testing.B) {
+			c, turns := conversation(b, size)
+			c.cfg.MaxHistoryTokens = 1 << 40
+			base := c.m.history
+			b.ReportAllocs()
+			for b.Loop() {
+				turns++
+				c.step(SubmitTurn{Number: turns, Content: "question"})
+				c.answerWith(structs.Message{ToolCalls: []structs.ToolCall{{ID: "t", Name: "search", Arguments: "{}"}}})
+				c.step(ToolDone{Call: structs.NewCallID(benchProgram, turns, 2), Attempt: c.m.attempts, Result: "result"})
+				c.answerWith(structs.Message{Content: "answer"})
+				c.out.Reset()
+				c.log, c.kept = nil, 0
+				c.m.history = base
+			}
+		})
+	}
+}
+
+// BenchmarkWake expands a compressed history for its next turn and compresses it again.
+func BenchmarkWake(b *testing.B) {
+	for _, size := range historySizes {
+		b.Run(fmt.Sprintf("tokens=%d", size), func(b *testing.B) {
+			c, _ := conversation(b, size)
+			c.m.history.compress()
+			base := c.m.history
+			b.ReportAllocs()
+			for b.Loop() {
+				c.m.history = base
+				c.m.history.frames = append([]frame(nil), base.frames...)
+				if _, err := c.m.history.all(); err != nil {
+					b.Fatal(err)
+				}
+				c.m.history.append(structs.Message{Role: structs.RoleUser, Content: "question"})
+				c.m.history.compress()
+			}
+		})
+	}
+}
+
+// BenchmarkRestore restores a program from its records, and from a checkpoint.
+func BenchmarkRestore(b *testing.B) {
+	for _, size := range historySizes {
+		c, _ := conversation(b, size)
+		for name, log := range map[string][]Entry{"records": c.log, "checkpoint": {c.m.Snapshot()}} {
+			bytes := 0
+			for _, e := range log {
+				bytes += len(e.Data)
+			}
+			b.Run(fmt.Sprintf("%s/tokens=%d", name, size), func(b *testing.B) {
+				b.ReportAllocs()
+				b.ReportMetric(float64(bytes), "log-bytes")
+				for b.Loop() {
+					if _, err := Restore(&c.cfg, benchProgram, log); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSubmitRefused refuses a turn out of order.
+func BenchmarkSubmitRefused(b *testing.B) {
+	c, _ := conversation(b, historySizes[1])
+	b.ReportAllocs()
+	for b.Loop() {
+		c.m.Step(c.now, SubmitTurn{Number: 1 << 20, Content: "question"})
+	}
+}
+
+// BenchmarkIdleProgram reports the memory of an idle program, all of it, by what the heap
+// grows with each of several.
+func BenchmarkIdleProgram(b *testing.B) {
+	for _, size := range historySizes {
+		b.Run(fmt.Sprintf("tokens=%d", size), func(b *testing.B) {
+			c, _ := conversation(b, size)
+			c.advance(time.Minute)
+			entry := c.m.Snapshot()
+			const programs = 20
+			for b.Loop() {
+				before := heap()
+				machines := make([]*Machine, programs)
+				for i := range machines {
+					copied := entry
+					copied.Data = append([]byte(nil), entry.Data...)
+					machines[i], _ = Restore(&c.cfg, benchProgram, []Entry{copied})
+				}
+				b.ReportMetric(float64(heap()-before)/programs, "bytes/program")
+				b.ReportMetric(float64(machines[0].history.bytes), "plain-bytes/program")
+				runtime.KeepAlive(machines)
+			}
+		})
+	}
+}
+
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/program/history.go
+++ b/program/history.go
@@ -165,11 +165,11 @@
 
 // decode appends the frame's messages to ms.
 func (f frame) decode(ms []structs.Message) ([]structs.Message, error) {
-	plain, err := frameDecoder.DecodeAll(f.data, nil)
+	plain, err := frameDecoder.DecodeAll(f.data, make([]byte, 0, min(f.plain, 2*frameBytes)))
 	if err != nil {
 		return nil, errors.Wrapf(ErrBadEntry, "history frame: %v", err)
 	}
-	return decodeMessages(ms, plain, f.messages)
+	return decodeMessages(ms, string(plain), f.messages)
 }
 
 // encodeMessages writes each message as its strings, each behind its length.
@@ -197,8 +197,8 @@
 	return out
 }
 
-// decodeMessages reads n messages from the whole of data; it returns ErrBadEntry.
-func decodeMessages(ms []structs.Message, data []byte, n int) ([]structs.Message, error) {
+// decodeMessages reads n messages from the whole of data, which they share; it returns ErrBadEntry.
+func decodeMessages(ms []structs.Message, data string, n int) ([]structs.Message, error) {
 	r := messageReader{rest: data}
 	for range n {
 		m := structs.Message{Role: structs.Role(r.text()), Content: r.text(), ToolCallID: r.text()}
@@ -219,12 +219,12 @@
 
 // messageReader reads numbers and strings until the data does not hold one.
 type messageReader struct {
-	rest []byte
+	rest string
 	bad  bool
 }
 
 func (r *messageReader) number() uint64 {
-	v, n := binary.Uvarint(r.rest)
+	v, n := binary.Uvarint([]byte(r.rest[:min(len(r.rest), binary.MaxVarintLen64)]))
 	if n <= 0 || v > uint64(len(r.rest)) {
 		r.bad = true
 		return 0
@@ -239,7 +239,7 @@
 		r.bad = true
 		return ""
 	}
-	s := string(r.rest[:n])
+	s := r.rest[:n]
 	r.rest = r.rest[n:]
 	return s
 }
