--- a/internal/faulttrial/load.go
+++ b/internal/faulttrial/load.go
@@ -126,20 +126,25 @@
 
 // checkHistories reads every program's history and closes it.
 func (l *load) checkHistories(ctx context.Context) {
+	var checking sync.WaitGroup
 	for _, p := range l.programs {
-		if p.id == "" {
-			continue
+		if p.id != "" {
+			checking.Go(func() { l.checkProgram(ctx, p) })
 		}
-		lost, ok := p.checkHistory(ctx)
-		l.count(func(c *Counts) {
-			c.LostTurns += lost
-			if !ok {
-				c.UnreadHistories++
-			}
-		})
-		if ok {
-			p.close(ctx)
+	}
+	checking.Wait()
+}
+
+func (l *load) checkProgram(ctx context.Context, p *programRun) {
+	lost, ok := p.checkHistory(ctx)
+	l.count(func(c *Counts) {
+		c.LostTurns += lost
+		if !ok {
+			c.UnreadHistories++
 		}
+	})
+	if ok {
+		p.close(ctx)
 	}
 }
 
--- a/internal/faulttrial/program.go
+++ b/internal/faulttrial/program.go
@@ -73,7 +73,10 @@
 		}
 		back, ok := p.turn(ctx, n)
 		if !ok {
-			p.load.count(func(c *Counts) { c.LostTurns++ })
+			p.load.count(func(c *Counts) {
+				c.LostTurns++
+				c.UnansweredTurns++
+			})
 			return
 		}
 		if back {
--- a/internal/faulttrial/report.go
+++ b/internal/faulttrial/report.go
@@ -24,6 +24,8 @@
 	Orders int `json:"orders"`
 	// LostTurns were acknowledged as kept and are not in the history, or were never answered.
 	LostTurns int `json:"lost_turns"`
+	// UnansweredTurns are those of LostTurns that were never answered.
+	UnansweredTurns int `json:"unanswered_turns"`
 	// DoubleActions are executions beyond the first of an action.
 	DoubleActions int `json:"double_actions"`
 	// FalseNotRun were refused as not run and ran.
@@ -47,6 +49,7 @@
 	c.WholeAnswers += o.WholeAnswers
 	c.Orders += o.Orders
 	c.LostTurns += o.LostTurns
+	c.UnansweredTurns += o.UnansweredTurns
 	c.DoubleActions += o.DoubleActions
 	c.FalseNotRun += o.FalseNotRun
 	c.CutRequests += o.CutRequests
--- a/internal/faulttrial/scenarios.go
+++ b/internal/faulttrial/scenarios.go
@@ -36,18 +36,26 @@
 	}
 	t.standDown(victim)
 	t.recover(ctx, affected)
-	return t.cluster.restart(ctx, victim)
+	return t.replace(ctx, victim)
 }
 
 // standDown tells the platform's list that a killed entry's VM is gone.
-func (t *trial) standDown(victim *process) {
+func (t *trial) standDown(victim *process) { t.setVM(victim, platform.VMGone) }
+
+func (t *trial) setVM(victim *process, state platform.VMState) {
 	for i, p := range t.cluster.entries {
 		if p == victim {
-			t.cluster.standins.Platform.SetVM(platform.VMChange{ID: entryVM(i), State: platform.VMGone})
+			t.cluster.standins.Platform.SetVM(platform.VMChange{ID: entryVM(i), State: state})
 		}
 	}
 }
 
+// replace starts a killed entry again, as a new VM of the same name.
+func (t *trial) replace(ctx context.Context, victim *process) error {
+	t.setVM(victim, platform.VMLive)
+	return t.cluster.restart(ctx, victim)
+}
+
 // strike waits until the entry is home to a program in a turn, and signals it. It
 // returns the programs that were in a turn there.
 func (t *trial) strike(ctx context.Context, victim *process, s syscall.Signal) ([]*programRun, error) {
@@ -67,7 +75,12 @@
 	return nil, errors.Newf("no program was in a turn at %s", victim.name)
 }
 
+// recoveryLimit bounds the wait for the programs of a killed or stopped entry.
+const recoveryLimit = 15 * time.Second
+
 func (t *trial) recover(ctx context.Context, affected []*programRun) {
+	ctx, cancel := context.WithTimeout(ctx, recoveryLimit)
+	defer cancel()
 	took, stuck := awaitRecovery(ctx, affected)
 	t.result.RecoverySeconds = seconds(took)
 	t.result.Stuck = stuck
@@ -141,7 +154,7 @@
 		return err
 	}
 	<-victim.exited
-	return t.cluster.restart(ctx, victim)
+	return t.replace(ctx, victim)
 }
 
 // lostWrites is the number of table answers lost around the kill.
--- a/internal/faulttrial/settings.go
+++ b/internal/faulttrial/settings.go
@@ -52,7 +52,7 @@
 id = "{{.ID}}"
 kind = "{{.Kind}}"
 url = "{{.URL}}"
-{{if eq .Kind "model"}}models = ["` + modelName + `"]{{end}}
+models = ["{{if eq .Kind "model"}}` + modelName + `{{else}}` + serviceOrder + `{{end}}"]
 
 [tls]
 insecure_plain = true
--- a/internal/faulttrial/trial.go
+++ b/internal/faulttrial/trial.go
@@ -113,17 +113,26 @@
 	}
 	defer log.Close()
 	t := &trial{config: config, cluster: cluster, result: &result}
-	t.load = startLoad(ctx, cluster, log, config.Programs, config.Turns)
-	if err := t.runLoaded(ctx, s); err != nil {
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	t.load = startLoad(loadCtx, cluster, log, config.Programs, config.Turns)
+	if err := t.runLoaded(ctx, s, endLoad); err != nil {
 		result.Error = err.Error()
 	}
 	result.Counts = t.load.counts
 	return result
 }
 
+const (
+	// finishLimit bounds the turns under way once the fault is over.
+	finishLimit = 20 * time.Second
+	// checkLimit bounds the checks of what is left.
+	checkLimit = 20 * time.Second
+)
+
 // runLoaded strikes once the load is under way, waits for its end and checks
 // what is left.
-func (t *trial) runLoaded(ctx context.Context, s scenario) error {
+func (t *trial) runLoaded(ctx context.Context, s scenario, endLoad func()) error {
 	watch, stop := context.WithCancel(ctx)
 	versions := watchPresets(watch, t.load)
 	err := t.underWay(ctx)
@@ -131,11 +140,15 @@
 		err = s.run(ctx, t)
 	}
 	t.load.over.Store(true)
+	finish := time.AfterFunc(finishLimit, endLoad)
+	defer finish.Stop()
 	t.load.running.Wait()
 	stop()
 	<-versions
-	t.load.checkHistories(ctx)
-	t.load.checkHolds(ctx)
+	check, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkLimit)
+	defer cancel()
+	t.load.checkHistories(check)
+	t.load.checkHolds(check)
 	t.load.checkOrders()
 	t.load.checkDoubles()
 	return err
