--- a/internal/faulttrial/cluster.go
+++ b/internal/faulttrial/cluster.go
@@ -112,7 +112,7 @@
 		e := &entries[i]
 		e.Node, e.VM, e.Domain = fmt.Sprintf("e%d", i+1), string(entryVM(i)), string(domains[i])
 		e.Platform, e.Tools = c.standins.Addresses()["platform"], c.standins.Addresses()["tools"]
-		e.Sides = sides
+		e.Sides, e.ToolTimeout = sides, toolTimeout
 		if e.Peer, err = freeAddress(); err != nil {
 			return err
 		}
--- a/internal/faulttrial/report.go
+++ b/internal/faulttrial/report.go
@@ -80,7 +80,11 @@
 	DrainSeconds []float64 `json:"drain_seconds,omitempty"`
 	// ShutdownSeconds are the times that graceful shutdowns took.
 	ShutdownSeconds []float64 `json:"shutdown_seconds,omitempty"`
-	Seconds         float64   `json:"seconds"`
+	// EngineCrashes is how often one request crashed an engine; QuarantineSeconds
+	// is when each entry first refused it as quarantined.
+	EngineCrashes     int       `json:"engine_crashes,omitempty"`
+	QuarantineSeconds []float64 `json:"quarantine_seconds,omitempty"`
+	Seconds           float64   `json:"seconds"`
 	// Error is what kept the scenario from its end.
 	Error string `json:"error,omitempty"`
 }
@@ -124,6 +128,9 @@
 	for _, s := range r.Scenarios {
 		fmt.Fprintf(w, row, s.Scenario, s.Programs, s.WholeAnswers, s.WrongAnswers, s.LostTurns, s.DoubleActions,
 			s.FalseNotRun, s.CutRequests, s.LeakedHolds, s.Stuck, longest(s.RecoverySeconds), longest(s.PresetSeconds), longest(s.DrainSeconds))
+		if s.EngineCrashes > 0 {
+			fmt.Fprintf(w, "  one request crashed engines %d times; quarantined at each entry after %.2f s\n", s.EngineCrashes, s.QuarantineSeconds)
+		}
 		if s.Error != "" {
 			fmt.Fprintf(w, "  %s did not reach its end: %s\n", s.Scenario, s.Error)
 		}
--- a/internal/faulttrial/scenarios.go
+++ b/internal/faulttrial/scenarios.go
@@ -24,6 +24,8 @@
 	{"term-entry", "SIGTERM of an entry", termEntry},
 	{"term-side", "SIGTERM of a model engine's side", termSide},
 	{"crash-engine", "a model engine crashes in mid-stream", crashEngine},
+	{"crash-request", "one request crashes each engine that runs it and is sent again and again", crashRequest},
+	{"hung-tools", "tools execute and never answer", hungTools},
 }
 
 func calm(context.Context, *trial) error { return nil }
@@ -236,3 +238,21 @@
 	t.firstEngine().Crash()
 	return nil
 }
+
+// hungCalls is the number of calls of each tool that hang.
+const hungCalls = 12
+
+func hungTools(ctx context.Context, t *trial) error {
+	tools := t.cluster.standins.Tools[0].Faults
+	hang := standin.Fault{Kind: standin.FaultHang, Count: hungCalls, Match: toolPublish}
+	if err := tools.Set(hang); err != nil {
+		return err
+	}
+	sleep(ctx, toolTimeout+time.Second)
+	hang.Match = toolSearch
+	if err := tools.Set(hang); err != nil {
+		return err
+	}
+	sleep(ctx, toolTimeout+time.Second)
+	return tools.Set(standin.Fault{Kind: standin.FaultHang, Clear: true})
+}
--- a/internal/faulttrial/settings.go
+++ b/internal/faulttrial/settings.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"text/template"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -20,6 +21,8 @@
 	presetFirst   = "ordinary"
 	presetSecond  = "peak"
 	shutdownGrace = "30s"
+	// toolTimeout bounds a tool call; it is below eventTimeout.
+	toolTimeout = 3 * time.Second
 )
 
 // upstreamSettings describes one upstream and its side.
@@ -30,13 +33,12 @@
 
 // entrySettings describes one entry.
 type entrySettings struct {
-	Node, VM, Domain         string
-	Peer, HTTP, Platform     string
-	Peers                    []string
-	Sides                    []upstreamSettings
-	Tools                    string
-	ModelName, Caller        string
-	OperatorOne, OperatorTwo string
+	Node, VM, Domain     string
+	Peer, HTTP, Platform string
+	Peers                []string
+	Sides                []upstreamSettings
+	Tools                string
+	ToolTimeout          time.Duration
 }
 
 var sideTemplate = template.Must(template.New("side").Parse(`node = "side-{{.ID}}"
@@ -82,12 +84,12 @@
 [[tools]]
 name = "` + toolSearch + `"
 url = "{{.Tools}}"
-timeout = "10s"
+timeout = "{{.ToolTimeout}}"
 
 [[tools]]
 name = "` + toolPublish + `"
 url = "{{.Tools}}"
-timeout = "10s"
+timeout = "{{.ToolTimeout}}"
 non_repeatable = true
 answers_status = true
 
