--- a/action/action.go
+++ b/action/action.go
@@ -99,6 +99,32 @@
 // RowKey returns the table key of an action row.
 func RowKey(org structs.OrganisationID, key string) string { return rowPrefix + rowName(org, key) }
 
+// StepPrefix returns the prefix of the row keys of a program's steps.
+func StepPrefix(org structs.OrganisationID, id structs.ProgramID) string {
+	return RowKey(org, "step:"+string(id)+"/")
+}
+
+// Prefix is the prefix of all action rows.
+const Prefix = rowPrefix
+
+// Delete returns the transaction that deletes those of the rows that hold the end of their
+// action and did not change at or after before, and their number. It returns ErrBadRow.
+func Delete(rows []TableRow, before time.Time) (Txn, int, error) {
+	var txn Txn
+	for _, at := range rows {
+		row, err := DecodeRow(at.Value)
+		if err != nil {
+			return Txn{}, 0, errors.Wrapf(err, "row %q", at.Key)
+		}
+		if !row.ended() || !row.Changed.Before(before) {
+			continue
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: at.Key, Version: at.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: at.Key, Delete: true})
+	}
+	return txn, len(txn.Writes), nil
+}
+
 // OpenPrefix is the prefix of the index rows of actions whose end is not recorded.
 const OpenPrefix = openPrefix
 
--- a/internal/runner/action.go
+++ b/internal/runner/action.go
@@ -122,6 +122,7 @@
 		return "", refusal
 	}
 	request.Program = ""
+	setDefault(&request.Timeout, r.cfg.Program.ToolTimeout)
 	if !request.NonRepeatable {
 		return r.runOnce(ctx, request)
 	}
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -35,7 +35,7 @@
 	case program.SetTimer:
 		s.setTimer(slot, e.At)
 	case program.Release:
-		s.release(slot)
+		s.release(slot, e.Acted)
 	}
 }
 
@@ -193,9 +193,13 @@
 }
 
 // release forgets a program whose end the log holds.
-func (s *shard) release(slot *slot) {
+func (s *shard) release(slot *slot, acted bool) {
 	id := slot.machine.ID()
+	organisation := slot.machine.Spec().Organisation
 	s.forget(slot)
+	if acted {
+		s.r.duties.Go(func() { s.r.forgetSteps(organisation, id) })
+	}
 	if s.r.cfg.Released != nil {
 		s.r.cfg.Released(id)
 	}
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -143,7 +143,9 @@
 	// wrong makes the next model answer carry another attempt.
 	wrong bool
 	// hang makes tools wait for their end.
-	hang  bool
+	hang bool
+	// mute makes services tell nothing of earlier requests.
+	mute  bool
 	delay time.Duration
 }
 
@@ -218,6 +220,9 @@
 func (w *fakeWorld) Ask(_ context.Context, tool, key string) (action.ServiceState, string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.mute {
+		return "", "", structs.Refusalf(structs.CodeUpstreamFailed, structs.OutcomeUnknown, "ask", "no account")
+	}
 	if w.runs[tool+" "+key] > 0 {
 		return action.ServiceDone, "asked", nil
 	}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/action"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/program"
@@ -158,6 +159,38 @@
 	})
 }
 
+// TestSweep ends a program that acted, and forgets old keys of direct actions.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "e1-a", nil)
+		defer b.r.Close()
+		id := b.open(structs.ProgramSpec{Organisation: "council"})
+		_, _, _ = b.turn(id, 1, "tool publish {}; answer 1")
+		_, _ = b.r.Invoke(t.Context(), structs.ToolRequest{Organisation: "council", Name: "order", Key: "old", NonRepeatable: true})
+		b.world.hang, b.world.mute = true, true
+		_, err := b.r.Invoke(t.Context(), structs.ToolRequest{Organisation: "council", Name: "order", Key: "doubt", NonRepeatable: true})
+		if r := structs.AsRefusal(err); r == nil || r.Code != structs.CodeActionInDoubt {
+			t.Fatalf("an action without an account: %v", err)
+		}
+		time.Sleep(time.Hour)
+		rows := func() int {
+			found, _ := b.table.Scan(t.Context(), action.Prefix, "", 10)
+			return len(found)
+		}
+		if n := rows(); n != 3 {
+			t.Fatalf("%d action rows, want 3", n)
+		}
+		_ = b.r.End(t.Context(), home.End{Program: id})
+		await(t, "the end of the program's rows", func() bool { return rows() == 2 })
+		if n, _, err := b.r.Sweep(t.Context(), time.Now().Add(-2*time.Hour), "", 10); n != 0 || err != nil {
+			t.Fatalf("a sweep deleted %d young rows, %v", n, err)
+		}
+		if n, next, err := b.r.Sweep(t.Context(), time.Now(), "", 10); n != 1 || next != "" || err != nil || rows() != 1 {
+			t.Fatalf("a sweep deleted %d rows, %v; %d are left", n, err, rows())
+		}
+	})
+}
+
 // TestDrainWaitsForActions drains while a direct action runs.
 func TestDrainWaitsForActions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/program/effect.go
+++ b/program/effect.go
@@ -74,7 +74,11 @@
 type SetTimer struct{ At time.Time }
 
 // Release tells that the program ended and that the log holds its end.
-type Release struct{}
+type Release struct {
+	// Acted says that the program may have asked for irreversible actions, whose rows are
+	// needed no more.
+	Acted bool
+}
 
 func (Record) effect()     {}
 func (CallModel) effect()  {}
--- a/program/program.go
+++ b/program/program.go
@@ -143,6 +143,8 @@
 	freed   ending
 	ended   bool
 	closing uint64
+	// acted says that an irreversible call may have been sent.
+	acted bool
 	// restored says that Resume has not come yet.
 	restored bool
 
--- a/program/restore.go
+++ b/program/restore.go
@@ -28,6 +28,7 @@
 	}
 	m.committed = m.seq
 	m.restored = true
+	m.acted = true
 	return m, nil
 }
 
--- a/program/tool.go
+++ b/program/tool.go
@@ -83,7 +83,9 @@
 func toolStep(c *call) string { return "tool " + c.tool.Name }
 
 func (m *Machine) launchTool(now time.Time, c *call) {
-	if !c.nonRepeatable {
+	if c.nonRepeatable {
+		m.acted = true
+	} else {
 		c.deadline = now.Add(c.timeout)
 	}
 	m.emit(CallTool{Request: structs.ToolRequest{
