--- /dev/null
+++ b/internal/workload/deployment.go
@@ -0,0 +1,160 @@
+package workload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Engine describes the model engines of a deployment.
+type Engine struct {
+	Count   int
+	Domains []string
+	// PrefillRate is in tokens a second.
+	PrefillRate float64
+	StepTime    time.Duration
+	// StepTimePerCall is what each further call of the batch adds to a step.
+	StepTimePerCall time.Duration
+	BatchLimit      int
+	// KVTokens is the size of the prefix cache.
+	KVTokens int64
+	// ReportLag is the age of the engine's load report.
+	ReportLag time.Duration
+}
+
+// Kind describes one kind of program. Sizes are in tokens and drawn log-normally.
+type Kind struct {
+	Name string
+	// Share is the kind's part of the arrivals.
+	Share float64
+	// System is the length of the system prompt that all programs of the kind share.
+	System int
+	// Organisation is the length of what follows it for each organisation.
+	Organisation int
+	// Templates is the number of documents that first turns start with, each
+	// Template tokens long.
+	Templates, Template int
+	// First is the median length of the first turn's content, Later that of the others.
+	First, Later int
+	// Spread is the standard deviation of the logarithm of First and Later.
+	Spread float64
+	// Turns are the least and most turns.
+	Turns [2]int
+	// Tools are the least and most tool calls of a turn.
+	Tools [2]int
+	// Agents is the chance that a turn has a sub-agent, Task the length of its task.
+	Agents float64
+	Task   int
+	// Answer is the median length of an answer.
+	Answer int
+	// Pause is the median of a tool's time, Think of the time before a later turn.
+	Pause, Think time.Duration
+	// Patience is how long a caller waits for one turn.
+	Patience time.Duration
+}
+
+// Deployment is one user's engines and workload.
+type Deployment struct {
+	Name          string
+	Region        string
+	Model         string
+	Engines       Engine
+	Kinds         []Kind
+	Tools         []string
+	Organisations int
+	// Rate is the arrivals of programs a second at the peak.
+	Rate float64
+	// Burst is the factor of the arrivals inside a burst, BurstEvery the time between
+	// two, BurstLength how long one lasts.
+	Burst                   float64
+	BurstEvery, BurstLength time.Duration
+	// LatencyWeight and WasteWeight are those of the peak preset.
+	LatencyWeight, WasteWeight float64
+}
+
+// Names of the deployments.
+const (
+	Taichung = "taichung"
+	Hokkaido = "hokkaido"
+)
+
+// ErrUnknownDeployment reports a name that is neither deployment's.
+var ErrUnknownDeployment = errors.New("unknown deployment")
+
+// NewDeployment returns the deployment of that name, or ErrUnknownDeployment.
+func NewDeployment(name string) (Deployment, error) {
+	switch name {
+	case Taichung:
+		return taichung(), nil
+	case Hokkaido:
+		return hokkaido(), nil
+	}
+	return Deployment{}, errors.Wrapf(ErrUnknownDeployment, "%q", name)
+}
+
+// taichung is the evening rush: many short questions beside clerks' long drafts.
+func taichung() Deployment {
+	return Deployment{
+		Name: Taichung, Region: "tw-central", Model: "council-8b",
+		Engines: Engine{
+			Count: 12, Domains: []string{"a", "b", "c"},
+			PrefillRate: 8000, StepTime: 20 * time.Millisecond, StepTimePerCall: 500 * time.Microsecond,
+			BatchLimit: 16, KVTokens: 96 << 10, ReportLag: 500 * time.Millisecond,
+		},
+		Kinds: []Kind{
+			{
+				Name: "question", Share: 0.75, System: 1536, Organisation: 512,
+				First: 700, Later: 150, Spread: 0.8, Turns: [2]int{1, 2}, Tools: [2]int{1, 3}, Answer: 60,
+				Pause: 400 * time.Millisecond, Think: 4 * time.Second, Patience: 20 * time.Second,
+			},
+			{
+				Name: "draft", Share: 0.25, System: 2048, Organisation: 1024, Templates: 8, Template: 1536,
+				First: 6000, Later: 500, Spread: 0.7, Turns: [2]int{3, 7}, Tools: [2]int{0, 2}, Answer: 120,
+				Agents: 0.15, Task: 1500,
+				Pause: 800 * time.Millisecond, Think: 5 * time.Second, Patience: 45 * time.Second,
+			},
+		},
+		Tools:         []string{"search_records", "portal_lookup"},
+		Organisations: 40, Rate: 10, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		LatencyWeight: 2, WasteWeight: 0.5,
+	}
+}
+
+// hokkaido is the evening before the print run: long minutes that share templates.
+func hokkaido() Deployment {
+	return Deployment{
+		Name: Hokkaido, Region: "hokkaido", Model: "newsletter-8b",
+		Engines: Engine{
+			Count: 9, Domains: []string{"sapporo", "asahikawa", "obihiro"},
+			PrefillRate: 6000, StepTime: 22 * time.Millisecond, StepTimePerCall: 600 * time.Microsecond,
+			BatchLimit: 12, KVTokens: 128 << 10, ReportLag: 500 * time.Millisecond,
+		},
+		Kinds: []Kind{
+			{
+				Name: "newsletter", Share: 0.6, System: 2048, Organisation: 512, Templates: 6, Template: 3072,
+				First: 9000, Later: 400, Spread: 0.5, Turns: [2]int{3, 5}, Tools: [2]int{1, 3}, Answer: 120,
+				Agents: 0.3, Task: 2500,
+				Pause: 1500 * time.Millisecond, Think: 4 * time.Second, Patience: 60 * time.Second,
+			},
+			{
+				Name: "question", Share: 0.4, System: 1536, Organisation: 512,
+				First: 400, Later: 150, Spread: 0.8, Turns: [2]int{1, 2}, Tools: [2]int{1, 2}, Answer: 60,
+				Pause: 600 * time.Millisecond, Think: 4 * time.Second, Patience: 25 * time.Second,
+			},
+		},
+		Tools:         []string{"read_minutes", "search_notices"},
+		Organisations: 60, Rate: 3, Burst: 2, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		LatencyWeight: 1, WasteWeight: 2,
+	}
+}
+
+// KindOf returns the kind of that name.
+func (d Deployment) KindOf(name string) (Kind, error) {
+	for _, k := range d.Kinds {
+		if k.Name == name {
+			return k, nil
+		}
+	}
+	return Kind{}, fmt.Errorf("kind %q does not exist in deployment %q", name, d.Name)
+}
