Let the model stand-in report what each call found cached

buckthorn-load counts tokens computed again over all engines; an engine's own counters cannot tell them from tokens seen for the first time.

--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -46,6 +46,16 @@
 	IgnoreFence bool `toml:"ignore_fence"`
 	// TimeScale is the real time of one modelled second; 0.1 runs ten times as fast.
 	TimeScale float64 `toml:"time_scale"`
+	// Observe, when not nil, is told of each call that ends whole; it must not block.
+	Observe func(Observation) `toml:"-"`
+}
+
+// Observation is what a call that ended whole found in the prefix cache.
+type Observation struct {
+	// Prompt and Whole are the block chains of the prompt and of prompt and answer.
+	Prompt, Whole []uint64
+	// PromptTokens is the length of the prompt, CachedTokens its cached part.
+	PromptTokens, CachedTokens int
 }
 
 // Defaults of ModelConfig.
