--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -128,13 +128,18 @@
 	if !ok {
 		return
 	}
-	m.mu.Lock()
-	m.cache.drop(ref.Program)
-	m.mu.Unlock()
-	m.wakeUp()
+	m.Release(ref.Program)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// Release ends a program's hold; it reports whether there was one.
+func (m *Model) Release(program structs.ProgramID) bool {
+	defer m.wakeUp()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cache.drop(program)
+}
+
 // Holds returns what the engine holds, by program.
 func (m *Model) Holds() []engine.Hold {
 	m.mu.Lock()
