--- /dev/null
+++ b/cmd/buckthorn-load/compare.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/standin"
+	"github.com/buckthornroute/buckthornroute/internal/workload"
+	"github.com/buckthornroute/buckthornroute/internal/workload/embedded"
+	"github.com/buckthornroute/buckthornroute/routing"
+	"github.com/buckthornroute/buckthornroute/structs"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// baselines are what a user would pick instead.
+var baselines = []string{routing.PolicyRoundRobin, routing.PolicyLeastLoad, routing.PolicyStickyHash}
+
+// Faults of one engine for the length of a run, from a quarter of it on.
+const (
+	faultDead  = "dead"
+	faultSlow  = "slow"
+	faultLying = "lying"
+)
+
+const (
+	slowFactor = 5
+	// faultAfter is the part of the run after which the fault starts.
+	faultAfter = 0.25
+)
+
+// comparison is the JSON output of compare.
+type comparison struct {
+	Deployment string             `json:"deployment"`
+	Load       float64            `json:"load"`
+	Fault      string             `json:"fault,omitempty"`
+	TimeScale  float64            `json:"time_scale"`
+	Length     string             `json:"length"`
+	Policies   []workload.Summary `json:"policies"`
+	Trials     []workload.Trial   `json:"trials"`
+}
+
+// options are the flags of compare.
+type options struct {
+	deployment workload.Deployment
+	policies   []string
+	seeds      []uint64
+	load       float64
+	fault      string
+	timeScale  float64
+	length     time.Duration
+	entries    int
+}
+
+func compareCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "compare",
+		Usage: "run policies paired on the same seeds against fresh stand-ins",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: workload.Taichung, Usage: "taichung or hokkaido"},
+			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "number of paired seeds"},
+			&cli.IntFlag{Name: "first-seed", Value: 1, Usage: "first seed"},
+			&cli.StringSliceFlag{Name: "policies", Value: append(baselines[:len(baselines):len(baselines)], routing.PolicyCost), Usage: "policies to run"},
+			&cli.FloatFlag{Name: "load", Value: 1, Usage: "arrivals over those of the peak"},
+			&cli.StringFlag{Name: "fault", Usage: "dead, slow or lying: the fault of one engine"},
+			&cli.FloatFlag{Name: "time-scale", Value: 0.1, Usage: "real seconds of one modelled second"},
+			&cli.DurationFlag{Name: "length", Value: 90 * time.Second, Usage: "modelled time over which programs start"},
+			&cli.IntFlag{Name: "entries", Value: 3, Usage: "entries, each with its own view"},
+			&cli.BoolFlag{Name: "json", Usage: "write JSON"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			o, err := newOptions(c)
+			if err != nil {
+				return err
+			}
+			out, err := compare(ctx, o)
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				encoder := json.NewEncoder(os.Stdout)
+				encoder.SetIndent("", "  ")
+				return encoder.Encode(out)
+			}
+			return writeTable(os.Stdout, out)
+		},
+	}
+}
+
+func newOptions(c *cli.Command) (options, error) {
+	deployment, err := workload.NewDeployment(c.String("deployment"))
+	if err != nil {
+		return options{}, err
+	}
+	o := options{
+		deployment: deployment,
+		policies:   c.StringSlice("policies"),
+		load:       c.Float("load"),
+		fault:      c.String("fault"),
+		timeScale:  c.Float("time-scale"),
+		length:     c.Duration("length"),
+		entries:    c.Int("entries"),
+	}
+	switch o.fault {
+	case "", faultDead, faultSlow, faultLying:
+	default:
+		return options{}, errors.Newf("fault %q is none of dead, slow, lying", o.fault)
+	}
+	for i := range c.Int("seeds") {
+		o.seeds = append(o.seeds, uint64(c.Int("first-seed")+i))
+	}
+	return o, nil
+}
+
+// compare runs every policy on a seed before the next seed, so that the machine's
+// other work falls on all policies alike.
+func compare(ctx context.Context, o options) (comparison, error) {
+	out := comparison{Deployment: o.deployment.Name, Load: o.load, Fault: o.fault, TimeScale: o.timeScale, Length: o.length.String()}
+	for _, seed := range o.seeds {
+		for _, policy := range o.policies {
+			t, err := trial(ctx, o, policy, seed)
+			if err != nil {
+				return out, errors.Wrapf(err, "policy %q seed %d", policy, seed)
+			}
+			fmt.Fprintf(os.Stderr, "%s %s seed %d: p95 %.0f ms, wasted %.3f, goodput %.1f\n",
+				t.Deployment, t.Policy, t.Seed, t.ProgramLatencyP95, t.WastedCacheRatio, t.Goodput)
+			out.Trials = append(out.Trials, t)
+		}
+	}
+	out.Policies = workload.Summarise(out.Trials, baselines)
+	return out, nil
+}
+
+// drain is the modelled time that programs may go on after the last start.
+const drain = 60 * time.Second
+
+func trial(ctx context.Context, o options, policy string, seed uint64) (workload.Trial, error) {
+	system, err := embedded.New(embedded.Config{
+		Deployment: o.deployment,
+		Preset:     preset(o, policy),
+		TimeScale:  o.timeScale,
+		Entries:    o.entries,
+		Seed:       seed,
+	})
+	if err != nil {
+		return workload.Trial{}, err
+	}
+	defer system.Stop()
+	timer := time.AfterFunc(time.Duration(faultAfter*o.timeScale*float64(o.length)), func() { inject(system, o.fault) })
+	defer timer.Stop()
+	programs := workload.Generate(o.deployment, seed, o.load, o.length)
+	result := workload.Run(ctx, system, programs, workload.RunConfig{TimeScale: o.timeScale, Length: o.length, Drain: drain})
+	return workload.Trial{
+		Deployment: o.deployment.Name, Policy: policy, Seed: seed, Load: o.load, Fault: o.fault,
+		Measures: workload.NewMeasures(result, system.Cache()),
+	}, ctx.Err()
+}
+
+// preset is the peak preset of the deployment with the policy.
+func preset(o options, policy string) structs.Preset {
+	const holdMax = 20 * time.Second
+	return structs.Preset{
+		Name:          "peak-" + policy,
+		Policy:        policy,
+		LatencyWeight: o.deployment.LatencyWeight,
+		WasteWeight:   o.deployment.WasteWeight,
+		AdmitNew:      true,
+		HoldMax:       structs.Duration(float64(holdMax) * o.timeScale),
+	}
+}
+
+// inject starts the fault at the first engine.
+func inject(system *embedded.System, fault string) {
+	switch fault {
+	case faultDead:
+		system.Kill(0)
+	case faultSlow:
+		_ = system.Faults(0).Set(standin.Fault{Kind: standin.FaultSlow, Factor: slowFactor}) // the kind exists
+	case faultLying:
+		_ = system.Faults(0).Set(standin.Fault{Kind: standin.FaultLieLoad, Factor: 0}) // the kind exists
+	}
+}
+
+func writeTable(w io.Writer, c comparison) error {
+	fmt.Fprintf(w, "%s, load %.2f, fault %q, %s modelled at time scale %g\n", c.Deployment, c.Load, c.Fault, c.Length, c.TimeScale)
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "policy\tp50 ms\tp95 ms\tp99 ms\tfirst p50\tfirst p95\trecomputed\twasted\tprograms\tdone\trefusals\tabandoned\tgoodput/min\tp95 ratio\twaste ratio\t")
+	for _, s := range c.Policies {
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t\n",
+			s.Policy, s.ProgramLatencyP50, s.ProgramLatencyP95, s.ProgramLatencyP99, s.FirstTokenP50, s.FirstTokenP95,
+			s.RecomputedTokens, s.WastedCacheRatio, s.Programs, s.Completed, s.Refusals, s.Abandoned, s.Goodput, s.LatencyRatio, s.WasteRatio)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/workload/embedded/program.go
@@ -0,0 +1,231 @@
+package embedded
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/admission"
+	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/routing"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// program is one program; its turns come one after the other.
+type program struct {
+	id       structs.ProgramID
+	spec     structs.ProgramSpec
+	entry    *entry
+	messages []structs.Message
+	chain    kvcache.Chain
+	attained int64
+	steps    uint32
+	holder   *gate
+	held     int64
+	served   *gate
+	agents   int
+}
+
+func newProgram(id structs.ProgramID, spec structs.ProgramSpec, e *entry) *program {
+	p := &program{id: id, spec: spec, entry: e}
+	p.append(structs.Message{Role: structs.RoleSystem, Content: spec.System})
+	return p
+}
+
+func (p *program) append(m structs.Message) {
+	p.messages = append(p.messages, m)
+	p.chain.Append(m)
+}
+
+// run lets the turn in and runs it to its answer. A refused turn leaves no trace.
+func (p *program) run(ctx context.Context, number uint32, content string, first func()) error {
+	messages, chain := p.messages, p.chain.Clone()
+	p.append(structs.Message{Role: structs.RoleUser, Content: content})
+	if err := p.admit(ctx, number); err != nil {
+		p.messages, p.chain = messages, chain
+		return err
+	}
+	defer p.entry.ended(p.id)
+	return p.answer(ctx, number, first)
+}
+
+func (p *program) admit(ctx context.Context, number uint32) error {
+	if plain(p.entry.system.cfg.Preset.Policy) {
+		return nil
+	}
+	call := p.call(ctx, number)
+	d, ok := p.entry.look(call, p.chain.Blocks())
+	if !ok {
+		return p.overloaded()
+	}
+	refusal := p.entry.offer(admission.Offer{
+		Program: p.id, Organisation: p.spec.Organisation, Kind: p.spec.Kind, UnderWay: number > 1,
+		Deadline: call.Deadline, Predicted: d.Finish(), Wait: d.Wait,
+	})
+	if refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+func (p *program) overloaded() *structs.Refusal {
+	r := structs.Refusalf(structs.CodeOverloaded, structs.OutcomeNotRun, "route", "no engine takes program %q", p.id)
+	r.RetryAfter = p.entry.system.real(retryMin)
+	return r
+}
+
+func (p *program) call(ctx context.Context, turn uint32) *structs.ModelCall {
+	deadline, _ := ctx.Deadline()
+	return &structs.ModelCall{
+		Call: structs.NewCallID(p.id, turn, p.steps), Program: p.id, Organisation: p.spec.Organisation,
+		Kind: p.spec.Kind, Model: p.spec.Model, Messages: p.messages, Attained: p.attained,
+		Deadline: deadline, Turn: turn,
+	}
+}
+
+// answer runs the steps of a turn until the model answers without a tool.
+func (p *program) answer(ctx context.Context, turn uint32, first func()) error {
+	for {
+		message, err := p.step(ctx, turn, first)
+		if err != nil {
+			return err
+		}
+		p.append(message)
+		if len(message.ToolCalls) == 0 {
+			p.letGo()
+			return nil
+		}
+		if err := p.tools(ctx, message.ToolCalls); err != nil {
+			return err
+		}
+	}
+}
+
+// maxAttempts bounds the attempts of one model call.
+const maxAttempts = 4
+
+// step runs one model call, elsewhere again when an engine fails it.
+func (p *program) step(ctx context.Context, turn uint32, first func()) (structs.Message, error) {
+	p.steps++
+	call := p.call(ctx, turn)
+	blocks := p.chain.Blocks()
+	var err error
+	for attempt := range uint32(maxAttempts) {
+		call.Attempt = attempt
+		d, ok := p.entry.send(call, blocks)
+		if !ok {
+			err = p.overloaded()
+			if !pause(ctx, p.entry.system.real(retryMin)) {
+				return structs.Message{}, ctx.Err()
+			}
+			continue
+		}
+		var message structs.Message
+		if message, err = p.attempt(ctx, call, d, first); err == nil {
+			return message, nil
+		}
+		if ctx.Err() != nil {
+			return structs.Message{}, ctx.Err()
+		}
+	}
+	return structs.Message{}, err
+}
+
+func (p *program) attempt(ctx context.Context, call *structs.ModelCall, d routing.Decision, first func()) (structs.Message, error) {
+	g := p.entry.system.byID[d.Upstream]
+	message, usage, err := g.run(ctx, call, int64(d.PrefillTokens), first)
+	p.entry.done(call, routing.Result{Failed: err != nil && ctx.Err() == nil, Void: ctx.Err() != nil, Usage: usage}, g.load())
+	if err != nil {
+		return message, err
+	}
+	p.attained += usage.PromptTokens - usage.CachedTokens + usage.GeneratedTokens
+	p.served = g
+	if p.holder != nil && p.holder != g {
+		p.letGo()
+	}
+	return message, nil
+}
+
+func (p *program) tools(ctx context.Context, calls []structs.ToolCall) error {
+	for _, c := range calls {
+		p.hold(c.Name)
+		started := time.Now()
+		result, err := p.tool(ctx, c)
+		if err != nil {
+			return err
+		}
+		p.entry.pause(c.Name, time.Since(started))
+		p.append(structs.Message{Role: structs.RoleTool, Content: result, ToolCallID: c.ID})
+	}
+	return nil
+}
+
+// tool runs a tool, which takes as long as its arguments say, or a sub-agent.
+func (p *program) tool(ctx context.Context, c structs.ToolCall) (string, error) {
+	var arguments struct {
+		PauseMS float64 `json:"pause_ms"`
+		Task    string  `json:"task"`
+	}
+	if err := json.Unmarshal([]byte(c.Arguments), &arguments); err != nil {
+		return "", err
+	}
+	if c.Name != structs.AgentTool {
+		wait := p.entry.system.real(time.Duration(arguments.PauseMS * float64(time.Millisecond)))
+		if !pause(ctx, wait) {
+			return "", ctx.Err()
+		}
+		return c.Name + " done", nil
+	}
+	p.agents++
+	agent := newProgram(structs.ProgramID(fmt.Sprintf("%s%d", p.id, p.agents)), p.spec, p.entry)
+	agent.append(structs.Message{Role: structs.RoleUser, Content: arguments.Task})
+	defer agent.release()
+	if err := agent.answer(ctx, 1, func() {}); err != nil {
+		return "", err
+	}
+	return agent.messages[len(agent.messages)-1].Content, nil
+}
+
+// hold keeps the cache of the last call over a tool's pause when that pays.
+func (p *program) hold(tool string) {
+	if p.served == nil || plain(p.entry.system.cfg.Preset.Policy) {
+		return
+	}
+	l := p.served.load()
+	d := p.entry.keep(kvcache.Pause{
+		Tool: tool, Tokens: int64(p.chain.Tokens()), Load: l, HeldTokens: p.served.heldTokens(), Turnover: p.served.turnover(),
+		Reuse: reuse, HoldMax: time.Duration(p.entry.system.cfg.Preset.HoldMax),
+	})
+	if d.Keeping != kvcache.KeepHeld {
+		return
+	}
+	p.letGo()
+	p.held = p.served.hold(p.id)
+	p.holder = p.served
+}
+
+// reuse is the share of evicted tokens that are expected back.
+const reuse = 0.5
+
+// letGo ends the program's hold.
+func (p *program) letGo() {
+	if p.holder != nil {
+		p.holder.release(p.id, p.held)
+		p.holder = nil
+	}
+}
+
+func (p *program) release() { p.letGo() }
+
+// pause waits for d; it reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
