Count the prefill that a call makes others wait for

The first version moved programs to idle engines although their prefill stalls the whole batch there.

--- a/cmd/buckthorn-load/compare.go
+++ b/cmd/buckthorn-load/compare.go
@@ -137,7 +137,7 @@
 }
 
 // drain is the modelled time that programs may go on after the last start.
-const drain = 60 * time.Second
+const drain = 240 * time.Second
 
 func trial(ctx context.Context, o options, policy string, seed uint64) (workload.Trial, error) {
 	system, err := embedded.New(embedded.Config{
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -106,17 +106,17 @@
 			{
 				Name: "question", Share: 0.75, System: 1536, Organisation: 512,
 				First: 700, Later: 150, Spread: 0.8, Turns: [2]int{1, 2}, Tools: [2]int{1, 3}, Answer: 60,
-				Pause: 400 * time.Millisecond, Think: 4 * time.Second, Patience: 20 * time.Second,
+				Pause: 400 * time.Millisecond, Think: 3 * time.Second, Patience: 20 * time.Second,
 			},
 			{
 				Name: "draft", Share: 0.25, System: 2048, Organisation: 1024, Templates: 8, Template: 1536,
-				First: 6000, Later: 500, Spread: 0.7, Turns: [2]int{3, 7}, Tools: [2]int{0, 2}, Answer: 120,
-				Agents: 0.15, Task: 1500,
-				Pause: 800 * time.Millisecond, Think: 5 * time.Second, Patience: 45 * time.Second,
+				First: 6000, Later: 500, Spread: 0.7, Turns: [2]int{3, 6}, Tools: [2]int{0, 2}, Answer: 120,
+				Agents: 0.15, Task: 120,
+				Pause: 800 * time.Millisecond, Think: 3 * time.Second, Patience: 45 * time.Second,
 			},
 		},
 		Tools:         []string{"search_records", "portal_lookup"},
-		Organisations: 40, Rate: 10, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		Organisations: 40, Rate: 4, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
 		LatencyWeight: 2, WasteWeight: 0.5,
 	}
 }
@@ -134,17 +134,17 @@
 			{
 				Name: "newsletter", Share: 0.6, System: 2048, Organisation: 512, Templates: 6, Template: 3072,
 				First: 9000, Later: 400, Spread: 0.5, Turns: [2]int{3, 5}, Tools: [2]int{1, 3}, Answer: 120,
-				Agents: 0.3, Task: 2500,
-				Pause: 1500 * time.Millisecond, Think: 4 * time.Second, Patience: 60 * time.Second,
+				Agents: 0.3, Task: 160,
+				Pause: 1500 * time.Millisecond, Think: 3 * time.Second, Patience: 60 * time.Second,
 			},
 			{
 				Name: "question", Share: 0.4, System: 1536, Organisation: 512,
 				First: 400, Later: 150, Spread: 0.8, Turns: [2]int{1, 2}, Tools: [2]int{1, 2}, Answer: 60,
-				Pause: 600 * time.Millisecond, Think: 4 * time.Second, Patience: 25 * time.Second,
+				Pause: 600 * time.Millisecond, Think: 3 * time.Second, Patience: 25 * time.Second,
 			},
 		},
 		Tools:         []string{"read_minutes", "search_notices"},
-		Organisations: 60, Rate: 3, Burst: 2, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		Organisations: 60, Rate: 1.2, Burst: 2, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
 		LatencyWeight: 1, WasteWeight: 2,
 	}
 }
--- a/internal/workload/embedded/program.go
+++ b/internal/workload/embedded/program.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/admission"
@@ -24,7 +23,6 @@
 	holder   *gate
 	held     int64
 	served   *gate
-	agents   int
 }
 
 func newProgram(id structs.ProgramID, spec structs.ProgramSpec, e *entry) *program {
@@ -177,8 +175,7 @@
 		}
 		return c.Name + " done", nil
 	}
-	p.agents++
-	agent := newProgram(structs.ProgramID(fmt.Sprintf("%s%d", p.id, p.agents)), p.spec, p.entry)
+	agent := newProgram(p.entry.system.newID(), p.spec, p.entry)
 	agent.append(structs.Message{Role: structs.RoleUser, Content: arguments.Task})
 	defer agent.release()
 	if err := agent.answer(ctx, 1, func() {}); err != nil {
--- a/internal/workload/embedded/system.go
+++ b/internal/workload/embedded/system.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,15 +96,17 @@
 
 // Open implements workload.System.
 func (s *System) Open(_ context.Context, spec structs.ProgramSpec) (structs.ProgramID, error) {
-	n := s.opened.Add(1)
-	id := structs.NewProgramID(structs.LogID(fmt.Sprintf("log%d", n%uint64(len(s.entries)))), n)
-	p := newProgram(id, spec, s.entries[n%uint64(len(s.entries))])
+	id := s.newID()
+	p := newProgram(id, spec, s.entries[s.opened.Load()%uint64(len(s.entries))])
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.programs[id] = p
 	return id, nil
 }
 
+// newID returns the id of a further program or sub-agent.
+func (s *System) newID() structs.ProgramID { return structs.NewProgramID("log", s.opened.Add(1)) }
+
 // Turn implements workload.System.
 func (s *System) Turn(ctx context.Context, id structs.ProgramID, number uint32, _, content string, first func()) error {
 	s.mu.Lock()
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -13,6 +13,7 @@
 type Cost struct {
 	latency  float64
 	waste    float64
+	first    bool
 	maxQueue int
 	cached   []int
 }
@@ -70,17 +71,21 @@
 }
 
 func (p *Cost) cost(c *Candidate, d *Decision) float64 {
-	latency := d.Finish().Seconds() + delayToOthers(c, d)
+	latency := d.Finish().Seconds() + p.delayToOthers(c, d)
 	waste := float64(d.RecomputedTokens+evictedTokens(c, d)) / prefillRate(&c.Load)
 	return p.latency*latency + p.waste*waste
 }
 
 // delayToOthers returns the seconds that the call adds to the calls that run beside
-// it: its prefill, shared by the batch, and the longer step for its generation.
-func delayToOthers(c *Candidate, d *Decision) float64 {
-	others := min(c.Load.Running, batchLimit(&c.Load))
-	perStep := c.Step.Growth() * float64(d.Generate)
-	return float64(others) * perStep
+// it or wait: its prefill, during which the batch generates nothing, and the longer
+// step for its generation.
+func (p *Cost) delayToOthers(c *Candidate, d *Decision) float64 {
+	others := float64(min(c.Load.Running, batchLimit(&c.Load)))
+	delay := others * c.Step.Growth() * float64(d.Generate)
+	if p.first {
+		return delay
+	}
+	return delay + (others+float64(c.Load.Queued))*d.Prefill.Seconds()
 }
 
 // evictedTokens returns how many tokens of others the call pushes out of a full cache.
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -13,6 +13,8 @@
 	PolicyRoundRobin = "round_robin"
 	PolicyLeastLoad  = "least_load"
 	PolicyStickyHash = "sticky_hash"
+	// PolicyCostFirst is the first version of PolicyCost, kept for comparisons.
+	PolicyCostFirst = "cost_first"
 )
 
 // ErrUnknownPolicy reports a preset whose policy does not exist.
@@ -81,6 +83,10 @@
 	switch preset.Policy {
 	case PolicyCost, "":
 		return NewCost(preset), nil
+	case PolicyCostFirst:
+		p := NewCost(preset)
+		p.first = true
+		return p, nil
 	case PolicyRoundRobin:
 		return &roundRobin{maxQueue: preset.MaxQueue, next: int(seed % maxSeedOffset)}, nil
 	case PolicyLeastLoad:
