Refuse to open a program that has ended, and measure the runner

An open request that met the end of its key's program waited ten seconds for a commit that could not come.

--- /dev/null
+++ b/internal/runner/bench_test.go
@@ -0,0 +1,88 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/buckthornroute/buckthornroute/internal/home"
+	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/program"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// instantJournal commits at once.
+type instantJournal struct {
+	r *Runner
+	n uint64
+}
+
+func (j *instantJournal) Append(_ context.Context, entries ...journal.Entry) (uint64, error) {
+	j.n += uint64(len(entries))
+	go j.r.Committed(j.n)
+	return j.n, nil
+}
+
+// newInstant returns a runner of one shard whose surroundings take no time.
+func newInstant(b *testing.B) *Runner {
+	j := &instantJournal{}
+	world := &fakeWorld{}
+	r := New(Config{
+		Log: "e1-a", Engines: world, Tools: world, Journal: j, Table: newFakeTable(), Shards: 1,
+		Program: program.Config{Tools: map[string]program.Tool{"search": {}}, MaxHistoryTokens: 1 << 40},
+	})
+	j.r = r
+	b.Cleanup(r.Close)
+	return r
+}
+
+// BenchmarkTurnOfNewProgram opens a program, runs a turn of four steps and ends the program.
+func BenchmarkTurnOfNewProgram(b *testing.B) {
+	r := newInstant(b)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id, err := r.Open(ctx, structs.ProgramSpec{Organisation: "council"})
+			if err == nil {
+				err = r.Turn(ctx, home.Turn{Program: id, Number: 1, Content: "tool search {}; answer 1"},
+					func(structs.TurnEvent) error { return nil })
+			}
+			if err == nil {
+				err = r.End(ctx, home.End{Program: id})
+			}
+			if err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkOpenPrograms reports the memory of open programs with an empty history.
+func BenchmarkOpenPrograms(b *testing.B) {
+	for _, programs := range []int{200, 2000} {
+		b.Run(fmt.Sprintf("programs=%d", programs), func(b *testing.B) {
+			for b.Loop() {
+				r := newInstant(b)
+				before := heapInUse()
+				for i := range programs {
+					spec := structs.ProgramSpec{Organisation: "council", Key: fmt.Sprint(i), Kind: "draft", Model: "large"}
+					if _, err := r.Open(context.Background(), spec); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(heapInUse()-before)/float64(programs), "bytes/program")
+				r.Close()
+			}
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/runner/home.go
+++ b/internal/runner/home.go
@@ -61,14 +61,17 @@
 	if err != nil {
 		return "", err
 	}
-	kept, err := ask(ctx, s, func(s *shard) chan struct{} { return s.opening(id, spec, fresh) })
+	o, err := ask(ctx, s, func(s *shard) opening { return s.opening(id, spec, fresh) })
 	if err != nil {
 		return "", err
 	}
+	if o.refusal != nil {
+		return "", o.refusal
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.OpenWait)
 	defer cancel()
 	select {
-	case <-kept:
+	case <-o.kept:
 		return id, nil
 	case <-ctx.Done():
 		refusal := structs.Refusalf(structs.CodePlatformOutage, structs.OutcomeUnknown, stepOpen,
@@ -106,23 +109,37 @@
 	return id, r.shards[i], true, nil
 }
 
-// opening returns what is closed once the log holds the program.
-func (s *shard) opening(id structs.ProgramID, spec structs.ProgramSpec, fresh bool) chan struct{} {
+// opening is a program on its way into the log, or the refusal to open it.
+type opening struct {
+	// kept is closed once the log holds the program.
+	kept    <-chan struct{}
+	refusal *structs.Refusal
+}
+
+func (s *shard) opening(id structs.ProgramID, spec structs.ProgramSpec, fresh bool) opening {
 	slot := s.slots[id]
-	if slot == nil && fresh && !s.dropped {
-		slot = s.open(id, spec)
-	}
 	switch {
+	case s.dropped:
+		return opening{refusal: s.r.closedToNew(stepOpen)}
+	case slot == nil && !fresh:
+		return opening{refusal: structs.Refusalf(structs.CodeProgramEnded, structs.OutcomeRan, stepOpen,
+			"program %q of the key %q has ended", id, spec.Key)}
 	case slot == nil:
-		return nil
-	case slot.kept == nil:
-		done := make(chan struct{})
-		close(done)
-		return done
+		slot = s.open(id, spec)
 	}
-	return slot.kept
+	if slot.kept == nil {
+		return opening{kept: closedChannel}
+	}
+	return opening{kept: slot.kept}
 }
 
+// closedChannel stands for what has happened already.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // locate returns the shard of a program that the organisation may see; empty sees all.
 func (r *Runner) locate(id structs.ProgramID, step string) (*shard, *structs.Refusal) {
 	if s := r.shardOf(id); s != nil {
