--- /dev/null
+++ b/cmd/buckthorn-load/faults.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/faulttrial"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// errTrialFailed ends the command with exit code 1.
+var errTrialFailed = errors.New("the trial failed: a count that must be zero is not, or a scenario did not reach its end")
+
+func faultsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "faults",
+		Usage: "run the real programs as processes over loopback, break them under load, and count what is lost",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "scenario", Usage: "run this `NAME` only; may be repeated"},
+			&cli.BoolFlag{Name: "list", Usage: "list the scenarios and exit"},
+			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+			&cli.IntFlag{Name: "programs", Value: 24, Usage: "programs in each scenario"},
+			&cli.IntFlag{Name: "turns", Value: 8, Usage: "turns of each program"},
+			&cli.DurationFlag{Name: "outage", Value: time.Minute, Usage: "length of a platform outage"},
+			&cli.DurationFlag{Name: "pause", Value: 5 * time.Second, Usage: "how long a process is stopped"},
+			&cli.DurationFlag{Name: "limit", Value: time.Minute, Usage: "bound of one scenario beside its outage or pause"},
+			&cli.StringFlag{Name: "binaries", Usage: "take the built programs of this `DIRECTORY`; built anew when empty"},
+			&cli.StringFlag{Name: "keep", Usage: "keep settings and logs in this `DIRECTORY`"},
+		},
+		Action: runFaults,
+	}
+}
+
+func runFaults(ctx context.Context, c *cli.Command) error {
+	if c.Bool("list") {
+		for _, name := range faulttrial.Names() {
+			fmt.Println(name)
+		}
+		return nil
+	}
+	dir, remove, err := trialDirectory(c.String("keep"))
+	if err != nil {
+		return err
+	}
+	defer remove()
+	binaries := c.String("binaries")
+	if binaries == "" {
+		binaries = dir
+		if err := faulttrial.Build(ctx, dir); err != nil {
+			return err
+		}
+	}
+	report, err := faulttrial.Run(ctx, faulttrial.Config{
+		Binaries:  binaries,
+		Dir:       dir,
+		Programs:  c.Int("programs"),
+		Turns:     c.Int("turns"),
+		Outage:    c.Duration("outage"),
+		Pause:     c.Duration("pause"),
+		Limit:     c.Duration("limit"),
+		Scenarios: c.StringSlice("scenario"),
+		Progress:  os.Stderr,
+	})
+	if err != nil {
+		return err
+	}
+	return printReport(report, c.Bool("json"))
+}
+
+// trialDirectory returns the directory of the trial; remove deletes one that is not kept.
+func trialDirectory(keep string) (dir string, remove func(), err error) {
+	if keep != "" {
+		return keep, func() {}, errors.Wrap(os.MkdirAll(keep, 0o700), "trial directory")
+	}
+	dir, err = os.MkdirTemp("", "buckthorn-faults-")
+	return dir, func() { _ = os.RemoveAll(dir) }, errors.Wrap(err, "trial directory")
+}
+
+func printReport(report faulttrial.Report, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(report); err != nil {
+			return errors.Wrap(err, "print report")
+		}
+	} else {
+		report.WriteText(os.Stdout)
+	}
+	if report.Failed() {
+		return errTrialFailed
+	}
+	return nil
+}
--- a/internal/faulttrial/process.go
+++ b/internal/faulttrial/process.go
@@ -36,6 +36,7 @@
 	p.command = exec.Command(p.binary, "--settings", p.settings) //nolint:gosec // the trial's own build
 	p.command.Stdout = log
 	p.command.Stderr = log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the trial
 	if err := p.command.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", p.name)
 	}
