--- a/program/restore.go
+++ b/program/restore.go
@@ -28,6 +28,7 @@
 	}
 	m.committed = m.seq
 	m.restored = true
+	m.acted = true
 	return m, nil
 }
 
@@ -211,6 +212,9 @@
 	last := messages[len(messages)-1]
 	if last.Role == structs.RoleAssistant {
 		m.makeBatch(last.ToolCalls)
+		for _, c := range t.batch {
+			c.resent = true
+		}
 		m.advance(now)
 		return
 	}
