--- /dev/null
+++ b/cmd/buckthornctl/order.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+)
+
+func orderCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "order",
+		Usage:     "order an upstream to load a model or to change its role",
+		ArgsUsage: "UPSTREAM load_model|role ARGUMENT",
+		Action:    orderAction,
+	}
+}
+
+func orderAction(ctx context.Context, c *cli.Command) error {
+	args, err := arguments(c, "UPSTREAM", "load_model|role", "ARGUMENT")
+	if err != nil {
+		return err
+	}
+	if args[1] != "load_model" && args[1] != "role" {
+		return usagef("order %q is neither load_model nor role", args[1])
+	}
+	api, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	body := httpapi.OrderRequest{Order: args[1], Argument: args[2]}
+	if err := api.post(ctx, path("upstreams", args[0], "orders"), body, nil); err != nil {
+		return err
+	}
+	return showDone(c, "upstream %q obeyed %s %s", args[0], args[1], args[2])
+}
--- /dev/null
+++ b/cmd/buckthornctl/output.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+)
+
+// columnGap is the space between columns.
+const columnGap = 2
+
+// show prints v as JSON when that was asked for, and by text otherwise.
+func show(c *cli.Command, v any, text func(w io.Writer)) error {
+	w := c.Root().Writer
+	if c.Bool(flagJSON) {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	text(w)
+	return nil
+}
+
+// printTable prints rows in aligned columns.
+func printTable(w io.Writer, header []string, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	_ = t.Flush() // the terminal is gone when this fails
+}
+
+// done is the JSON answer of a change that returns nothing.
+type done struct {
+	Done string `json:"done"`
+}
+
+// showDone says that a change was made.
+func showDone(c *cli.Command, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...)
+	return show(c, done{Done: text}, func(w io.Writer) { fmt.Fprintln(w, text) })
+}
--- /dev/null
+++ b/cmd/buckthornctl/preset.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+func presetCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "preset",
+		Usage:    "list, show, store and switch presets",
+		Commands: []*cli.Command{presetListCommand(), presetShowCommand(), presetPutCommand(), presetSwitchCommand()},
+	}
+}
+
+// patienceText prints the patience of each program kind in order.
+func patienceText(p structs.Preset) string {
+	var parts []string
+	for kind, d := range p.Patience {
+		parts = append(parts, fmt.Sprintf("%s=%v", kind, time.Duration(d)))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/cmd/buckthornctl/preset_switch.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/internal/query"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// waitInterval is the time between two looks at the nodes.
+const waitInterval = 200 * time.Millisecond
+
+func presetSwitchCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "switch",
+		Usage:     "put a stored preset in force",
+		ArgsUsage: "NAME",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "expected", Usage: "switch only if `VERSION` is in force; 0 replaces any"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until each node has it in force, and show them"},
+			&cli.DurationFlag{Name: "wait-timeout", Usage: "give up waiting after `TIME`", Value: 10 * time.Second},
+		},
+		Action: presetSwitchAction,
+	}
+}
+
+// switched is the JSON answer of preset switch.
+type switched struct {
+	structs.PresetInForce
+	Nodes []query.Node `json:"nodes,omitempty"`
+}
+
+func presetSwitchAction(ctx context.Context, c *cli.Command) error {
+	args, err := arguments(c, "NAME")
+	if err != nil {
+		return err
+	}
+	api, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	var out switched
+	body := httpapi.SwitchRequest{ExpectedVersion: c.Uint64("expected")}
+	if err := api.post(ctx, path("presets", args[0], "switch"), body, &out.PresetInForce); err != nil {
+		return err
+	}
+	if c.Bool("wait") {
+		if out.Nodes, err = api.waitForVersion(ctx, out.Version, c.Duration("wait-timeout")); err != nil {
+			return err
+		}
+	}
+	return show(c, out, func(w io.Writer) {
+		fmt.Fprintf(w, "preset %q is in force as version %d\n", out.Preset.Name, out.Version)
+		if c.Bool("wait") {
+			printNodes(w, out.Nodes)
+		}
+	})
+}
+
+// waitForVersion looks at the nodes until each has the version or a higher one in
+// force. When the time is over, the error names those that do not.
+func (c *client) waitForVersion(ctx context.Context, version uint64, limit time.Duration) ([]query.Node, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		var nodes []query.Node
+		if err := c.get(ctx, path("nodes"), &nodes); err != nil {
+			return nil, err
+		}
+		missing := behind(nodes, version)
+		if len(missing) == 0 {
+			return nodes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, structs.Refusalf(structs.CodeDeadlineExceeded, structs.OutcomeRan, "wait for nodes",
+				"version %d is in force, but after %v not yet on %v", version, limit, missing)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+// behind returns the nodes whose version is lower.
+func behind(nodes []query.Node, version uint64) []structs.NodeID {
+	var out []structs.NodeID
+	for _, n := range nodes {
+		if n.PresetVersion < version {
+			out = append(out, n.Node)
+		}
+	}
+	return out
+}
