--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -62,7 +63,7 @@
 
 // turn runs a turn and returns its streamed text, its answer and its refusal.
 func (b *bench) turn(id structs.ProgramID, number uint32, plan string) (string, *structs.TurnAnswer, *structs.Refusal) {
-	return b.ask(home.Turn{Program: id, Organisation: "council", Number: number, Key: plan, Content: plan})
+	return b.ask(home.Turn{Program: id, Organisation: "council", Number: number, Key: fmt.Sprint("turn ", number), Content: plan})
 }
 
 func (b *bench) ask(turn home.Turn) (string, *structs.TurnAnswer, *structs.Refusal) {
