--- a/cmd/buckthornctl/main.go
+++ b/cmd/buckthornctl/main.go
@@ -92,8 +92,10 @@
 }
 
 // noteStart calls started before each action, so that errors of parsing are told from
-// errors of the action, and rejects an unknown subcommand of a group.
+// errors of the action, and rejects an unknown subcommand of a group. A wrong flag
+// gives its error alone, without the help.
 func noteStart(c *cli.Command, started func()) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError{err} }
 	if action := c.Action; action != nil {
 		c.Action = func(ctx context.Context, c *cli.Command) error {
 			started()
