--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -244,7 +244,7 @@
 }
 
 func (m *Machine) ask(q Ask) {
-	r := m.table.get(m.now, q.Fingerprint)
+	r := m.table.rows[q.Fingerprint]
 	switch {
 	case r == nil || r.State == Cleared:
 		m.running[q.Call] = attempt{fingerprint: q.Fingerprint, began: m.now}
@@ -301,7 +301,7 @@
 
 // put stores a record that is news, and spreads it.
 func (m *Machine) put(r Record, lasts time.Duration) {
-	before := m.table.get(m.now, r.Fingerprint)
+	before := m.table.rows[r.Fingerprint]
 	changed := before == nil || before.State != r.State || before.Episode != r.Episode
 	m.table.put(r, m.now, lasts)
 	if changed {
@@ -313,7 +313,7 @@
 // ended clears a suspect whose try ran to its end.
 func (m *Machine) ended(e Ended) {
 	a := m.endTry(e.Call)
-	r := m.table.get(m.now, a.fingerprint)
+	r := m.table.rows[a.fingerprint]
 	if !a.try || !e.Ran || r == nil || r.State != Suspect {
 		return
 	}
@@ -329,7 +329,7 @@
 		return
 	}
 	a := m.endTry(c.Call)
-	r := m.table.get(m.now, a.fingerprint)
+	r := m.table.rows[a.fingerprint]
 	switch {
 	case r == nil:
 		m.suspect(Record{Fingerprint: a.fingerprint, Episode: 1}, c.Upstream)
@@ -358,7 +358,7 @@
 		if !r.sound() {
 			continue
 		}
-		if known := m.table.get(m.now, r.Fingerprint); known != nil && !r.newer(known.Record) {
+		if known := m.table.rows[r.Fingerprint]; known != nil && !r.newer(known.Record) {
 			continue
 		}
 		m.put(r, min(r.Lasts-hopAge, m.cfg.QuarantinedFor))
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -280,6 +280,15 @@
 		b.lose = false
 	case "lose":
 		b.lose = true
+	case "lose-end":
+		for _, r := range b.requests {
+			if r.entry == structs.NodeID(arg(0)) && r.end == "" {
+				r.end = "lost"
+				for _, u := range keys(b.engines) {
+					b.engines[u] = slices.DeleteFunc(b.engines[u], func(j *job) bool { return j.request == r })
+				}
+			}
+		}
 	case "cancel":
 		for _, r := range b.requests {
 			if string(r.call) == arg(0) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -101,16 +101,6 @@
 	return out
 }
 
-// get returns the record, and nil when there is none or it has expired.
-func (t table) get(now time.Time, f Fingerprint) *row {
-	r := t.rows[f]
-	if r == nil || now.Before(r.expires) {
-		return r
-	}
-	delete(t.rows, f)
-	return nil
-}
-
 func (t table) put(r Record, now time.Time, lasts time.Duration) {
 	if t.rows[r.Fingerprint] == nil && len(t.rows) >= t.limit {
 		t.evict()
