Mend what a restart does with sub-agents, and draw ahead of long prompts

Found by the interleavings and by reading the scripts again: - a tool behind two sub-agents started when the second of them had ended; - the share of a sub-agent that an earlier home had started was given back when its turn ended before this home took it up, so the budget could be spent twice; - a turn whose patience ended while no home ran it left tool calls without results in the history, and called its outcome "ran" with an action or sub-agent maybe at work. The draw now covers the next model call: on a history of 330,000 tokens each call was larger than a lump and waited for a commit.

--- a/program/agent.go
+++ b/program/agent.go
@@ -26,8 +26,8 @@
 			"depth %d is over the budget of %d", depth, m.spec.Budget.Depth))
 		return
 	}
-	if share, found := m.ledger.shares[c.id]; found {
-		c.share, c.reserved, c.state = share, share, callWaiting
+	if share, found := m.ledger.inherit(c.id); found {
+		c.share, c.reserved, c.state, c.inherited = share, share, callWaiting, true
 		return
 	}
 	c.share = m.agentShare(c)
--- a/program/budget.go
+++ b/program/budget.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"maps"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -50,8 +51,10 @@
 // sum of what all homes spend stays within the budget as long as nothing runs on a draw
 // that is not committed.
 type ledger struct {
-	limit    Amount
-	lump     Amount
+	limit Amount
+	lump  Amount
+	// ahead is what the next step is expected to reserve.
+	ahead    Amount
 	spent    Amount
 	reserved Amount
 	// stated is the total in the last record, drawn the committed total.
@@ -60,6 +63,8 @@
 	pending []draw
 	// shares holds the reservation of each sub-agent of the present step.
 	shares map[structs.CallID]Amount
+	// inherited are those shares that a restart found and no call of this home has taken up.
+	inherited map[structs.CallID]Amount
 	// returning is what finished sub-agents left of their shares. A restart that does not
 	// find the record of it keeps the whole share for the sub-agent, so until the commit
 	// nothing may run on what is left.
@@ -139,23 +144,23 @@
 	return usable
 }
 
-// raise states a total that covers all reservations and one lump.
+// raise states a total that covers all that is taken, and beyond it one lump or the next step.
 func (l *ledger) raise() {
-	target := l.taken().add(l.lump).min(l.limit)
+	target := l.taken().add(l.lump.max(l.ahead)).min(l.limit)
 	l.stated = l.stated.max(target)
 }
 
-// topUp states a larger total before the lump is used up, so that the draw is committed
-// by the time it is needed.
+// topUp states a larger total before the lump is used up or the next step exceeds it, so that
+// the draw is committed by the time it is needed.
 func (l *ledger) topUp() {
-	if !l.taken().add(l.lump.div(2)).min(l.limit).within(l.stated) {
+	if !l.taken().add(l.lump.div(2).max(l.ahead)).min(l.limit).within(l.stated) {
 		l.raise()
 	}
 }
 
-// lower gives back what was drawn beyond the reservations and one lump.
+// lower gives back what was drawn beyond what raise would state.
 func (l *ledger) lower() {
-	target := l.taken().add(l.lump).min(l.limit)
+	target := l.taken().add(l.lump.max(l.ahead)).min(l.limit)
 	l.stated = l.stated.min(target)
 }
 
@@ -203,10 +208,27 @@
 	l.stated, l.drawn, l.pending = stated, stated, nil
 	l.returning = nil
 	l.shares = shares
+	l.inherited = maps.Clone(shares)
 	l.reserved = reserved
 	l.spent = stated.sub(reserved)
 }
 
+// inherit takes up the share that an earlier home gave to the call.
+func (l *ledger) inherit(call structs.CallID) (Amount, bool) {
+	share, found := l.inherited[call]
+	delete(l.inherited, call)
+	return share, found
+}
+
+// closeStep ends the shares of the present step. What earlier homes gave to calls that
+// were not taken up again counts as spent.
+func (l *ledger) closeStep() {
+	for _, share := range l.inherited {
+		l.settle(share, share)
+	}
+	l.shares, l.inherited = nil, nil
+}
+
 func (l *ledger) share(call structs.CallID, amount Amount) {
 	if l.shares == nil {
 		l.shares = make(map[structs.CallID]Amount)
--- a/program/call.go
+++ b/program/call.go
@@ -54,9 +54,16 @@
 	tool      structs.ToolCall
 	task      string
 	share     Amount
+	// inherited says that an earlier home may have started the sub-agent.
+	inherited bool
 	result    string
 }
 
+// mayHaveRun reports whether the call was sent, here or maybe by an earlier home, and has no result.
+func (c *call) mayHaveRun() bool {
+	return c.state == callActive || (c.resent && c.state != callDone)
+}
+
 // active returns the call with this id when attempt is its present one and its answer is awaited.
 func (m *Machine) active(id structs.CallID, attempt uint32) *call {
 	t := m.current
@@ -164,6 +171,10 @@
 		m.emit(CancelCall{Call: c.id, Attempt: c.attempt})
 		m.settle(c, c.reserved)
 	case callWaiting, callBackoff:
+		if c.inherited {
+			m.settle(c, c.reserved)
+			break
+		}
 		m.withdraw(c)
 	case callNew, callDone:
 	}
@@ -174,7 +185,7 @@
 // that holds their results, so that a restart finds either the sub-agent or its result.
 func (m *Machine) closeAgents(batch []*call) {
 	for _, c := range batch {
-		if c.kind == callAgent && c.attempts > 0 {
+		if c.kind == callAgent && (c.attempts > 0 || c.resent) {
 			m.emit(CloseAgent{Call: c.id})
 		}
 	}
--- a/program/entry.go
+++ b/program/entry.go
@@ -125,6 +125,7 @@
 // record numbers a record and emits it.
 func (m *Machine) record(body entryBody) uint64 {
 	m.seq++
+	m.ledger.ahead = Amount{Tokens: m.nextCallTokens(), Calls: 1}
 	m.ledger.topUp()
 	m.ledger.recorded(m.seq)
 	head := header{Program: m.id, Seq: m.seq, Drawn: m.ledger.stated}
--- a/program/model.go
+++ b/program/model.go
@@ -52,6 +52,15 @@
 	return m.context + (rest+reserveBytesPerToken-1)/reserveBytesPerToken + promptOverhead
 }
 
+// nextCallTokens estimates what the next model call reserves: the history as it is, an
+// eighth more, and two answers.
+func (m *Machine) nextCallTokens() int64 {
+	const growthDivisor = 8
+	rest := (m.history.bytes - m.contextBytes) / structs.BytesPerToken
+	prompt := m.context + rest
+	return prompt + prompt/growthDivisor + 2*int64(m.cfg.MaxTokens)
+}
+
 // promptOverhead bounds the tokens that an engine adds around messages.
 const promptOverhead = 64
 
--- a/program/property_test.go
+++ b/program/property_test.go
@@ -173,6 +173,7 @@
 			w.t.Fatalf("turn %d of the history is %q, submitted was %q", turn, m.Content, w.submitted[turn])
 		}
 	}
+	w.checkCalls(ms)
 	for number, content := range w.kept {
 		if past := w.m.turns[number-1]; past.refusal != nil || ms[past.answer].Content != content {
 			w.t.Fatalf("turn %d was kept with %q and is lost", number, content)
@@ -180,6 +181,25 @@
 	}
 }
 
+// checkCalls makes sure that each tool call of an idle program has its result, since
+// engines refuse other conversations.
+func (w *world) checkCalls(ms []structs.Message) {
+	var open []structs.ToolCall
+	for i, m := range ms {
+		switch {
+		case len(open) > 0 && (m.Role != structs.RoleTool || m.ToolCallID != open[0].ID):
+			w.t.Fatalf("message %d of role %q follows call %q without its result", i, m.Role, open[0].ID)
+		case len(open) > 0:
+			open = open[1:]
+		default:
+			open = m.ToolCalls
+		}
+	}
+	if len(open) > 0 && w.m.current == nil {
+		w.t.Fatalf("the program is idle and call %q has no result", open[0].ID)
+	}
+}
+
 func sameMessage(a, b structs.Message) bool {
 	return a.Role == b.Role && a.Content == b.Content && a.ToolCallID == b.ToolCallID && slices.Equal(a.ToolCalls, b.ToolCalls)
 }
--- a/program/restore.go
+++ b/program/restore.go
@@ -195,30 +195,31 @@
 	if t == nil {
 		return
 	}
-	if !now.Before(t.deadline) {
-		m.refuse(now, structs.CodeDeadlineExceeded, stepTurn, "patience of turn %d is over", t.number)
-		return
-	}
 	messages, err := m.history.all()
 	if err != nil {
 		m.refuse(now, structs.CodeInternal, stepTurn, "history of %q: %v", m.id, err)
 		return
 	}
-	if !t.applied {
-		m.startModel(now)
-		return
+	if t.applied {
+		m.recountRepeats(messages[t.start:])
+		m.remakeBatch(messages[len(messages)-1].ToolCalls)
 	}
-	m.recountRepeats(messages[t.start:])
-	last := messages[len(messages)-1]
-	if last.Role == structs.RoleAssistant {
-		m.makeBatch(last.ToolCalls)
-		for _, c := range t.batch {
-			c.resent = true
-		}
+	switch {
+	case !now.Before(t.deadline):
+		m.refuse(now, structs.CodeDeadlineExceeded, stepTurn, "patience of turn %d is over", t.number)
+	case len(t.batch) > 0:
 		m.advance(now)
-		return
+	default:
+		m.startModel(now)
+	}
+}
+
+// remakeBatch makes the calls of the last model answer again when it is the last message.
+func (m *Machine) remakeBatch(asked []structs.ToolCall) {
+	m.makeBatch(asked)
+	for _, c := range m.current.batch {
+		c.resent = true
 	}
-	m.startModel(now)
 }
 
 // recountRepeats counts the tool calls that the turn has made so far.
--- a/program/tool.go
+++ b/program/tool.go
@@ -18,24 +18,26 @@
 		if tool.Name == structs.AgentTool {
 			c.kind = callAgent
 		}
+		c.nonRepeatable = m.cfg.Tools[tool.Name].NonRepeatable
 		t.batch = append(t.batch, c)
 	}
 }
 
-// advance starts what may start of the batch: tool calls one after the other,
-// sub-agents that follow each other side by side. It goes on with the model after the last.
+// advance starts what may start of the batch: tool calls one after the other, sub-agents
+// that follow each other side by side. It goes on with the model after the last.
 func (m *Machine) advance(now time.Time) {
 	t := m.current
 	for i, c := range t.batch {
-		if c.state == callNew {
-			m.prepare(now, c)
+		if c.state != callNew {
+			continue
 		}
+		if !mayStart(t.batch[:i], c) {
+			break
+		}
+		m.prepare(now, c)
 		if m.current != t {
 			return
 		}
-		if c.state != callDone && !m.sideBySide(i) {
-			break
-		}
 	}
 	m.launchReady(now)
 	for _, c := range t.batch {
@@ -46,10 +48,14 @@
 	m.finishBatch(now)
 }
 
-// sideBySide reports whether call i of the batch and the next one are both sub-agents.
-func (m *Machine) sideBySide(i int) bool {
-	batch := m.current.batch
-	return batch[i].kind == callAgent && i+1 < len(batch) && batch[i+1].kind == callAgent
+// mayStart reports whether a call may start beside those before it that have no result yet.
+func mayStart(before []*call, c *call) bool {
+	for _, b := range before {
+		if b.state != callDone && (b.kind != callAgent || c.kind != callAgent) {
+			return false
+		}
+	}
+	return true
 }
 
 // prepare checks a call and reserves what it may use.
@@ -63,7 +69,6 @@
 		m.fail(now, c, structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, toolStep(c), "tool %q does not exist", c.tool.Name))
 		return
 	}
-	c.nonRepeatable = policy.NonRepeatable
 	c.timeout = policy.Timeout
 	setDefault(&c.timeout, m.cfg.ToolTimeout)
 	c.timeout = min(c.timeout, m.ledger.free().ToolTime)
@@ -184,7 +189,7 @@
 // abandonedResult stands in the history for a call that the end of its turn cut off.
 func abandonedResult(c *call, r *structs.Refusal) string {
 	outcome := structs.OutcomeNotRun
-	if c.state == callActive {
+	if c.mayHaveRun() {
 		outcome = structs.OutcomeUnknown
 	}
 	return fmt.Sprintf("error: %s gave no result: the turn ended with %s (%s)", toolStep(c), r.Code, outcome)
@@ -202,7 +207,7 @@
 		results = append(results, toolMessage(c))
 	}
 	m.recordStep(m.extend(results...), false)
-	m.ledger.shares = nil
+	m.ledger.closeStep()
 	m.closeAgents(t.batch)
 	looping := m.countRepeats(t.batch)
 	t.batch = nil
--- a/program/turn.go
+++ b/program/turn.go
@@ -277,7 +277,7 @@
 	}
 	end.Delta.After = m.history.digest
 	seq := m.record(end)
-	m.ledger.shares = nil
+	m.ledger.closeStep()
 	m.closeAgents(t.batch)
 	e := ending{turn: t.number, seq: seq, until: now.Add(m.cfg.KeptWait), key: t.key, payload: t.payload}
 	if t.applied {
@@ -304,7 +304,7 @@
 // irreversibleInFlight reports whether a call that may have an irreversible effect was sent and not answered.
 func (t *turn) irreversibleInFlight() bool {
 	for _, c := range t.batch {
-		if c.state == callActive && (c.nonRepeatable || c.kind == callAgent) {
+		if c.mayHaveRun() && (c.nonRepeatable || c.kind == callAgent) {
 			return true
 		}
 	}
