--- /dev/null
+++ b/membership/config.go
@@ -0,0 +1,56 @@
+package membership
+
+import "time"
+
+// Config holds the settings of a Machine. A zero field takes its default.
+type Config struct {
+	// Self is this process.
+	Self Member
+	// Seeds are the peer addresses of the settings, greeted until their members are known.
+	Seeds []string
+	// Heartbeat is the least time between two heartbeats to one watcher.
+	Heartbeat time.Duration
+	// Suspicion is the least silence after which a member is suspected.
+	Suspicion time.Duration
+	// WireBytes bounds what heartbeats put on the wire, sent and received, in bytes a second;
+	// with many members the time between heartbeats grows to keep to it.
+	WireBytes int
+	// AdoptDelay is the time by which each further candidate waits before it adopts a log.
+	AdoptDelay time.Duration
+	// CutOff is the time without the platform and without any peer after which this process
+	// takes no new work.
+	CutOff time.Duration
+	// ListStale is the time without the platform's VM list after which it counts as stale.
+	ListStale time.Duration
+	// GoneRetention is how long members that are gone are remembered.
+	GoneRetention time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultHeartbeat     = 200 * time.Millisecond
+	DefaultSuspicion     = time.Second
+	DefaultWireBytes     = 9000
+	DefaultAdoptDelay    = 300 * time.Millisecond
+	DefaultCutOff        = 2 * time.Second
+	DefaultListStale     = time.Minute
+	DefaultGoneRetention = 10 * time.Minute
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.Suspicion, DefaultSuspicion)
+	setDefault(&c.WireBytes, DefaultWireBytes)
+	setDefault(&c.AdoptDelay, DefaultAdoptDelay)
+	setDefault(&c.CutOff, DefaultCutOff)
+	setDefault(&c.ListStale, DefaultListStale)
+	setDefault(&c.GoneRetention, DefaultGoneRetention)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/membership/messages.go
@@ -0,0 +1,138 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// VM is one line of the platform's list.
+type VM = platform.VM
+
+// Message is what a Machine is stepped by.
+type Message interface{ isMessage() }
+
+// Tick says that time has passed. It comes at the times that WakeAt gives.
+type Tick struct{}
+
+// Received is a packet from a peer.
+type Received struct{ Packet Packet }
+
+// Listed is the platform's list of VMs, as it was read.
+type Listed struct{ VMs []VM }
+
+// Platform says whether the platform answered a request of this process just now.
+type Platform struct{ Answered bool }
+
+// Learned names holders of open logs, as the platform's table gives them.
+type Learned struct{ Members []Member }
+
+// Changed tells what has changed of this process itself.
+type Changed struct {
+	Ready bool
+	// Preset is the version in force here.
+	Preset uint64
+}
+
+// Leave says that this process hands its programs over and ends.
+type Leave struct{}
+
+// Taken says that a log has been adopted by this process or by another, or is gone; the
+// shell sends it when its attempt has ended with any outcome that says so.
+type Taken struct {
+	Log structs.LogID
+	// Successor may be empty.
+	Successor structs.LogID
+}
+
+// Drained is an operator's order about a VM. Of two orders the one of higher version counts.
+type Drained struct{ Gate Gate }
+
+func (Tick) isMessage()     {}
+func (Received) isMessage() {}
+func (Listed) isMessage()   {}
+func (Platform) isMessage() {}
+func (Learned) isMessage()  {}
+func (Changed) isMessage()  {}
+func (Leave) isMessage()    {}
+func (Taken) isMessage()    {}
+func (Drained) isMessage()  {}
+
+// Effect is what a Machine asks its shell to do.
+type Effect interface{ isEffect() }
+
+// Send sends a packet to the address of a peer. It may be lost.
+type Send struct {
+	Address string
+	Packet  Packet
+}
+
+// Adopt asks to adopt a log. It comes again until Taken or until its holder is heard.
+type Adopt struct {
+	Log    structs.LogID
+	Reason Reason
+}
+
+// Reason is why a log is fit for adoption.
+type Reason string
+
+// Reasons.
+const (
+	// ReasonSilent: peers in another failure domain confirm the silence.
+	ReasonSilent Reason = "silence confirmed"
+	// ReasonVMGone: the platform's list says that the VM is gone.
+	ReasonVMGone Reason = "VM gone"
+	// ReasonReplaced: the node runs a newer incarnation.
+	ReasonReplaced Reason = "replaced by a newer incarnation"
+)
+
+// Isolated says whether this process is cut off from the platform and from all peers; it
+// then takes no new work.
+type Isolated struct{ Cut bool }
+
+// Superseded says that peers know this process's log as taken over. The journal's next
+// record tells for certain.
+type Superseded struct{ Successor structs.LogID }
+
+// GateChanged says whether a VM takes new work.
+type GateChanged struct {
+	VM     structs.VMID
+	Closed bool
+}
+
+// Noticed is an event for the log of the process.
+type Noticed struct {
+	Event Event
+	// Node, Log or VM name what it is about.
+	Node structs.NodeID
+	Log  structs.LogID
+	VM   structs.VMID
+}
+
+// Event is a kind of Noticed.
+type Event string
+
+// Events.
+const (
+	EventJoined     Event = "joined"
+	EventSuspected  Event = "suspected"
+	EventConfirmed  Event = "silence confirmed"
+	EventHeardAgain Event = "heard again"
+	EventRestarted  Event = "restarted"
+	EventGone       Event = "gone"
+	EventVMLeaving  Event = "VM leaving"
+	EventVMGone     Event = "VM gone"
+	EventListStale  Event = "VM list stale"
+)
+
+// WakeAt asks for a Tick at the time; a later WakeAt replaces an earlier one.
+type WakeAt struct{ At time.Time }
+
+func (Send) isEffect()        {}
+func (Adopt) isEffect()       {}
+func (Isolated) isEffect()    {}
+func (Superseded) isEffect()  {}
+func (GateChanged) isEffect() {}
+func (Noticed) isEffect()     {}
+func (WakeAt) isEffect()      {}
