--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/action"
@@ -21,11 +22,17 @@
 	kept    int
 	down    bool
 	sealed  bool
-	runner  *Runner
-	delay   time.Duration
+	// full makes appends wait.
+	full   atomic.Bool
+	runner *Runner
+	delay  time.Duration
 }
 
-func (j *fakeJournal) Append(_ context.Context, entries ...journal.Entry) (uint64, error) {
+func (j *fakeJournal) Append(ctx context.Context, entries ...journal.Entry) (uint64, error) {
+	if j.full.Load() {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.sealed {
@@ -136,7 +143,9 @@
 	// wrong makes the next model answer carry another attempt.
 	wrong bool
 	// hang makes tools wait for their end.
-	hang  bool
+	hang bool
+	// mute makes services tell nothing of earlier requests.
+	mute  bool
 	delay time.Duration
 }
 
@@ -211,6 +220,9 @@
 func (w *fakeWorld) Ask(_ context.Context, tool, key string) (action.ServiceState, string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.mute {
+		return "", "", structs.Refusalf(structs.CodeUpstreamFailed, structs.OutcomeUnknown, "ask", "no account")
+	}
 	if w.runs[tool+" "+key] > 0 {
 		return action.ServiceDone, "asked", nil
 	}
--- a/program/call.go
+++ b/program/call.go
@@ -43,8 +43,10 @@
 	// needSeq is the record that must be committed before the call is sent.
 	needSeq       uint64
 	nonRepeatable bool
-	timeout       time.Duration
-	started       time.Time
+	// resent says that an earlier home may have sent the call.
+	resent  bool
+	timeout time.Duration
+	started time.Time
 	// deadline is the end of the call in flight, or of its back-off.
 	deadline time.Time
 
@@ -259,7 +261,7 @@
 	m.launchReady(now)
 	if m.closing > 0 && m.closing <= m.committed && !m.ended {
 		m.ended = true
-		m.emit(Release{})
+		m.emit(Release{Acted: m.acted})
 	}
 }
 
--- a/program/history.go
+++ b/program/history.go
@@ -144,12 +144,20 @@
 
 // The encoder and decoder are safe for concurrent EncodeAll and DecodeAll, which start no goroutine.
 var (
-	frameEncoder, _ = zstd.NewWriter(nil,
-		zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderCRC(true))
+	frameEncoder    = newFrameEncoder()
 	frameDecoder, _ = zstd.NewReader(nil,
 		zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxFrameBytes))
 )
 
+// newFrameEncoder returns an encoder that is initialized. The library would do so at the
+// first use, with a channel that would belong to the synctest bubble of that use.
+func newFrameEncoder() *zstd.Encoder {
+	encoder, _ := zstd.NewWriter(nil,
+		zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderCRC(true))
+	encoder.EncodeAll([]byte{0}, nil)
+	return encoder
+}
+
 func newFrame(ms []structs.Message) frame {
 	plain := encodeMessages(ms)
 	return frame{messages: len(ms), plain: len(plain), data: frameEncoder.EncodeAll(plain, nil)}
@@ -157,11 +165,11 @@
 
 // decode appends the frame's messages to ms.
 func (f frame) decode(ms []structs.Message) ([]structs.Message, error) {
-	plain, err := frameDecoder.DecodeAll(f.data, nil)
+	plain, err := frameDecoder.DecodeAll(f.data, make([]byte, 0, min(f.plain, 2*frameBytes)))
 	if err != nil {
 		return nil, errors.Wrapf(ErrBadEntry, "history frame: %v", err)
 	}
-	return decodeMessages(ms, plain, f.messages)
+	return decodeMessages(ms, string(plain), f.messages)
 }
 
 // encodeMessages writes each message as its strings, each behind its length.
@@ -189,8 +197,8 @@
 	return out
 }
 
-// decodeMessages reads n messages from the whole of data; it returns ErrBadEntry.
-func decodeMessages(ms []structs.Message, data []byte, n int) ([]structs.Message, error) {
+// decodeMessages reads n messages from the whole of data, which they share; it returns ErrBadEntry.
+func decodeMessages(ms []structs.Message, data string, n int) ([]structs.Message, error) {
 	r := messageReader{rest: data}
 	for range n {
 		m := structs.Message{Role: structs.Role(r.text()), Content: r.text(), ToolCallID: r.text()}
@@ -211,12 +219,12 @@
 
 // messageReader reads numbers and strings until the data does not hold one.
 type messageReader struct {
-	rest []byte
+	rest string
 	bad  bool
 }
 
 func (r *messageReader) number() uint64 {
-	v, n := binary.Uvarint(r.rest)
+	v, n := binary.Uvarint([]byte(r.rest[:min(len(r.rest), binary.MaxVarintLen64)]))
 	if n <= 0 || v > uint64(len(r.rest)) {
 		r.bad = true
 		return 0
@@ -231,7 +239,7 @@
 		r.bad = true
 		return ""
 	}
-	s := string(r.rest[:n])
+	s := r.rest[:n]
 	r.rest = r.rest[n:]
 	return s
 }
--- a/structs/program.go
+++ b/structs/program.go
@@ -32,8 +32,10 @@
 
 // ModelCall is one call to a model engine.
 type ModelCall struct {
-	Call         CallID         `json:"call"`
-	Attempt      uint32         `json:"attempt"`
+	Call    CallID `json:"call"`
+	Attempt uint32 `json:"attempt"`
+	// Try counts the attempts at this call by its home, from 1; 0 counts as 1.
+	Try          uint32         `json:"try,omitempty"`
 	Program      ProgramID      `json:"program"`
 	Organisation OrganisationID `json:"organisation"`
 	Kind         string         `json:"kind"`
@@ -75,4 +77,7 @@
 	Timeout time.Duration `json:"timeout"`
 	// NonRepeatable marks an irreversible action.
 	NonRepeatable bool `json:"non_repeatable,omitempty"`
+	// Resent says that an earlier request with the same key may have been sent, so that
+	// "not run" cannot be said of the key without looking at its row.
+	Resent bool `json:"resent,omitempty"`
 }
