--- a/preset/bench_test.go
+++ b/preset/bench_test.go
@@ -116,3 +116,14 @@
 	}
 	return len(data)
 }
+
+// BenchmarkAnswer is what one question of a peer costs the node that answers it.
+func BenchmarkAnswer(b *testing.B) {
+	m := New(DefaultConfig("e1", 1), epoch)
+	m.Step(epoch, Members{Nodes: []structs.NodeID{"e1", "e2", "e3"}})
+	ask := Received{From: "e2", Message: Ask{Number: 1}}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Step(epoch, ask)
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -99,7 +100,7 @@
 // Effect is what the shell carries out.
 type Effect interface{ isEffect() }
 
-// Run answers an Ask: the attempt may run.
+// Run answers an Ask: the attempt may run. The shell tells its end by Ended or Crashed.
 type Run struct {
 	Call structs.CallID
 	// Alone says that nothing may run beside it, and not at the upstream Avoid.
@@ -159,7 +160,7 @@
 	cfg     Config
 	now     time.Time
 	effects []Effect
-	table   table
+	table   *table
 	running map[structs.CallID]attempt
 	// tries maps a suspect to the call that tries it.
 	tries map[Fingerprint]structs.CallID
@@ -203,20 +204,28 @@
 
 func (m *Machine) tick() {
 	m.table.expire(m.now)
-	for _, f := range m.table.order() {
-		call, found := m.tries[f]
-		if found && m.now.Sub(m.running[call].began) >= m.cfg.TryTimeout {
-			m.endTry(call)
+	for _, call := range m.overdueTries() {
+		m.endTry(call)
+	}
+	m.emit(SpreadDigest{Digest: m.table.digest})
+}
+
+// overdueTries returns the tries whose end should have been heard by now.
+func (m *Machine) overdueTries() []structs.CallID {
+	var out []structs.CallID
+	for _, call := range m.tries {
+		if m.now.Sub(m.running[call].began) >= m.cfg.TryTimeout {
+			out = append(out, call)
 		}
 	}
-	m.emit(SpreadDigest{Digest: m.table.digest()})
+	slices.Sort(out)
+	return out
 }
 
 // heardDigest sends records to a peer that knows others: one that has just started,
 // or was cut off while records were spread. A large table goes in parts, in turn.
 func (m *Machine) heardDigest(h HeardDigest) {
-	m.table.expire(m.now)
-	if h.Digest == m.table.digest() {
+	if h.Digest == m.table.digest {
 		return
 	}
 	order := m.table.order()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -393,3 +393,18 @@
 		t.Errorf("records %v", got)
 	}
 }
+
+// BenchmarkAsk asks for an unknown request while the table is full.
+func BenchmarkAsk(b *testing.B) {
+	m := New(DefaultConfig("e1"))
+	for i := range m.cfg.MaxRecords {
+		m.Step(epoch, Heard{[]Record{{Fingerprint: printOf(fmt.Sprint(i)), Episode: 1, State: Quarantined, Lasts: time.Hour}}})
+	}
+	f := printOf("unknown")
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Step(epoch, Ask{Call: "c", Attempt: 1, Fingerprint: f})
+		m.Step(epoch, Ended{Call: "c", Ran: true})
+		m.Step(epoch, HeardDigest{From: "e2", Digest: m.table.digest})
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -85,14 +85,30 @@
 type table struct {
 	limit int
 	rows  map[Fingerprint]*row
+	// digest sums up which requests are suspected or quarantined; it is the same on
+	// entries with the same records.
+	digest uint64
 }
 
-func newTable(limit int) table {
-	return table{limit: limit, rows: make(map[Fingerprint]*row)}
+func newTable(limit int) *table {
+	return &table{limit: limit, rows: make(map[Fingerprint]*row)}
+}
+
+// hash is the record's part of the table's digest. A cleared one has none: it lasts
+// too short to be worth an exchange.
+func (r Record) hash() uint64 {
+	if r.State == Cleared {
+		return 0
+	}
+	var b [len(r.Fingerprint) + 5]byte
+	copy(b[:], r.Fingerprint[:])
+	binary.BigEndian.PutUint32(b[len(r.Fingerprint):], r.Episode)
+	b[len(b)-1] = byte(r.State)
+	return xxhash.Sum64(b[:])
 }
 
 // order returns the fingerprints in order.
-func (t table) order() []Fingerprint {
+func (t *table) order() []Fingerprint {
 	out := make([]Fingerprint, 0, len(t.rows))
 	for f := range t.rows {
 		out = append(out, f)
@@ -101,16 +117,25 @@
 	return out
 }
 
-func (t table) put(r Record, now time.Time, lasts time.Duration) {
+func (t *table) put(r Record, now time.Time, lasts time.Duration) {
 	if t.rows[r.Fingerprint] == nil && len(t.rows) >= t.limit {
 		t.evict()
 	}
+	t.remove(r.Fingerprint)
+	t.digest ^= r.hash()
 	t.rows[r.Fingerprint] = &row{Record: r, heard: now, expires: now.Add(lasts)}
 }
 
+func (t *table) remove(f Fingerprint) {
+	if r := t.rows[f]; r != nil {
+		t.digest ^= r.hash()
+		delete(t.rows, f)
+	}
+}
+
 // evict drops the record that is missed least: a quarantined one last, then that
 // which expires first.
-func (t table) evict() {
+func (t *table) evict() {
 	order := t.order()
 	if len(order) == 0 {
 		return
@@ -123,7 +148,7 @@
 			bytes.Compare(a[:], b[:]),
 		)
 	})
-	delete(t.rows, least)
+	t.remove(least)
 }
 
 func (r *row) evictionRank() int {
@@ -137,32 +162,16 @@
 	}
 }
 
-func (t table) expire(now time.Time) {
+func (t *table) expire(now time.Time) {
 	for f, r := range t.rows {
 		if !now.Before(r.expires) {
-			delete(t.rows, f)
-		}
-	}
-}
-
-// digest sums up which requests are suspected or quarantined.
-func (t table) digest() uint64 {
-	var sum uint64
-	for f, r := range t.rows {
-		if r.State == Cleared {
-			continue
+			t.remove(f)
 		}
-		var b [len(f) + 5]byte
-		copy(b[:], f[:])
-		binary.BigEndian.PutUint32(b[len(f):], r.Episode)
-		b[len(b)-1] = byte(r.State)
-		sum ^= xxhash.Sum64(b[:])
 	}
-	return sum
 }
 
 // wire returns the records as peers get them.
-func (t table) wire(now time.Time, of []Fingerprint) []Record {
+func (t *table) wire(now time.Time, of []Fingerprint) []Record {
 	out := make([]Record, 0, len(of))
 	for _, f := range of {
 		r := t.rows[f].Record
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -169,3 +169,16 @@
 		}
 	}
 }
+
+// BenchmarkCall is a call that fails once and then succeeds.
+func BenchmarkCall(b *testing.B) {
+	m := New(DefaultConfig(1))
+	refusal := &structs.Refusal{Code: structs.CodeOverloaded, Outcome: structs.OutcomeNotRun}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Step(epoch, Sent{"c", 1, "m1"})
+		m.Step(epoch, Failed{Call: "c", Attempt: 1, Upstream: "m1", Refusal: refusal})
+		m.Step(epoch, Sent{"c", 2, "m1"})
+		m.Step(epoch, Succeeded{"c", 2, "m1"})
+	}
+}
