Let an unanswered order settle before the next one at engines that ignore fencing

An engine that ignores numbers may obey an order late, also one of the side's former life. The side now sends nothing further for 10 s then, unless the engine checks the numbers itself, and an order has a minute of its own, since loading a model takes longer than the 2 s of other control calls.

--- a/cmd/buckthornctl/order.go
+++ b/cmd/buckthornctl/order.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/buckthornroute/buckthornroute/internal/httpapi"
 )
 
+// orderTimeout bounds the wait for an order: loading a model takes long, and an order
+// may have to wait for the one before it.
+const orderTimeout = 3 * time.Minute
+
 func orderCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "order",
@@ -29,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	api.http.Timeout = orderTimeout
 	body := httpapi.OrderRequest{Order: args[1], Argument: args[2]}
 	if err := api.post(ctx, path("upstreams", args[0], "orders"), body, nil); err != nil {
 		return err
--- a/hold/hold.go
+++ b/hold/hold.go
@@ -29,19 +29,31 @@
 	ReconcileInterval time.Duration
 	// EngineTimeout is the time after which an unanswered request to the engine is repeated.
 	EngineTimeout time.Duration
+	// OrderTimeout is the time after which the outcome of an order that the upstream
+	// has not answered is unknown; loading a model takes long.
+	OrderTimeout time.Duration
+	// ChecksFence says that the upstream itself refuses orders with an old fencing number.
+	ChecksFence bool
+	// OrderSettle is how long no further order is sent to an upstream that does not
+	// check, after an order whose outcome is unknown and after the start: it could
+	// still obey the former one.
+	OrderSettle time.Duration
 	// MaxTokens bounds the tokens held, MaxLeases the number of holds.
 	MaxTokens int64
 	MaxLeases int
 }
 
 // DefaultConfig returns the defaults: leases of 3 s, a reconciliation each second,
-// 2 s for the engine's answer, 200,000 tokens in 512 leases.
+// 2 s for the engine's answer, 1 min for that to an order and 10 s for one to settle,
+// 200,000 tokens in 512 leases.
 func DefaultConfig(u structs.UpstreamID) Config {
 	return Config{
 		Upstream:          u,
 		LeaseTime:         3 * time.Second,
 		ReconcileInterval: time.Second,
 		EngineTimeout:     2 * time.Second,
+		OrderTimeout:      time.Minute,
+		OrderSettle:       10 * time.Second,
 		MaxTokens:         200_000,
 		MaxLeases:         512,
 	}
@@ -97,13 +109,15 @@
 
 // New returns the machine of a side that has just started at time now.
 func New(cfg Config, now time.Time) *Machine {
-	return &Machine{
+	m := &Machine{
 		cfg:      cfg,
 		now:      now,
 		leases:   make(map[structs.ProgramID]*lease),
 		orphans:  make(map[structs.ProgramID]orphan),
 		releases: make(map[structs.ProgramID]*release),
 	}
+	m.settle()
+	return m
 }
 
 // HeldTokens returns the tokens that are held, or may be, in the engine.
--- a/hold/order.go
+++ b/hold/order.go
@@ -70,6 +70,8 @@
 	running *Order
 	sent    time.Time
 	next    *Order
+	// settled is when an order whose outcome is unknown can no longer be obeyed.
+	settled time.Time
 }
 
 // tickOrders reads the fencing number after the start, and gives up on an upstream
@@ -80,10 +82,11 @@
 		o.readAt = m.now.Add(m.cfg.ReconcileInterval)
 		m.emit(ReadFence{Key: FenceKey(m.cfg.Upstream)})
 	}
-	if o.running != nil && m.now.Sub(o.sent) >= m.cfg.EngineTimeout {
+	if o.running != nil && m.now.Sub(o.sent) >= m.cfg.OrderTimeout {
 		m.orderDone(OrderDone{ID: o.running.ID, Refusal: structs.Refusalf(structs.CodeUpstreamFailed, structs.OutcomeUnknown,
-			orderStep, "upstream %q did not answer order %q in %v", m.cfg.Upstream, o.running.ID, m.cfg.EngineTimeout)})
+			orderStep, "upstream %q did not answer order %q in %v", m.cfg.Upstream, o.running.ID, m.cfg.OrderTimeout)})
 	}
+	m.sendNext()
 }
 
 func (m *Machine) fenceRead(r FenceRead) {
@@ -119,29 +122,32 @@
 	}
 	o.fence = in.Fence
 	o.lastID = in.ID
-	if o.running != nil {
-		m.wait(in)
+	if o.running != nil && o.running.ID == in.ID {
 		return
 	}
-	m.sendOrder(in)
+	m.wait(in)
+	m.sendNext()
 }
 
 // wait keeps an order until the one before it is done; it takes the place of an older one.
 func (m *Machine) wait(in Order) {
 	o := &m.orders
-	if o.running.ID == in.ID {
-		return
-	}
 	if o.next != nil && o.next.ID != in.ID {
 		m.refuseOrder(o.next.ID, structs.CodeFenced, "order %q with fencing number %d came before it ran", in.ID, in.Fence)
 	}
 	o.next = &in
 }
 
-func (m *Machine) sendOrder(in Order) {
-	m.orders.running = &in
-	m.orders.sent = m.now
-	m.emit(SendOrder{Order: in})
+// sendNext sends the order that waits, once none runs and the last one is settled.
+func (m *Machine) sendNext() {
+	o := &m.orders
+	if o.next == nil || o.running != nil || m.now.Before(o.settled) {
+		return
+	}
+	o.running = o.next
+	o.next = nil
+	o.sent = m.now
+	m.emit(SendOrder{Order: *o.running})
 }
 
 func (m *Machine) orderDone(d OrderDone) {
@@ -155,8 +161,16 @@
 	} else {
 		m.emit(OrderRefused(d))
 	}
-	if next := o.next; next != nil {
-		o.next = nil
-		m.sendOrder(*next)
+	if d.Refusal != nil && d.Refusal.Outcome == structs.OutcomeUnknown {
+		m.settle()
+	}
+	m.sendNext()
+}
+
+// settle lets an order whose outcome is unknown run out, unless the upstream itself
+// refuses it after a newer one.
+func (m *Machine) settle() {
+	if !m.cfg.ChecksFence {
+		m.orders.settled = m.now.Add(m.cfg.OrderSettle)
 	}
 }
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -58,7 +58,8 @@
 
 // Telemetry sets metrics and traces.
 type Telemetry struct {
-	// Metrics is an address that serves /metrics alone; when empty, the HTTP listener serves it.
+	// Metrics is an address that serves /metrics alone, beside the route of the HTTP
+	// listener. Default: none.
 	Metrics string `toml:"metrics"`
 	// Traces is "none", "stdout" or "otlp". Default "none".
 	Traces string `toml:"traces"`
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -133,14 +133,10 @@
 type Limits struct {
 	// BodyBytes bounds a request's body. Default 4 MiB.
 	BodyBytes int64 `toml:"body_bytes"`
-	// HeaderBytes bounds a request's header. Default 32 KiB.
-	HeaderBytes int `toml:"header_bytes"`
 	// HistoryTokens bounds a program's history. Default 400,000.
 	HistoryTokens int64 `toml:"history_tokens"`
 	// RingSize is the number of messages in each ring between duties. Default 1024.
 	RingSize int `toml:"ring_size"`
-	// OpenPrograms bounds the programs at home here. Default 4,000.
-	OpenPrograms int `toml:"open_programs"`
 }
 
 // Journal sets the home log.
--- a/internal/settings/entry_check.go
+++ b/internal/settings/entry_check.go
@@ -18,7 +18,7 @@
 func defaultEntry() *Entry {
 	return &Entry{
 		Budget: Budget{Tokens: 2_000_000, Calls: 400, ToolTime: seconds(600), Depth: 3, Agents: 32},
-		Limits: Limits{BodyBytes: 4 << 20, HeaderBytes: 32 << 10, HistoryTokens: 400_000, RingSize: 1024, OpenPrograms: 4000},
+		Limits: Limits{BodyBytes: 4 << 20, HistoryTokens: 400_000, RingSize: 1024},
 		Journal: Journal{
 			CommitMinInterval:   milliseconds(5),
 			CommitMaxInterval:   milliseconds(250),
@@ -185,10 +185,8 @@
 
 func (s *Entry) checkLimits(c *checker) {
 	c.positive("limits.body_bytes", s.Limits.BodyBytes)
-	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
 	c.positive("limits.history_tokens", s.Limits.HistoryTokens)
 	c.positive("limits.ring_size", int64(s.Limits.RingSize))
-	c.positive("limits.open_programs", int64(s.Limits.OpenPrograms))
 }
 
 func (s *Entry) checkJournal(c *checker) {
--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -117,6 +117,7 @@
 
 func holdConfig(cfg *settings.Side) hold.Config {
 	h := hold.DefaultConfig(cfg.Upstream.ID)
+	h.ChecksFence = cfg.Upstream.Fencing == settings.FencingChecked
 	h.LeaseTime = cfg.Hold.LeaseTime.Std()
 	h.ReconcileInterval = cfg.Hold.ReconcileInterval.Std()
 	h.MaxTokens = cfg.Hold.MaxTokens
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -57,6 +58,7 @@
 	Propagator propagation.TextMapPropagator
 
 	metrics  http.Handler
+	server   *http.Server
 	closer   io.Closer
 	provider *sdktrace.TracerProvider
 }
@@ -72,6 +74,9 @@
 		Propagator: propagation.NewCompositeTextMapPropagator(propagation.TraceContext{}, propagation.Baggage{}),
 	}
 	t.startMetrics(o)
+	if err := t.serveMetrics(ctx, s.Metrics); err != nil {
+		return nil, errors.CombineErrors(err, t.Shutdown(ctx))
+	}
 	if exporter != nil {
 		t.startTraces(exporter, s.SampleRatio, o)
 	}
@@ -126,6 +131,26 @@
 	}, reportInterval)
 }
 
+// readHeaderTimeout bounds how long a scraper may take to send the headers.
+const readHeaderTimeout = 5 * time.Second
+
+// serveMetrics serves /metrics on an address of its own when one is given.
+func (t *Telemetry) serveMetrics(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "metrics address %q", address)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", t.metrics)
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = t.server.Serve(listener) }() // ends with Shutdown
+	return nil
+}
+
 func (t *Telemetry) startTraces(exporter sdktrace.SpanExporter, ratio float64, o Options) {
 	t.provider = sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
@@ -147,8 +172,11 @@
 // goroutines of both, within ctx.
 func (t *Telemetry) Shutdown(ctx context.Context) error {
 	var err error
+	if t.server != nil {
+		err = t.server.Shutdown(ctx)
+	}
 	if t.closer != nil {
-		err = t.closer.Close()
+		err = errors.CombineErrors(err, t.closer.Close())
 	}
 	if t.provider != nil {
 		err = errors.CombineErrors(err, t.provider.Shutdown(ctx))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -73,6 +73,28 @@
 	}
 }
 
+func TestMetricsAddressInUse(t *testing.T) {
+	first := httptest.NewServer(http.NotFoundHandler())
+	defer first.Close()
+	address := first.Listener.Addr().String()
+	_, err := New(context.Background(), settings.Telemetry{Metrics: address}, Options{Node: "e1"})
+	if err == nil || !strings.Contains(err.Error(), address) {
+		t.Errorf("address in use gave %v", err)
+	}
+}
+
+func TestMetricsListener(t *testing.T) {
+	tel, err := New(context.Background(), settings.Telemetry{Metrics: "127.0.0.1:0"}, Options{Node: "e1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	tel.server.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	if err := tel.Shutdown(context.Background()); err != nil || w.Code != http.StatusOK {
+		t.Errorf("status %d, shutdown %v", w.Code, err)
+	}
+}
+
 func TestBadEndpoint(t *testing.T) {
 	tel, err := New(context.Background(), settings.Telemetry{Traces: settings.TracesOTLP, Endpoint: "http://127.0.0.1:1"}, Options{})
 	if err != nil {
