Give an order to an engine the time that loading a model takes

An order was bounded by the 2 s of other control calls at the side and by 8 s at the entry, while the engine stand-in loads a model in 5 s and a side may let a former order settle first: 'buckthornctl order tc-model-1 load_model' ended after 2 s with its outcome unknown. It now goes on within the side's life, for a minute.

--- a/internal/entry/drains.go
+++ b/internal/entry/drains.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	return l.order(ctx, &peerpb.OrderRequest{Order: order, Argument: argument, Fencing: fence, Id: uuid.NewString()})
+	return l.orderEngine(ctx, &peerpb.OrderRequest{Order: order, Argument: argument, Fencing: fence, Id: uuid.NewString()})
 }
 
 // order gives the side an order and waits until it is obeyed.
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -35,3 +35,6 @@
 
 // engineTimeout bounds one control call to the upstream.
 const engineTimeout = 2 * time.Second
+
+// orderTimeout bounds one order to the upstream, such as to load a model.
+const orderTimeout = time.Minute
--- a/internal/side/holds.go
+++ b/internal/side/holds.go
@@ -80,7 +80,7 @@
 	case hold.ReadFence:
 		h.ask(ctx, func(ctx context.Context) hold.Message { return h.readFence(ctx, e) })
 	case hold.SendOrder:
-		h.ask(ctx, func(ctx context.Context) hold.Message { return h.sendOrder(ctx, e.Order) })
+		h.askWithin(ctx, orderTimeout, func(ctx context.Context) hold.Message { return h.sendOrder(ctx, e.Order) })
 	case hold.Obeyed:
 		h.orderEnded(e.ID, nil)
 	case hold.OrderRefused:
@@ -108,8 +108,13 @@
 
 // ask carries out one request to the engine or the platform and steps its answer.
 func (h *holds) ask(ctx context.Context, request func(context.Context) hold.Message) {
+	h.askWithin(ctx, engineTimeout, request)
+}
+
+// askWithin is ask with a bound of its own.
+func (h *holds) askWithin(ctx context.Context, limit time.Duration, request func(context.Context) hold.Message) {
 	h.work.Go(func() {
-		bounded, cancel := context.WithTimeout(ctx, engineTimeout)
+		bounded, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		answer := request(bounded)
 		if ctx.Err() == nil {
@@ -175,13 +180,14 @@
 	}
 }
 
-// order passes a fenced order to the engine and waits for its end.
-func (h *holds) order(ctx context.Context, o hold.Order) error {
+// order passes a fenced order to the engine and waits for its end. The order goes on
+// within life when the wait ends with ctx: the engine may obey it all the same.
+func (h *holds) order(ctx, life context.Context, o hold.Order) error {
 	ended := make(chan *structs.Refusal, 1)
 	h.mu.Lock()
 	h.orders[o.ID] = ended
 	h.mu.Unlock()
-	h.step(ctx, o)
+	h.step(life, o)
 	select {
 	case r := <-ended:
 		if r != nil {
--- a/internal/side/order.go
+++ b/internal/side/order.go
@@ -48,7 +48,7 @@
 		return structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, "order",
 			"upstream %q is an application engine and takes no order %q", s.cfg.Upstream, req.GetOrder())
 	}
-	return s.holds.order(ctx, hold.Order{
+	return s.holds.order(ctx, s.life, hold.Order{
 		ID:    req.GetId(),
 		Fence: req.GetFencing(),
 		Kind:  req.GetOrder(),
