--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -72,14 +73,23 @@
 	}
 }
 
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // BenchmarkHeartbeats runs so many members for five seconds of their time. It gives the
 // bytes a second that one member sends and receives (packets alone, and with what carries
 // them), its processor time a second, and the time of one packet from encoding to receipt.
 func BenchmarkHeartbeats(b *testing.B) {
 	for _, n := range []int{10, 100, 750} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			before := heapBytes()
 			c := newCrowd(n)
 			c.run(time.Second)
+			heap := float64(heapBytes()-before) / float64(n)
 			const span = 5 * time.Second
 			for b.Loop() {
 				c.packets, c.bytes = 0, 0
@@ -91,6 +101,7 @@
 				b.ReportMetric(float64(c.bytes+c.packets*carrierBytes)*perNode, "wire-B/s/node")
 				b.ReportMetric(float64(used.Microseconds())/span.Seconds()/float64(n), "cpu-us/s/node")
 				b.ReportMetric(float64(used.Nanoseconds())/float64(c.packets), "ns/packet")
+				b.ReportMetric(heap, "heap-B/node")
 			}
 			if known := len(c.machines[0].Members()); known != n {
 				b.Fatalf("knows %d members of %d", known, n)
--- a/membership/config.go
+++ b/membership/config.go
@@ -24,6 +24,8 @@
 	ListStale time.Duration
 	// GoneRetention is how long members that are gone are remembered.
 	GoneRetention time.Duration
+	// GateRetention is how long VMs that are gone are remembered.
+	GateRetention time.Duration
 }
 
 // Defaults of Config.
@@ -35,6 +37,7 @@
 	DefaultCutOff        = 2 * time.Second
 	DefaultListStale     = time.Minute
 	DefaultGoneRetention = 10 * time.Minute
+	DefaultGateRetention = 24 * time.Hour
 )
 
 func (c Config) withDefaults() Config {
@@ -45,6 +48,7 @@
 	setDefault(&c.CutOff, DefaultCutOff)
 	setDefault(&c.ListStale, DefaultListStale)
 	setDefault(&c.GoneRetention, DefaultGoneRetention)
+	setDefault(&c.GateRetention, DefaultGateRetention)
 	return c
 }
 
--- a/membership/gates.go
+++ b/membership/gates.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -66,7 +68,30 @@
 
 type gateRecord struct {
 	Gate
-	sends int
+	sends   int
+	changed time.Time
+}
+
+// digest identifies the gate in the digest of the member table, so that what did not reach
+// all is asked for. VMs that are gone count nothing, since they are forgotten.
+func (g Gate) digest() uint64 {
+	if g.State == RankGone || g.State <= RankLive && g.Version == 0 {
+		return 0
+	}
+	content := g.Version<<8 | uint64(g.State)
+	if g.Drained {
+		content |= 1 << 7
+	}
+	return mix(xxhash.Sum64String(string(g.VM)), content)
+}
+
+// forgetGates drops VMs that have been gone for long.
+func (m *Machine) forgetGates() {
+	for vm, r := range m.gates.known {
+		if r.State == RankGone && m.now.Sub(r.changed) >= m.cfg.GateRetention {
+			delete(m.gates.known, vm)
+		}
+	}
 }
 
 // Gate returns what is known of a VM.
@@ -77,6 +102,24 @@
 	return Gate{VM: vm}
 }
 
+// hearGate takes a peer's news of a VM in. News that an unknown VM is gone is passed over,
+// unless a member ran there: else processes would remind each other of it for ever.
+func (m *Machine) hearGate(g Gate) {
+	if g.State == RankGone && m.gates.known[g.VM] == nil && !m.runsMember(g.VM) {
+		return
+	}
+	m.joinGate(g)
+}
+
+func (m *Machine) runsMember(vm structs.VMID) bool {
+	for _, r := range m.members {
+		if r.VM == vm && r.State != Gone {
+			return true
+		}
+	}
+	return false
+}
+
 // joinGate takes news of a VM in and passes it on.
 func (m *Machine) joinGate(news Gate) {
 	before := m.Gate(news.VM)
@@ -88,7 +131,8 @@
 		// Open gates are the rule and are not kept.
 		return
 	}
-	m.gates.known[news.VM] = &gateRecord{Gate: after}
+	m.gates.known[news.VM] = &gateRecord{Gate: after, changed: m.now}
+	m.table ^= before.digest() ^ after.digest()
 	if after.Closed() != before.Closed() {
 		m.emit(GateChanged{VM: news.VM, Closed: after.Closed()})
 	}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -113,6 +113,7 @@
 		m.nextCheck = m.now.Add(m.interval() / 4)
 		m.checkMembers()
 		m.noticeStaleList()
+		m.forgetGates()
 		m.checkIsolation()
 	}
 	wake := m.nextBeat
