--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -99,7 +100,7 @@
 // Effect is what the shell carries out.
 type Effect interface{ isEffect() }
 
-// Run answers an Ask: the attempt may run.
+// Run answers an Ask: the attempt may run. The shell tells its end by Ended or Crashed.
 type Run struct {
 	Call structs.CallID
 	// Alone says that nothing may run beside it, and not at the upstream Avoid.
@@ -159,7 +160,7 @@
 	cfg     Config
 	now     time.Time
 	effects []Effect
-	table   table
+	table   *table
 	running map[structs.CallID]attempt
 	// tries maps a suspect to the call that tries it.
 	tries map[Fingerprint]structs.CallID
@@ -203,20 +204,28 @@
 
 func (m *Machine) tick() {
 	m.table.expire(m.now)
-	for _, f := range m.table.order() {
-		call, found := m.tries[f]
-		if found && m.now.Sub(m.running[call].began) >= m.cfg.TryTimeout {
-			m.endTry(call)
+	for _, call := range m.overdueTries() {
+		m.endTry(call)
+	}
+	m.emit(SpreadDigest{Digest: m.table.digest})
+}
+
+// overdueTries returns the tries whose end should have been heard by now.
+func (m *Machine) overdueTries() []structs.CallID {
+	var out []structs.CallID
+	for _, call := range m.tries {
+		if m.now.Sub(m.running[call].began) >= m.cfg.TryTimeout {
+			out = append(out, call)
 		}
 	}
-	m.emit(SpreadDigest{Digest: m.table.digest()})
+	slices.Sort(out)
+	return out
 }
 
 // heardDigest sends records to a peer that knows others: one that has just started,
 // or was cut off while records were spread. A large table goes in parts, in turn.
 func (m *Machine) heardDigest(h HeardDigest) {
-	m.table.expire(m.now)
-	if h.Digest == m.table.digest() {
+	if h.Digest == m.table.digest {
 		return
 	}
 	order := m.table.order()
@@ -244,7 +253,7 @@
 }
 
 func (m *Machine) ask(q Ask) {
-	r := m.table.get(m.now, q.Fingerprint)
+	r := m.table.rows[q.Fingerprint]
 	switch {
 	case r == nil || r.State == Cleared:
 		m.running[q.Call] = attempt{fingerprint: q.Fingerprint, began: m.now}
@@ -301,7 +310,7 @@
 
 // put stores a record that is news, and spreads it.
 func (m *Machine) put(r Record, lasts time.Duration) {
-	before := m.table.get(m.now, r.Fingerprint)
+	before := m.table.rows[r.Fingerprint]
 	changed := before == nil || before.State != r.State || before.Episode != r.Episode
 	m.table.put(r, m.now, lasts)
 	if changed {
@@ -313,7 +322,7 @@
 // ended clears a suspect whose try ran to its end.
 func (m *Machine) ended(e Ended) {
 	a := m.endTry(e.Call)
-	r := m.table.get(m.now, a.fingerprint)
+	r := m.table.rows[a.fingerprint]
 	if !a.try || !e.Ran || r == nil || r.State != Suspect {
 		return
 	}
@@ -329,7 +338,7 @@
 		return
 	}
 	a := m.endTry(c.Call)
-	r := m.table.get(m.now, a.fingerprint)
+	r := m.table.rows[a.fingerprint]
 	switch {
 	case r == nil:
 		m.suspect(Record{Fingerprint: a.fingerprint, Episode: 1}, c.Upstream)
@@ -358,7 +367,7 @@
 		if !r.sound() {
 			continue
 		}
-		if known := m.table.get(m.now, r.Fingerprint); known != nil && !r.newer(known.Record) {
+		if known := m.table.rows[r.Fingerprint]; known != nil && !r.newer(known.Record) {
 			continue
 		}
 		m.put(r, min(r.Lasts-hopAge, m.cfg.QuarantinedFor))
