Keep what is known of gone VMs the same everywhere until all forget it

Longer runs of the property found that a process started after a VM was read as gone could hold its gate open when the platform's lagging list showed it as live again: news of gone VMs was passed over so that processes would not remind each other of it for ever. The time at which the VM was first read as gone now travels with the gate and ends it everywhere; the property again compares all gates whole.

--- a/membership/codec.go
+++ b/membership/codec.go
@@ -84,6 +84,7 @@
 	fieldGateVersion
 	fieldGateDrained
 	fieldGateState
+	fieldGateSince
 )
 
 // maxItems bounds the updates, gates and digests of one packet.
@@ -133,6 +134,7 @@
 	e.number(fieldGateVersion, g.Version)
 	e.flag(fieldGateDrained, g.Drained)
 	e.number(fieldGateState, uint64(g.State))
+	e.number(fieldGateSince, g.Since)
 	return e.b
 }
 
@@ -253,6 +255,8 @@
 			g.Drained = v != 0
 		case fieldGateState:
 			g.State = VMRank(v)
+		case fieldGateSince:
+			g.Since = v
 		}
 		return nil
 	})
--- a/membership/gates.go
+++ b/membership/gates.go
@@ -32,6 +32,8 @@
 	Drained bool
 	// State is the furthest state that the platform's list has given.
 	State VMRank
+	// Since is when the first process read that state, in seconds of Unix time.
+	Since uint64
 }
 
 // Closed says that the VM takes no new work.
@@ -42,7 +44,12 @@
 	if h.Version > g.Version {
 		g.Version, g.Drained = h.Version, h.Drained
 	}
-	g.State = max(g.State, h.State)
+	switch {
+	case h.State > g.State:
+		g.State, g.Since = h.State, h.Since
+	case h.State == g.State && h.Since < g.Since:
+		g.Since = h.Since
+	}
 	return g
 }
 
@@ -68,27 +75,36 @@
 
 type gateRecord struct {
 	Gate
-	sends   int
-	changed time.Time
+	sends int
 }
 
+// open says that the gate says no more than none at all would.
+func (g Gate) open() bool { return g.State <= RankLive && g.Version == 0 }
+
 // digest identifies the gate in the digest of the member table, so that what did not reach
-// all is asked for. VMs that are gone count nothing, since they are forgotten.
+// all is asked for.
 func (g Gate) digest() uint64 {
-	if g.State == RankGone || g.State <= RankLive && g.Version == 0 {
+	if g.open() {
 		return 0
 	}
 	content := g.Version<<8 | uint64(g.State)
 	if g.Drained {
 		content |= 1 << 7
 	}
-	return mix(xxhash.Sum64String(string(g.VM)), content)
+	return mix(mix(xxhash.Sum64String(string(g.VM)), content), g.Since)
+}
+
+// expired says that the VM has been gone for so long that all forget it. The time travels
+// with the gate: else processes would remind each other of it for ever.
+func (m *Machine) expired(g Gate) bool {
+	return g.State == RankGone && m.now.Sub(time.Unix(int64(g.Since), 0)) >= m.cfg.GateRetention
 }
 
-// forgetGates drops VMs that have been gone for long.
+// forgetGates drops what has expired.
 func (m *Machine) forgetGates() {
 	for vm, r := range m.gates.known {
-		if r.State == RankGone && m.now.Sub(r.changed) >= m.cfg.GateRetention {
+		if m.expired(r.Gate) {
+			m.table ^= r.digest()
 			delete(m.gates.known, vm)
 		}
 	}
@@ -102,36 +118,14 @@
 	return Gate{VM: vm}
 }
 
-// hearGate takes a peer's news of a VM in. News that an unknown VM is gone is passed over,
-// unless a member ran there: else processes would remind each other of it for ever.
-func (m *Machine) hearGate(g Gate) {
-	if g.State == RankGone && m.gates.known[g.VM] == nil && !m.runsMember(g.VM) {
-		return
-	}
-	m.joinGate(g)
-}
-
-func (m *Machine) runsMember(vm structs.VMID) bool {
-	for _, r := range m.members {
-		if r.VM == vm && r.State != Gone {
-			return true
-		}
-	}
-	return false
-}
-
 // joinGate takes news of a VM in and passes it on.
 func (m *Machine) joinGate(news Gate) {
 	before := m.Gate(news.VM)
 	after := before.join(news)
-	if after == before {
+	if after == before || after.open() || m.expired(after) {
 		return
 	}
-	if after.State <= RankLive && after.Version == 0 {
-		// Open gates are the rule and are not kept.
-		return
-	}
-	m.gates.known[news.VM] = &gateRecord{Gate: after, changed: m.now}
+	m.gates.known[news.VM] = &gateRecord{Gate: after}
 	m.table ^= before.digest() ^ after.digest()
 	if after.Closed() != before.Closed() {
 		m.emit(GateChanged{VM: news.VM, Closed: after.Closed()})
@@ -158,7 +152,9 @@
 	vms = slices.Clone(vms)
 	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
 	for _, vm := range vms {
-		m.joinGate(Gate{VM: vm.ID, State: rankOf(vm.State)})
+		if rank := rankOf(vm.State); rank > m.Gate(vm.ID).State {
+			m.joinGate(Gate{VM: vm.ID, State: rank, Since: uint64(m.now.Unix())})
+		}
 	}
 }
 
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -166,7 +166,7 @@
 		m.learn(u, from)
 	}
 	for _, g := range p.Gates {
-		m.hearGate(g)
+		m.joinGate(g)
 	}
 	m.heard(p)
 	switch p.Kind {
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -143,8 +143,7 @@
 			t.Fatalf("%s sees %v, others see %v", name, got, want)
 		}
 		g := n.machine.Gate("vm-x")
-		if gate != nil && *gate != g && (g.State != RankGone || gate.State != RankGone) {
-			// Of a VM that is gone the operators' order says nothing any more.
+		if gate != nil && *gate != g {
 			t.Fatalf("%s knows gate %+v, others %+v", name, g, *gate)
 		}
 		gate = &g
