Give turns of the trial more patience than a fault lasts

A turn that waits through an outage of a minute was refused when its patience of a minute ended, which is right and says nothing of the outage.

--- a/internal/faulttrial/program.go
+++ b/internal/faulttrial/program.go
@@ -88,7 +88,7 @@
 }
 
 func (p *programRun) open(ctx context.Context) bool {
-	open := httpapi.OpenRequest{Kind: "draft", Model: modelName}
+	open := httpapi.OpenRequest{Kind: "draft", Model: modelName, Patience: structs.Duration(p.load.patience)}
 	for ctx.Err() == nil {
 		var opened httpapi.OpenResponse
 		err := p.load.caller.exchange(ctx, request{
@@ -175,7 +175,7 @@
 	switch refusal.Code {
 	case structs.CodeBudgetExhausted, structs.CodeLoopDetected, structs.CodeProgramEnded,
 		structs.CodeNotFound, structs.CodeKeyReused, structs.CodeBadRequest, structs.CodeQuarantined,
-		structs.CodeTurnOutOfOrder:
+		structs.CodeTurnOutOfOrder, structs.CodeDeadlineExceeded:
 		return true
 	}
 	return false
--- a/internal/faulttrial/trial.go
+++ b/internal/faulttrial/trial.go
@@ -115,7 +115,7 @@
 	t := &trial{config: config, cluster: cluster, result: &result}
 	loadCtx, endLoad := context.WithCancel(ctx)
 	defer endLoad()
-	t.load = startLoad(loadCtx, cluster, log, config.Programs, config.Turns)
+	t.load = startLoad(loadCtx, cluster, log, config)
 	if err := t.runLoaded(ctx, s, endLoad); err != nil {
 		result.Error = err.Error()
 	}
