--- a/cmd/buckthornctl/ctl_test.go
+++ b/cmd/buckthornctl/ctl_test.go
@@ -161,3 +161,29 @@
 		}
 	}
 }
+
+// TestCommandsOfThePages runs each command line of the operators' page: its usage must be right.
+func TestCommandsOfThePages(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Chdir(filepath.Join("..", ".."))
+	lines := 0
+	for line := range strings.Lines(string(page)) {
+		command, found := strings.CutPrefix(line, "    buckthornctl ")
+		if !found {
+			continue
+		}
+		lines++
+		fields := strings.Fields(strings.ReplaceAll(command, `"order 118"`, "order-118"))
+		args := append([]string{"buckthornctl", "--entry", "http://127.0.0.1:1", "--token", "t"}, fields...)
+		var stdout, stderr bytes.Buffer
+		if code := run(context.Background(), args, &stdout, &stderr); code == exitUsage {
+			t.Errorf("%s: %s", strings.TrimSpace(line), stderr.String())
+		}
+	}
+	if lines < 10 {
+		t.Errorf("only %d command lines found", lines)
+	}
+}
