--- a/journal/adopt.go
+++ b/journal/adopt.go
@@ -172,7 +172,7 @@
 		m.failAdoption(a, errors.Wrapf(cmp.Or(err, ErrHolderActive), "log %q", next.log))
 		return
 	}
-	m.after(m.backoff(1), func() { m.seal(a, next) })
+	m.after(m.backoff(a.tries), func() { m.seal(a, next) })
 }
 
 // confirmAbsent tells a log that is gone from one that was sealed between two reads.
--- a/journal/codec.go
+++ b/journal/codec.go
@@ -122,6 +122,16 @@
 // DecodeRecord reads a record; it returns ErrCorrupt when the bytes are not what Encode
 // writes. Data of entries shares memory with b.
 func DecodeRecord(b []byte) (Record, error) {
+	r, err := decodeRecord(b)
+	if err == nil && !bytes.Equal(r.Encode(), b) {
+		return Record{}, errors.Wrap(ErrCorrupt, "record is not in the form that Encode writes")
+	}
+	return r, err
+}
+
+// decodeRecord reads a record without comparing it with its encoding; it is enough where a
+// digest vouches for the bytes.
+func decodeRecord(b []byte) (Record, error) {
 	var r Record
 	err := eachField(b, func(field protowire.Number, number uint64, text []byte) error {
 		switch field {
@@ -152,9 +162,6 @@
 	if r.Kind < RecordBatch || r.Kind > RecordPart {
 		return Record{}, errors.Wrapf(ErrCorrupt, "record kind %d", r.Kind)
 	}
-	if !bytes.Equal(r.Encode(), b) {
-		return Record{}, errors.Wrap(ErrCorrupt, "record is not in the form that Encode writes")
-	}
 	return r, nil
 }
 
@@ -214,7 +221,7 @@
 	if !bytes.Equal(sum[:], digest) {
 		return Record{}, errors.Wrapf(ErrCorrupt, "object of log %q has digest %x, want %x", log, sum, digest)
 	}
-	r, err := DecodeRecord(value)
+	r, err := decodeRecord(value)
 	if err != nil {
 		return Record{}, err
 	}
--- a/journal/remove.go
+++ b/journal/remove.go
@@ -46,14 +46,16 @@
 }
 
 // deleteRows deletes rows while the own log is unsealed, a transaction at a time.
-func (m *Machine) deleteRows(writes []Write, done func()) {
+func (m *Machine) deleteRows(writes []Write, done func()) { m.tryDeleteRows(writes, 1, done) }
+
+func (m *Machine) tryDeleteRows(writes []Write, tries int, done func()) {
 	n := min(len(writes), m.cfg.TxnWrites)
 	m.apply(Txn{Conditions: Unsealed(m.cfg.Log), Writes: writes[:n]}, func(o Outcome) {
 		switch {
 		case o == ConditionFailed:
 			m.lost()
 		case o == Unknown:
-			m.after(m.backoff(1), func() { m.deleteRows(writes, done) })
+			m.after(m.backoff(tries), func() { m.tryDeleteRows(writes, tries+1, done) })
 		case n < len(writes):
 			m.deleteRows(writes[n:], done)
 		default:
@@ -109,7 +111,7 @@
 	for n := m.checkpoints.trimmed; n < m.nextNumber; n++ {
 		writes = append(writes, Write{Key: RecordKey(m.cfg.Log, n), Delete: true})
 	}
-	m.deleteOwn(Txn{Conditions: Unsealed(m.cfg.Log), Writes: writes})
+	m.deleteOwn(Txn{Conditions: Unsealed(m.cfg.Log), Writes: writes}, 1)
 }
 
 // idle says that all is committed, no program is live and nothing is under way.
@@ -127,7 +129,7 @@
 
 // deleteOwn deletes the own log's rows in one transaction, so that an adopter finds
 // either all of the log or none of it.
-func (m *Machine) deleteOwn(txn Txn) {
+func (m *Machine) deleteOwn(txn Txn, tries int) {
 	m.apply(txn, func(o Outcome) {
 		if o == Done {
 			m.retired()
@@ -141,7 +143,7 @@
 				case open.Outcome == NotFound:
 					m.retired()
 				default:
-					m.after(m.backoff(1), func() { m.deleteOwn(txn) })
+					m.after(m.backoff(tries), func() { m.deleteOwn(txn, tries+1) })
 				}
 			})
 		})
--- a/journal/state.go
+++ b/journal/state.go
@@ -34,6 +34,10 @@
 
 // applyIndex applies one committed entry.
 func (s *state) applyIndex(e Entry) {
+	if !e.isOwn() {
+		s.applyProgram(e)
+		return
+	}
 	log := structs.LogID(e.Data)
 	switch e.Kind {
 	case kindAdopting:
@@ -45,8 +49,6 @@
 		s.adopted[log] = structs.LogID(e.Program)
 	case kindForgotten:
 		delete(s.adopted, log)
-	default:
-		s.applyProgram(e)
 	}
 }
 
