--- a/program/call.go
+++ b/program/call.go
@@ -43,8 +43,10 @@
 	// needSeq is the record that must be committed before the call is sent.
 	needSeq       uint64
 	nonRepeatable bool
-	timeout       time.Duration
-	started       time.Time
+	// resent says that an earlier home may have sent the call.
+	resent  bool
+	timeout time.Duration
+	started time.Time
 	// deadline is the end of the call in flight, or of its back-off.
 	deadline time.Time
 
@@ -52,9 +54,16 @@
 	tool      structs.ToolCall
 	task      string
 	share     Amount
+	// inherited says that an earlier home may have started the sub-agent.
+	inherited bool
 	result    string
 }
 
+// mayHaveRun reports whether the call was sent, here or maybe by an earlier home, and has no result.
+func (c *call) mayHaveRun() bool {
+	return c.state == callActive || (c.resent && c.state != callDone)
+}
+
 // active returns the call with this id when attempt is its present one and its answer is awaited.
 func (m *Machine) active(id structs.CallID, attempt uint32) *call {
 	t := m.current
@@ -162,6 +171,10 @@
 		m.emit(CancelCall{Call: c.id, Attempt: c.attempt})
 		m.settle(c, c.reserved)
 	case callWaiting, callBackoff:
+		if c.inherited {
+			m.settle(c, c.reserved)
+			break
+		}
 		m.withdraw(c)
 	case callNew, callDone:
 	}
@@ -172,7 +185,7 @@
 // that holds their results, so that a restart finds either the sub-agent or its result.
 func (m *Machine) closeAgents(batch []*call) {
 	for _, c := range batch {
-		if c.kind == callAgent && c.attempts > 0 {
+		if c.kind == callAgent && (c.attempts > 0 || c.resent) {
 			m.emit(CloseAgent{Call: c.id})
 		}
 	}
@@ -259,7 +272,7 @@
 	m.launchReady(now)
 	if m.closing > 0 && m.closing <= m.committed && !m.ended {
 		m.ended = true
-		m.emit(Release{})
+		m.emit(Release{Acted: m.acted})
 	}
 }
 
