--- a/internal/runner/committer_test.go
+++ b/internal/runner/committer_test.go
@@ -59,7 +59,10 @@
 	}, table, objects)
 	p.r = New(Config{
 		Log: log, Node: structs.NodeID(log), Engines: world, Tools: world, Journal: p.c, Table: table,
-		Program: program.Config{Tools: map[string]program.Tool{"search": {}, "publish": {NonRepeatable: true}}},
+		Program: program.Config{
+			Tools:        map[string]program.Tool{"search": {}, "publish": {NonRepeatable: true}},
+			ToolFailures: 100,
+		},
 	})
 	p.c.Start(t.Context())
 	if err := p.c.Ready(t.Context()); err != nil {
--- a/program/agent.go
+++ b/program/agent.go
@@ -92,6 +92,7 @@
 	charged := msg.Charged.add(Amount{Agents: 1}).min(c.reserved)
 	m.ledger.settleShare(c.id, c.reserved, charged, m.seq+1)
 	c.reserved = Amount{}
+	m.ledger.lower()
 	m.record(drawEntry{Call: c.id, Share: charged})
 	usage := msg.Usage
 	usage.Agents++
--- a/program/budget.go
+++ b/program/budget.go
@@ -99,17 +99,34 @@
 	}
 }
 
-// taken is what no restart may find free: what is spent, reserved or not yet returned.
-func (l *ledger) taken() Amount {
-	taken := l.spent.add(l.reserved)
-	for _, r := range l.returning {
-		taken = taken.add(r.total)
+// taken is what is spent or reserved.
+func (l *ledger) taken() Amount { return l.spent.add(l.reserved) }
+
+// covered reports whether each record that a restart could find last covers all that is
+// taken, together with the shares that it keeps for sub-agents which have ended since.
+func (l *ledger) covered() bool {
+	if !l.taken().add(l.returnedAfter(0)).within(l.drawn) {
+		return false
+	}
+	for _, d := range l.pending {
+		if !l.taken().add(l.returnedAfter(d.seq)).within(d.total) {
+			return false
+		}
 	}
-	return taken
+	return true
 }
 
-// covered reports whether the usable part covers all that is taken.
-func (l *ledger) covered() bool { return l.taken().within(l.usable()) }
+// returnedAfter is what is left of the shares whose ends are recorded after record seq and
+// are not committed.
+func (l *ledger) returnedAfter(seq uint64) Amount {
+	var left Amount
+	for _, r := range l.returning {
+		if r.seq > seq {
+			left = left.add(r.total)
+		}
+	}
+	return left
+}
 
 // unrecorded reports whether the stated total is in no record yet.
 func (l *ledger) unrecorded() bool { return l.lastRecorded() != l.stated }
--- a/program/property_test.go
+++ b/program/property_test.go
@@ -334,6 +334,9 @@
 				if err := w.kill(); err != nil {
 					w.t.Fatalf("restore: %v", err)
 				}
+				if charged := w.m.ledger.taken(); !w.spent.within(charged) {
+					w.t.Fatalf("a restart charges %+v, spent was %+v", charged, w.spent)
+				}
 				w.step(Resume{})
 			},
 			"": w.checkHistory,
--- a/program/tool.go
+++ b/program/tool.go
@@ -178,7 +178,18 @@
 	case c.nonRepeatable && refusal.Outcome == structs.OutcomeUnknown:
 		m.refuse(now, structs.CodeActionInDoubt, toolStep(c), "action %q: %s: %s", c.id, refusal.Code, refusal.Detail)
 	case t.toolFailures >= m.cfg.ToolFailures:
-		m.refuse(now, refusal.Code, toolStep(c), "%d calls of the turn failed, the last: %s", t.toolFailures, refusal.Detail)
+		m.refuse(now, turnCode(refusal.Code), toolStep(c), "%d calls of the turn failed, the last: %s", t.toolFailures, refusal.Detail)
+	}
+}
+
+// turnCode returns the code of a turn that a failed call ends. What the model asked for
+// wrongly is not the caller's fault.
+func turnCode(code structs.Code) structs.Code {
+	switch code {
+	case structs.CodeNotFound, structs.CodeBadRequest, structs.CodeTooLarge:
+		return structs.CodeUpstreamFailed
+	default:
+		return code
 	}
 }
 
