Divide large batches and checkpoints into objects of bounded size

An adopted home of 213 programs may hold up to 280 MB of history, and the object store refuses an object above its limit for ever. Batches and parts now go into objects of at most 8 MB. Open rows also name the holder's address and incarnation: -rapid.checks=10000 of membership found two new processes whose seeds were all dead and which never met. The committer's tests use the platform stand-in instead of a fake of their own.

--- a/internal/committer/committer_test.go
+++ b/internal/committer/committer_test.go
@@ -11,17 +11,23 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 
+	"github.com/buckthornroute/buckthornroute/internal/standin"
 	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
+var (
+	down = standin.Fault{Kind: standin.FaultDown}
+	up   = standin.Fault{Kind: standin.FaultDown, Clear: true}
+)
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // open starts a committer on the platform and waits until its log is open.
-func open(t *testing.T, f *fakePlatform, log structs.LogID, cfg Config) *Committer {
+func open(t *testing.T, f *standin.Platform, log structs.LogID, cfg Config) *Committer {
 	t.Helper()
 	cfg.Journal.Log = log
-	c := New(cfg, f, fakeObjects{f})
+	c := New(cfg, f.Table, f.Objects)
 	c.Start(t.Context())
 	must(t, c.Ready(t.Context()))
 	t.Cleanup(c.Stop)
@@ -62,7 +68,7 @@
 
 func TestAdoptAfterCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakePlatform()
+		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{})
 		submit(t, a, 2, "x", journal.MarkNone)
 		submit(t, a, 1, "y", journal.MarkNone)
@@ -98,7 +104,7 @@
 
 func TestPausedHolderStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakePlatform()
+		f := standin.NewPlatform(standin.PlatformConfig{})
 		stopped := make(chan structs.LogID, 1)
 		a := open(t, f, "a", Config{OnStopped: func(s structs.LogID) { stopped <- s }})
 		submit(t, a, 1, "x", journal.MarkNone)
@@ -118,13 +124,13 @@
 
 func TestOutageHoldsBackAppends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakePlatform()
+		f := standin.NewPlatform(standin.PlatformConfig{})
 		var told uint64
 		a := open(t, f, "a", Config{
 			Journal:     journal.Config{PendingBytes: 1 << 10},
 			OnCommitted: func(through uint64) { told = through },
 		})
-		f.setDown(true)
+		must(t, f.Faults.Set(down))
 		entry := journal.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 300)}
 		var last uint64
 		for range 3 {
@@ -139,7 +145,7 @@
 		if s := a.Status(); s.Committed != 0 || s.OutageSince.IsZero() {
 			t.Fatalf("in the outage the status is %+v", s)
 		}
-		f.setDown(false)
+		must(t, f.Faults.Set(up))
 		must(t, a.Wait(t.Context(), last))
 		synctest.Wait()
 		if told != last {
@@ -154,16 +160,16 @@
 
 func TestSealReleasesWaitingAppend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakePlatform()
+		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{Journal: journal.Config{PendingBytes: 1 << 10}})
 		b := open(t, f, "b", Config{})
 		_, err := b.Adopt(t.Context(), "a")
 		must(t, err)
-		f.setDown(true)
+		must(t, f.Faults.Set(down))
 		entry := journal.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 1000)}
 		_, err = a.Append(t.Context(), entry)
 		must(t, err)
-		time.AfterFunc(time.Minute, func() { f.setDown(false) })
+		time.AfterFunc(time.Minute, func() { _ = f.Faults.Set(up) })
 		_, err = a.Append(t.Context(), entry)
 		wantError(t, err, journal.ErrStopped)
 	})
@@ -171,11 +177,11 @@
 
 func TestCloseHandsOverOrDeletes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakePlatform()
+		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{})
 		b := open(t, f, "b", Config{Journal: journal.Config{RedirectRetention: time.Millisecond}})
 		submit(t, a, 1, "x", journal.MarkNone)
-		f.loseAnswers = 1
+		must(t, f.Faults.Set(standin.Fault{Kind: standin.FaultLoseAnswer, Match: "apply", Count: 1}))
 		submit(t, a, 1, "y", journal.MarkNone)
 		var handed []journal.Entry
 		must(t, a.Close(t.Context(), func(ctx context.Context, log structs.LogID) (err error) {
@@ -192,25 +198,27 @@
 		must(t, b.Wait(t.Context(), sequence))
 		must(t, b.await(t.Context(), func(s journal.Status) bool { return s.Redirects == 0 }))
 		must(t, b.Close(t.Context(), nil))
-		if len(f.rows)+len(f.objects) != 0 {
-			t.Fatalf("rows %v and objects %v are left", f.rows, f.objects)
+		rows, err := f.Table.Scan(t.Context(), "", "", 100)
+		must(t, err)
+		if len(rows)+f.Objects.Len() != 0 {
+			t.Fatalf("rows %v and %d objects are left", rows, f.Objects.Len())
 		}
 	})
 }
 
 func TestAbandonedAdoptKeepsEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakePlatform()
+		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{})
 		submit(t, a, 1, "x", journal.MarkNone)
 		a.Stop()
 		b := open(t, f, "b", Config{})
-		f.setDown(true)
+		must(t, f.Faults.Set(down))
 		short, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := b.Adopt(short, "a")
 		wantError(t, err, context.DeadlineExceeded)
-		f.setDown(false)
+		must(t, f.Faults.Set(up))
 		must(t, b.await(t.Context(), func(s journal.Status) bool { return s.Programs == 1 }))
 		entries, err := b.Adopt(t.Context(), "a")
 		must(t, err)
--- a/journal/checkpoint.go
+++ b/journal/checkpoint.go
@@ -1,9 +1,6 @@
 package journal
 
-import (
-	"bytes"
-	"crypto/sha256"
-)
+import "bytes"
 
 // checkpointer folds committed records into objects, so that an adopter reads a bounded
 // number of records.
@@ -13,7 +10,9 @@
 	tailRecords int
 	// tailObjects are the objects that carry large batches among them.
 	tailObjects []string
-	parts       []part
+	parts       []Object
+	// merged is the number of parts that the last merge left.
+	merged int
 	// trimmed is the number of the first record whose row has not been deleted.
 	trimmed uint64
 	running bool
@@ -23,8 +22,8 @@
 func (c *checkpointer) add(b *batch) {
 	c.tail = append(c.tail, b.entries...)
 	c.tailRecords++
-	if b.object != "" {
-		c.tailObjects = append(c.tailObjects, b.object)
+	for _, o := range b.objects {
+		c.tailObjects = append(c.tailObjects, o.Key)
 	}
 }
 
@@ -35,8 +34,10 @@
 	// objects are deleted afterwards.
 	objects []string
 	value   []byte
-	parts   []part
+	parts   []Object
 	tries   int
+	// merge says that the parts replace all earlier ones.
+	merge bool
 }
 
 // startCheckpoint begins a checkpoint when enough records have been created.
@@ -52,7 +53,7 @@
 	case m.state.empty():
 		m.replaceParts(job)
 		m.writePart(job, nil)
-	case len(c.parts) < m.cfg.MaxParts:
+	case len(c.parts)-c.merged < m.cfg.MaxParts:
 		job.parts = append(job.parts, c.parts...)
 		m.writePart(job, fold(job.entries, len(c.parts) == 0))
 	default:
@@ -86,12 +87,13 @@
 			return
 		}
 		m.replaceParts(job)
+		job.merge = true
 		m.writePart(job, fold(append(entries, job.entries...), true))
 	})
 }
 
 // readParts reads the own log's parts from index i on and hands their entries over.
-func (m *Machine) readParts(parts []part, i int, entries []Entry, done func([]Entry, error)) {
+func (m *Machine) readParts(parts []Object, i int, entries []Entry, done func([]Entry, error)) {
 	if i == len(parts) {
 		done(entries, nil)
 		return
@@ -105,18 +107,15 @@
 	})
 }
 
-// writePart puts the part's object, unless nothing is left to keep, and then the row.
+// writePart puts the entries' objects, unless nothing is left to keep, and then the row.
 func (m *Machine) writePart(job *checkpointJob, entries []Entry) {
 	job.entries = nil
-	if len(entries) == 0 {
+	record := Record{Kind: RecordPart, Log: m.cfg.Log, Number: job.through, Entries: entries}
+	key := func(i int) string { return partObjectKey(m.cfg.Log, job.through, i) }
+	m.putEntries(record, key, func(objects []Object) {
+		job.parts = append(job.parts, objects...)
 		m.writeCheckpoint(job)
-		return
-	}
-	value := Record{Kind: RecordPart, Log: m.cfg.Log, Number: job.through, Entries: entries}.Encode()
-	digest := sha256.Sum256(value)
-	key := partObjectKey(m.cfg.Log, job.through)
-	job.parts = append(job.parts, part{Key: key, Digest: digest[:]})
-	m.putObject(key, value, func() { m.writeCheckpoint(job) })
+	})
 }
 
 // writeCheckpoint reads the version of the checkpoint row, so that a late repetition of
@@ -178,6 +177,9 @@
 func (m *Machine) finishCheckpoint(job *checkpointJob) {
 	c := &m.checkpoints
 	c.parts = job.parts
+	if job.merge || len(c.parts) == 0 {
+		c.merged = len(c.parts)
+	}
 	c.trimmed += uint64(len(m.trim(job.through)))
 	done := func() { m.deleteObjects(job.objects, func() { c.running = false }) }
 	rest := m.trimAll(job.through)
--- a/journal/codec.go
+++ b/journal/codec.go
@@ -17,7 +17,7 @@
 const (
 	// RecordBatch carries entries.
 	RecordBatch RecordKind = iota + 1
-	// RecordPointer names the object that carries the entries.
+	// RecordPointer names the objects that carry the entries.
 	RecordPointer
 	// RecordSeal ends the log.
 	RecordSeal
@@ -32,13 +32,19 @@
 	Number uint64
 	// Entries belong to RecordBatch and RecordPart.
 	Entries []Entry
-	// Object and Digest (SHA-256) belong to RecordPointer.
-	Object string
-	Digest []byte
+	// Objects belong to RecordPointer; their entries follow each other.
+	Objects []Object
 	// Successor belongs to RecordSeal.
 	Successor structs.LogID
 }
 
+// Object names an object of the store and its content.
+type Object struct {
+	Key string `json:"key"`
+	// Digest is the SHA-256 of the content.
+	Digest []byte `json:"digest"`
+}
+
 // Field numbers of the encoding, in protocol buffer wire format.
 const (
 	fieldKind protowire.Number = iota + 1
@@ -46,10 +52,14 @@
 	fieldNumber
 	fieldEntry
 	fieldObject
-	fieldDigest
 	fieldSuccessor
 )
 
+const (
+	fieldObjectKey protowire.Number = iota + 1
+	fieldObjectDigest
+)
+
 const (
 	fieldEntryProgram protowire.Number = iota + 1
 	fieldEntryKind
@@ -59,7 +69,11 @@
 
 // Encode returns the record's bytes. Equal records encode alike.
 func (r Record) Encode() []byte {
-	size := len(r.Log) + len(r.Object) + len(r.Digest) + len(r.Successor) + 64
+	const framing = 64
+	size := len(r.Log) + len(r.Successor) + framing
+	for _, o := range r.Objects {
+		size += len(o.Key) + len(o.Digest) + framing
+	}
 	for _, e := range r.Entries {
 		size += e.size()
 	}
@@ -72,10 +86,9 @@
 		b = protowire.AppendVarint(b, uint64(e.encodedSize()))
 		b = e.appendTo(b)
 	}
-	b = appendText(b, fieldObject, r.Object)
-	if len(r.Digest) > 0 {
-		b = protowire.AppendTag(b, fieldDigest, protowire.BytesType)
-		b = protowire.AppendBytes(b, r.Digest)
+	for _, o := range r.Objects {
+		b = protowire.AppendTag(b, fieldObject, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendText(appendText(nil, fieldObjectKey, o.Key), fieldObjectDigest, string(o.Digest)))
 	}
 	return appendText(b, fieldSuccessor, string(r.Successor))
 }
@@ -146,9 +159,9 @@
 			r.Entries = append(r.Entries, e)
 			return err
 		case fieldObject:
-			r.Object = string(text)
-		case fieldDigest:
-			r.Digest = text
+			o, err := decodeObjectName(text)
+			r.Objects = append(r.Objects, o)
+			return err
 		case fieldSuccessor:
 			r.Successor = structs.LogID(text)
 		default:
@@ -185,6 +198,22 @@
 	return e, err
 }
 
+func decodeObjectName(b []byte) (Object, error) {
+	var o Object
+	err := eachField(b, func(field protowire.Number, _ uint64, text []byte) error {
+		switch field {
+		case fieldObjectKey:
+			o.Key = string(text)
+		case fieldObjectDigest:
+			o.Digest = text
+		default:
+			return errors.Wrapf(ErrCorrupt, "unknown object field %d", field)
+		}
+		return nil
+	})
+	return o, err
+}
+
 // eachField calls f for each field of b: with the number of a varint, or with the
 // bytes of a length-delimited field.
 func eachField(b []byte, f func(field protowire.Number, number uint64, text []byte) error) error {
--- a/journal/commit.go
+++ b/journal/commit.go
@@ -24,7 +24,7 @@
 	bytes   int
 	last    uint64
 	value   []byte
-	object  string
+	objects []Object
 	// tries counts the attempts whose answer was lost.
 	tries int
 }
@@ -71,16 +71,53 @@
 	b := m.takeBatch()
 	m.inFlight = b
 	record := Record{Kind: RecordBatch, Log: m.cfg.Log, Number: b.number, Entries: b.entries}
-	value := record.Encode()
-	if len(value) <= m.cfg.InlineBytes {
-		b.value = value
+	if b.bytes <= m.cfg.InlineBytes {
+		b.value = record.Encode()
 		m.create(b)
 		return
 	}
-	digest := sha256.Sum256(value)
-	b.object = batchObjectKey(m.cfg.Log, b.number)
-	b.value = Record{Kind: RecordPointer, Log: m.cfg.Log, Number: b.number, Object: b.object, Digest: digest[:]}.Encode()
-	m.putObject(b.object, value, func() { m.create(b) })
+	m.putEntries(record, func(i int) string { return batchObjectKey(m.cfg.Log, b.number, i) }, func(objects []Object) {
+		b.objects = objects
+		b.value = Record{Kind: RecordPointer, Log: m.cfg.Log, Number: b.number, Objects: objects}.Encode()
+		m.create(b)
+	})
+}
+
+// putEntries writes the record's entries into objects of bounded size, one after the other,
+// each a record of the same kind and number.
+func (m *Machine) putEntries(r Record, key func(i int) string, done func([]Object)) {
+	chunks := split(r.Entries, m.cfg.ObjectBytes)
+	var objects []Object
+	var next func()
+	next = func() {
+		if len(objects) == len(chunks) {
+			done(objects)
+			return
+		}
+		r.Entries = chunks[len(objects)]
+		value := r.Encode()
+		digest := sha256.Sum256(value)
+		objects = append(objects, Object{Key: key(len(objects)), Digest: digest[:]})
+		m.putObject(objects[len(objects)-1].Key, value, next)
+	}
+	next()
+}
+
+// split divides entries into chunks of at most limit bytes, or of one entry.
+func split(entries []Entry, limit int) [][]Entry {
+	var chunks [][]Entry
+	begin, bytes := 0, 0
+	for i, e := range entries {
+		if i > begin && bytes+e.size() > limit {
+			chunks = append(chunks, entries[begin:i])
+			begin, bytes = i, 0
+		}
+		bytes += e.size()
+	}
+	if begin < len(entries) {
+		chunks = append(chunks, entries[begin:])
+	}
+	return chunks
 }
 
 // takeBatch moves queued groups into one batch.
--- a/journal/config.go
+++ b/journal/config.go
@@ -24,6 +24,8 @@
 	Burst int
 	// InlineBytes bounds a record kept in its row; a larger one goes into an object.
 	InlineBytes int
+	// ObjectBytes bounds one object, but for a single entry that is larger.
+	ObjectBytes int
 	// BatchBytes bounds the entries of one record, but for one append that alone is larger.
 	BatchBytes int
 	// PendingBytes bounds the entries not yet committed; beyond it Full holds.
@@ -49,6 +51,7 @@
 	DefaultMinInterval       = 5 * time.Millisecond
 	DefaultBurst             = 4
 	DefaultInlineBytes       = 32 << 10
+	DefaultObjectBytes       = 8 << 20
 	DefaultBatchBytes        = 4 << 20
 	DefaultPendingBytes      = 16 << 20
 	DefaultCheckpointEvery   = 64
@@ -65,6 +68,7 @@
 	setDefault(&c.MinInterval, DefaultMinInterval)
 	setDefault(&c.Burst, DefaultBurst)
 	setDefault(&c.InlineBytes, DefaultInlineBytes)
+	setDefault(&c.ObjectBytes, DefaultObjectBytes)
 	setDefault(&c.BatchBytes, DefaultBatchBytes)
 	setDefault(&c.PendingBytes, DefaultPendingBytes)
 	setDefault(&c.CheckpointEvery, DefaultCheckpointEvery)
--- a/journal/keys.go
+++ b/journal/keys.go
@@ -35,12 +35,14 @@
 	return RecordPrefix(log) + fmt.Sprintf("%016x", n)
 }
 
-func batchObjectKey(log structs.LogID, n uint64) string {
-	return "batch/" + string(log) + "/" + fmt.Sprintf("%016x", n)
+// batchObjectKey returns the key of the i-th object of a record's entries.
+func batchObjectKey(log structs.LogID, n uint64, i int) string {
+	return fmt.Sprintf("batch/%s/%016x.%d", log, n, i)
 }
 
-func partObjectKey(log structs.LogID, through uint64) string {
-	return "part/" + string(log) + "/" + fmt.Sprintf("%016x", through)
+// partObjectKey returns the key of the i-th object of a checkpoint through a record.
+func partObjectKey(log structs.LogID, through uint64, i int) string {
+	return fmt.Sprintf("part/%s/%016x.%d", log, through, i)
 }
 
 // recordNumber returns the number in a record's key.
@@ -84,6 +86,10 @@
 	Node   structs.NodeID        `json:"node"`
 	VM     structs.VMID          `json:"vm"`
 	Domain structs.FailureDomain `json:"domain"`
+	// Address is where other processes reach it, and Incarnation grows with each start of
+	// the node: a new process finds the others by the open rows when its seeds are gone.
+	Address     string `json:"address,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
 // DecodeOwner reads the value of an open row; it returns ErrCorrupt.
@@ -95,19 +101,13 @@
 	return o, nil
 }
 
-// part is one object of a checkpoint.
-type part struct {
-	Key    string `json:"key"`
-	Digest []byte `json:"digest"`
-}
-
 // checkpoint is the value of a checkpoint row: the records up to and including
 // Through are folded into the parts, which are applied in order. Rows of records
 // before Trimmed are deleted.
 type checkpoint struct {
-	Through uint64 `json:"through"`
-	Trimmed uint64 `json:"trimmed"`
-	Parts   []part `json:"parts"`
+	Through uint64   `json:"through"`
+	Trimmed uint64   `json:"trimmed"`
+	Parts   []Object `json:"parts"`
 	// version is the row's; zero says that there is none.
 	version int64
 }
--- a/journal/property_test.go
+++ b/journal/property_test.go
@@ -31,6 +31,7 @@
 		w := newWorld(Config{
 			MinInterval: time.Millisecond, CheckpointEvery: 3, MaxParts: 2, TxnWrites: 8, RedirectRetention: 30 * time.Second,
 			InlineBytes: rapid.SampledFrom([]int{90, 1000}).Draw(t, "inline"),
+			ObjectBytes: rapid.SampledFrom([]int{50, 1000}).Draw(t, "object"),
 			BatchBytes:  rapid.SampledFrom([]int{60, 1000}).Draw(t, "batch"),
 		})
 		names := []string{"a", "b", "c"}
@@ -118,7 +119,7 @@
 // Encode writes.
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add(Record{Kind: RecordBatch, Log: "a", Number: 7, Entries: []Entry{{"a.1", "step", []byte("x"), MarkEnd}}}.Encode())
-	f.Add(Record{Kind: RecordPointer, Log: "a", Object: "batch/a/1", Digest: make([]byte, 32)}.Encode())
+	f.Add(Record{Kind: RecordPointer, Log: "a", Objects: []Object{{"batch/a/1", make([]byte, 32)}}}.Encode())
 	f.Add(Record{Kind: RecordSeal, Log: "a", Number: 1, Successor: "b"}.Encode())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r, err := DecodeRecord(b)
@@ -127,3 +128,34 @@
 		}
 	})
 }
+
+// TestWritesStayUnderShare checks that busy logs together keep to their share of the
+// platform's writes, and that all they append is kept.
+func TestWritesStayUnderShare(t *testing.T) {
+	const nodes, span, rate = 30, 5 * time.Second, 100.0
+	w := newWorld(Config{PlatformWrites: rate, Share: 1, CheckpointEvery: 8, MinInterval: time.Millisecond})
+	for i := range nodes {
+		name := fmt.Sprintf("n%d", i)
+		w.start(name)
+		w.deliver(w.nodes[name], Nodes{Count: nodes})
+	}
+	const step = 20 * time.Millisecond
+	for at := time.Duration(0); at < span; at += step {
+		for name, n := range w.nodes {
+			w.submit(n, structs.NewProgramID(structs.LogID(name), 1), fmt.Sprint(at), MarkNone)
+		}
+		w.advance(step)
+	}
+	if most := int(rate*span.Seconds()) + nodes*(DefaultBurst+1); w.writes > most {
+		t.Fatalf("%d writes in %v, want at most %d", w.writes, span, most)
+	}
+	w.advance(5 * time.Second)
+	for name, n := range w.nodes {
+		if s := n.machine.Status(); s.Committed != s.Last || s.Last != uint64(span/step) {
+			t.Fatalf("%s committed %d of %d", name, s.Committed, s.Last)
+		}
+	}
+	if w.broken != "" {
+		t.Fatal(w.broken)
+	}
+}
--- a/journal/read.go
+++ b/journal/read.go
@@ -83,7 +83,7 @@
 }
 
 // readForeignParts appends the entries of the parts to c.
-func (m *Machine) readForeignParts(log structs.LogID, parts []part, c *contents, done func(error)) {
+func (m *Machine) readForeignParts(log structs.LogID, parts []Object, c *contents, done func(error)) {
 	if len(parts) == 0 {
 		done(nil)
 		return
@@ -111,16 +111,33 @@
 		m.readBatches(log, records[1:], c, done)
 		return
 	}
-	m.readObject(log, r.Object, r.Digest, RecordBatch, func(batch Record, err error) {
+	m.readBatchObjects(log, r, c, func(err error) {
+		if err != nil {
+			done(err)
+			return
+		}
+		m.readBatches(log, records[1:], c, done)
+	})
+}
+
+// readBatchObjects appends the entries of the objects that the record points to.
+func (m *Machine) readBatchObjects(log structs.LogID, r Record, c *contents, done func(error)) {
+	if len(r.Objects) == 0 {
+		done(nil)
+		return
+	}
+	o := r.Objects[0]
+	m.readObject(log, o.Key, o.Digest, RecordBatch, func(batch Record, err error) {
 		if err == nil && batch.Number != r.Number {
-			err = errors.Wrapf(ErrCorrupt, "object %q holds record %d, want %d", r.Object, batch.Number, r.Number)
+			err = errors.Wrapf(ErrCorrupt, "object %q holds record %d, want %d", o.Key, batch.Number, r.Number)
 		}
 		if err != nil {
 			done(err)
 			return
 		}
 		c.entries = append(c.entries, batch.Entries...)
-		m.readBatches(log, records[1:], c, done)
+		r.Objects = r.Objects[1:]
+		m.readBatchObjects(log, r, c, done)
 	})
 }
 
--- a/journal/remove.go
+++ b/journal/remove.go
@@ -38,9 +38,13 @@
 	r, err := DecodeRecord(row.Value)
 	switch {
 	case err == nil && r.Kind == RecordPointer:
-		return []string{r.Object}
+		var keys []string
+		for _, o := range r.Objects {
+			keys = append(keys, o.Key)
+		}
+		return keys
 	case err == nil && r.Kind == RecordSeal:
-		return []string{batchObjectKey(log, r.Number)}
+		return []string{batchObjectKey(log, r.Number, 0)}
 	}
 	return nil
 }
--- a/membership/world_test.go
+++ b/membership/world_test.go
@@ -24,6 +24,7 @@
 	outage  bool
 	vms     map[string]platform.VMState
 	taken   map[structs.LogID]structs.LogID
+	started map[structs.LogID]Member
 	// wrong counts the adoptions of logs whose holder lived and was cut off from nobody.
 	wrong int
 	// attempts counts the adoptions asked for, by log.
@@ -47,6 +48,7 @@
 	paused  bool
 	// offline says that the platform is out of reach for this node alone.
 	offline bool
+	learned bool
 	faults  []string
 	inbox   []Message
 	log     []string
@@ -57,7 +59,7 @@
 func newWorld(cfg Config) *world {
 	return &world{
 		cfg: cfg, now: time.Unix(0, 0), nodes: map[string]*node{}, cuts: map[string]bool{}, vms: map[string]platform.VMState{},
-		taken: map[structs.LogID]structs.LogID{}, attempts: map[structs.LogID]int{},
+		taken: map[structs.LogID]structs.LogID{}, started: map[structs.LogID]Member{}, attempts: map[structs.LogID]int{},
 	}
 }
 
@@ -86,6 +88,7 @@
 	}
 	w.nodes[name] = n
 	w.vms["vm-"+name] = platform.VMLive
+	w.started[cfg.Self.Log] = cfg.Self
 	w.deliver(n, Tick{})
 	w.poll(n)
 	return n
@@ -102,10 +105,25 @@
 			vms = append(vms, VM{ID: structs.VMID(id), State: w.vms[id]})
 		}
 		w.deliver(n, Listed{VMs: vms})
+		if !n.learned {
+			n.learned = true
+			w.deliver(n, Learned{w.open()})
+		}
 	}
 	w.schedule(time.Second, func() { w.poll(n) })
 }
 
+// open returns the holders of the logs not taken over, as the platform's table gives them.
+func (w *world) open() []Member {
+	var members []Member
+	for _, log := range sortedKeys(w.started) {
+		if _, taken := w.taken[log]; !taken {
+			members = append(members, w.started[log])
+		}
+	}
+	return members
+}
+
 func (w *world) deliver(n *node, msg Message) {
 	if n.dead {
 		return
