Prove drains, switches, quarantine, wrong suspicion and outages over the whole path

Causes found by these tests and mended: - a crash of an engine was not told from a cut stream, so nothing was ever quarantined (the marked request crashed 3 engines at each try): a dropped connection to the engine now counts as a crash, silence does not; the request crashes two engines at most, and other entries refuse it; - an irreversible call of a plain service waited 30 s in an outage of the platform: it is refused as not run after 5 s, with when to come back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/buckthornroute/buckthornroute/action"
 	"github.com/buckthornroute/buckthornroute/admission"
 	"github.com/buckthornroute/buckthornroute/internal/command"
 	"github.com/buckthornroute/buckthornroute/internal/committer"
@@ -208,6 +209,10 @@
 	}
 }
 
+// claimWait bounds how long an irreversible action waits for the platform before it
+// is refused as not run.
+const claimWait = 5 * time.Second
+
 // preset returns the preset in force here.
 func (e *entry) preset() structs.Preset { return e.presets.inForce.Load().Preset }
 
@@ -225,6 +230,7 @@
 		Log:      e.log,
 		Node:     e.cfg.Node,
 		Program:  e.programConfig(),
+		Action:   action.Config{ClaimWait: claimWait},
 		Engines:  e.newEngines(),
 		Tools:    e.tools,
 		Journal:  e.committer,
--- /dev/null
+++ b/internal/inprocess/faults_test.go
@@ -0,0 +1,231 @@
+package inprocess
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/entry"
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/internal/query"
+	"github.com/buckthornroute/buckthornroute/internal/standin"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// operate sends an operator's request to an entry.
+func operate(t *testing.T, s *System, entry int, method, path string, body, out any) {
+	t.Helper()
+	c := Client{URL: s.Entries[entry].URL, Token: OperatorToken}
+	if err := c.Do(context.Background(), method, path, "", body, out); err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+}
+
+// eventually waits until holds returns true; a test that never gets there ends by
+// go test's own bound.
+func eventually(holds func() bool) {
+	for !holds() {
+		<-time.After(5 * time.Millisecond)
+	}
+}
+
+func engineCalls(s *System, model int) uint64 { return s.StandIns.Models[model].Stats().Calls }
+
+// runTurns runs n programs of one turn at once and reports their errors.
+func runTurns(t *testing.T, client func(int) Client, n int, content string) {
+	t.Helper()
+	var turns sync.WaitGroup
+	for i := range n {
+		turns.Go(func() {
+			id, err := client(i%3).Open(context.Background(), httpapi.OpenRequest{Kind: "question", Model: "portal-chat"}, "")
+			if err == nil {
+				_, err = client((i+1)%3).Turn(context.Background(), id, 1, "k", content)
+			}
+			if err != nil {
+				t.Errorf("program %d: %v", i, err)
+			}
+		})
+	}
+	turns.Wait()
+}
+
+// A drained VM gets no new work, whichever entry was told; what runs there finishes.
+func TestDrainedVMGetsNoNewWork(t *testing.T) {
+	s, client := startSample(t)
+	operate(t, s, 1, http.MethodPost, "/operator/vms/vm-taichung-model-1/drain", nil, nil)
+	before := engineCalls(s, 0)
+	runTurns(t, client, 24, "hello\nplan: answer 4")
+	if after := engineCalls(s, 0); after != before {
+		t.Fatalf("the drained engine got %d calls", after-before)
+	}
+	operate(t, s, 2, http.MethodPost, "/operator/vms/vm-taichung-model-1/undrain", nil, nil)
+	eventually(func() bool {
+		runTurns(t, client, 6, "hello again\nplan: answer 4")
+		return engineCalls(s, 0) > before
+	})
+}
+
+// Two operators switch at once: one preset is in force everywhere, its version is
+// the highest accepted, and a switch that expects another one is refused.
+func TestSwitchIsInForceEverywhere(t *testing.T) {
+	s, _ := startSample(t)
+	var switches sync.WaitGroup
+	accepted := make([]structs.PresetInForce, 2)
+	for i, name := range []string{"peak", "maintenance"} {
+		switches.Go(func() {
+			operate(t, s, i, http.MethodPost, "/operator/presets/"+name+"/switch", httpapi.SwitchRequest{}, &accepted[i])
+		})
+	}
+	switches.Wait()
+	last := accepted[0]
+	if accepted[1].Version > last.Version {
+		last = accepted[1]
+	}
+	if accepted[0].Version == accepted[1].Version {
+		t.Fatalf("two switches made version %d", last.Version)
+	}
+	eventually(func() bool {
+		for i := range s.Entries {
+			var inForce structs.PresetInForce
+			operate(t, s, i, http.MethodGet, "/operator/preset", nil, &inForce)
+			if inForce.Version > last.Version {
+				t.Fatalf("version %d is in force, the last accepted is %d", inForce.Version, last.Version)
+			}
+			if inForce.Version != last.Version || inForce.Preset.Name != last.Preset.Name {
+				return false
+			}
+		}
+		return true
+	})
+	c := Client{URL: s.Entries[0].URL, Token: OperatorToken}
+	err := c.Do(context.Background(), http.MethodPost, "/operator/presets/ordinary/switch", "",
+		httpapi.SwitchRequest{ExpectedVersion: last.Version - 1}, nil)
+	var r *structs.Refusal
+	if !errors.As(err, &r) || r.Code != structs.CodeConflict || r.Outcome != structs.OutcomeNotRun {
+		t.Fatalf("a switch that expects an old version gives %v", err)
+	}
+}
+
+// A request that crashes its engines crashes two of them at most, and is then
+// refused everywhere, also under a new key and as another program's.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	s, client := startSample(t)
+	for _, m := range s.StandIns.Models {
+		if err := m.Faults.Set(standin.Fault{Kind: standin.FaultCrashMarked, Match: "poison"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	crashes := func() uint64 {
+		n := uint64(0)
+		for _, m := range s.StandIns.Models {
+			n += m.Stats().Crashes
+		}
+		return n
+	}
+	send := func(entry int, key string) *structs.Refusal {
+		t.Helper()
+		id := open(t, client(entry))
+		_, err := client(entry).Turn(context.Background(), id, 1, key, "poison\nplan: answer 4")
+		var r *structs.Refusal
+		if !errors.As(err, &r) {
+			t.Fatalf("the crashing request got %v", err)
+		}
+		return r
+	}
+	send(0, "first")
+	eventually(func() bool { return send(0, "again").Code == structs.CodeQuarantined })
+	eventually(func() bool { return send(1, "another key").Code == structs.CodeQuarantined })
+	eventually(func() bool { return send(2, "yet another").Code == structs.CodeQuarantined })
+	if n := crashes(); n > 2 {
+		t.Fatalf("the request crashed %d engines, want 2 at most", n)
+	}
+	eventually(func() bool {
+		id := open(t, client(0))
+		_, err := client(0).Turn(context.Background(), id, 1, "k", "innocent\nplan: answer 4")
+		return err == nil
+	})
+}
+
+// An entry whose log is taken over while it lives, as after a wrong suspicion, stops;
+// its callers' turns go on at the new home, and the action in them runs once.
+func TestWrongSuspicionCostsWorkOnly(t *testing.T) {
+	s, client := startSample(t)
+	id := open(t, client(0))
+	answered := make(chan error, 1)
+	content := "act\nplan: tool search_records {\"pause_ms\":20000}; tool publish_dataset {\"name\":\"x\"}; answer 5"
+	go func() {
+		answer, err := client(2).Turn(context.Background(), id, 1, "k1", content)
+		if err == nil && !answer.Kept {
+			err = fmt.Errorf("answer %+v is not kept", answer)
+		}
+		answered <- err
+	}()
+	awaitRunning(t, client(1), id)
+	adoptAt(t, s, 1, id.Log())
+	if err := <-answered; err != nil {
+		t.Fatalf("the turn that changed its home: %v", err)
+	}
+	if err := s.Entries[0].Stop(); !errors.Is(err, entry.ErrSealed) {
+		t.Fatalf("the entry whose log was sealed ended with %v", err)
+	}
+	for _, double := range s.StandIns.Tools[0].Stats().Doubles {
+		if double.Name == "publish_dataset" || double.Action {
+			t.Fatalf("the action ran more than once: %+v", double)
+		}
+	}
+}
+
+// adoptAt has an entry take over a log.
+func adoptAt(t *testing.T, s *System, entry int, log structs.LogID) {
+	t.Helper()
+	pool := peer.NewPool(peer.Options{})
+	defer pool.Close()
+	conn, err := pool.Conn(s.Entries[entry].Peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peerpb.NewHomeClient(conn).Adopt(context.Background(), &peerpb.AdoptRequest{Log: string(log)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// In an outage of the platform turns go on, nothing is called kept that is not, and
+// an irreversible action is refused as not run.
+func TestPlatformOutage(t *testing.T) {
+	s, client := startSample(t)
+	id := open(t, client(0))
+	if err := s.StandIns.Platform.Faults.Set(standin.Fault{Kind: standin.FaultDown}); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := client(0).Turn(context.Background(), id, 1, "k1", "during the outage\nplan: answer 4")
+	if err != nil || answer.Kept {
+		t.Fatalf("turn during the outage = %+v, %v; want an answer that is not kept", answer, err)
+	}
+	err = client(0).Do(context.Background(), http.MethodPost, "/v1/services/portal_publish", "key-1", httpapi.InvokeRequest{}, nil)
+	var r *structs.Refusal
+	if !errors.As(err, &r) || r.Outcome != structs.OutcomeNotRun || r.RetryAfter <= 0 {
+		t.Fatalf("action during the outage: %v, want not run with when to come back", err)
+	}
+	if err := s.StandIns.Platform.Faults.Set(standin.Fault{Kind: standin.FaultDown, Clear: true}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(func() bool {
+		again, err := client(1).Turn(context.Background(), id, 1, "k1", "during the outage\nplan: answer 4")
+		if err != nil || again.Content != answer.Content {
+			t.Fatalf("the turn's answer after the outage = %+v, %v; before %q", again, err, answer.Content)
+		}
+		return again.Kept
+	})
+	var status query.Status
+	operate(t, s, 0, http.MethodGet, "/operator/status", nil, &status)
+	if status.Platform != "answers" {
+		t.Errorf("after the outage the platform is said to be %q", status.Platform)
+	}
+}
--- a/internal/side/crash.go
+++ b/internal/side/crash.go
@@ -12,8 +12,8 @@
 // crashCheckTimeout bounds the question to an engine that has just failed a call.
 const crashCheckTimeout = 500 * time.Millisecond
 
-// judge marks the failure of a call as a crash of its engine when the engine is gone
-// or another incarnation answers. An engine that is only slow has not crashed.
+// judge marks the failure of a call as a crash of its engine when the engine drops or
+// refuses connections, or another incarnation answers. One that is only slow has not crashed.
 func (s *Server) judge(err error, incarnation string) error {
 	var r *structs.Refusal
 	if !errors.As(err, &r) || r.Outcome != structs.OutcomeUnknown || r.Code != structs.CodeUpstreamFailed {
@@ -22,10 +22,10 @@
 	ctx, cancel := context.WithTimeout(s.life, crashCheckTimeout)
 	defer cancel()
 	load, askErr := s.cfg.Model.Load(ctx)
-	if askErr == nil && load.Incarnation == incarnation {
+	if askErr == nil && (incarnation == "" || load.Incarnation == incarnation) {
 		return err
 	}
-	if askErr != nil && structs.AsRefusal(askErr).Outcome != structs.OutcomeNotRun {
+	if askErr != nil && ctx.Err() != nil {
 		return err
 	}
 	crashed := *r
