Number the questions of each life of a node apart

With the number of voters drawn as well (1, 2, 3 or 5 of 3 to 6 nodes), the random run found after 9,988 interleavings that a restarted node took a late answer to a question of its former life for one to its own, and so evidence for a version that it had forgotten.

--- a/preset/cluster_test.go
+++ b/preset/cluster_test.go
@@ -41,10 +41,12 @@
 	now   time.Time
 	rng   *rand.Rand
 	names []structs.NodeID
-	nodes map[structs.NodeID]*node
-	queue []delivery
-	sent  int
-	cuts  map[[2]structs.NodeID]bool
+	// pollers is the number of pollers and voters.
+	pollers int
+	nodes   map[structs.NodeID]*node
+	queue   []delivery
+	sent    int
+	cuts    map[[2]structs.NodeID]bool
 
 	rowVersion int64
 	value      []byte
@@ -79,7 +81,7 @@
 
 func newCluster(seed uint64, names ...structs.NodeID) *cluster {
 	return &cluster{
-		now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), names: names,
+		now: epoch, pollers: 3, rng: rand.New(rand.NewPCG(seed, 1)), names: names,
 		nodes: map[structs.NodeID]*node{}, cuts: map[[2]structs.NodeID]bool{},
 		orders: map[uint64]Switch{}, began: map[uint64]time.Time{},
 		nonces: map[string]uint64{}, presets: map[uint64]string{}, accepted: map[uint64]time.Time{},
@@ -93,6 +95,7 @@
 	p := c.nodes[n]
 	p.starts++
 	cfg := DefaultConfig(n, p.starts)
+	cfg.Pollers = c.pollers
 	cfg.Initial = &structs.Preset{Name: "ordinary"}
 	p.machine, p.paused, p.inbox = New(cfg, c.now), false, nil
 	c.step(n, Members{Nodes: c.names})
--- a/preset/preset.go
+++ b/preset/preset.go
@@ -35,7 +35,8 @@
 // Config sets one node's machine.
 type Config struct {
 	Node structs.NodeID
-	// Incarnation differs between any two starts of the node's process.
+	// Incarnation differs between any two starts of the node's process, in its lowest
+	// 32 bits.
 	Incarnation uint64
 	// PollInterval is the time between two reads of the row by one poller.
 	PollInterval time.Duration
@@ -96,12 +97,18 @@
 	switches map[uint64]*pendingSwitch
 }
 
+// numberBits is the size of the numbers of one life. Numbers of different lives
+// differ, so that an answer to a question of the former life is not taken for one of
+// this life's: the asker has forgotten what it knew when it asked.
+const numberBits = 32
+
 // New returns the machine of a process that has just started at time now.
 func New(cfg Config, now time.Time) *Machine {
 	return &Machine{
 		cfg:      cfg,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, hashOf(cfg.Node))),
 		now:      now,
+		number:   cfg.Incarnation << numberBits,
 		started:  now,
 		tree:     newTree(cfg.Node, nil, cfg.Pollers),
 		asks:     make(map[structs.NodeID][]question),
--- a/preset/preset_test.go
+++ b/preset/preset_test.go
@@ -22,6 +22,9 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "cluster" {
 				c = newCluster(1, idsOf(d)...)
+				if d.HasArg("pollers") {
+					d.ScanArgs(t, "pollers", &c.pollers)
+				}
 			} else {
 				run(t, c, d)
 			}
@@ -123,8 +126,9 @@
 // and lets the nodes converge once all faults are healed.
 func TestAnyInterleaving(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		names := []structs.NodeID{"a", "b", "c", "d"}[:rapid.IntRange(3, 4).Draw(rt, "nodes")]
+		names := []structs.NodeID{"a", "b", "c", "d", "e", "f"}[:rapid.IntRange(3, 6).Draw(rt, "nodes")]
 		c := newCluster(rapid.Uint64().Draw(rt, "seed"), names...)
+		c.pollers = rapid.SampledFrom([]int{3, 1, 2, 5}).Draw(rt, "pollers")
 		for _, n := range names {
 			c.start(n)
 		}
