--- a/cmd/buckthorn-load/compare.go
+++ b/cmd/buckthorn-load/compare.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/standin"
 	"github.com/buckthornroute/buckthornroute/internal/workload"
+	"github.com/buckthornroute/buckthornroute/internal/workload/daemons"
 	"github.com/buckthornroute/buckthornroute/internal/workload/embedded"
 	"github.com/buckthornroute/buckthornroute/routing"
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -55,6 +56,8 @@
 	timeScale  float64
 	length     time.Duration
 	entries    int
+	holdMax    time.Duration
+	system     string
 }
 
 func compareCommand() *cli.Command {
@@ -66,11 +69,15 @@
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "number of paired seeds"},
 			&cli.IntFlag{Name: "first-seed", Value: 1, Usage: "first seed"},
 			&cli.StringSliceFlag{Name: "policies", Value: append(baselines[:len(baselines):len(baselines)], routing.PolicyCost), Usage: "policies to run"},
+			&cli.StringFlag{Name: "system", Value: systemEmbedded, Usage: "embedded: the decision packages in one process; daemons: entries and sides over loopback"},
 			&cli.FloatFlag{Name: "load", Value: 1, Usage: "arrivals over those of the peak"},
 			&cli.StringFlag{Name: "fault", Usage: "dead, slow or lying: the fault of one engine"},
 			&cli.FloatFlag{Name: "time-scale", Value: 0.1, Usage: "real seconds of one modelled second"},
 			&cli.DurationFlag{Name: "length", Value: 90 * time.Second, Usage: "modelled time over which programs start"},
 			&cli.IntFlag{Name: "entries", Value: 3, Usage: "entries, each with its own view"},
+			&cli.FloatFlag{Name: "latency-weight", Usage: "in place of the peak preset's"},
+			&cli.FloatFlag{Name: "waste-weight", Usage: "in place of the peak preset's"},
+			&cli.DurationFlag{Name: "hold-max", Value: 20 * time.Second, Usage: "longest hold over a tool pause, modelled"},
 			&cli.BoolFlag{Name: "json", Usage: "write JSON"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -105,6 +112,17 @@
 		timeScale:  c.Float("time-scale"),
 		length:     c.Duration("length"),
 		entries:    c.Int("entries"),
+		holdMax:    c.Duration("hold-max"),
+		system:     c.String("system"),
+	}
+	if c.IsSet("latency-weight") {
+		o.deployment.LatencyWeight = c.Float("latency-weight")
+	}
+	if c.IsSet("waste-weight") {
+		o.deployment.WasteWeight = c.Float("waste-weight")
+	}
+	if o.system != systemEmbedded && o.system != systemDaemons {
+		return options{}, errors.Newf("system %q is neither embedded nor daemons", o.system)
 	}
 	switch o.fault {
 	case "", faultDead, faultSlow, faultLying:
@@ -140,13 +158,7 @@
 const drain = 240 * time.Second
 
 func trial(ctx context.Context, o options, policy string, seed uint64) (workload.Trial, error) {
-	system, err := embedded.New(embedded.Config{
-		Deployment: o.deployment,
-		Preset:     preset(o, policy),
-		TimeScale:  o.timeScale,
-		Entries:    o.entries,
-		Seed:       seed,
-	})
+	system, err := start(ctx, o, policy, seed)
 	if err != nil {
 		return workload.Trial{}, err
 	}
@@ -161,21 +173,53 @@
 	}, ctx.Err()
 }
 
+// target is a running system and its stand-ins.
+type target interface {
+	workload.System
+	Cache() workload.Cache
+	Kill(engine int)
+	Faults(engine int) *standin.Faults
+	Stop()
+}
+
+// Systems to run against.
+const (
+	systemEmbedded = "embedded"
+	systemDaemons  = "daemons"
+)
+
+func start(ctx context.Context, o options, policy string, seed uint64) (target, error) {
+	if o.system == systemDaemons {
+		return daemons.New(ctx, daemons.Config{
+			Deployment: o.deployment,
+			Preset:     preset(o, policy),
+			TimeScale:  o.timeScale,
+			Entries:    o.entries,
+		})
+	}
+	return embedded.New(embedded.Config{
+		Deployment: o.deployment,
+		Preset:     preset(o, policy),
+		TimeScale:  o.timeScale,
+		Entries:    o.entries,
+		Seed:       seed,
+	})
+}
+
 // preset is the peak preset of the deployment with the policy.
 func preset(o options, policy string) structs.Preset {
-	const holdMax = 20 * time.Second
 	return structs.Preset{
 		Name:          "peak-" + policy,
 		Policy:        policy,
 		LatencyWeight: o.deployment.LatencyWeight,
 		WasteWeight:   o.deployment.WasteWeight,
 		AdmitNew:      true,
-		HoldMax:       structs.Duration(float64(holdMax) * o.timeScale),
+		HoldMax:       structs.Duration(float64(o.holdMax) * o.timeScale),
 	}
 }
 
 // inject starts the fault at the first engine.
-func inject(system *embedded.System, fault string) {
+func inject(system target, fault string) {
 	switch fault {
 	case faultDead:
 		system.Kill(0)
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -116,8 +116,8 @@
 			},
 		},
 		Tools:         []string{"search_records", "portal_lookup"},
-		Organisations: 40, Rate: 4, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
-		LatencyWeight: 2, WasteWeight: 0.5,
+		Organisations: 40, Rate: 8, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		LatencyWeight: 2, WasteWeight: 24,
 	}
 }
 
@@ -144,8 +144,8 @@
 			},
 		},
 		Tools:         []string{"read_minutes", "search_notices"},
-		Organisations: 60, Rate: 1.2, Burst: 2, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
-		LatencyWeight: 1, WasteWeight: 2,
+		Organisations: 60, Rate: 1.4, Burst: 2, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		LatencyWeight: 1, WasteWeight: 8,
 	}
 }
 
--- a/internal/workload/driver.go
+++ b/internal/workload/driver.go
@@ -9,13 +9,19 @@
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
+// ProgramRef names an open program and its organisation.
+type ProgramRef struct {
+	ID           structs.ProgramID
+	Organisation structs.OrganisationID
+}
+
 // System is what a workload is run against. Errors are *structs.Refusal or the
 // context's own.
 type System interface {
 	Open(ctx context.Context, spec structs.ProgramSpec) (structs.ProgramID, error)
 	// Turn runs one turn to its answer; it calls first when text first arrives.
-	Turn(ctx context.Context, program structs.ProgramID, number uint32, key, content string, first func()) error
-	Close(ctx context.Context, program structs.ProgramID) error
+	Turn(ctx context.Context, program ProgramRef, number uint32, key, content string, first func()) error
+	Close(ctx context.Context, program ProgramRef) error
 }
 
 // RunConfig sets up a run.
@@ -80,7 +86,8 @@
 	if !ok {
 		return
 	}
-	defer func() { _ = r.system.Close(context.WithoutCancel(ctx), id) }() // a program that cannot be closed ends by its lease
+	program := ProgramRef{ID: id, Organisation: spec.Organisation}
+	defer func() { _ = r.system.Close(context.WithoutCancel(ctx), program) }() // a program that cannot be closed ends by its lease
 	for i, t := range p.Turns {
 		if i > 0 {
 			if !sleep(ctx, r.real(t.Think)) {
@@ -88,7 +95,7 @@
 			}
 			intended = time.Now()
 		}
-		if !r.turn(ctx, id, uint32(i+1), t, intended, spec.Patience, o) {
+		if !r.turn(ctx, program, uint32(i+1), t, intended, spec.Patience, o) {
 			return
 		}
 	}
@@ -112,19 +119,19 @@
 }
 
 // turn runs one turn; it reports whether the answer came within the patience.
-func (r *run) turn(ctx context.Context, id structs.ProgramID, number uint32, t Turn, intended time.Time, patience time.Duration, o *outcome) bool {
+func (r *run) turn(ctx context.Context, program ProgramRef, number uint32, t Turn, intended time.Time, patience time.Duration, o *outcome) bool {
 	ctx, cancel := context.WithDeadline(ctx, intended.Add(patience))
 	defer cancel()
 	var first time.Time
 	key := fmt.Sprintf("turn-%d", number)
 	for range maxTurnTries {
-		err := r.system.Turn(ctx, id, number, key, t.Content, func() {
+		err := r.system.Turn(ctx, program, number, key, t.Content, func() {
 			if first.IsZero() {
 				first = time.Now()
 			}
 		})
 		if err == nil {
-			o.turn(time.Since(intended), first.Sub(intended))
+			o.turn(intended, first)
 			return true
 		}
 		if !r.comeBack(ctx, err, o) {
--- a/internal/workload/embedded/system.go
+++ b/internal/workload/embedded/system.go
@@ -108,18 +108,18 @@
 func (s *System) newID() structs.ProgramID { return structs.NewProgramID("log", s.opened.Add(1)) }
 
 // Turn implements workload.System.
-func (s *System) Turn(ctx context.Context, id structs.ProgramID, number uint32, _, content string, first func()) error {
+func (s *System) Turn(ctx context.Context, ref workload.ProgramRef, number uint32, _, content string, first func()) error {
 	s.mu.Lock()
-	p := s.programs[id]
+	p := s.programs[ref.ID]
 	s.mu.Unlock()
 	return p.run(ctx, number, content, first)
 }
 
 // Close implements workload.System.
-func (s *System) Close(_ context.Context, id structs.ProgramID) error {
+func (s *System) Close(_ context.Context, ref workload.ProgramRef) error {
 	s.mu.Lock()
-	p := s.programs[id]
-	delete(s.programs, id)
+	p := s.programs[ref.ID]
+	delete(s.programs, ref.ID)
 	s.mu.Unlock()
 	p.release()
 	return nil
--- a/internal/workload/generate.go
+++ b/internal/workload/generate.go
@@ -51,6 +51,19 @@
 	return out
 }
 
+// Organisations returns the organisations of a deployment.
+func Organisations(d Deployment) []structs.OrganisationID {
+	var out []structs.OrganisationID
+	for i := range d.Organisations {
+		out = append(out, organisationID(d, i))
+	}
+	return out
+}
+
+func organisationID(d Deployment, i int) structs.OrganisationID {
+	return structs.OrganisationID(fmt.Sprintf("%s-org-%02d", d.Name, i))
+}
+
 // next returns the arrival after at, of a Poisson process with bursts.
 func (g *generator) next(at time.Duration, load float64) time.Duration {
 	most := g.deployment.Rate * load * g.deployment.Burst
@@ -74,7 +87,7 @@
 	kind := g.kind()
 	organisation := g.organisation()
 	spec := structs.ProgramSpec{
-		Organisation: structs.OrganisationID(fmt.Sprintf("%s-org-%02d", g.deployment.Name, organisation)),
+		Organisation: organisationID(g.deployment, organisation),
 		Kind:         kind.Name,
 		Model:        g.deployment.Model,
 		System: filler(g.deployment.Name+kind.Name, kind.System) +
--- a/internal/workload/result.go
+++ b/internal/workload/result.go
@@ -29,11 +29,15 @@
 	completed   bool
 }
 
-// turn adds a turn that was answered.
-func (o *outcome) turn(latency, first time.Duration) {
+// turn adds a turn that was answered just now; first is zero when no text was seen
+// before the whole answer.
+func (o *outcome) turn(intended, first time.Time) {
+	latency := time.Since(intended)
 	o.latencies = append(o.latencies, latency)
-	o.firsts = append(o.firsts, max(0, first))
 	o.waited += latency
+	if !first.IsZero() {
+		o.firsts = append(o.firsts, first.Sub(intended))
+	}
 }
 
 // Result is what a run measured. Times are modelled milliseconds.
@@ -69,9 +73,11 @@
 	r.Programs++
 	r.Refusals += o.refusals
 	r.Turns += len(o.latencies)
-	for i := range o.latencies {
-		record(r.turns, run.modelled(o.latencies[i]))
-		record(r.firsts, run.modelled(o.firsts[i]))
+	for _, latency := range o.latencies {
+		record(r.turns, run.modelled(latency))
+	}
+	for _, first := range o.firsts {
+		record(r.firsts, run.modelled(first))
 	}
 	latency := run.modelled(o.waited)
 	switch {
