--- a/internal/workload/embedded/system.go
+++ b/internal/workload/embedded/system.go
@@ -29,7 +29,6 @@
 // System is a workload.System.
 type System struct {
 	cfg     Config
-	group   *standin.Group
 	gates   []*gate
 	byID    map[structs.UpstreamID]*gate
 	entries []*entry
@@ -53,25 +52,19 @@
 		programs: make(map[structs.ProgramID]*program),
 		stop:     make(chan struct{}),
 	}
-	group, err := standin.Start(workload.StandIns(cfg.Deployment, cfg.TimeScale, s.ledger))
-	if err != nil {
-		return nil, err
-	}
-	s.group = group
-	for i, m := range group.Models {
-		id := structs.UpstreamID(workload.EngineName(cfg.Deployment, i))
-		g := newGate(id, m, cfg)
-		s.gates = append(s.gates, g)
-		s.byID[id] = g
-	}
 	for i := range cfg.Entries {
 		e, err := newEntry(s, i)
 		if err != nil {
-			group.Close()
 			return nil, err
 		}
 		s.entries = append(s.entries, e)
 	}
+	for _, c := range workload.StandIns(cfg.Deployment, cfg.TimeScale, s.ledger).Models {
+		c.TimeScale = cfg.TimeScale
+		g := newGate(structs.UpstreamID(c.Name), standin.NewModel(c), cfg)
+		s.gates = append(s.gates, g)
+		s.byID[g.id] = g
+	}
 	for _, g := range s.gates {
 		s.duties.Go(func() { s.follow(g) })
 	}
@@ -81,7 +74,9 @@
 // Stop ends the engines and all duties.
 func (s *System) Stop() {
 	close(s.stop)
-	s.group.Close()
+	for _, g := range s.gates {
+		g.model.Close()
+	}
 	s.duties.Wait()
 }
 
@@ -92,7 +87,7 @@
 func (s *System) Kill(i int) { s.gates[i].kill() }
 
 // Faults returns the faults of an engine.
-func (s *System) Faults(i int) *standin.Faults { return s.group.Models[i].Faults }
+func (s *System) Faults(i int) *standin.Faults { return s.gates[i].model.Faults }
 
 // Open implements workload.System.
 func (s *System) Open(_ context.Context, spec structs.ProgramSpec) (structs.ProgramID, error) {
--- /dev/null
+++ b/internal/workload/embedded/system_test.go
@@ -0,0 +1,82 @@
+package embedded
+
+import (
+	"context"
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/workload"
+	"github.com/buckthornroute/buckthornroute/routing"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+var (
+	seeds  = flag.Int("seeds", 1, "paired seeds of TestPolicies")
+	load   = flag.Float64("load", 1, "arrivals over those of the peak in TestPolicies")
+	length = flag.Duration("length", 20*time.Second, "modelled time over which programs of TestPolicies start")
+	waste  = flag.Float64("waste", 0, "waste weight of TestPolicies in place of the deployment's")
+)
+
+// trial runs one policy in virtual time, in which a busy machine changes nothing.
+func trial(t *testing.T, d workload.Deployment, policy string, seed uint64, fault func(*System)) workload.Measures {
+	t.Helper()
+	var m workload.Measures
+	synctest.Test(t, func(t *testing.T) {
+		if *waste > 0 {
+			d.WasteWeight = *waste
+		}
+		s, err := New(Config{Deployment: d, TimeScale: 1, Entries: 3, Seed: seed, Preset: structs.Preset{Policy: policy,
+			LatencyWeight: d.LatencyWeight, WasteWeight: d.WasteWeight, AdmitNew: true, HoldMax: structs.Duration(20 * time.Second)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		timer := time.AfterFunc(*length/4, func() { fault(s) })
+		programs := workload.Generate(d, seed, *load, *length)
+		r := workload.Run(context.Background(), s, programs, workload.RunConfig{TimeScale: 1, Length: *length, Drain: 10 * time.Minute})
+		timer.Stop()
+		for i, g := range s.gates {
+			if holds := g.model.Holds(); len(holds) > 0 {
+				t.Errorf("engine %d holds %v after all programs ended", i, holds)
+			}
+			if g.running != 0 || g.queue.Len() != 0 {
+				t.Errorf("gate %d has %d calls running and %d waiting after all programs ended", i, g.running, g.queue.Len())
+			}
+		}
+		if r.Programs != len(programs) {
+			t.Errorf("%d programs recorded of %d", r.Programs, len(programs))
+		}
+		s.Stop()
+		m = workload.NewMeasures(r, s.Cache())
+	})
+	return m
+}
+
+func healthy(*System) {}
+
+// TestPolicies compares all policies on paired seeds and bounds ours by the best baseline.
+func TestPolicies(t *testing.T) {
+	baselines := []string{routing.PolicyRoundRobin, routing.PolicyLeastLoad, routing.PolicyStickyHash}
+	for _, name := range []string{workload.Taichung, workload.Hokkaido} {
+		t.Run(name, func(t *testing.T) {
+			d, err := workload.NewDeployment(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var trials []workload.Trial
+			for seed := range uint64(*seeds) {
+				for _, policy := range append(baselines[:3:3], routing.PolicyCostFirst, routing.PolicyCost) {
+					trials = append(trials, workload.Trial{Policy: policy, Seed: seed + 1, Measures: trial(t, d, policy, seed+1, healthy)})
+				}
+			}
+			for _, s := range workload.Summarise(trials, baselines) {
+				t.Logf("%-11s p50 %6.0f p95 %6.0f p99 %6.0f first %5.0f wasted %.3f done %4.0f of %4.0f refusals %3.0f goodput %.1f ratios %.2f %.2f", s.Policy, s.ProgramLatencyP50,
+					s.ProgramLatencyP95, s.ProgramLatencyP99, s.FirstTokenP95, s.WastedCacheRatio, s.Completed, s.Programs, s.Refusals, s.Goodput, s.LatencyRatio, s.WasteRatio)
+				if s.Policy == routing.PolicyCost && (s.LatencyRatio > 1.05 || s.WasteRatio > 1.05) {
+					t.Errorf("p95 is %.2f and wasted cache %.2f of the best baseline's", s.LatencyRatio, s.WasteRatio)
+				}
+			}
+		})
+	}
+}
--- a/routing/script_test.go
+++ b/routing/script_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +22,9 @@
 	hedger   Hedger
 	last     map[structs.UpstreamID]structs.Load
 	calls    map[structs.CallID]*structs.ModelCall
+
+	placement *Placement
+	engines   map[structs.UpstreamID]structs.Load
 }
 
 func newWorld() *world {
@@ -30,6 +35,9 @@
 		services: NewServices(1),
 		last:     map[structs.UpstreamID]structs.Load{},
 		calls:    map[structs.CallID]*structs.ModelCall{},
+
+		placement: NewPlacement(PlacementConfig{}),
+		engines:   map[structs.UpstreamID]structs.Load{},
 	}
 }
 
@@ -137,6 +145,18 @@
 		}
 		other := Decision{Wait: time.Duration(arg(d, "other_ms", 0)) * time.Millisecond}
 		return fmt.Sprintf("after %v take=%v\n", delay, w.hedger.Take(w.now, w.now.Add(time.Second), other))
+	case "place":
+		w.engines[id] = structs.Load{Upstream: id, Domain: structs.FailureDomain(arg(d, "domain", "a")), Kind: structs.KindModel,
+			Models: []string{arg(d, "models", "x")}, Running: arg(d, "running", 0), Draining: arg(d, "draining", false)}
+		w.placement.Step(w.now, Engines{Loads: slices.Collect(maps.Values(w.engines))})
+	case "demand":
+		w.placement.Step(w.now, Demand{Model: arg(d, "model", "x"), Tokens: arg(d, "tokens", int64(0))})
+	case "tick":
+		var out strings.Builder
+		for _, o := range w.placement.Step(w.now, Tick{}) {
+			fmt.Fprintf(&out, "%s loads %s for %s from %q\n", o.Upstream, o.Model, o.Replaces, o.From)
+		}
+		return out.String()
 	case "drain":
 		w.state.Drain(id)
 	case "remove":
