--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,7 +19,7 @@
 	// attainedShare is the part of a call's patience by which the highest level is put back.
 	attainedShare = 0.5
 	// newShare is the part of its patience by which a new program's call is put back.
-	newShare = 0.15
+	newShare = 0.4
 	// unboundedPatience stands in for a deadline that is not set.
 	unboundedPatience = time.Minute
 )
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -116,7 +116,7 @@
 			},
 		},
 		Tools:         []string{"search_records", "portal_lookup"},
-		Organisations: 40, Rate: 8, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
+		Organisations: 40, Rate: 6.8, Burst: 1.8, BurstEvery: 30 * time.Second, BurstLength: 6 * time.Second,
 		LatencyWeight: 2, WasteWeight: 24,
 	}
 }
--- a/internal/workload/embedded/gate.go
+++ b/internal/workload/embedded/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +29,10 @@
 	queue    admission.Queue
 	waiters  map[structs.CallID]chan struct{}
 	last     structs.Load
-	computed float64 // tokens computed
+	computed float64 // tokens computed, older ones counting less
 	held     int64   // tokens that programs hold
 	since    time.Time
+	window   time.Duration
 	sequence uint64
 }
 
@@ -42,6 +44,7 @@
 		plain:   plain(cfg.Preset.Policy),
 		waiters: make(map[structs.CallID]chan struct{}),
 		since:   time.Now(),
+		window:  time.Duration(float64(computedWindow) * cfg.TimeScale),
 		last:    model.Load(),
 	}
 }
@@ -149,9 +152,19 @@
 func (g *gate) count(u structs.Usage) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.age(time.Now())
 	g.computed += float64(u.PromptTokens - u.CachedTokens + u.GeneratedTokens)
 }
 
+// computedWindow is the modelled time after which a computed token counts for a third.
+const computedWindow = 10 * time.Second
+
+// age takes time off what was computed; the caller holds g.mu.
+func (g *gate) age(now time.Time) {
+	g.computed *= math.Exp(-now.Sub(g.since).Seconds() / g.window.Seconds())
+	g.since = now
+}
+
 // hold keeps the cache of a program's last call and returns its length in tokens.
 func (g *gate) hold(program structs.ProgramID) int64 {
 	h, err := g.model.Hold(program)
@@ -182,10 +195,16 @@
 func (g *gate) turnover() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.computed < float64(g.last.KVLimitTokens) {
+	return g.survival()
+}
+
+// survival is turnover for a caller that holds g.mu.
+func (g *gate) survival() time.Duration {
+	g.age(time.Now())
+	rate := g.computed / g.window.Seconds()
+	if g.last.KVUsedTokens < g.last.KVLimitTokens*9/10 || rate < 1 {
 		return 0
 	}
-	rate := g.computed / time.Since(g.since).Seconds()
 	return time.Duration(float64(g.last.KVLimitTokens) / rate * float64(time.Second))
 }
 
@@ -204,6 +223,8 @@
 	l.Running = g.running
 	l.Queued = g.queue.Len()
 	l.QueuedPrefillTokens = g.queue.PrefillTokens()
+	l.HeldTokens = g.held
+	l.Turnover = g.survival()
 	return l
 }
 
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -72,7 +72,7 @@
 
 func (p *Cost) cost(c *Candidate, d *Decision) float64 {
 	latency := d.Finish().Seconds() + p.delayToOthers(c, d)
-	waste := float64(d.RecomputedTokens+evictedTokens(c, d)) / prefillRate(&c.Load)
+	waste := (float64(d.RecomputedTokens) + p.evicted(c, d)) / prefillRate(&c.Load)
 	return p.latency*latency + p.waste*waste
 }
 
@@ -85,9 +85,30 @@
 	if p.first {
 		return delay
 	}
-	return delay + (others+float64(c.Load.Queued))*d.Prefill.Seconds()
+	return delay + stallFactor*(others+float64(c.Load.Queued))*d.Prefill.Seconds()
 }
 
+// stallFactor is how many seconds each second of prefill costs a call beside it: the
+// stall itself, and the longer queue that its own program and others then meet.
+const stallFactor = 4
+
+// reuseTime is within how long most evicted blocks would have been used again: a
+// caller's or a tool's pause.
+const reuseTime = 2 * time.Minute
+
+// evicted returns the tokens pushed out of a full cache that will be computed again:
+// the more, the shorter a block survives there.
+func (p *Cost) evicted(c *Candidate, d *Decision) float64 {
+	tokens := float64(evictedTokens(c, d))
+	if p.first || c.Load.Turnover <= 0 {
+		return tokens
+	}
+	return tokens * min(maxReuse, reuseTime.Seconds()/c.Load.Turnover.Seconds())
+}
+
+// maxReuse bounds how much dearer an evicted token is than one computed again.
+const maxReuse = 10
+
 // evictedTokens returns how many tokens of others the call pushes out of a full cache.
 func evictedTokens(c *Candidate, d *Decision) int {
 	if c.Load.KVLimitTokens <= 0 {
