Say "not run" only of what cannot have run elsewhere or before

A turn sent again after its program ended was refused as not run although it had run; it gets its recorded answer. A home that does not run the program, or has lost its log, cannot know, and says unknown. A runner that has handed over refuses adoption.

--- a/internal/runner/action.go
+++ b/internal/runner/action.go
@@ -119,6 +119,9 @@
 // once under the organisation and Key, any other once. Errors are *structs.Refusal.
 func (r *Runner) Invoke(ctx context.Context, request structs.ToolRequest) (string, error) {
 	if refusal := r.closedToNew("invoke " + request.Name); refusal != nil {
+		if request.Resent {
+			refusal.Outcome = structs.OutcomeUnknown
+		}
 		return "", refusal
 	}
 	request.Program = ""
--- a/internal/runner/adopt.go
+++ b/internal/runner/adopt.go
@@ -30,9 +30,11 @@
 		if len(shards[i]) == 0 {
 			continue
 		}
-		if _, err := ask(ctx, s, func(s *shard) bool { return s.adopt(shards[i]) }); err != nil {
-			failures = errors.CombineErrors(failures, err)
+		refusal, err := ask(ctx, s, func(s *shard) *structs.Refusal { return s.adopt(shards[i]) })
+		if err == nil && refusal != nil {
+			err = refusal
 		}
+		failures = errors.CombineErrors(failures, err)
 	}
 	return failures
 }
@@ -84,13 +86,19 @@
 }
 
 // adopt runs the machines on this shard. Sub-agents go on before their parents, which then
-// find them; those that no parent asks for are closed.
-func (s *shard) adopt(machines []*program.Machine) bool {
+// find them; those that no parent asks for are closed. A shard that has handed its programs
+// over takes none: the next home finds them in the same log.
+func (s *shard) adopt(machines []*program.Machine) *structs.Refusal {
 	for _, m := range machines {
 		slot := newSlot(m)
 		slot.kept = nil
 		s.slots[m.ID()] = slot
 	}
+	if s.dropped {
+		refusal := s.r.closedToNew("adopt")
+		s.dropAll(refusal)
+		return refusal
+	}
 	slices.SortStableFunc(machines, func(a, b *program.Machine) int { return b.Spec().Depth - a.Spec().Depth })
 	for _, m := range machines {
 		s.step(m.ID(), program.Resume{})
@@ -102,7 +110,7 @@
 			s.deliverLocal()
 		}
 	}
-	return true
+	return nil
 }
 
 // wanted reports whether the parent's present step asks for this sub-agent.
--- a/internal/runner/home.go
+++ b/internal/runner/home.go
@@ -145,14 +145,17 @@
 	if s := r.shardOf(id); s != nil {
 		return s, nil
 	}
-	if fenced := r.fenced.Load(); fenced != nil {
-		return nil, r.closedToNew(step)
-	}
 	return nil, r.notFound(id, step)
 }
 
+// notFound refuses a request to a program that does not run here. It may run elsewhere, or
+// have ended: what became of an earlier request like this one is not known.
 func (r *Runner) notFound(id structs.ProgramID, step string) *structs.Refusal {
-	refusal := structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, step, "program %q does not exist", id)
+	refusal := structs.Refusalf(structs.CodeNotFound, structs.OutcomeUnknown, step, "program %q does not run here", id)
+	if r.fenced.Load() != nil {
+		refusal = r.closedToNew(step)
+		refusal.Outcome = structs.OutcomeUnknown
+	}
 	refusal.Peer = string(r.cfg.Node)
 	return refusal
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -12,6 +12,7 @@
 	"github.com/buckthornroute/buckthornroute/action"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"go.uber.org/goleak"
@@ -270,6 +271,21 @@
 		if _, err := b.r.Open(t.Context(), structs.ProgramSpec{}); structs.AsRefusal(err).Outcome != structs.OutcomeNotRun {
 			t.Fatalf("open at a fenced home: %v", err)
 		}
+		if _, _, refusal := b.turn(id, 1, "tool search {}; answer 1"); refusal.Code != structs.CodeFenced || refusal.Outcome != structs.OutcomeUnknown {
+			t.Fatalf("the turn again at a fenced home: %v", refusal)
+		}
+		_, err := b.r.Invoke(t.Context(), structs.ToolRequest{Name: "order", Key: "k", NonRepeatable: true, Resent: true})
+		if structs.AsRefusal(err).Outcome != structs.OutcomeUnknown {
+			t.Fatalf("an action again at a fenced home: %v", err)
+		}
+		machine, _ := program.New(time.Now(), &b.r.cfg.Program, "e0.1", structs.ProgramSpec{})
+		e := machine.HandOver()
+		if err := b.r.Adopt(t.Context(), []journal.Entry{entryOf(e.Program, e.Kind, e.Data)}); structs.AsRefusal(err).Code != structs.CodeFenced {
+			t.Fatalf("adoption by a fenced home: %v", err)
+		}
+		if views, err := b.r.List(t.Context(), home.List{}); err != nil || len(views) != 0 {
+			t.Fatalf("programs of a fenced home: %v, %v", views, err)
+		}
 	})
 }
 
--- a/program/turn.go
+++ b/program/turn.go
@@ -74,8 +74,6 @@
 
 func (m *Machine) checkContent(msg SubmitTurn) *structs.Refusal {
 	switch {
-	case m.ended || m.closing > 0:
-		return structs.Refusalf(structs.CodeProgramEnded, structs.OutcomeNotRun, stepSubmit, "program %q has ended", m.id)
 	case msg.Number == 0:
 		return structs.Refusalf(structs.CodeBadRequest, structs.OutcomeNotRun, stepSubmit, "turn number 0; turns count from 1")
 	case msg.Content == "":
@@ -171,6 +169,9 @@
 
 // begin starts the next turn.
 func (m *Machine) begin(now time.Time, msg SubmitTurn, payload payloadDigest) *structs.Refusal {
+	if m.Ended() {
+		return structs.Refusalf(structs.CodeProgramEnded, structs.OutcomeNotRun, stepSubmit, "program %q has ended", m.id)
+	}
 	next := uint32(len(m.turns)) + 1
 	if m.current != nil && msg.Number == next+1 {
 		r := structs.Refusalf(structs.CodeTurnInProgress, structs.OutcomeNotRun, stepSubmit,
