--- a/internal/side/start.go
+++ b/internal/side/start.go
@@ -33,8 +33,9 @@
 	HTTPListener net.Listener
 }
 
-// vmListInterval is the time between two reads of the platform's list.
-const vmListInterval = 500 * time.Millisecond
+// vmListInterval is the time between two reads of the platform's list. Entries tell
+// a side within a heartbeat or two; its own reads are for a side that none reaches.
+const vmListInterval = 15 * time.Second
 
 // Run runs a side by its settings until ctx ends, and then shuts it down
 // gracefully: the gate closes, the calls in flight finish, the listeners close.
@@ -117,6 +118,7 @@
 
 func holdConfig(cfg *settings.Side) hold.Config {
 	h := hold.DefaultConfig(cfg.Upstream.ID)
+	h.ChecksFence = cfg.Upstream.Fencing == settings.FencingChecked
 	h.LeaseTime = cfg.Hold.LeaseTime.Std()
 	h.ReconcileInterval = cfg.Hold.ReconcileInterval.Std()
 	h.MaxTokens = cfg.Hold.MaxTokens
