--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -48,6 +48,23 @@
 	unheardT time.Time
 	obeyed   uint64
 	silent   bool
+	// delay keeps what homes send until it is off again.
+	delay bool
+	kept  []Message
+}
+
+// fromHome delivers a home's message, after it what was kept before, or keeps it.
+func (b *bench) fromHome(msg Message) {
+	if b.delay {
+		b.kept = append(b.kept, msg)
+		return
+	}
+	kept := b.kept
+	b.kept = nil
+	b.step(msg)
+	for _, late := range kept {
+		b.step(late)
+	}
 }
 
 // obeyLate is how long after its sending an order may still be obeyed.
@@ -200,7 +217,7 @@
 		for _, p := range sorted(h.programs) {
 			r.Programs = append(r.Programs, Renewal{Program: p, Fence: h.programs[p], Tokens: 100})
 		}
-		b.step(r)
+		b.fromHome(r)
 	}
 }
 
@@ -209,14 +226,14 @@
 		b.homes[id] = &home{programs: map[structs.ProgramID]uint64{}}
 	}
 	b.homes[id].programs[p] = fence
-	b.step(Hold{Program: p, Home: id, Fence: fence, Tokens: tokens})
+	b.fromHome(Hold{Program: p, Home: id, Fence: fence, Tokens: tokens})
 }
 
 func (b *bench) finish(id structs.LogID, p structs.ProgramID) {
 	if h := b.homes[id]; h != nil {
 		fence := h.programs[p]
 		delete(h.programs, p)
-		b.step(Release{Program: p, Fence: fence})
+		b.fromHome(Release{Program: p, Fence: fence})
 	}
 }
 
@@ -325,7 +342,7 @@
 		for range rapid.IntRange(5, 40).Draw(rt, "events") {
 			p := structs.ProgramID(fmt.Sprintf("e1-1.%d", rapid.IntRange(1, 6).Draw(rt, "program")))
 			id := structs.LogID(rapid.SampledFrom([]string{"e1-1", "e2-1"}).Draw(rt, "home"))
-			switch rapid.IntRange(0, 11).Draw(rt, "verb") {
+			switch rapid.IntRange(0, 12).Draw(rt, "verb") {
 			case 0, 1, 2:
 				fences[p] += rapid.Uint64Range(0, 1).Draw(rt, "adopted")
 				b.submit(id, p, fences[p], 100)
@@ -349,6 +366,8 @@
 				b.deliverLate()
 			case 10:
 				b.rowDown, b.silent = !b.rowDown, rapid.Bool().Draw(rt, "silent")
+			case 12:
+				b.delay = !b.delay
 			case 11:
 				f := rapid.Uint64Range(0, b.fence+1).Draw(rt, "fence")
 				b.order(fmt.Sprint("o", f), f)
