Claim an action only while the home log's open row is there

Cause: an action was claimed on condition that the log's seal row is absent.

Ruled out: keeping seal rows for ever, which would let the table grow with each replaced VM.

--- a/action/action.go
+++ b/action/action.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
 )
@@ -78,7 +79,6 @@
 const (
 	rowPrefix  = "action/"
 	openPrefix = "action-in-doubt/"
-	sealPrefix = "seal/"
 )
 
 // rowName is the part of an action's row keys behind the prefix. A caller's key and a
@@ -184,13 +184,12 @@
 // claim returns the transaction that makes the row's owner the one that may send the request.
 func (r Row) claim(version int64) Txn {
 	txn := r.put(version)
-	sealed := platform.Condition{Key: SealKey(r.Owner.Log), Version: platform.Absent}
-	txn.Conditions = append(txn.Conditions, sealed)
+	txn.Conditions = append(txn.Conditions, journal.Unsealed(r.Owner.Log)...)
 	return txn
 }
 
 // SealKey returns the table key of the row that seals a home log.
-func SealKey(log structs.LogID) string { return sealPrefix + string(log) }
+func SealKey(log structs.LogID) string { return journal.SealKey(log) }
 
 // Settle returns the transaction by which an operator settles an action in doubt, and the row
 // that it writes. It refuses with conflict when the action is not in doubt.
--- a/action/bench_test.go
+++ b/action/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
 )
@@ -16,7 +17,9 @@
 	now  time.Time
 	cfg  Config
 	rows map[string]TableRow
-	down bool
+	// sealed are the logs whose open row is gone.
+	sealed map[structs.LogID]bool
+	down   bool
 	// ran counts the runs of the service by key, seen holds their results.
 	ran  map[string]int
 	seen map[string]string
@@ -41,7 +44,7 @@
 
 func newBench() *bench {
 	return &bench{
-		now: time.Unix(1000, 0).UTC(), cfg: Config{}.WithDefaults(), rows: map[string]TableRow{},
+		now: time.Unix(1000, 0).UTC(), cfg: Config{}.WithDefaults(), rows: map[string]TableRow{}, sealed: map[structs.LogID]bool{},
 		ran: map[string]int{}, seen: map[string]string{}, account: ServiceNever, attempts: map[string]*attempt{},
 	}
 }
@@ -194,7 +197,7 @@
 
 func (b *bench) apply(txn Txn) error {
 	for _, c := range txn.Conditions {
-		if b.rows[c.Key].Version != c.Version {
+		if b.version(c.Key) != c.Version {
 			return platform.ErrConditionFailed
 		}
 	}
@@ -208,6 +211,18 @@
 	return nil
 }
 
+// version returns the version of a row; 0 says that there is none. The open row of a
+// log is there until the log is sealed.
+func (b *bench) version(key string) int64 {
+	if log, open := strings.CutPrefix(key, journal.OpenPrefix); open {
+		if b.sealed[structs.LogID(log)] {
+			return platform.Absent
+		}
+		return 1
+	}
+	return b.rows[key].Version
+}
+
 func (b *bench) send(r structs.ToolRequest, f fault) Sent {
 	refusal := structs.Refusalf(structs.CodeUpstreamFailed, structs.OutcomeUnknown, "send", "no answer")
 	switch f {
@@ -266,9 +281,13 @@
 }
 
 func (b *bench) seal(log structs.LogID) {
+	b.sealed[log] = true
 	b.rows[SealKey(log)] = TableRow{Key: SealKey(log), Version: 1}
 }
 
+// forget removes the seal row, as when the last program of a sealed log has ended.
+func (b *bench) forget(log structs.LogID) { delete(b.rows, SealKey(log)) }
+
 // settle records an operator's word.
 func (b *bench) settle(org structs.OrganisationID, key string, ran bool) error {
 	txn, _, err := Settle(b.now, b.rows[RowKey(org, key)], "operator", ran, "as the operator says")
--- a/action/script_test.go
+++ b/action/script_test.go
@@ -86,6 +86,8 @@
 		b.down = d.Cmd == "outage"
 	case "seal":
 		b.seal(structs.LogID(d.CmdArgs[0].Key))
+	case "forget":
+		b.forget(structs.LogID(d.CmdArgs[0].Key))
 	case "service":
 		b.account = ServiceState(d.CmdArgs[0].Key)
 	case "advance":
--- a/internal/runner/adopt_test.go
+++ b/internal/runner/adopt_test.go
@@ -23,7 +23,7 @@
 			go func() { _, _, _ = a.turn(id, 1, plan) }()
 			time.Sleep(at)
 			kept := a.log.seal()
-			_ = a.table.Apply(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "seal/e1-a"}}})
+			_ = a.table.Apply(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "seal/e1-a"}, {Key: "open/e1-a", Delete: true}}})
 			a.r.Close()
 			b := newBench(t, "e2-b", a)
 			defer b.r.Close()
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -83,6 +83,13 @@
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
 
+// openLog puts the open row of a log that no committer opens.
+func (t *fakeTable) openLog(log structs.LogID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows[journal.OpenKey(log)] = platform.Row{Key: journal.OpenKey(log), Version: 1}
+}
+
 func (t *fakeTable) Apply(_ context.Context, txn platform.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -38,6 +38,7 @@
 	if from != nil {
 		b.world, b.table = from.world, from.table
 	}
+	b.table.openLog(log)
 	b.log = &fakeJournal{delay: 5 * time.Millisecond}
 	cfg := Config{
 		Log: log, Node: "entry-1", Engines: b.world, Tools: b.world, Journal: b.log, Table: b.table,
