--- a/program/script_test.go
+++ b/program/script_test.go
@@ -17,7 +17,7 @@
 //	answer       call=T/S [attempt=N] [tokens=prompt,generated]; input: the text, or lines "tool ID NAME ARGUMENTS"
 //	result       call=T/S [attempt=N]; input: the tool's result
 //	agent        call=T/S [code=C] [charged=tokens,calls]; input: the sub-agent's answer
-//	refuse       call=T/S code=C outcome=O [retry-after=D]: a model or tool call fails
+//	refuse       call=T/S code=C outcome=O [retry-after=D] [final]: a model or tool call fails
 //	started      call=T/S: the first token came
 //	cancel       end the turn; close: end the program
 //	outage       the journal commits nothing; heal: it does again; commit through=N: the first N records
@@ -290,6 +290,7 @@
 	d.ScanArgs(s.t, "outcome", &outcome)
 	refusal := structs.Refusalf(structs.Code(code), structs.Outcome(outcome), "call", "scripted")
 	refusal.RetryAfter = s.duration(d, "retry-after")
+	refusal.Final = d.HasArg("final")
 	if _, isModel := s.b.models[call]; isModel {
 		s.b.step(ModelFailed{Call: call, Attempt: attempt, Refusal: refusal})
 		return
