--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -109,7 +109,8 @@
 		cfg.Journal.PendingBytes = journal.DefaultPendingBytes
 	}
 	return &Committer{
-		cfg: cfg, table: table, objects: objects,
+		cancel: func() {},
+		cfg:    cfg, table: table, objects: objects,
 		machine:   journal.New(cfg.Journal),
 		inbox:     ring.New[letter](cfg.Inbox),
 		requests:  ring.New[journal.Effect](requestRing),
