--- a/internal/runner/action.go
+++ b/internal/runner/action.go
@@ -17,7 +17,7 @@
 	given := caller.Done()
 	effects := machine.Start(now())
 	for !machine.Ended() || len(effects) > 0 {
-		msg := r.carryOutAction(effects, given, done)
+		msg := r.carryOutAction(caller, effects, given, done)
 		if r.ctx.Err() != nil {
 			return
 		}
@@ -35,7 +35,9 @@
 }
 
 // carryOutAction does the effects of one step and returns the message that answers them.
-func (r *Runner) carryOutAction(effects []action.Effect, given <-chan struct{}, done func(string, error)) action.Message {
+func (r *Runner) carryOutAction(
+	caller context.Context, effects []action.Effect, given <-chan struct{}, done func(string, error),
+) action.Message {
 	r.finishAction(effects, done)
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -44,7 +46,7 @@
 		case action.Apply:
 			return action.Applied{Err: r.applyTxn(e.Txn)}
 		case action.Send:
-			return r.send(e.Request)
+			return r.send(caller, e.Request)
 		case action.Ask:
 			return r.askService(e.Tool, e.Key)
 		case action.Wait:
@@ -85,9 +87,9 @@
 	return r.cfg.Table.Apply(ctx, txn)
 }
 
-// send makes the one request. It goes on when the caller has gone.
-func (r *Runner) send(request structs.ToolRequest) action.Sent {
-	result, err := r.runOnce(r.ctx, request)
+// send makes the one request, in the caller's trace. It goes on when the caller has gone.
+func (r *Runner) send(caller context.Context, request structs.ToolRequest) action.Sent {
+	result, err := r.runOnce(inTrace(r.ctx, spanOf(caller)), request)
 	if err != nil {
 		return action.Sent{Refusal: structs.AsRefusal(err)}
 	}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -13,6 +13,7 @@
 		child = s.openAgent(e)
 	}
 	child.parent = &parentCall{program: parent.machine.ID(), call: e.Call, attempt: e.Attempt}
+	child.span = parent.span
 	id := child.machine.ID()
 	parent.cancels[e.Call] = func() { s.closeAgent(e.Call) }
 	parent.log(turnOf(parent)).add(structs.TurnEvent{Call: e.Call, Step: "agent " + string(id)})
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -106,7 +106,7 @@
 
 // callModel makes a model call in a goroutine of its own.
 func (s *shard) callModel(slot *slot, call structs.ModelCall) {
-	ctx, cancel := context.WithDeadline(s.r.ctx, call.Deadline)
+	ctx, cancel := context.WithDeadline(inTrace(s.r.ctx, slot.span), call.Deadline)
 	slot.cancels[call.Call] = cancel
 	log := slot.log(call.Turn)
 	log.add(structs.TurnEvent{Call: call.Call, Step: "model " + call.Model})
@@ -140,7 +140,7 @@
 
 // callTool makes a tool call in a goroutine of its own.
 func (s *shard) callTool(slot *slot, request structs.ToolRequest) {
-	ctx, cancel := context.WithCancel(s.r.ctx)
+	ctx, cancel := context.WithCancel(inTrace(s.r.ctx, slot.span))
 	slot.cancels[request.Call] = cancel
 	slot.log(turnOf(slot)).add(structs.TurnEvent{Call: request.Call, Step: "tool " + request.Name})
 	s.r.duties.Go(func() {
--- a/internal/runner/home.go
+++ b/internal/runner/home.go
@@ -10,6 +10,7 @@
 	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Steps named in refusals.
@@ -177,7 +178,7 @@
 		return refusal
 	}
 	reply := make(chan submitted, 1)
-	if err := s.tasks.Push(ctx, func(s *shard) { s.submit(turn, reply) }); err != nil {
+	if err := s.tasks.Push(ctx, func(s *shard) { s.submit(turn, spanOf(ctx), reply) }); err != nil {
 		return err
 	}
 	select {
@@ -194,7 +195,7 @@
 }
 
 // submit hands a caller's submission to the program.
-func (s *shard) submit(turn home.Turn, reply chan<- submitted) {
+func (s *shard) submit(turn home.Turn, span trace.SpanContext, reply chan<- submitted) {
 	slot := s.visible(turn.Program, turn.Organisation)
 	if slot == nil {
 		reply <- submitted{refusal: s.r.notFound(turn.Program, stepTurn)}
@@ -212,6 +213,7 @@
 			return
 		}
 	}
+	slot.span = span
 	slot.replies[caller] = reply
 	s.step(turn.Program, program.SubmitTurn{
 		Caller:   caller,
--- a/internal/runner/shard.go
+++ b/internal/runner/shard.go
@@ -8,6 +8,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/ring"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // task is one piece of a shard's work. It runs in the shard's duty.
@@ -43,9 +44,11 @@
 	cancels map[structs.CallID]context.CancelFunc
 	// parent is the call for which this program is a sub-agent, while its end is awaited.
 	parent *parentCall
-	timer  time.Time
-	busy   bool
-	turn   bool
+	// span is that of the caller whose submission came last.
+	span  trace.SpanContext
+	timer time.Time
+	busy  bool
+	turn  bool
 	// kept is closed when the log holds the program.
 	kept chan struct{}
 }
