--- a/admission/machine.go
+++ b/admission/machine.go
@@ -46,6 +46,8 @@
 // Ended says that a turn that was let in has ended.
 type Ended struct {
 	Program structs.ProgramID
+	// Late says that it ended after its caller's patience, or was given up.
+	Late bool
 }
 
 // Resize sets the capacity, as engines come and go.
@@ -90,6 +92,7 @@
 	running  map[structs.ProgramID]structs.OrganisationID
 	accounts map[structs.OrganisationID]*account
 	lent     int
+	pressure pressure
 }
 
 // account is what an organisation has borrowed and uses.
@@ -123,6 +126,7 @@
 	case Offer:
 		return []Effect{m.offer(now, msg)}
 	case Ended:
+		m.pressure.ended(now, len(m.running), msg.Late)
 		m.ended(msg.Program)
 	case Resize:
 		m.cfg.Capacity = max(0, msg.Capacity)
@@ -148,6 +152,9 @@
 	if late := m.lateBy(now, o); late > 0 {
 		return m.refuse(o, structs.CodeOverloaded, late, "answer predicted %v after the caller's patience", late)
 	}
+	if !o.UnderWay && m.pressure.full(len(m.running)) {
+		return m.refuse(o, structs.CodeOverloaded, m.backlog(o), "turns end too late with %d under way", len(m.running))
+	}
 	if !m.borrow(o) {
 		return m.refuse(o, structs.CodeOverloaded, m.backlog(o), "organisation %q has no share left of %d turns", o.Organisation, m.cfg.Capacity)
 	}
--- a/internal/workload/embedded/entry.go
+++ b/internal/workload/embedded/entry.go
@@ -84,10 +84,10 @@
 	return nil
 }
 
-func (e *entry) ended(program structs.ProgramID) {
+func (e *entry) ended(program structs.ProgramID, late bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.admission.Step(time.Now(), admission.Ended{Program: program})
+	e.admission.Step(time.Now(), admission.Ended{Program: program, Late: late})
 }
 
 // look returns what the policy would choose now.
--- a/internal/workload/embedded/program.go
+++ b/internal/workload/embedded/program.go
@@ -44,8 +44,9 @@
 		p.messages, p.chain = messages, chain
 		return err
 	}
-	defer p.entry.ended(p.id)
-	return p.answer(ctx, number, first)
+	err := p.answer(ctx, number, first)
+	p.entry.ended(p.id, err != nil)
+	return err
 }
 
 func (p *program) admit(ctx context.Context, number uint32) error {
