--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -164,3 +164,13 @@
 		t.Fatalf("the server saw %d, want version 9", got-100)
 	}
 }
+
+func TestClosedPoolMakesNoConnection(t *testing.T) {
+	pool := NewPool(Options{})
+	pool.Close()
+	conn, err := pool.Conn("127.0.0.1:1")
+	var r *structs.Refusal
+	if !errors.As(err, &r) || r.Outcome != structs.OutcomeNotRun {
+		t.Fatalf("a closed pool gave %v, %v; want a refusal as not run", conn, err)
+	}
+}
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -125,6 +126,13 @@
 	if !reaches(t, address, own) || reaches(t, address, other) || reaches(t, address, Security{}) {
 		t.Fatal("the server must take its own CA's clients, and neither another CA's nor plain ones")
 	}
+	if reaches(t, address, Security{TLS: func() *tls.Config {
+		foreign := keys.Config().Clone()
+		foreign.Certificates = strangers.Config().Certificates
+		return foreign
+	}}) {
+		t.Fatal("the server took a client whose certificate another CA has signed")
+	}
 	second.write(t, dir)
 	if took, err := keys.reload(); !took || err != nil {
 		t.Fatalf("reload of changed keys = %v, %v", took, err)
--- a/internal/side/dispatch_test.go
+++ b/internal/side/dispatch_test.go
@@ -90,7 +90,7 @@
 				b.mu.Lock()
 				aloneAt = b.running
 				b.mu.Unlock()
-				time.Sleep(time.Second)
+				time.Sleep(time.Second / 2)
 				b.mu.Lock()
 				defer b.mu.Unlock()
 				aloneAt += b.running
@@ -103,11 +103,14 @@
 				_ = b.call(context.Background(), fmt.Sprint("after", i), admission.Waiting{Turn: 2}, false, time.Second)
 			})
 		}
+		// The lonely call runs from 1s to 1.5s; this one arrives meanwhile.
+		time.Sleep(1200 * time.Millisecond)
+		_ = b.call(context.Background(), "meanwhile", admission.Waiting{Turn: 2}, false, time.Second)
 		calls.Wait()
 		if aloneAt != 0 {
 			t.Errorf("%d calls ran beside the one that has to run alone", aloneAt)
 		}
-		if len(b.started) != 6 {
+		if len(b.started) != 7 {
 			t.Errorf("calls started: %v", b.started)
 		}
 	})
--- /dev/null
+++ b/internal/side/server_test.go
@@ -0,0 +1,127 @@
+package side
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/engine"
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// countingService is an application engine that counts its calls. A call waits
+// until release is closed.
+type countingService struct {
+	started chan struct{}
+	release chan struct{}
+}
+
+func (s *countingService) Invoke(context.Context, structs.ToolRequest) (string, error) {
+	s.started <- struct{}{}
+	<-s.release
+	return "result", nil
+}
+
+func (s *countingService) Status(context.Context, string, string) (engine.StatusAnswer, error) {
+	return engine.StatusAnswer{State: engine.ServiceNever}, nil
+}
+
+func (s *countingService) Load(context.Context) (structs.Load, error) { return structs.Load{}, nil }
+
+// newTestSide returns a side of an application engine and a client of it.
+func newTestSide(t *testing.T, service Service) (*Server, peerpb.UpstreamClient) {
+	t.Helper()
+	s, err := New(Config{Node: "side-a1", Upstream: "a1", VM: "vm-a1", Kind: structs.KindApplication, BatchLimit: 4, QueueLimit: 4, Service: service})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := peer.NewServer(peer.Options{})
+	s.Register(g)
+	served := make(chan error, 1)
+	go func() { served <- g.Serve(l) }()
+	pool := peer.NewPool(peer.Options{})
+	conn, err := pool.Conn(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		pool.Close()
+		g.Stop()
+		<-served
+	})
+	return s, peerpb.NewUpstreamClient(conn)
+}
+
+func invoke(c peerpb.UpstreamClient, call string) error {
+	_, err := c.Invoke(context.Background(), &peerpb.InvokeRequest{Call: call, Attempt: 1, Name: "lookup"})
+	return peer.FromStatus(err, "invoke", "side-a1")
+}
+
+// A closed gate refuses new work as not run, whoever closed it, and lets what runs
+// finish; Drain waits for it.
+func TestGateOfAServer(t *testing.T) {
+	service := &countingService{started: make(chan struct{}, 8), release: make(chan struct{})}
+	s, client := newTestSide(t, service)
+	running := make(chan error, 1)
+	go func() { running <- invoke(client, "before") }()
+	<-service.started
+
+	drained := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		drained <- s.Drain(ctx)
+	}()
+	var r *structs.Refusal
+	for {
+		err := invokeOnce(client)
+		if errors.As(err, &r) && r.Code == structs.CodeDraining {
+			break
+		}
+	}
+	if r.Outcome != structs.OutcomeNotRun || r.Peer != "side-a1" {
+		t.Fatalf("a closed gate refuses with %+v", r)
+	}
+	select {
+	case err := <-drained:
+		t.Fatalf("the drain ended with %v while a call ran", err)
+	default:
+	}
+	close(service.release)
+	if err := errors.CombineErrors(<-running, <-drained); err != nil {
+		t.Fatalf("the call that ran, or the drain: %v", err)
+	}
+}
+
+// invokeOnce sends a call that the service is not asked to finish.
+func invokeOnce(c peerpb.UpstreamClient) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Invoke(ctx, &peerpb.InvokeRequest{Call: "after", Attempt: 1, Name: "lookup"})
+	return peer.FromStatus(err, "invoke", "side-a1")
+}
+
+// Orders of a model engine are refused by the side of an application engine, and
+// unknown orders by every side.
+func TestOrdersThatDoNotFit(t *testing.T) {
+	_, client := newTestSide(t, &countingService{})
+	for _, order := range []string{"load_model", "role", "dance"} {
+		_, err := client.Order(context.Background(), &peerpb.OrderRequest{Order: order, Fencing: 1, Id: "o1"})
+		var r *structs.Refusal
+		if !errors.As(peer.FromStatus(err, "order", "side-a1"), &r) || r.Code != structs.CodeBadRequest || r.Outcome != structs.OutcomeNotRun {
+			t.Errorf("order %q: %v", order, err)
+		}
+	}
+	if _, err := client.Renew(context.Background(), &peerpb.RenewRequest{}); err == nil {
+		t.Error("the side of an application engine took holds")
+	}
+}
--- /dev/null
+++ b/internal/tools/guards/main.go
@@ -0,0 +1,162 @@
+// Command guards removes one guard at a time from a copy of the tree and runs the
+// tests that should notice. A guard that no test misses is not proved: the command
+// prints it and exits 1. It is a trial tool and not part of CI, which would take too
+// long; run it before a change to a guard lands.
+//
+//	go run ./internal/tools/guards            # all guards of guards.toml
+//	go run ./internal/tools/guards -only seal # those whose name contains "seal"
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// guard is one entry of guards.toml.
+type guard struct {
+	// Name says what the guard keeps from happening.
+	Name string `toml:"name"`
+	// File is where it stands; Old is its text, which must stand there once, New what
+	// the tree has without it.
+	File string `toml:"file"`
+	Old  string `toml:"old"`
+	New  string `toml:"new"`
+	// Test are the arguments of go test.
+	Test []string `toml:"test"`
+}
+
+type list struct {
+	Guards []guard `toml:"guard"`
+}
+
+// testTimeout bounds the tests of one guard: a removed guard may also show as a hang.
+const testTimeout = 90 * time.Second
+
+func main() {
+	listPath := flag.String("list", "internal/tools/guards/guards.toml", "file with the guards")
+	only := flag.String("only", "", "run those whose name contains this")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	err := run(ctx, *listPath, *only)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, listPath, only string) error {
+	guards, err := read(listPath)
+	if err != nil {
+		return err
+	}
+	tree, err := os.MkdirTemp("", "guards")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(tree)
+	if err := copyTree(ctx, tree); err != nil {
+		return err
+	}
+	survivors := 0
+	for _, g := range guards {
+		if !strings.Contains(g.Name, only) {
+			continue
+		}
+		noticed, err := try(ctx, tree, g)
+		if err != nil {
+			return errors.Wrapf(err, "guard %q", g.Name)
+		}
+		verdict := "noticed"
+		if !noticed {
+			verdict = "NOT NOTICED"
+			survivors++
+		}
+		fmt.Printf("%-12s %s (%s)\n", verdict, g.Name, g.File)
+	}
+	if survivors > 0 {
+		return errors.Newf("%d guards can be removed without a test turning red", survivors)
+	}
+	return nil
+}
+
+func read(path string) ([]guard, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var l list
+	err = toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields().Decode(&l)
+	return l.Guards, errors.Wrapf(err, "guards %q", path)
+}
+
+// copyTree copies the files that git tracks.
+func copyTree(ctx context.Context, to string) error {
+	out, err := exec.CommandContext(ctx, "git", "ls-files").Output()
+	if err != nil {
+		return errors.Wrap(err, "list the tree's files")
+	}
+	for _, file := range strings.Fields(string(out)) {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		target := filepath.Join(to, file)
+		if err := os.MkdirAll(filepath.Dir(target), 0o750); err != nil {
+			return err
+		}
+		if err := os.WriteFile(target, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// try removes the guard, runs its tests, puts it back, and reports whether a test failed.
+func try(ctx context.Context, tree string, g guard) (bool, error) {
+	path := filepath.Join(tree, g.File)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		return false, err
+	}
+	if n := strings.Count(string(whole), g.Old); n != 1 {
+		return false, errors.Newf("its text stands %d times in %s", n, g.File)
+	}
+	without := strings.Replace(string(whole), g.Old, g.New, 1)
+	if err := os.WriteFile(path, []byte(without), 0o600); err != nil {
+		return false, err
+	}
+	noticed, testErr := fails(ctx, tree, g.Test)
+	return noticed, errors.CombineErrors(testErr, os.WriteFile(path, whole, 0o600))
+}
+
+// fails reports whether the tests fail; a tree that does not build is an error.
+func fails(ctx context.Context, tree string, test []string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, testTimeout)
+	defer cancel()
+	args := append([]string{"test", "-count=1", "-timeout=60s"}, test...)
+	cmd := exec.CommandContext(ctx, "go", args...) //nolint:gosec // the list is part of the tree
+	cmd.Dir = tree
+	out, err := cmd.CombinedOutput()
+	if strings.Contains(string(out), "[build failed]") || strings.Contains(string(out), "[setup failed]") {
+		return false, errors.Newf("the tree without it does not build: %s", out)
+	}
+	if err == nil {
+		return false, nil
+	}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) || ctx.Err() != nil {
+		return true, nil
+	}
+	return false, err
+}
