--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -154,16 +154,12 @@
 // admit asks the admission machine for one turn.
 func (l *local) admit(view structs.ProgramView, turn home.Turn) error {
 	now := time.Now()
-	patience := view.Spec.Patience
-	if patience == 0 {
-		patience = l.patience(view.Spec.Kind)
-	}
 	offer := admission.Offer{
 		Program:      view.ID,
 		Organisation: view.Spec.Organisation,
 		Kind:         view.Spec.Kind,
 		UnderWay:     turn.Number > 1,
-		Deadline:     now.Add(patience),
+		Deadline:     now.Add(l.patienceOf(view.Spec)),
 	}
 	offer.Wait, offer.Predicted = l.predict(now, view, turn)
 	l.mu.Lock()
@@ -177,6 +173,14 @@
 	return nil
 }
 
+// patienceOf returns how long the program's caller waits for a turn.
+func (l *local) patienceOf(spec structs.ProgramSpec) time.Duration {
+	if spec.Patience != 0 {
+		return spec.Patience
+	}
+	return l.patience(spec.Kind)
+}
+
 // Turns that an entry lets in for each call that the engines run at once: most
 // turns pause for tools or wait in a queue at any moment. The engines are shared
 // with the other entries, but each entry alone must be able to carry a rush.
@@ -220,7 +224,7 @@
 func (l *local) ended(view structs.ProgramView, err error, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.machine.Step(time.Now(), admission.Ended{Program: view.ID})
+	l.machine.Step(time.Now(), admission.Ended{Program: view.ID, Late: took > l.patienceOf(view.Spec)})
 	if err != nil {
 		return
 	}
