--- a/internal/inprocess/sample.go
+++ b/internal/inprocess/sample.go
@@ -40,7 +40,7 @@
 			{Name: "portal_lookup"},
 			{Name: "portal_publish", NonRepeatable: true, AnswersStatus: true},
 		},
-		wasteWeight: 0.5,
+		wasteWeight: 12,
 	}, timeScale)
 }
 
@@ -62,7 +62,7 @@
 			{Name: "branch_lookup"},
 			{Name: "mail_order", NonRepeatable: true, AnswersStatus: true},
 		},
-		wasteWeight: 2,
+		wasteWeight: 8,
 	}, timeScale)
 }
 
