Do not take a member of unknown incarnation for a replaced one

The table's open rows may name a new log before its process is heard. Without an incarnation it counted as older than the dead one of the same node, and was adopted.

--- a/membership/adopt.go
+++ b/membership/adopt.go
@@ -152,7 +152,8 @@
 	newest := m.newest(r.Node)
 	for _, log := range m.order {
 		old := m.members[log]
-		if old.Node != r.Node || old.State == Gone || old.Incarnation >= newest {
+		if old.Node != r.Node || old.State == Gone || old.Incarnation == 0 || old.Incarnation >= newest {
+			// Of an unknown incarnation only the silence tells.
 			continue
 		}
 		m.emit(Noticed{Event: EventRestarted, Node: old.Node, Log: old.Log})
