Tell new entries the address and incarnation of the logs' holders

Additive, in the lead's package: the open row of an entry's home log now names its address and the incarnation that membership knows, and what a new entry learns from the rows carries both. Seeds may all be gone; without an address the holder cannot be asked, and without an incarnation a new log was taken for an old one of its node.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,8 @@
 	// log is the home log of this incarnation.
 	log         structs.LogID
 	incarnation uint64
+	// started orders the incarnations of the node; it is the start in Unix nanoseconds.
+	started uint64
 
 	versions  *peer.PresetVersions
 	pool      *peer.Pool
@@ -131,6 +133,7 @@
 		env:         env,
 		log:         structs.LogID(string(cfg.Node) + "-" + id.String()[:8]),
 		incarnation: binary.BigEndian.Uint64(id[:8]),
+		started:     uint64(time.Now().UnixNano()),
 		versions:    &peer.PresetVersions{},
 		sealed:      make(chan struct{}),
 	}
@@ -255,7 +258,7 @@
 	j := e.cfg.Journal
 	return journal.Config{
 		Log:             e.log,
-		Owner:           journal.Owner{Node: e.cfg.Node, VM: e.cfg.VM, Domain: e.cfg.FailureDomain},
+		Owner:           e.owner(),
 		Seed:            e.incarnation,
 		PlatformWrites:  j.WriteSharePerSecond,
 		Share:           1,
@@ -265,6 +268,17 @@
 	}
 }
 
+// owner is what the open row of the home log says of this entry.
+func (e *entry) owner() journal.Owner {
+	return journal.Owner{
+		Node:        e.cfg.Node,
+		VM:          e.cfg.VM,
+		Domain:      e.cfg.FailureDomain,
+		Address:     e.cfg.AdvertisePeer,
+		Incarnation: e.started,
+	}
+}
+
 func (e *entry) programConfig() program.Config {
 	tools := map[string]program.Tool{}
 	for _, t := range e.cfg.Tools {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -85,10 +85,12 @@
 	var out []membership.Member
 	for _, l := range logs {
 		out = append(out, membership.Member{
-			Node:   l.Owner.Node,
-			Log:    l.Log,
-			VM:     l.Owner.VM,
-			Domain: l.Owner.Domain,
+			Node:        l.Owner.Node,
+			Log:         l.Log,
+			VM:          l.Owner.VM,
+			Domain:      l.Owner.Domain,
+			Address:     l.Owner.Address,
+			Incarnation: l.Owner.Incarnation,
 		})
 	}
 	return out
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -52,7 +52,7 @@
 				VM:          e.cfg.VM,
 				Domain:      e.cfg.FailureDomain,
 				Address:     e.cfg.AdvertisePeer,
-				Incarnation: uint64(time.Now().UnixNano()),
+				Incarnation: e.started,
 			},
 			Seeds:     e.cfg.Peers,
 			Heartbeat: e.cfg.Membership.Heartbeat.Std(),
