--- a/internal/entry/cacheholds.go
+++ b/internal/entry/cacheholds.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
 	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/routing"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -89,7 +90,7 @@
 		Reuse:      expectedReuse,
 		HoldMax:    preset.HoldMax.Std(),
 	})
-	if isBaseline(preset) || d.Keeping != kvcache.KeepHeld {
+	if routing.IsBaseline(preset.Policy) || d.Keeping != kvcache.KeepHeld {
 		h.pauses[call.Program] = cache
 		return
 	}
--- a/internal/entry/engines.go
+++ b/internal/entry/engines.go
@@ -33,7 +33,7 @@
 		return structs.ModelAnswer{}, err
 	}
 	e.holds.resumed(e.now(), call.Program)
-	if isBaseline(e.preset()) {
+	if routing.IsBaseline(e.preset().Policy) {
 		inArrivalOrder(&call)
 	}
 	answer, upstream, err := e.place(ctx, &call, pass, onChunk)
@@ -67,17 +67,6 @@
 	}
 }
 
-// isBaseline reports whether the preset's policy is one of those that ours is
-// measured against. They bring neither an order of calls by program, nor holds,
-// nor admission by patience.
-func isBaseline(p structs.Preset) bool {
-	switch p.Policy {
-	case routing.PolicyRoundRobin, routing.PolicyLeastLoad, routing.PolicyStickyHash:
-		return true
-	}
-	return false
-}
-
 // inArrivalOrder lets a side's queue serve the call in its order of arrival.
 func inArrivalOrder(call *structs.ModelCall) {
 	call.Attained = 0
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -10,6 +10,7 @@
 	"github.com/buckthornroute/buckthornroute/admission"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/kvcache"
+	"github.com/buckthornroute/buckthornroute/routing"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -68,7 +69,7 @@
 	if reason := l.notReady(); reason != "" {
 		return errNotReady("turn", reason)
 	}
-	if isBaseline(l.preset()) {
+	if routing.IsBaseline(l.preset().Policy) {
 		return l.Home.Turn(ctx, turn, event)
 	}
 	if err := l.admit(view, turn); err != nil {
--- a/internal/workload/embedded/gate.go
+++ b/internal/workload/embedded/gate.go
@@ -41,7 +41,7 @@
 		id:      id,
 		model:   model,
 		limit:   cfg.Deployment.Engines.BatchLimit,
-		plain:   plain(cfg.Preset.Policy),
+		plain:   routing.IsBaseline(cfg.Preset.Policy),
 		waiters: make(map[structs.CallID]chan struct{}),
 		since:   time.Now(),
 		window:  time.Duration(float64(computedWindow) * cfg.TimeScale),
@@ -49,16 +49,6 @@
 	}
 }
 
-// plain reports whether the policy is a baseline, which brings arrival order, no
-// holds and no admission by patience.
-func plain(policy string) bool {
-	switch policy {
-	case routing.PolicyRoundRobin, routing.PolicyLeastLoad, routing.PolicyStickyHash:
-		return true
-	}
-	return false
-}
-
 // run waits for a place in the batch and runs the call.
 func (g *gate) run(ctx context.Context, call *structs.ModelCall, prefill int64, first func()) (structs.Message, structs.Usage, error) {
 	if err := g.enter(ctx, call, prefill); err != nil {
--- a/internal/workload/embedded/program.go
+++ b/internal/workload/embedded/program.go
@@ -50,7 +50,7 @@
 }
 
 func (p *program) admit(ctx context.Context, number uint32) error {
-	if plain(p.entry.system.cfg.Preset.Policy) {
+	if routing.IsBaseline(p.entry.system.cfg.Preset.Policy) {
 		return nil
 	}
 	call := p.call(ctx, number)
@@ -187,7 +187,7 @@
 
 // hold keeps the cache of the last call over a tool's pause when that pays.
 func (p *program) hold(tool string) {
-	if p.served == nil || plain(p.entry.system.cfg.Preset.Policy) {
+	if p.served == nil || routing.IsBaseline(p.entry.system.cfg.Preset.Policy) {
 		return
 	}
 	l := p.served.load()
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -77,6 +77,16 @@
 	return d.FirstToken() + time.Duration(d.Generate)*d.Step
 }
 
+// IsBaseline reports whether the policy is one of those that ours is measured against.
+// They bring neither an order of calls by program, nor holds, nor admission by patience.
+func IsBaseline(policy string) bool {
+	switch policy {
+	case PolicyRoundRobin, PolicyLeastLoad, PolicyStickyHash:
+		return true
+	}
+	return false
+}
+
 // NewPolicy returns the policy that the preset names; an empty name means "cost".
 // The seed feeds the policies that draw. It returns ErrUnknownPolicy.
 func NewPolicy(preset structs.Preset, seed uint64) (Policy, error) {
