Log readiness, outages, gates and switches, and tell apart the numbers only kept

A catalogue test now scans the sources: EVENTS.md lists what is emitted, and apart from it the numbers that nothing emits yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -365,6 +365,7 @@
 	duties.Go(func() error { return e.peers.readVMs(ctx) })
 	duties.Go(func() error { return e.peers.findLogs(ctx) })
 	duties.Go(func() error { return e.guard.run(ctx) })
+	duties.Go(func() error { return e.observe(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
 	for _, s := range e.cfg.Sides {
 		l := e.links[s.Upstream]
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/buckthornroute/buckthornroute/internal/command"
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/query"
 	"github.com/buckthornroute/buckthornroute/internal/runner"
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -78,5 +79,8 @@
 		Result:       c.Result,
 		Operator:     c.Operator,
 	})
+	if err == nil {
+		o.env.Log.Emit(eventlog.ActionSettled, eventlog.Fields{Step: "settle action", Organisation: c.Organisation, Detail: c.Operator + " settled " + c.Key})
+	}
 	return err
 }
--- a/internal/entry/presets.go
+++ b/internal/entry/presets.go
@@ -114,8 +114,10 @@
 	case preset.RowInvalid:
 		p.log.Emit(eventlog.PresetRowInvalid, eventlog.Fields{Step: "read preset", Err: e.Err})
 	case preset.Switched:
+		p.logSwitched(e)
 		p.end(e.ID, switchEnd{version: e.Version, refusal: notEverywhere(e)})
 	case preset.SwitchRefused:
+		p.logRefused(e.Refusal)
 		p.end(e.ID, switchEnd{refusal: e.Refusal})
 	}
 }
@@ -128,6 +130,22 @@
 	p.log.Emit(event, eventlog.Fields{Step: "preset", Took: time.Since(e.Evidence)})
 }
 
+func (p *presets) logSwitched(e preset.Switched) {
+	event := eventlog.PresetAccepted
+	if !e.Accepted {
+		event = eventlog.PresetUnknown
+	}
+	p.log.Emit(event, eventlog.Fields{Step: "switch preset", Count: int64(e.Version)})
+}
+
+func (p *presets) logRefused(r *structs.Refusal) {
+	event := eventlog.PresetConflict
+	if r.Outcome == structs.OutcomeUnknown {
+		event = eventlog.PresetUnknown
+	}
+	p.log.Emit(event, eventlog.Fields{Step: "switch preset", Err: r})
+}
+
 // notEverywhere returns a refusal for a switch that is written but not yet known
 // to a majority; it comes into force as the missing nodes can be reached.
 func notEverywhere(e preset.Switched) *structs.Refusal {
--- a/internal/eventlog/catalogue_preset.go
+++ b/internal/eventlog/catalogue_preset.go
@@ -9,11 +9,11 @@
 	PresetAccepted = register(6002, "preset_accepted", logrus.InfoLevel,
 		"An operator's switch was accepted by the platform; count is its version.")
 	PresetConflict = register(6003, "preset_conflict", logrus.InfoLevel,
-		"A switch was refused since another operator's came first.")
+		"A switch was refused as not run, since another operator's came first or the platform did not answer; the code says which.")
 	PresetSettled = register(6004, "preset_settled", logrus.InfoLevel,
 		"The answer to a switch was lost; reading the row back settled it.")
 	PresetUnknown = register(6005, "preset_unknown", logrus.ErrorLevel,
-		"The outcome of a switch is unknown: the platform does not answer. Look at the preset in force before trying again.")
+		"The platform did not answer a switch, or too few voters confirmed it. Look at the preset in force before trying again.")
 	PresetStale = register(6006, "preset_stale", logrus.WarnLevel,
 		"This node hears neither the platform nor its peers and takes no new work until it does.")
 	PresetFresh = register(6007, "preset_fresh", logrus.InfoLevel,
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -37,25 +38,69 @@
 ` + "`go test ./internal/eventlog -run TestDocs -update`" + `; without the flag the test compares both.
 `
 
-// page renders the catalogue as docs/EVENTS.md.
-func page() string {
-	var b strings.Builder
+// emitted returns the numbers of the events that the code outside this package uses.
+func emitted(t *testing.T) map[int]bool {
+	t.Helper()
+	used := map[string]bool{}
+	use := regexp.MustCompile(`\beventlog\.([A-Z]\w+)`)
+	err := filepath.WalkDir(filepath.Join("..", ".."), func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range use.FindAllStringSubmatch(string(text), -1) {
+			used[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, _ := filepath.Glob("catalogue_*.go")
+	define := regexp.MustCompile(`(?m)^\t(\w+)\s+= register\((\d+),`)
+	numbers := map[int]bool{}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range define.FindAllStringSubmatch(string(text), -1) {
+			n, _ := strconv.Atoi(m[2])
+			numbers[n] = used[m[1]]
+		}
+	}
+	return numbers
+}
+
+// page renders the catalogue as docs/EVENTS.md: what is emitted by area, and then the
+// numbers that are kept for what is not emitted yet.
+func page(t *testing.T) string {
+	used := emitted(t)
+	var b, kept strings.Builder
 	b.WriteString(preface)
 	area := 0
 	for _, e := range Catalogue() {
+		if !used[e.Number] {
+			fmt.Fprintf(&kept, "| %d | `%s` |\n", e.Number, e.Name)
+			continue
+		}
 		if e.Number/1000 != area {
 			area = e.Number / 1000
 			fmt.Fprintf(&b, "\n## %s (%d–%d)\n\n| event | name | level | meaning |\n|---|---|---|---|\n", areas[area], area*1000, area*1000+999)
 		}
 		fmt.Fprintf(&b, "| %d | `%s` | %s | %s |\n", e.Number, e.Name, e.Level, e.Meaning)
 	}
+	if kept.Len() > 0 {
+		b.WriteString("\n## Numbers kept\n\nNothing emits these yet; their numbers are not used for anything else.\n\n| event | name |\n|---|---|\n")
+		b.WriteString(kept.String())
+	}
 	return b.String()
 }
 
 func TestDocs(t *testing.T) {
 	path := filepath.Join("..", "..", "docs", "EVENTS.md")
 	if *update {
-		if err := os.WriteFile(path, []byte(page()), 0o644); err != nil {
+		if err := os.WriteFile(path, []byte(page(t)), 0o644); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -63,7 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if string(got) != page() {
+	if string(got) != page(t) {
 		t.Errorf("%s differs from the catalogue; run this test with -update", path)
 	}
 }
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -80,6 +80,7 @@
 	sequence uint64
 	engine   structs.Load
 	turnover turnover
+	logged   gateLog
 	inFlight sync.WaitGroup
 }
 
@@ -301,7 +302,9 @@
 	if s.watchers.len() > 0 {
 		s.Heard()
 	}
-	s.watchers.send(&peerpb.WatchReply{Load: peer.LoadToPB(s.load())})
+	load := s.load()
+	s.noteGate(load)
+	s.watchers.send(&peerpb.WatchReply{Load: peer.LoadToPB(load)})
 }
 
 // Drain closes the gate, waits until the calls in flight have ended, and returns
