Count entries out of sight among the voters of a preset

Tried alone, one entry process of three reported a switch as accepted: the shell gives the machine the members in sight, and a majority of those was enough. So a part of the entries that lost sight of the rest would have taken itself for the whole, gone on in its own and missed an accepted switch. The machine now takes the number of entries from the settings, remembers members out of sight, and without all names (unless all are voters) accepts nothing and takes no majority's word.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -277,6 +277,7 @@
 // newPresets sets up the duty of the preset in force.
 func (e *entry) newPresets() {
 	cfg := preset.DefaultConfig(e.cfg.Node, e.incarnation)
+	cfg.Entries = len(e.cfg.Peers) + 1
 	cfg.PollInterval = e.cfg.PresetSpread.PollInterval.Std()
 	cfg.Pollers = e.cfg.PresetSpread.Pollers
 	cfg.Bound = e.cfg.PresetSpread.CutOffAfter.Std()
--- a/preset/cluster_test.go
+++ b/preset/cluster_test.go
@@ -41,6 +41,8 @@
 	now   time.Time
 	rng   *rand.Rand
 	names []structs.NodeID
+	// known are the entries that a process which starts now has in sight; all when empty.
+	known []structs.NodeID
 	// pollers is the number of pollers and voters.
 	pollers int
 	nodes   map[structs.NodeID]*node
@@ -95,10 +97,14 @@
 	p := c.nodes[n]
 	p.starts++
 	cfg := DefaultConfig(n, p.starts)
-	cfg.Pollers = c.pollers
+	cfg.Pollers, cfg.Entries = c.pollers, len(c.names)
 	cfg.Initial = &structs.Preset{Name: "ordinary"}
 	p.machine, p.paused, p.inbox = New(cfg, c.now), false, nil
-	c.step(n, Members{Nodes: c.names})
+	known := c.names
+	if len(c.known) > 0 {
+		known = c.known
+	}
+	c.step(n, Members{Nodes: known})
 	c.after(0, delivery{to: n, start: p.starts, msg: Tick{}})
 }
 
--- a/preset/preset.go
+++ b/preset/preset.go
@@ -44,6 +44,10 @@
 	AskInterval time.Duration
 	// Pollers is the number of entries that poll the row; they are the voters too.
 	Pollers int
+	// Entries is the number of entries of the deployment by the settings. Members that
+	// are out of sight still count, so that no part of the entries takes itself for the
+	// whole. 0 takes the members as they are.
+	Entries int
 	// Bound is the age of evidence above which a node takes no new work.
 	Bound time.Duration
 	// SwitchTimeout bounds the time to the answer to an operator's switch.
@@ -110,7 +114,7 @@
 		now:      now,
 		number:   cfg.Incarnation << numberBits,
 		started:  now,
-		tree:     newTree(cfg.Node, nil, cfg.Pollers),
+		tree:     newTree(cfg, nil),
 		asks:     make(map[structs.NodeID][]question),
 		votes:    make(map[structs.NodeID]time.Time),
 		switches: make(map[uint64]*pendingSwitch),
--- a/preset/preset_test.go
+++ b/preset/preset_test.go
@@ -105,6 +105,10 @@
 		for range times {
 			c.order(structs.NodeID(node), operator, preset, expected, nonce)
 		}
+	case "in-sight":
+		c.known = ids
+	case "members":
+		c.step(ids[0], Members{Nodes: ids[1:]})
 	case "garble":
 		c.value = []byte(`{"version":`)
 	case "expect":
--- a/preset/spread.go
+++ b/preset/spread.go
@@ -17,7 +17,7 @@
 }
 
 func (m *Machine) setMembers(nodes []structs.NodeID) {
-	m.tree = newTree(m.cfg.Node, nodes, m.cfg.Pollers)
+	m.tree = newTree(m.cfg, retain(nodes, m.tree.order, m.cfg.Entries))
 	for n := range m.votes {
 		if !m.tree.votes(n) {
 			delete(m.votes, n)
@@ -154,7 +154,7 @@
 		}
 	}
 	need := m.tree.majority()
-	if len(asked) < need {
+	if len(asked) < need || !m.tree.complete {
 		return
 	}
 	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
--- a/preset/switch.go
+++ b/preset/switch.go
@@ -259,7 +259,7 @@
 		return
 	}
 	confirming := p.quorum.count(from, s, m.tree.majority(), m.number)
-	if len(p.quorum.confirmed) >= m.tree.majority() {
+	if len(p.quorum.confirmed) >= m.tree.majority() && m.tree.complete {
 		m.finish(p, true)
 		return
 	}
--- a/preset/tree.go
+++ b/preset/tree.go
@@ -14,16 +14,19 @@
 // the same entries. The first ones are the voters; the order is also that of a
 // complete tree along which versions are pushed.
 type tree struct {
-	self   structs.NodeID
-	order  []structs.NodeID
+	self  structs.NodeID
+	order []structs.NodeID
+	// voters is the number of voters, also of those whose names are not known yet.
 	voters int
+	// complete says that each voter's name is known.
+	complete bool
 	// position is that of self in order; -1 when self is no entry.
 	position int
 }
 
 func hashOf(n structs.NodeID) uint64 { return xxhash.Sum64String("preset voter " + string(n)) }
 
-func newTree(self structs.NodeID, nodes []structs.NodeID, voters int) tree {
+func newTree(cfg Config, nodes []structs.NodeID) tree {
 	order := slices.Clone(nodes)
 	slices.Sort(order)
 	order = slices.Compact(order)
@@ -38,15 +41,29 @@
 		}
 	})
 	return tree{
-		self:     self,
+		self:     cfg.Node,
 		order:    order,
-		voters:   min(voters, len(order)),
-		position: slices.Index(order, self),
+		voters:   min(cfg.Pollers, max(cfg.Entries, len(order))),
+		complete: len(order) >= cfg.Entries || cfg.Entries <= cfg.Pollers,
+		position: slices.Index(order, cfg.Node),
 	}
 }
 
-// electors returns the voters in order.
-func (t tree) electors() []structs.NodeID { return t.order[:t.voters] }
+// retain returns the members, and of the former ones those that are out of sight now,
+// up to the number of entries of the deployment.
+func retain(members, former []structs.NodeID, entries int) []structs.NodeID {
+	out := slices.Clone(members)
+	former = slices.Sorted(slices.Values(former))
+	for _, n := range former {
+		if len(out) < entries && !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// electors returns the voters whose names are known, in order.
+func (t tree) electors() []structs.NodeID { return t.order[:min(t.voters, len(t.order))] }
 
 // votes reports whether the node is a voter.
 func (t tree) votes(n structs.NodeID) bool { return slices.Contains(t.electors(), n) }
