--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -297,6 +297,7 @@
 // newPresets sets up the duty of the preset in force.
 func (e *entry) newPresets() {
 	cfg := preset.DefaultConfig(e.cfg.Node, e.incarnation)
+	cfg.Entries = len(e.cfg.Peers) + 1
 	cfg.PollInterval = e.cfg.PresetSpread.PollInterval.Std()
 	cfg.Pollers = e.cfg.PresetSpread.Pollers
 	cfg.Bound = e.cfg.PresetSpread.CutOffAfter.Std()
@@ -385,6 +386,7 @@
 	duties.Go(func() error { return e.peers.readVMs(ctx) })
 	duties.Go(func() error { return e.peers.findLogs(ctx) })
 	duties.Go(func() error { return e.guard.run(ctx) })
+	duties.Go(func() error { return e.observe(ctx) })
 	duties.Go(func() error { return e.sweep(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
 	for _, s := range e.cfg.Sides {
