--- a/internal/faulttrial/program.go
+++ b/internal/faulttrial/program.go
@@ -31,6 +31,7 @@
 	mu sync.Mutex
 	// inTurn says that a turn is under way; lastEvent is its last event.
 	inTurn    bool
+	asked     string // address of the entry that the turn was sent to last
 	lastEvent time.Time
 	awaited   time.Time // when a fault struck; zero when it is not awaited
 	recovered time.Duration
@@ -113,7 +114,7 @@
 	defer p.end()
 	for try := 0; ctx.Err() == nil; try++ {
 		answer, err := p.load.caller.turn(ctx, request{
-			entry: p.load.caller.pick(), method: http.MethodPost,
+			entry: p.ask(), method: http.MethodPost,
 			path:  "/v1/programs/" + string(p.id) + "/turns",
 			token: callerToken, key: fmt.Sprintf("%s-turn-%d", p.name, n),
 			body: httpapi.TurnRequest{Number: uint32(n), Content: content},
@@ -195,6 +196,28 @@
 	p.kept = append(p.kept, turnRecord{content: content, answer: answer.Content, kept: answer.Kept})
 }
 
+// ask picks the entry of the next try.
+func (p *programRun) ask() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = p.load.caller.pick()
+	return p.asked
+}
+
+// asks reports whether the caller waits for that very entry. A stopped process keeps
+// its connections, so such a caller goes on only when its own patience with it ends.
+func (p *programRun) asks(entry *process) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked == entry.httpAddr
+}
+
+// homeName returns the name of the entry that opened the program.
+func (p *programRun) homeName() string {
+	name, _, _ := strings.Cut(string(p.id), "-")
+	return name
+}
+
 func (p *programRun) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/faulttrial/scenarios.go
+++ b/internal/faulttrial/scenarios.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 var scenarios = []scenario{
 	{"calm", "no fault, as the yardstick", calm},
 	{"kill-home", "kill -9 of an entry while its programs are in a turn", killHome},
+	{"lose-vm", "an entry's VM goes for good", loseVM},
 	{"kill-side", "kill -9 of a model engine's side in mid-stream", killSide},
 	{"pause-home", "SIGSTOP of an entry for longer than suspicion, then SIGCONT", pauseHome},
 	{"outage", "the platform does not answer during turns", outage},
@@ -30,32 +32,45 @@
 
 func calm(context.Context, *trial) error { return nil }
 
+// killHome kills the process alone: its VM stays in the platform's list, so that
+// suspicion and its confirmation by peers decide.
 func killHome(ctx context.Context, t *trial) error {
-	victim := t.cluster.entries[0]
+	victim := t.busiestEntry()
 	affected, err := t.strike(ctx, victim, syscall.SIGKILL)
 	if err != nil {
 		return err
 	}
-	t.standDown(victim)
 	t.recover(ctx, affected)
-	return t.replace(ctx, victim)
+	return t.cluster.restart(ctx, victim)
 }
 
-// standDown tells the platform's list that a killed entry's VM is gone.
-func (t *trial) standDown(victim *process) { t.setVM(victim, platform.VMGone) }
+func loseVM(ctx context.Context, t *trial) error {
+	victim := t.busiestEntry()
+	affected, err := t.strike(ctx, victim, syscall.SIGKILL)
+	if err != nil {
+		return err
+	}
+	t.vmGone(victim)
+	t.recover(ctx, affected)
+	return nil
+}
 
-func (t *trial) setVM(victim *process, state platform.VMState) {
+// vmGone tells the platform's list that an entry's VM is gone.
+func (t *trial) vmGone(victim *process) {
 	for i, p := range t.cluster.entries {
 		if p == victim {
-			t.cluster.standins.Platform.SetVM(platform.VMChange{ID: entryVM(i), State: state})
+			t.cluster.standins.Platform.SetVM(platform.VMChange{ID: entryVM(i), State: platform.VMGone})
 		}
 	}
 }
 
-// replace starts a killed entry again, as a new VM of the same name.
-func (t *trial) replace(ctx context.Context, victim *process) error {
-	t.setVM(victim, platform.VMLive)
-	return t.cluster.restart(ctx, victim)
+// busiestEntry returns the entry that opened the most programs.
+func (t *trial) busiestEntry() *process {
+	homes := make(map[string]int)
+	for _, p := range t.load.programs {
+		homes[p.homeName()]++
+	}
+	return slices.MaxFunc(t.cluster.entries, func(a, b *process) int { return homes[a.name] - homes[b.name] })
 }
 
 // strike waits until the entry is home to a program in a turn, and signals it. It
@@ -116,11 +131,12 @@
 }
 
 func pauseHome(ctx context.Context, t *trial) error {
-	victim := t.cluster.entries[0]
+	victim := t.busiestEntry()
 	affected, err := t.strike(ctx, victim, syscall.SIGSTOP)
 	if err != nil {
 		return err
 	}
+	affected = slices.DeleteFunc(affected, func(p *programRun) bool { return p.asks(victim) })
 	sleep(ctx, t.config.Pause)
 	if err := victim.signal(syscall.SIGCONT); err != nil {
 		return err
@@ -146,17 +162,17 @@
 		return err
 	}
 	sleep(ctx, t.config.Outage/2)
-	victim := t.cluster.entries[0]
+	victim := t.busiestEntry()
 	if err := victim.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
-	t.standDown(victim)
+	t.vmGone(victim)
 	sleep(ctx, t.config.Outage/2)
 	if err := t.platformFault(standin.Fault{Kind: standin.FaultDown, Clear: true}); err != nil {
 		return err
 	}
 	<-victim.exited
-	return t.replace(ctx, victim)
+	return nil
 }
 
 // lostWrites is the number of table answers lost around the kill.
@@ -195,7 +211,7 @@
 }
 
 func termEntry(ctx context.Context, t *trial) error {
-	victim := t.cluster.entries[0]
+	victim := t.busiestEntry()
 	t.load.setGraceful(true)
 	defer t.load.setGraceful(false)
 	begin := time.Now()
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -126,6 +126,7 @@
 	fence       uint64
 	restarts    int
 	downUntil   time.Time
+	crashed     func(away time.Duration)
 	reports     []timedLoad
 	reportCount uint64
 	stats       ModelStats
@@ -189,6 +190,7 @@
 		events.add(time.Now(), stored, removed)
 	})
 	m.lastChain = newChainMemory()
+	m.reports = nil
 }
 
 // abandon ends every call without its answer.
@@ -208,7 +210,18 @@
 	m.restarts++
 	m.stats.Crashes++
 	m.reset()
-	m.downUntil = time.Now().Add(time.Duration(m.config.RestartTime))
+	away := time.Duration(m.config.RestartTime)
+	m.downUntil = time.Now().Add(away)
+	if m.crashed != nil {
+		m.crashed(away)
+	}
+}
+
+// onCrash sets what is called at each crash with the time until the restart.
+func (m *Model) onCrash(f func(away time.Duration)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.crashed = f
 }
 
 func (m *Model) isDown() bool {
