--- a/cmd/buckthornctl/ctl_test.go
+++ b/cmd/buckthornctl/ctl_test.go
@@ -43,7 +43,7 @@
 		s.behind--
 		second.PresetVersion--
 	}
-	return append(nodes, second), nil
+	return append(nodes, second, query.Node{Node: "m1", Kind: "model", VM: "vm3", Domain: "a", State: "live", Ready: true}), nil
 }
 
 func (s *system) Status(context.Context) (query.Status, error) {
--- a/cmd/buckthornctl/preset_switch.go
+++ b/cmd/buckthornctl/preset_switch.go
@@ -23,7 +23,7 @@
 		ArgsUsage: "NAME",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "expected", Usage: "switch only if `VERSION` is in force; 0 replaces any"},
-			&cli.BoolFlag{Name: "wait", Usage: "wait until each node has it in force, and show them"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until each entry has it in force, and show the nodes"},
 			&cli.DurationFlag{Name: "wait-timeout", Usage: "give up waiting after `TIME`", Value: 10 * time.Second},
 		},
 		Action: presetSwitchAction,
@@ -86,11 +86,15 @@
 	}
 }
 
-// behind returns the nodes whose version is lower.
+// kindEntry is the kind of the nodes that presets are in force on.
+const kindEntry = "entry"
+
+// behind returns the entries whose version is lower. Sides have no preset: what it
+// means for a call comes with the call.
 func behind(nodes []query.Node, version uint64) []structs.NodeID {
 	var out []structs.NodeID
 	for _, n := range nodes {
-		if n.PresetVersion < version {
+		if n.Kind == kindEntry && n.PresetVersion < version {
 			out = append(out, n.Node)
 		}
 	}
