Share the platform's writes by the number of entries, and bound the programs of one

Cause: nothing told the committer how many processes share the platform's rate, and commit_max_interval and the bound on open programs did nothing. The write share is now that of all entries together; the interval follows from it. The setting that did nothing is gone, open programs are bounded again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -249,6 +249,8 @@
 		notReady:  e.notReady,
 		preset:    e.preset,
 		patience:  e.patience,
+		open:      func() int { return e.committer.Status().Programs },
+		openLimit: e.cfg.Limits.OpenPrograms,
 		machine:   admission.New(admission.Config{}),
 		turnTimes: map[string]time.Duration{},
 	}
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -23,6 +23,9 @@
 	notReady func() string
 	preset   func() structs.Preset
 	patience func(kind string) time.Duration
+	// open returns the number of programs at home here, which openLimit bounds.
+	open      func() int
+	openLimit int
 
 	// followers are the turns that are followed to their end.
 	followers sync.WaitGroup
@@ -44,9 +47,22 @@
 	if reason := l.notReady(); reason != "" {
 		return "", errNotReady("open program", reason)
 	}
+	if open := l.open(); open >= l.openLimit {
+		return "", l.full(open)
+	}
 	return l.Home.Open(ctx, spec)
 }
 
+// fullRetry is when to come back to an entry that has its fill of programs.
+const fullRetry = 10 * time.Second
+
+func (l *local) full(open int) error {
+	r := structs.Refusalf(structs.CodeOverloaded, structs.OutcomeNotRun, "open program",
+		"%d programs are at home here, the limit is %d", open, l.openLimit)
+	r.RetryAfter = fullRetry
+	return r
+}
+
 func errNotReady(step, reason string) error {
 	r := structs.Refusalf(structs.CodeNotReady, structs.OutcomeNotRun, step, "the entry takes no new work: %s", reason)
 	r.RetryAfter = readyRetry
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -197,6 +197,7 @@
 		if nodes := p.nodes(); !slices.Equal(nodes, known) {
 			known = nodes
 			e.presets.members(nodes)
+			_ = e.committer.SetNodes(ctx, len(nodes)) // fails only when the process ends
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -135,17 +135,18 @@
 	BodyBytes int64 `toml:"body_bytes"`
 	// HistoryTokens bounds a program's history. Default 400,000.
 	HistoryTokens int64 `toml:"history_tokens"`
+	// OpenPrograms bounds the programs at home here. Default 4,000.
+	OpenPrograms int `toml:"open_programs"`
 	// RingSize is the number of messages in each ring between duties. Default 1024.
 	RingSize int `toml:"ring_size"`
 }
 
 // Journal sets the home log.
 type Journal struct {
-	// CommitMinInterval and CommitMaxInterval bound the time between two records.
-	// Defaults 5ms and 250ms.
+	// CommitMinInterval bounds the time between two records from below. Default 5ms.
 	CommitMinInterval structs.Duration `toml:"commit_min_interval"`
-	CommitMaxInterval structs.Duration `toml:"commit_max_interval"`
-	// WriteSharePerSecond bounds the writes of this entry at the platform. Default 60.
+	// WriteSharePerSecond bounds the writes of all entries' logs at the platform
+	// together; each entry takes its part by the number of entries. Default 200.
 	WriteSharePerSecond float64 `toml:"write_share_per_second"`
 	// CheckpointEvery is the number of records between two checkpoints. Default 256.
 	CheckpointEvery int `toml:"checkpoint_every"`
--- a/internal/settings/entry_check.go
+++ b/internal/settings/entry_check.go
@@ -18,11 +18,10 @@
 func defaultEntry() *Entry {
 	return &Entry{
 		Budget: Budget{Tokens: 2_000_000, Calls: 400, ToolTime: seconds(600), Depth: 3, Agents: 32},
-		Limits: Limits{BodyBytes: 4 << 20, HistoryTokens: 400_000, RingSize: 1024},
+		Limits: Limits{BodyBytes: 4 << 20, HistoryTokens: 400_000, RingSize: 1024, OpenPrograms: 4000},
 		Journal: Journal{
 			CommitMinInterval:   milliseconds(5),
-			CommitMaxInterval:   milliseconds(250),
-			WriteSharePerSecond: 60,
+			WriteSharePerSecond: 200,
 			CheckpointEvery:     256,
 			InlineBytes:         64 << 10,
 		},
@@ -186,13 +185,13 @@
 func (s *Entry) checkLimits(c *checker) {
 	c.positive("limits.body_bytes", s.Limits.BodyBytes)
 	c.positive("limits.history_tokens", s.Limits.HistoryTokens)
+	c.positive("limits.open_programs", int64(s.Limits.OpenPrograms))
 	c.positive("limits.ring_size", int64(s.Limits.RingSize))
 }
 
 func (s *Entry) checkJournal(c *checker) {
 	j := s.Journal
 	c.duration("journal.commit_min_interval", j.CommitMinInterval)
-	c.atLeast("journal.commit_max_interval", j.CommitMaxInterval, "journal.commit_min_interval", j.CommitMinInterval)
 	if j.WriteSharePerSecond <= 0 {
 		c.fail("journal.write_share_per_second", "%v is not above 0", j.WriteSharePerSecond)
 	}
