--- a/cmd/buckthorn-load/report.go
+++ b/cmd/buckthorn-load/report.go
@@ -123,5 +123,8 @@
 	bars.Color = color.RGBA{R: 70, G: 110, B: 160, A: 255}
 	p.Add(bars)
 	p.NominalX(names...)
+	const margin = 0.6 // of the distance between two bars
+	p.X.Min = -margin
+	p.X.Max = float64(len(names)-1) + margin
 	return p.Save(plotWidth, plotHeight, file)
 }
