--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,7 @@
 		log:         structs.LogID(string(cfg.Node) + "-" + id.String()[:8]),
 		incarnation: binary.BigEndian.Uint64(id[:8]),
 		started:     uint64(time.Now().UnixNano()),
-		versions:    &peer.PresetVersions{},
+		versions:    &peer.PresetVersions{Node: cfg.Node},
 		sealed:      make(chan struct{}),
 	}
 	e.pool = peer.NewPool(peer.Options{Security: env.Security, Versions: e.versions, Telemetry: env.Telemetry})
--- a/internal/httpapi/auth.go
+++ b/internal/httpapi/auth.go
@@ -59,7 +59,7 @@
 }
 
 func errUnknownToken(who string) error {
-	return structs.Refusalf(structs.CodeUnauthorized, structs.OutcomeNotRun, "authenticate", "the token is not a %s's", who)
+	return structs.Refusalf(structs.CodeUnauthorized, structs.OutcomeNotRun, "authenticate", "the token is no token of %s", who)
 }
 
 // requireCaller lets requests with a caller's token through.
@@ -72,7 +72,7 @@
 		}
 		organisation, known := t.callers[token]
 		if !known {
-			writeProblem(w, errUnknownToken("caller"))
+			writeProblem(w, errUnknownToken("a caller"))
 			return
 		}
 		ctx := context.WithValue(r.Context(), organisationKey, organisation)
@@ -90,7 +90,7 @@
 		}
 		operator, known := t.operators[token]
 		if !known {
-			writeProblem(w, errUnknownToken("operator"))
+			writeProblem(w, errUnknownToken("an operator"))
 			return
 		}
 		ctx := context.WithValue(r.Context(), operatorKey, operator)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -144,8 +144,14 @@
 	server.Set(7)
 	client.Set(3)
 	seen := make(chan uint64, 1)
-	client.OnHigher(func(version uint64) { seen <- version })
-	server.OnHigher(func(version uint64) { seen <- 100 + version })
+	client.OnHigher(func(_ structs.NodeID, version uint64) { seen <- version })
+	client.Node = "e1"
+	server.OnHigher(func(from structs.NodeID, version uint64) {
+		if from != "e1" {
+			t.Errorf("the version came from %q, want e1", from)
+		}
+		seen <- 100 + version
+	})
 	address := serve(t, &server, &refusingHome{refusal: &structs.Refusal{Code: structs.CodeNotReady}})
 	pool := NewPool(Options{Versions: &client})
 	defer pool.Close()
