--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -391,16 +391,7 @@
 	duties.Go(func() error { return e.observe(ctx) })
 	duties.Go(func() error { return e.sweep(ctx) })
 	duties.Go(func() error { return e.open(ctx) })
-	for _, s := range e.cfg.Sides {
-		l := e.links[s.Upstream]
-		if s.Kind == structs.KindModel {
-			duties.Go(func() error { return e.holds.run(ctx, s.Upstream) })
-		}
-		duties.Go(func() error {
-			l.watch(ctx, e.cfg.Node, e.router)
-			return nil
-		})
-	}
+	duties.Go(func() error { return (&mesh{entry: e, watched: map[structs.UpstreamID]context.CancelFunc{}}).run(ctx) })
 }
 
 // open waits until the log is open, and stores the presets of the settings.
--- /dev/null
+++ b/internal/entry/mesh_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/buckthornroute/buckthornroute/internal/peer"
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/routing"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// An entry alone speaks to every side; among many it speaks to a bounded subset, and
+// the subsets of all entries together cover each side.
+func TestMeshFollowsTheMembers(t *testing.T) {
+	const sides = 300
+	pool := peer.NewPool(peer.Options{})
+	defer pool.Close()
+	cfg := &settings.Entry{Node: "e000"}
+	e := &entry{cfg: cfg, links: map[structs.UpstreamID]*sideLink{}}
+	for i := range sides {
+		id := structs.UpstreamID(fmt.Sprintf("m%03d", i))
+		conn, err := pool.Conn("127.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Sides = append(cfg.Sides, settings.SideAddress{Upstream: id, Kind: structs.KindModel})
+		e.links[id] = newSideLink(id, "", "", conn)
+	}
+	var err error
+	if e.router, err = newRouter(routing.Config{}, structs.Preset{Policy: "cost"}, 1); err != nil {
+		t.Fatal(err)
+	}
+	e.holds = newCacheHolds("e000-1", e.links, func() structs.Preset { return structs.Preset{} }, func(structs.ProgramID) uint64 { return 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &mesh{entry: e, watched: map[structs.UpstreamID]context.CancelFunc{}}
+	defer m.duties.Wait()
+	defer cancel()
+
+	m.choose(ctx, []structs.NodeID{"e000"})
+	if len(m.watched) != sides {
+		t.Fatalf("an entry alone speaks to %d of %d sides", len(m.watched), sides)
+	}
+	var nodes []structs.NodeID
+	for i := range 100 {
+		nodes = append(nodes, structs.NodeID(fmt.Sprintf("e%03d", i)))
+	}
+	covered := map[structs.UpstreamID]int{}
+	for _, node := range nodes {
+		cfg.Node = node
+		m.choose(ctx, nodes)
+		if n := len(m.watched); n < sidesLimit || n > sidesLimit+sides*sideCover/10 {
+			t.Errorf("%s speaks to %d sides", node, n)
+		}
+		for id := range m.watched {
+			covered[id]++
+		}
+	}
+	for _, s := range cfg.Sides {
+		if covered[s.Upstream] < sideCover {
+			t.Errorf("side %s has %d entries, want %d at least", s.Upstream, covered[s.Upstream], sideCover)
+		}
+	}
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -189,6 +189,13 @@
 	return all
 }
 
+// remove forgets an upstream that the entry no longer speaks to.
+func (r *router) remove(id structs.UpstreamID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Remove(id)
+}
+
 // setGate closes a VM to new work, or opens it again.
 func (r *router) setGate(vm structs.VMID, closed bool) {
 	r.mu.Lock()
