--- a/cmd/buckthorn-load/compare.go
+++ b/cmd/buckthorn-load/compare.go
@@ -68,7 +68,7 @@
 			&cli.StringFlag{Name: "deployment", Value: workload.Taichung, Usage: "taichung or hokkaido"},
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "number of paired seeds"},
 			&cli.IntFlag{Name: "first-seed", Value: 1, Usage: "first seed"},
-			&cli.StringSliceFlag{Name: "policies", Value: append(baselines[:len(baselines):len(baselines)], routing.PolicyCost), Usage: "policies to run"},
+			&cli.StringSliceFlag{Name: "policies", Value: append(baselines[:len(baselines):len(baselines)], routing.PolicyCostFirst, routing.PolicyCost), Usage: "policies to run"},
 			&cli.StringFlag{Name: "system", Value: systemEmbedded, Usage: "embedded: the decision packages in one process; daemons: entries and sides over loopback"},
 			&cli.FloatFlag{Name: "load", Value: 1, Usage: "arrivals over those of the peak"},
 			&cli.StringFlag{Name: "fault", Usage: "dead, slow or lying: the fault of one engine"},
