Leave a stopped home at its takeover, stop a home known as taken over, route plain services

The directory now gives a call up when the home's log is no longer a member's; - an idle home whose log was sealed learned it from its peers only, and went on: it now asks the platform and stops; - plain services ran nowhere, since sides of application engines list no models: one that lists none runs them all; - a plain service was asked what became of a key though its settings say that it does not tell. Each has a test that failed before.

--- a/internal/entry/bus.go
+++ b/internal/entry/bus.go
@@ -21,6 +21,8 @@
 	topicOrphaned = "log.orphaned"
 	// topicReleased carries released when a program has ended.
 	topicReleased = "program.released"
+	// topicSuperseded carries superseded when others know this process's log as taken over.
+	topicSuperseded = "log.superseded"
 	// topicGate carries gateChange when a VM stops or resumes to take new work.
 	topicGate = "vm.gate"
 )
@@ -31,6 +33,11 @@
 	Reason string        `json:"reason"`
 }
 
+// superseded is what others say of this process's own log.
+type superseded struct {
+	Successor structs.LogID `json:"successor"`
+}
+
 // gateChange says whether a VM takes new work.
 type gateChange struct {
 	VM     structs.VMID `json:"vm"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -167,6 +167,7 @@
 	handle(e.bus, "adoption", topicOrphaned, func(ctx context.Context, o orphaned) error {
 		return e.adoptOrphan(ctx, o)
 	})
+	handle(e.bus, "own log", topicSuperseded, e.checkOwnLog)
 	handle(e.bus, "gates", topicGate, e.setGate)
 	handle(e.bus, "gate orders", topicGate, e.orderGate)
 	handle(e.bus, "release", topicReleased, func(_ context.Context, r released) error {
@@ -377,6 +378,23 @@
 	e.sealOnce.Do(func() { close(e.sealed) })
 }
 
+// checkOwnLog stops the home when the platform confirms what other entries say: that
+// its log is sealed. A home that commits finds out by itself; an idle one would go on.
+func (e *entry) checkOwnLog(ctx context.Context, _ superseded) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	successor, err := e.committer.Successor(ctx, e.log)
+	switch {
+	case errors.Is(err, journal.ErrNoLog):
+		e.logSealed("")
+	case err != nil:
+		return err
+	case successor != e.log:
+		e.logSealed(successor)
+	}
+	return nil
+}
+
 // start starts the duties of the process.
 func (e *entry) start(ctx context.Context, duties *errgroup.Group) {
 	e.committer.Start(ctx)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -109,7 +109,7 @@
 		case membership.GateChanged:
 			publish(p.entry.bus, topicGate, gateChange{VM: e.VM, Closed: e.Closed})
 		case membership.Superseded:
-			p.entry.env.Log.Emit(eventlog.LogSealedByOther, eventlog.Fields{Step: "membership", Peer: string(e.Successor)})
+			publish(p.entry.bus, topicSuperseded, superseded{Successor: e.Successor})
 		case membership.Noticed:
 			p.log(e)
 		case membership.WakeAt:
--- a/internal/entry/tools.go
+++ b/internal/entry/tools.go
@@ -149,7 +149,8 @@
 }
 
 // Ask returns what the named service knows of a call, by its key. A service that
-// does not answer such questions gives CodeActionInDoubt.
+// does not answer such questions gives CodeActionInDoubt. A plain service is asked at
+// any of its engines: answers_status says that they share what they know.
 func (t *tools) Ask(ctx context.Context, name, key string) (action.ServiceState, string, error) {
 	if tool, ok := t.tools[name]; ok {
 		if !tool.settings.AnswersStatus {
@@ -159,6 +160,10 @@
 		answer, err := tool.client.Status(ctx, name, key)
 		return action.ServiceState(answer.State), answer.Result, err
 	}
+	if !t.services[name].AnswersStatus {
+		return "", "", structs.Refusalf(structs.CodeActionInDoubt, structs.OutcomeUnknown, "ask "+name,
+			"service %q does not tell what became of key %q", name, key)
+	}
 	id, ok := t.router.chooseService(t.now(), name, nil)
 	if !ok {
 		return "", "", structs.Refusalf(structs.CodeOverloaded, structs.OutcomeUnknown, "ask "+name,
--- a/internal/home/directory.go
+++ b/internal/home/directory.go
@@ -131,9 +131,9 @@
 	deadline := time.Now().Add(d.cfg.Patience)
 	var last error
 	for {
-		h, err := d.find(ctx, log)
+		h, at, err := d.find(ctx, log)
 		if err == nil {
-			err = f(ctx, h)
+			err = d.call(ctx, h, at, f)
 		}
 		if err == nil || !d.moved(log, err) {
 			return err
@@ -153,28 +153,30 @@
 	}
 }
 
-// find returns the home that now holds the programs opened in log.
-func (d *Directory) find(ctx context.Context, log structs.LogID) (Home, error) {
+// find returns the home that now holds the programs opened in log,
+// and the log that holds them.
+func (d *Directory) find(ctx context.Context, log structs.LogID) (Home, structs.LogID, error) {
 	at := d.redirected(log)
 	if at == d.cfg.Own {
-		return d.cfg.Local, nil
+		return d.cfg.Local, at, nil
 	}
 	if address, ok := d.cfg.Members.Address(at); ok {
-		return d.remote(address)
+		h, err := d.remote(address)
+		return h, at, err
 	}
 	successor, err := d.cfg.Successors.Successor(ctx, at)
 	if errors.Is(err, ErrNoHome) {
-		return nil, structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, "find home",
+		return nil, at, structs.Refusalf(structs.CodeNotFound, structs.OutcomeNotRun, "find home",
 			"no program of log %q is open", log)
 	}
 	if err != nil {
-		return nil, errHomeSearch(at, err)
+		return nil, at, errHomeSearch(at, err)
 	}
 	if successor != at {
 		d.redirect(log, successor)
 		return d.find(ctx, successor)
 	}
-	return nil, errHomeSearch(at, errors.Newf("no member holds log %q", at))
+	return nil, at, errHomeSearch(at, errors.Newf("no member holds log %q", at))
 }
 
 func errHomeSearch(log structs.LogID, cause error) error {
@@ -226,6 +228,42 @@
 	}
 }
 
+// call calls f with the home, and gives the call up when the log is taken over
+// meanwhile: a home that is stopped keeps its connections open and answers nothing.
+func (d *Directory) call(ctx context.Context, h Home, at structs.LogID, f func(context.Context, Home) error) error {
+	if at == d.cfg.Own {
+		return f(ctx, h)
+	}
+	bounded, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	go d.watch(bounded, at, giveUp)
+	err := f(bounded, h)
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(bounded), errTakenOver) {
+		return errHomeSearch(at, errTakenOver)
+	}
+	return err
+}
+
+// errTakenOver reports that another log took a home's programs over during a call.
+var errTakenOver = errors.New("the log was taken over during the call")
+
+// watch gives a call up once its home is no longer among the members.
+func (d *Directory) watch(ctx context.Context, at structs.LogID, giveUp context.CancelCauseFunc) {
+	ticker := time.NewTicker(searchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, member := d.cfg.Members.Address(at); !member {
+			giveUp(errTakenOver)
+			return
+		}
+	}
+}
+
 // relay tries the call through entries that may reach the home. It reports
 // whether one of them did.
 func (d *Directory) relay(ctx context.Context, log structs.LogID, f func(context.Context, Home) error) (bool, error) {
--- a/internal/home/directory_test.go
+++ b/internal/home/directory_test.go
@@ -160,6 +160,38 @@
 	}
 }
 
+// hungHome answers no read until it is released, as a stopped process.
+type hungHome struct {
+	Home
+	asked   chan struct{}
+	release chan struct{}
+}
+
+func (h *hungHome) Read(context.Context, Read) (structs.ProgramView, error) {
+	h.asked <- struct{}{}
+	<-h.release
+	return structs.ProgramView{Home: "hung"}, nil
+}
+
+// A home that hangs is left as soon as its log is taken over.
+func TestDirectoryLeavesAHungHomeAtItsTakeover(t *testing.T) {
+	hung := &hungHome{asked: make(chan struct{}, 1), release: make(chan struct{})}
+	address, _ := serveHome(t, hung)
+	defer close(hung.release)
+	w := &world{successors: map[structs.LogID]structs.LogID{}, addresses: map[structs.LogID]string{"e1": address}}
+	d := newTestDirectory(t, w, &fakeHome{name: "local"}, time.Minute)
+	go func() {
+		<-hung.asked
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.successors["e1"] = "own"
+		delete(w.addresses, "e1")
+	}()
+	if got, err := read(d, "e1.1"); err != nil || got != "local" {
+		t.Fatalf("after the takeover of a hung home: %q, %v", got, err)
+	}
+}
+
 // A fenced home, and one that has not taken over all programs yet, are waited for.
 func TestDirectoryWaitsForFencedAndAdoptingHomes(t *testing.T) {
 	for _, refusal := range []*structs.Refusal{
--- a/internal/inprocess/faults_test.go
+++ b/internal/inprocess/faults_test.go
@@ -196,6 +196,37 @@
 	}
 }
 
+// A plain service that may not be repeated runs once for its key; the key with
+// another payload is refused.
+func TestPlainServices(t *testing.T) {
+	s, client := startSample(t)
+	ctx := context.Background()
+	publish := func(entry int, key, name string) (string, error) {
+		var answer httpapi.InvokeResponse
+		body := httpapi.InvokeRequest{Arguments: []byte(`{"name":"` + name + `"}`)}
+		err := client(entry).Do(ctx, http.MethodPost, "/v1/services/portal_publish", key, body, &answer)
+		return answer.Result, err
+	}
+	first, err := publish(0, "k1", "parks")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := publish(1, "k1", "parks"); err != nil || again != first {
+		t.Fatalf("the same key through another entry = %q, %v; first %q", again, err, first)
+	}
+	_, err = publish(2, "k1", "roads")
+	var r *structs.Refusal
+	if !errors.As(err, &r) || r.Code != structs.CodeKeyReused {
+		t.Fatalf("the key with another payload: %v", err)
+	}
+	if err := client(0).Do(ctx, http.MethodPost, "/v1/services/portal_lookup", "", httpapi.InvokeRequest{}, nil); err != nil {
+		t.Fatalf("a repeatable service: %v", err)
+	}
+	if stats := s.StandIns.Applications[0].Stats(); len(stats.Doubles) != 0 || stats.Executions != 2 {
+		t.Fatalf("publish and lookup should have run once each: %+v", stats)
+	}
+}
+
 // In an outage of the platform turns go on, nothing is called kept that is not, and
 // an irreversible action is refused as not run.
 func TestPlatformOutage(t *testing.T) {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -75,7 +75,8 @@
 	NonRepeatable bool `toml:"non_repeatable"`
 	// Timeout bounds one call. Default 30s.
 	Timeout structs.Duration `toml:"timeout"`
-	// AnswersStatus says that the service answers whether a key ran. Default false.
+	// AnswersStatus says that each of the service's engines answers whether a key ran
+	// at any of them. Default false.
 	AnswersStatus bool `toml:"answers_status"`
 }
 
@@ -88,7 +89,8 @@
 	NonRepeatable bool `toml:"non_repeatable"`
 	// Timeout bounds one call. Default 30s.
 	Timeout structs.Duration `toml:"timeout"`
-	// AnswersStatus says that the service answers whether a key ran. Default false.
+	// AnswersStatus says that each of the service's engines answers whether a key ran
+	// at any of them. Default false.
 	AnswersStatus bool `toml:"answers_status"`
 }
 
--- a/routing/services.go
+++ b/routing/services.go
@@ -24,7 +24,7 @@
 	s.usable = s.usable[:0]
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Load.Draining && !c.Excluded && serves(&c.Load, name) {
+		if !c.Load.Draining && !c.Excluded && runs(&c.Load, name) {
 			s.usable = append(s.usable, i)
 		}
 	}
@@ -39,6 +39,10 @@
 	return a.Load.Upstream, true
 }
 
+// runs reports whether an application engine runs the service. One that lists no
+// services runs them all.
+func runs(l *structs.Load, name string) bool { return len(l.Models) == 0 || serves(l, name) }
+
 func (s *Services) draw() int { return s.usable[s.rand.IntN(len(s.usable))] }
 
 // outstanding weighs the calls under way by how slow the engine was found to be.
