Let a home that was paused say nothing of its programs until its log is confirmed

Ruled out: readiness, which stops new work only. Now a pulse notices the pause, and until the platform says that the log is unsealed the entry sends callers on to look for the home. An entry whose log was sealed starts anew with another log, in place of exiting.

--- a/cmd/buckthorn-entry/main.go
+++ b/cmd/buckthorn-entry/main.go
@@ -6,6 +6,9 @@
 import (
 	"context"
 	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/entry"
@@ -42,5 +45,24 @@
 	}
 	defer func() { _ = t.Shutdown(context.WithoutCancel(ctx)) }()
 	go follow(ctx)
-	return entry.Run(ctx, cfg, entry.Environment{Log: log, Telemetry: t, Security: security}, func() {})
+	return runAnew(ctx, cfg, entry.Environment{Log: log, Telemetry: t, Security: security})
+}
+
+// anewDelay is the wait before an entry whose log was sealed starts with another one.
+const anewDelay = 200 * time.Millisecond
+
+// runAnew runs the entry, and again with a new home log whenever another entry has
+// sealed its log: a wrong suspicion costs the former home's work, not the VM.
+func runAnew(ctx context.Context, cfg *settings.Entry, env entry.Environment) error {
+	for {
+		err := entry.Run(ctx, cfg, env, func() {})
+		if !errors.Is(err, entry.ErrSealed) || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(anewDelay):
+		}
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,7 @@
 	peers     *peers
 	mail      *mail
 	bus       *bus
+	pulse     *pulse
 	guard     *callGuard
 
 	opened   atomic.Bool
@@ -136,6 +137,7 @@
 		started:     uint64(time.Now().UnixNano()),
 		versions:    &peer.PresetVersions{Node: cfg.Node},
 		sealed:      make(chan struct{}),
+		pulse:       newPulse(time.Now),
 	}
 	e.pool = peer.NewPool(peer.Options{Security: env.Security, Versions: e.versions, Telemetry: env.Telemetry})
 	e.platform = platform.NewClientWithTransport(cfg.PlatformURL, env.Telemetry.Transport(daemon.HTTPTransport()))
@@ -246,6 +248,7 @@
 	e.local = &local{
 		Home:      e.runner,
 		log:       e.log,
+		pulse:     e.pulse,
 		router:    e.router,
 		notReady:  e.notReady,
 		preset:    e.preset,
@@ -405,6 +408,7 @@
 	duties.Go(func() error { return e.peers.follow(ctx) })
 	duties.Go(func() error { return e.peers.readVMs(ctx) })
 	duties.Go(func() error { return e.peers.findLogs(ctx) })
+	duties.Go(func() error { return e.pulse.run(ctx, e.confirmOwnLog) })
 	duties.Go(func() error { return e.guard.run(ctx) })
 	duties.Go(func() error { return e.observe(ctx) })
 	duties.Go(func() error { return e.sweep(ctx) })
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -19,6 +19,7 @@
 	home.Home
 
 	log      structs.LogID
+	pulse    *pulse
 	router   *router
 	notReady func() string
 	preset   func() structs.Preset
@@ -44,6 +45,9 @@
 
 // Open implements home.Home. It refuses while the process takes no new work.
 func (l *local) Open(ctx context.Context, spec structs.ProgramSpec) (structs.ProgramID, error) {
+	if !l.pulse.sure() {
+		return "", errUnsure()
+	}
 	if reason := l.notReady(); reason != "" {
 		return "", errNotReady("open program", reason)
 	}
@@ -72,6 +76,9 @@
 // Turn implements home.Home. A turn that is new work passes admission; one that
 // was submitted before is joined in any case.
 func (l *local) Turn(ctx context.Context, turn home.Turn, event func(structs.TurnEvent) error) error {
+	if !l.pulse.sure() {
+		return errUnsure()
+	}
 	if turn.Attach {
 		return l.present(turn.Program, l.Home.Turn(ctx, turn, event))
 	}
@@ -129,11 +136,17 @@
 
 // End implements home.Home.
 func (l *local) End(ctx context.Context, end home.End) error {
+	if !l.pulse.sure() {
+		return errUnsure()
+	}
 	return l.present(end.Program, l.Home.End(ctx, end))
 }
 
 // Read implements home.Home.
 func (l *local) Read(ctx context.Context, read home.Read) (structs.ProgramView, error) {
+	if !l.pulse.sure() {
+		return structs.ProgramView{}, errUnsure()
+	}
 	view, err := l.Home.Read(ctx, read)
 	return view, l.present(read.Program, err)
 }
--- a/internal/eventlog/catalogue_journal.go
+++ b/internal/eventlog/catalogue_journal.go
@@ -7,7 +7,7 @@
 	LogOpened = register(3001, "log_opened", logrus.InfoLevel,
 		"A new home log was opened; detail is its id.")
 	LogSealedByOther = register(3002, "log_sealed_by_other", logrus.ErrorLevel,
-		"Another entry has sealed this log: this process was taken for dead and stops as home.")
+		"Another entry has sealed this log: this process was taken for dead, stops as home and starts with a new log.")
 	LogSealed = register(3003, "log_sealed", logrus.InfoLevel,
 		"This entry has sealed the log in detail.")
 	LogAdopted = register(3004, "log_adopted", logrus.InfoLevel,
