--- a/internal/httpapi/auth.go
+++ b/internal/httpapi/auth.go
@@ -59,7 +59,7 @@
 }
 
 func errUnknownToken(who string) error {
-	return structs.Refusalf(structs.CodeUnauthorized, structs.OutcomeNotRun, "authenticate", "the token is not one of %s", who)
+	return structs.Refusalf(structs.CodeUnauthorized, structs.OutcomeNotRun, "authenticate", "the token is not that of %s", who)
 }
 
 // requireCaller lets requests with a caller's token through.
