--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/google/uuid"
+	"google.golang.org/grpc"
+
+	"github.com/buckthornroute/buckthornroute/internal/command"
+	"github.com/buckthornroute/buckthornroute/internal/httpapi"
+	"github.com/buckthornroute/buckthornroute/structs"
+)
+
+// register adds the services for other entries.
+func (e *entry) register(g *grpc.Server) { newPeerServer(e).register(g) }
+
+// api returns the routes of callers and operators.
+func (e *entry) api() http.Handler {
+	o := operators{e}
+	callers := map[string]structs.OrganisationID{}
+	for _, c := range e.cfg.Callers {
+		callers[c.Token] = c.Organisation
+	}
+	names := map[string]string{}
+	for _, op := range e.cfg.Operators {
+		names[op.Token] = op.Name
+	}
+	return httpapi.New(httpapi.Config{
+		Tokens:    httpapi.NewTokens(callers, names),
+		Home:      e.directory,
+		Services:  services{e},
+		Presets:   o,
+		Drainer:   o,
+		Orderer:   o,
+		Actions:   o,
+		System:    o,
+		Limits:    command.DefaultLimits,
+		BodyBytes: e.cfg.Limits.BodyBytes,
+		NotReady:  e.notReady,
+		Telemetry: e.env.Telemetry,
+	})
+}
+
+// services runs plain services for callers.
+type services struct {
+	*entry
+}
+
+// NonRepeatable implements command.Invoker.
+func (s services) NonRepeatable(name string) (nonRepeatable, exists bool) {
+	service, ok := s.tools.services[name]
+	return service.NonRepeatable, ok
+}
+
+// Invoke implements command.Invoker.
+func (s services) Invoke(ctx context.Context, request structs.ToolRequest) (string, error) {
+	if reason := s.notReady(); reason != "" {
+		return "", errNotReady("invoke "+request.Name, reason)
+	}
+	request.Call = structs.CallID("service/" + uuid.NewString())
+	request.Timeout = s.tools.services[request.Name].Timeout.Std()
+	return s.runner.Invoke(ctx, request)
+}
