--- a/internal/entry/mesh.go
+++ b/internal/entry/mesh.go
@@ -73,8 +73,9 @@
 
 func (m *mesh) start(ctx context.Context, id structs.UpstreamID, kind structs.UpstreamKind) {
 	e := m.entry
+	node := e.cfg.Node
 	ctx, m.watched[id] = context.WithCancel(ctx)
-	m.duties.Go(func() { e.links[id].watch(ctx, e.cfg.Node, e.router) })
+	m.duties.Go(func() { e.links[id].watch(ctx, node, e.router) })
 	if kind == structs.KindModel {
 		m.duties.Go(func() { _ = e.holds.run(ctx, id) })
 	}
