--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,13 +30,13 @@
 // state may be that of before a takeover.
 func TestPausedHomeWaitsForItsLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		offset := time.Duration(0)
-		p := newPulse(func() time.Time { return time.Now().Add(offset) })
+		var offset atomic.Int64
+		p := newPulse(func() time.Time { return time.Now().Add(time.Duration(offset.Load())) })
 		l := &local{Home: staleHome{}, pulse: p}
-		confirmed := false
+		var confirmed atomic.Bool
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- p.run(ctx, func(context.Context) bool { return confirmed }) }()
+		go func() { done <- p.run(ctx, func(context.Context) bool { return confirmed.Load() }) }()
 		time.Sleep(time.Second)
 
 		ask := func() []error {
@@ -56,7 +57,7 @@
 			}
 		}
 		// The process stands still for five seconds; requests run before its own duties.
-		offset = 5 * time.Second
+		offset.Store(int64(5 * time.Second))
 		for _, wait := range []time.Duration{0, time.Second} {
 			time.Sleep(wait)
 			for i, err := range ask() {
@@ -65,7 +66,7 @@
 				}
 			}
 		}
-		confirmed = true
+		confirmed.Store(true)
 		time.Sleep(time.Second)
 		for _, err := range ask() {
 			if unsure(err) {
