List the programs of all entries

Cause: a list gave the programs of the entry that was asked alone, so operators and callers behind the balancer saw another list at each request. The entries are asked 16 at once; one that does not answer fails the list, which would else be taken for whole.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -249,6 +249,15 @@
 	return out[:min(len(out), maxRelays)]
 }
 
+// Others implements home.Members.
+func (p *peers) Others() []string {
+	var out []string
+	for _, m := range p.ranked("") {
+		out = append(out, m.Address)
+	}
+	return out
+}
+
 // Place implements home.Members: the entry of greatest rendezvous weight among those
 // that take new work.
 func (p *peers) Place(organisation structs.OrganisationID, key string) structs.LogID {
--- a/internal/home/directory.go
+++ b/internal/home/directory.go
@@ -1,11 +1,14 @@
 package home
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"github.com/buckthornroute/buckthornroute/structs"
@@ -27,6 +30,8 @@
 	Address(log structs.LogID) (string, bool)
 	// Relays returns addresses of entries that may reach a log's holder when this process cannot.
 	Relays(log structs.LogID) []string
+	// Others returns the addresses of the other entries that are up.
+	Others() []string
 	// Place returns the log whose holder opens a program with the organisation's
 	// key, so that a repeated open meets the first one.
 	Place(organisation structs.OrganisationID, key string) structs.LogID
@@ -120,9 +125,41 @@
 	return view, err
 }
 
-// List implements Home with the programs of this process alone.
+// listFanout bounds the entries asked at once for a list.
+const listFanout = 16
+
+// List implements Home with the programs of all entries. A list that another entry
+// asks for is of this process alone. An entry that does not answer is an error, so
+// that a list that lacks programs is not taken for whole.
 func (d *Directory) List(ctx context.Context, list List) ([]structs.ProgramView, error) {
-	return d.cfg.Local.List(ctx, list)
+	own, err := d.cfg.Local.List(ctx, list)
+	if err != nil || hops(ctx) > 0 {
+		return own, err
+	}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(listFanout)
+	for _, address := range d.cfg.Members.Others() {
+		group.Go(func() error {
+			h, err := d.remote(address)
+			if err != nil {
+				return err
+			}
+			views, err := h.List(withHop(ctx), list)
+			mu.Lock()
+			defer mu.Unlock()
+			own = append(own, views...)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(own, func(a, b structs.ProgramView) int { return cmp.Compare(a.ID, b.ID) })
+	if list.Limit > 0 && len(own) > list.Limit {
+		own = own[:list.Limit]
+	}
+	return own, nil
 }
 
 // follow calls f with the home of log's programs, and again with the next one
--- a/internal/home/directory_test.go
+++ b/internal/home/directory_test.go
@@ -74,6 +74,7 @@
 	return a, ok
 }
 
+func (w *world) Others() []string                                   { return w.relays }
 func (w *world) Relays(structs.LogID) []string                      { return w.relays }
 func (w *world) Place(structs.OrganisationID, string) structs.LogID { return "own" }
 
@@ -255,6 +256,40 @@
 	}
 }
 
+// listHome lists one program.
+type listHome struct {
+	Home
+	id structs.ProgramID
+}
+
+func (h listHome) List(context.Context, List) ([]structs.ProgramView, error) {
+	return []structs.ProgramView{{ID: h.id}}, nil
+}
+
+// A list holds the programs of all entries once, in order, and is refused when an
+// entry does not answer.
+func TestDirectoryListsAllEntries(t *testing.T) {
+	w := &world{}
+	for _, id := range []structs.ProgramID{"e2-b.1", "e1-a.1"} {
+		address, _ := serveHome(t, newTestDirectory(t, w, listHome{id: id}, time.Minute))
+		w.relays = append(w.relays, address)
+	}
+	d := newTestDirectory(t, w, listHome{id: "e3-c.1"}, time.Minute)
+	views, err := d.List(context.Background(), List{Limit: 10})
+	if err != nil || len(views) != 3 || views[0].ID != "e1-a.1" || views[2].ID != "e3-c.1" {
+		t.Fatalf("list of three entries = %+v, %v", views, err)
+	}
+	if views, err = d.List(context.Background(), List{Limit: 2}); err != nil || len(views) != 2 {
+		t.Fatalf("list of two = %+v, %v", views, err)
+	}
+	closed, stop := serveHome(t, &fakeHome{})
+	stop()
+	w.relays = append(w.relays, closed)
+	if views, err = d.List(context.Background(), List{}); err == nil {
+		t.Fatalf("a list without one entry's programs was given as whole: %+v", views)
+	}
+}
+
 // A home that stays away gets its call a final answer, with when to come back.
 func TestDirectoryGivesUpWithAnAnswer(t *testing.T) {
 	closed, stop := serveHome(t, &fakeHome{})
