--- a/cmd/buckthorn-entry/main.go
+++ b/cmd/buckthorn-entry/main.go
@@ -12,9 +12,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/entry"
-	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
-	"github.com/buckthornroute/buckthornroute/internal/telemetry"
 )
 
 func main() {
@@ -27,25 +25,20 @@
 	if err != nil {
 		return err
 	}
-	log, err := eventlog.New(os.Stderr, cfg.Node, cfg.Log)
-	if err != nil {
-		return err
-	}
-	security, follow, err := daemon.Security(cfg.TLS, path, log)
-	if err != nil {
-		return err
-	}
-	t, err := telemetry.New(ctx, cfg.Telemetry, telemetry.Options{
-		Service: "buckthorn-entry",
-		Node:    cfg.Node,
-		Domain:  cfg.FailureDomain,
+	env, shutdown, err := daemon.Open(ctx, daemon.Process{
+		Service:   "buckthorn-entry",
+		File:      path,
+		Node:      cfg.Node,
+		Domain:    cfg.FailureDomain,
+		Log:       cfg.Log,
+		TLS:       cfg.TLS,
+		Telemetry: cfg.Telemetry,
 	})
 	if err != nil {
 		return err
 	}
-	defer func() { _ = t.Shutdown(context.WithoutCancel(ctx)) }()
-	go follow(ctx)
-	return runAnew(ctx, cfg, entry.Environment{Log: log, Telemetry: t, Security: security})
+	defer shutdown()
+	return runAnew(ctx, cfg, entry.Environment{Log: env.Log, Telemetry: env.Telemetry, Security: env.Security})
 }
 
 // anewDelay is the wait before an entry whose log was sealed starts with another one.
--- a/cmd/buckthorn-side/main.go
+++ b/cmd/buckthorn-side/main.go
@@ -7,10 +7,8 @@
 	"os"
 
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
-	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
 	"github.com/buckthornroute/buckthornroute/internal/side"
-	"github.com/buckthornroute/buckthornroute/internal/telemetry"
 )
 
 func main() {
@@ -23,23 +21,18 @@
 	if err != nil {
 		return err
 	}
-	log, err := eventlog.New(os.Stderr, cfg.Node, cfg.Log)
-	if err != nil {
-		return err
-	}
-	security, follow, err := daemon.Security(cfg.TLS, path, log)
-	if err != nil {
-		return err
-	}
-	t, err := telemetry.New(ctx, cfg.Telemetry, telemetry.Options{
-		Service: "buckthorn-side",
-		Node:    cfg.Node,
-		Domain:  cfg.FailureDomain,
+	env, shutdown, err := daemon.Open(ctx, daemon.Process{
+		Service:   "buckthorn-side",
+		File:      path,
+		Node:      cfg.Node,
+		Domain:    cfg.FailureDomain,
+		Log:       cfg.Log,
+		TLS:       cfg.TLS,
+		Telemetry: cfg.Telemetry,
 	})
 	if err != nil {
 		return err
 	}
-	defer func() { _ = t.Shutdown(context.WithoutCancel(ctx)) }()
-	go follow(ctx)
-	return side.Run(ctx, cfg, side.Environment{Log: log, Telemetry: t, Security: security}, func() {})
+	defer shutdown()
+	return side.Run(ctx, cfg, side.Environment{Log: env.Log, Telemetry: env.Telemetry, Security: env.Security}, func() {})
 }
