--- a/cmd/buckthornctl/preset_switch.go
+++ b/cmd/buckthornctl/preset_switch.go
@@ -64,9 +64,10 @@
 }
 
 // waitForVersion looks at the nodes until each has the version or a higher one in
-// force. When the time is over, the error names those that do not.
+// force. When the time is over, the error names those that did not at the last look;
+// a look that has begun is finished.
 func (c *client) waitForVersion(ctx context.Context, version uint64, limit time.Duration) ([]query.Node, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	waiting, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		var nodes []query.Node
@@ -78,7 +79,7 @@
 			return nodes, nil
 		}
 		select {
-		case <-ctx.Done():
+		case <-waiting.Done():
 			return nil, structs.Refusalf(structs.CodeDeadlineExceeded, structs.OutcomeRan, "wait for nodes",
 				"version %d is in force, but after %v not yet on %v", version, limit, missing)
 		case <-time.After(waitInterval):
