--- a/action/action.go
+++ b/action/action.go
@@ -14,8 +14,8 @@
 	"net/url"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
 )
@@ -184,12 +184,12 @@
 // claim returns the transaction that makes the row's owner the one that may send the request.
 func (r Row) claim(version int64) Txn {
 	txn := r.put(version)
-	txn.Conditions = append(txn.Conditions, journal.Unsealed(r.Owner.Log)...)
+	txn.Conditions = append(txn.Conditions, homelog.Unsealed(r.Owner.Log)...)
 	return txn
 }
 
 // SealKey returns the table key of the row that seals a home log.
-func SealKey(log structs.LogID) string { return journal.SealKey(log) }
+func SealKey(log structs.LogID) string { return homelog.SealKey(log) }
 
 // Settle returns the transaction by which an operator settles an action in doubt, and the row
 // that it writes. It refuses with conflict when the action is not in doubt.
--- a/action/bench_test.go
+++ b/action/bench_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
 )
@@ -214,7 +214,7 @@
 // version returns the version of a row; 0 says that there is none. The open row of a
 // log is there until the log is sealed.
 func (b *bench) version(key string) int64 {
-	if log, open := strings.CutPrefix(key, journal.OpenPrefix); open {
+	if log, open := strings.CutPrefix(key, homelog.OpenPrefix); open {
 		if b.sealed[structs.LogID(log)] {
 			return platform.Absent
 		}
--- a/journal/doc.go
+++ b/homelog/doc.go
@@ -1,4 +1,4 @@
-// Package journal decides how one process keeps its programs in the platform's
+// Package homelog decides how one process keeps its programs in the platform's
 // table and object store.
 //
 // Each process has, for its life, one log: records 0, 1, 2, … each created on
@@ -11,4 +11,4 @@
 // Machine is a pure state machine: it has no goroutine, socket, clock or global
 // random source. A shell carries out the effects that Step returns and reports
 // each with a Result; internal/committer is such a shell.
-package journal
+package homelog
--- a/journal/machine.go
+++ b/homelog/machine.go
@@ -1,4 +1,4 @@
-package journal
+package homelog
 
 import (
 	"math/rand/v2"
--- a/journal/read.go
+++ b/homelog/read.go
@@ -1,4 +1,4 @@
-package journal
+package homelog
 
 import (
 	"github.com/cockroachdb/errors"
--- a/internal/committer/adopt.go
+++ b/internal/committer/adopt.go
@@ -7,19 +7,19 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
 // Adopt takes over the programs of a log whose holder seems dead, and returns the entries
 // of the live ones, grouped by program and in order; they are already kept in the own log.
-// The holder stops at its next record if it is alive. Adopt returns journal.ErrNoLog when
-// nothing is left to take over, journal.ErrAdoptedElsewhere, journal.ErrHolderActive,
-// journal.ErrCorrupt, journal.ErrStopped or ctx's error. After ctx's error the takeover
+// The holder stops at its next record if it is alive. Adopt returns homelog.ErrNoLog when
+// nothing is left to take over, homelog.ErrAdoptedElsewhere, homelog.ErrHolderActive,
+// homelog.ErrCorrupt, homelog.ErrStopped or ctx's error. After ctx's error the takeover
 // goes on, and the next Adopt of the log returns the entries.
-func (c *Committer) Adopt(ctx context.Context, log structs.LogID) ([]journal.Entry, error) {
-	answer := make(chan journal.Adopted, 1)
+func (c *Committer) Adopt(ctx context.Context, log structs.LogID) ([]homelog.Entry, error) {
+	answer := make(chan homelog.Adopted, 1)
 	c.mu.Lock()
 	if entries, ok := c.unclaimed[log]; ok {
 		delete(c.unclaimed, log)
@@ -28,7 +28,7 @@
 	}
 	c.adoptions[log] = append(c.adoptions[log], answer)
 	c.mu.Unlock()
-	if err := c.inbox.Push(ctx, letter{message: journal.Adopt{Log: log}}); err != nil {
+	if err := c.inbox.Push(ctx, letter{message: homelog.Adopt{Log: log}}); err != nil {
 		c.leave(log, answer)
 		return nil, errors.Wrapf(err, "adopt log %q", log)
 	}
@@ -42,10 +42,10 @@
 }
 
 // leave withdraws a caller of Adopt and keeps what it was handed meanwhile.
-func (c *Committer) leave(log structs.LogID, answer chan journal.Adopted) {
+func (c *Committer) leave(log structs.LogID, answer chan homelog.Adopted) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.adoptions[log] = slices.DeleteFunc(c.adoptions[log], func(a chan journal.Adopted) bool { return a == answer })
+	c.adoptions[log] = slices.DeleteFunc(c.adoptions[log], func(a chan homelog.Adopted) bool { return a == answer })
 	select {
 	case a := <-answer:
 		c.keepUnclaimed(a)
@@ -53,7 +53,7 @@
 	}
 }
 
-func (c *Committer) keepUnclaimed(a journal.Adopted) {
+func (c *Committer) keepUnclaimed(a homelog.Adopted) {
 	if len(a.Entries) > 0 {
 		c.unclaimed[a.Log] = a.Entries
 	}
@@ -61,7 +61,7 @@
 
 // adopted hands an adoption's entries to the first caller that waits for them; the others
 // get none, so that no program starts twice.
-func (c *Committer) adopted(a journal.Adopted) {
+func (c *Committer) adopted(a homelog.Adopted) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waiting := c.adoptions[a.Log]
@@ -72,7 +72,7 @@
 	}
 	waiting[0] <- a
 	for _, w := range waiting[1:] {
-		w <- journal.Adopted{Log: a.Log, Err: a.Err}
+		w <- homelog.Adopted{Log: a.Log, Err: a.Err}
 	}
 }
 
@@ -80,31 +80,31 @@
 const maxRedirects = 32
 
 // Successor returns the log that now holds the programs opened in the given one, which is
-// the log itself while it is unsealed. It returns journal.ErrNoLog when none of them is
+// the log itself while it is unsealed. It returns homelog.ErrNoLog when none of them is
 // live, or the platform's error.
 func (c *Committer) Successor(ctx context.Context, log structs.LogID) (structs.LogID, error) {
 	for range maxRedirects {
-		row, err := c.table.Get(ctx, journal.SealKey(log))
+		row, err := c.table.Get(ctx, homelog.SealKey(log))
 		if errors.Is(err, platform.ErrNotFound) {
 			return c.unsealed(ctx, log)
 		}
 		if err != nil {
 			return "", errors.Wrapf(err, "read the redirect of log %q", log)
 		}
-		seal, err := journal.DecodeSeal(row.Value)
+		seal, err := homelog.DecodeSeal(row.Value)
 		if err != nil {
 			return "", errors.Wrapf(err, "redirect of log %q", log)
 		}
 		log = seal.Successor
 	}
-	return "", errors.Wrapf(journal.ErrCorrupt, "more than %d redirects, the last to log %q", maxRedirects, log)
+	return "", errors.Wrapf(homelog.ErrCorrupt, "more than %d redirects, the last to log %q", maxRedirects, log)
 }
 
 // unsealed returns the log if it is open.
 func (c *Committer) unsealed(ctx context.Context, log structs.LogID) (structs.LogID, error) {
-	_, err := c.table.Get(ctx, journal.OpenKey(log))
+	_, err := c.table.Get(ctx, homelog.OpenKey(log))
 	if errors.Is(err, platform.ErrNotFound) {
-		return "", errors.Wrapf(journal.ErrNoLog, "log %q", log)
+		return "", errors.Wrapf(homelog.ErrNoLog, "log %q", log)
 	}
 	if err != nil {
 		return "", errors.Wrapf(err, "read the open row of log %q", log)
@@ -115,7 +115,7 @@
 // OpenLog is a log that is not sealed, and where its holder runs.
 type OpenLog struct {
 	Log   structs.LogID
-	Owner journal.Owner
+	Owner homelog.Owner
 }
 
 // OpenLogs lists the unsealed logs. A process that starts compares them with the members
@@ -125,16 +125,16 @@
 	var logs []OpenLog
 	after := ""
 	for {
-		rows, err := c.table.Scan(ctx, journal.OpenPrefix, after, page)
+		rows, err := c.table.Scan(ctx, homelog.OpenPrefix, after, page)
 		if err != nil {
 			return nil, errors.Wrap(err, "list open logs")
 		}
 		for _, row := range rows {
-			owner, err := journal.DecodeOwner(row.Value)
+			owner, err := homelog.DecodeOwner(row.Value)
 			if err != nil {
 				return nil, errors.Wrapf(err, "row %q", row.Key)
 			}
-			logs = append(logs, OpenLog{structs.LogID(strings.TrimPrefix(row.Key, journal.OpenPrefix)), owner})
+			logs = append(logs, OpenLog{structs.LogID(strings.TrimPrefix(row.Key, homelog.OpenPrefix)), owner})
 		}
 		if len(rows) < page {
 			return logs, nil
--- a/internal/committer/close.go
+++ b/internal/committer/close.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -40,8 +40,8 @@
 
 // settle commits what is left and deletes the log or hands it over.
 func (c *Committer) settle(ctx context.Context, handover Handover) error {
-	err := c.await(ctx, func(s journal.Status) bool { return s.Opened && s.Committed >= s.Last })
-	if errors.Is(err, journal.ErrStopped) {
+	err := c.await(ctx, func(s homelog.Status) bool { return s.Opened && s.Committed >= s.Last })
+	if errors.Is(err, homelog.ErrStopped) {
 		return nil
 	}
 	if err != nil {
@@ -53,11 +53,11 @@
 		}
 		return errors.Wrap(handover(ctx, c.Log()), "hand the log over")
 	}
-	if err := c.inbox.Push(ctx, letter{message: journal.Retire{}}); err != nil {
+	if err := c.inbox.Push(ctx, letter{message: homelog.Retire{}}); err != nil {
 		return errors.Wrap(err, "delete the log")
 	}
-	err = c.await(ctx, func(journal.Status) bool { return false })
-	if errors.Is(err, journal.ErrStopped) {
+	err = c.await(ctx, func(homelog.Status) bool { return false })
+	if errors.Is(err, homelog.ErrStopped) {
 		return nil
 	}
 	return errors.Wrap(err, "delete the log")
--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -1,4 +1,4 @@
-// Package committer is the shell of a journal.Machine: it carries out the machine's
+// Package committer is the shell of a homelog.Machine: it carries out the machine's
 // effects at the platform's table and object store, and lets other duties of the
 // process append entries and wait for them to be kept.
 //
@@ -15,9 +15,9 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/ring"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -26,7 +26,7 @@
 
 // Config holds the settings of a Committer. A zero field takes its default.
 type Config struct {
-	Journal journal.Config
+	Journal homelog.Config
 	// OnCommitted is told the highest sequence number that is kept. Calls come one at a
 	// time from one duty and may skip numbers.
 	OnCommitted func(through uint64)
@@ -57,10 +57,10 @@
 	cfg     Config
 	table   platform.Table
 	objects platform.Objects
-	machine *journal.Machine
+	machine *homelog.Machine
 
 	inbox    *ring.Ring[letter]
-	requests *ring.Ring[journal.Effect]
+	requests *ring.Ring[homelog.Effect]
 	room     *semaphore.Weighted
 	cancel   context.CancelFunc
 	duties   errgroup.Group
@@ -69,20 +69,20 @@
 
 	mu      sync.Mutex
 	closing bool
-	status  journal.Status
+	status  homelog.Status
 	// changed is closed and replaced whenever status changes.
 	changed   chan struct{}
 	retired   bool
-	adoptions map[structs.LogID][]chan journal.Adopted
+	adoptions map[structs.LogID][]chan homelog.Adopted
 	// unclaimed are the entries of adoptions whose caller had gone.
-	unclaimed map[structs.LogID][]journal.Entry
+	unclaimed map[structs.LogID][]homelog.Entry
 	// held are the bytes of appends that are not yet committed, in order.
 	held []holding
 }
 
 // letter is a message to the machine; an append is answered with its sequence number.
 type letter struct {
-	message journal.Message
+	message homelog.Message
 	answer  chan appended
 }
 
@@ -106,19 +106,19 @@
 		cfg.Inbox = DefaultInbox
 	}
 	if cfg.Journal.PendingBytes == 0 {
-		cfg.Journal.PendingBytes = journal.DefaultPendingBytes
+		cfg.Journal.PendingBytes = homelog.DefaultPendingBytes
 	}
 	return &Committer{
 		cancel: func() {},
 		cfg:    cfg, table: table, objects: objects,
-		machine:   journal.New(cfg.Journal),
+		machine:   homelog.New(cfg.Journal),
 		inbox:     ring.New[letter](cfg.Inbox),
-		requests:  ring.New[journal.Effect](requestRing),
+		requests:  ring.New[homelog.Effect](requestRing),
 		room:      semaphore.NewWeighted(int64(cfg.Journal.PendingBytes)),
 		ended:     make(chan struct{}),
 		changed:   make(chan struct{}),
-		adoptions: make(map[structs.LogID][]chan journal.Adopted),
-		unclaimed: make(map[structs.LogID][]journal.Entry),
+		adoptions: make(map[structs.LogID][]chan homelog.Adopted),
+		unclaimed: make(map[structs.LogID][]homelog.Entry),
 	}
 }
 
@@ -135,25 +135,25 @@
 
 // Ready waits until the log's first record is kept. It returns ErrStopped or ctx's error.
 func (c *Committer) Ready(ctx context.Context) error {
-	return c.await(ctx, func(s journal.Status) bool { return s.Opened })
+	return c.await(ctx, func(s homelog.Status) bool { return s.Opened })
 }
 
 // Append queues entries, which are committed together, and returns the sequence number of
-// the last. It waits while too much is not yet committed. It returns journal.ErrStopped,
-// journal.ErrTooLarge, journal.ErrReservedKind, ErrClosed or ctx's error; then nothing is queued.
-func (c *Committer) Append(ctx context.Context, entries ...journal.Entry) (uint64, error) {
+// the last. It waits while too much is not yet committed. It returns homelog.ErrStopped,
+// homelog.ErrTooLarge, homelog.ErrReservedKind, ErrClosed or ctx's error; then nothing is queued.
+func (c *Committer) Append(ctx context.Context, entries ...homelog.Entry) (uint64, error) {
 	if c.isClosing() {
 		return 0, errors.Wrap(ErrClosed, "append")
 	}
 	bytes := sizeOf(entries)
 	if bytes > int64(c.cfg.Journal.PendingBytes) {
-		return 0, errors.Wrapf(journal.ErrTooLarge, "append of %d bytes", bytes)
+		return 0, errors.Wrapf(homelog.ErrTooLarge, "append of %d bytes", bytes)
 	}
 	if err := c.acquire(ctx, bytes); err != nil {
 		return 0, err
 	}
 	answer := make(chan appended, 1)
-	if err := c.inbox.Push(ctx, letter{journal.Append{Entries: entries}, answer}); err != nil {
+	if err := c.inbox.Push(ctx, letter{homelog.Append{Entries: entries}, answer}); err != nil {
 		c.room.Release(bytes)
 		return 0, errors.Wrap(err, "append")
 	}
@@ -191,7 +191,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = c.await(waiting, func(s journal.Status) bool { return s.Stopped })
+		_ = c.await(waiting, func(s homelog.Status) bool { return s.Stopped })
 		stop()
 	}()
 	err := c.room.Acquire(waiting, bytes)
@@ -203,11 +203,11 @@
 	case ctx.Err() != nil:
 		return errors.Wrap(ctx.Err(), "wait for room in the journal")
 	}
-	return errors.Wrap(journal.ErrStopped, "wait for room in the journal")
+	return errors.Wrap(homelog.ErrStopped, "wait for room in the journal")
 }
 
 // sizeOf returns the bytes that entries take up while they are not committed.
-func sizeOf(entries []journal.Entry) int64 {
+func sizeOf(entries []homelog.Entry) int64 {
 	var n int64
 	for _, e := range entries {
 		n += int64(len(e.Data) + len(e.Kind) + len(e.Program))
@@ -238,15 +238,15 @@
 	c.held = kept
 }
 
-// Wait waits until the entry with the sequence number is kept. After journal.ErrStopped
+// Wait waits until the entry with the sequence number is kept. After homelog.ErrStopped
 // the entry may still have been taken over by the successor.
 func (c *Committer) Wait(ctx context.Context, sequence uint64) error {
-	return c.await(ctx, func(s journal.Status) bool { return s.Committed >= sequence })
+	return c.await(ctx, func(s homelog.Status) bool { return s.Committed >= sequence })
 }
 
-// await waits until the status satisfies holds; it returns journal.ErrStopped once the
+// await waits until the status satisfies holds; it returns homelog.ErrStopped once the
 // log is sealed and it does not.
-func (c *Committer) await(ctx context.Context, holds func(journal.Status) bool) error {
+func (c *Committer) await(ctx context.Context, holds func(homelog.Status) bool) error {
 	for {
 		c.mu.Lock()
 		s, changed := c.status, c.changed
@@ -255,7 +255,7 @@
 		case holds(s):
 			return nil
 		case s.Stopped:
-			return errors.Wrapf(journal.ErrStopped, "successor %q", s.Successor)
+			return errors.Wrapf(homelog.ErrStopped, "successor %q", s.Successor)
 		}
 		select {
 		case <-changed:
@@ -266,7 +266,7 @@
 }
 
 // Status returns the state of the log.
-func (c *Committer) Status() journal.Status {
+func (c *Committer) Status() homelog.Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.status
@@ -277,7 +277,7 @@
 
 // SetNodes tells how many processes share the platform's writes.
 func (c *Committer) SetNodes(ctx context.Context, count int) error {
-	return c.inbox.Push(ctx, letter{message: journal.Nodes{Count: count}})
+	return c.inbox.Push(ctx, letter{message: homelog.Nodes{Count: count}})
 }
 
 func (c *Committer) isClosing() bool {
--- a/internal/committer/committer_test.go
+++ b/internal/committer/committer_test.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/standin"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -49,16 +49,16 @@
 }
 
 // submit appends one entry for program n of the log and waits until it is kept.
-func submit(t *testing.T, c *Committer, n uint64, text string, mark journal.Mark) {
+func submit(t *testing.T, c *Committer, n uint64, text string, mark homelog.Mark) {
 	t.Helper()
-	sequence, err := c.Append(t.Context(), journal.Entry{
+	sequence, err := c.Append(t.Context(), homelog.Entry{
 		Program: structs.NewProgramID(c.Log(), n), Kind: "step", Data: []byte(text), Mark: mark,
 	})
 	must(t, err)
 	must(t, c.Wait(t.Context(), sequence))
 }
 
-func texts(entries []journal.Entry) string {
+func texts(entries []homelog.Entry) string {
 	var s []string
 	for _, e := range entries {
 		s = append(s, fmt.Sprintf("%s=%s", e.Program, e.Data))
@@ -70,11 +70,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{})
-		submit(t, a, 2, "x", journal.MarkNone)
-		submit(t, a, 1, "y", journal.MarkNone)
-		submit(t, a, 3, "gone", journal.MarkNone)
-		submit(t, a, 3, "", journal.MarkEnd)
-		submit(t, a, 1, "z", journal.MarkNone)
+		submit(t, a, 2, "x", homelog.MarkNone)
+		submit(t, a, 1, "y", homelog.MarkNone)
+		submit(t, a, 3, "gone", homelog.MarkNone)
+		submit(t, a, 3, "", homelog.MarkEnd)
+		submit(t, a, 1, "z", homelog.MarkNone)
 		a.Stop()
 		b := open(t, f, "b", Config{})
 		logs, err := b.OpenLogs(t.Context())
@@ -98,7 +98,7 @@
 			t.Fatalf("successor is %q", successor)
 		}
 		_, err = b.Adopt(t.Context(), "never")
-		wantError(t, err, journal.ErrNoLog)
+		wantError(t, err, homelog.ErrNoLog)
 	})
 }
 
@@ -107,18 +107,18 @@
 		f := standin.NewPlatform(standin.PlatformConfig{})
 		stopped := make(chan structs.LogID, 1)
 		a := open(t, f, "a", Config{OnStopped: func(s structs.LogID) { stopped <- s }})
-		submit(t, a, 1, "x", journal.MarkNone)
+		submit(t, a, 1, "x", homelog.MarkNone)
 		b := open(t, f, "b", Config{})
 		_, err := b.Adopt(t.Context(), "a")
 		must(t, err)
-		sequence, err := a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "step"})
+		sequence, err := a.Append(t.Context(), homelog.Entry{Program: "a.1", Kind: "step"})
 		must(t, err)
-		wantError(t, a.Wait(t.Context(), sequence), journal.ErrStopped)
+		wantError(t, a.Wait(t.Context(), sequence), homelog.ErrStopped)
 		if s := <-stopped; s != "b" {
 			t.Fatalf("stopped with successor %q", s)
 		}
-		_, err = a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "step"})
-		wantError(t, err, journal.ErrStopped)
+		_, err = a.Append(t.Context(), homelog.Entry{Program: "a.1", Kind: "step"})
+		wantError(t, err, homelog.ErrStopped)
 	})
 }
 
@@ -127,11 +127,11 @@
 		f := standin.NewPlatform(standin.PlatformConfig{})
 		var told uint64
 		a := open(t, f, "a", Config{
-			Journal:     journal.Config{PendingBytes: 1 << 10},
+			Journal:     homelog.Config{PendingBytes: 1 << 10},
 			OnCommitted: func(through uint64) { told = through },
 		})
 		must(t, f.Faults.Set(down))
-		entry := journal.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 300)}
+		entry := homelog.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 300)}
 		var last uint64
 		for range 3 {
 			sequence, err := a.Append(t.Context(), entry)
@@ -151,27 +151,27 @@
 		if told != last {
 			t.Fatalf("told of %d, want %d", told, last)
 		}
-		_, err = a.Append(t.Context(), journal.Entry{Program: "a.1", Data: make([]byte, 2<<10)})
-		wantError(t, err, journal.ErrTooLarge)
-		_, err = a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "journal.adopted"})
-		wantError(t, err, journal.ErrReservedKind)
+		_, err = a.Append(t.Context(), homelog.Entry{Program: "a.1", Data: make([]byte, 2<<10)})
+		wantError(t, err, homelog.ErrTooLarge)
+		_, err = a.Append(t.Context(), homelog.Entry{Program: "a.1", Kind: "journal.adopted"})
+		wantError(t, err, homelog.ErrReservedKind)
 	})
 }
 
 func TestSealReleasesWaitingAppend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := standin.NewPlatform(standin.PlatformConfig{})
-		a := open(t, f, "a", Config{Journal: journal.Config{PendingBytes: 1 << 10}})
+		a := open(t, f, "a", Config{Journal: homelog.Config{PendingBytes: 1 << 10}})
 		b := open(t, f, "b", Config{})
 		_, err := b.Adopt(t.Context(), "a")
 		must(t, err)
 		must(t, f.Faults.Set(down))
-		entry := journal.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 1000)}
+		entry := homelog.Entry{Program: "a.1", Kind: "step", Data: make([]byte, 1000)}
 		_, err = a.Append(t.Context(), entry)
 		must(t, err)
 		time.AfterFunc(time.Minute, func() { _ = f.Faults.Set(up) })
 		_, err = a.Append(t.Context(), entry)
-		wantError(t, err, journal.ErrStopped)
+		wantError(t, err, homelog.ErrStopped)
 	})
 }
 
@@ -179,11 +179,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{})
-		b := open(t, f, "b", Config{Journal: journal.Config{RedirectRetention: time.Millisecond}})
-		submit(t, a, 1, "x", journal.MarkNone)
+		b := open(t, f, "b", Config{Journal: homelog.Config{RedirectRetention: time.Millisecond}})
+		submit(t, a, 1, "x", homelog.MarkNone)
 		must(t, f.Faults.Set(standin.Fault{Kind: standin.FaultLoseAnswer, Match: "apply", Count: 1}))
-		submit(t, a, 1, "y", journal.MarkNone)
-		var handed []journal.Entry
+		submit(t, a, 1, "y", homelog.MarkNone)
+		var handed []homelog.Entry
 		must(t, a.Close(t.Context(), func(ctx context.Context, log structs.LogID) (err error) {
 			handed, err = b.Adopt(ctx, log)
 			return err
@@ -191,12 +191,12 @@
 		if got, want := texts(handed), "a.1=x a.1=y"; got != want {
 			t.Fatalf("handed over %q, want %q", got, want)
 		}
-		_, err := a.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "step"})
+		_, err := a.Append(t.Context(), homelog.Entry{Program: "a.1", Kind: "step"})
 		wantError(t, err, ErrClosed)
-		sequence, err := b.Append(t.Context(), journal.Entry{Program: "a.1", Kind: "end", Mark: journal.MarkEnd})
+		sequence, err := b.Append(t.Context(), homelog.Entry{Program: "a.1", Kind: "end", Mark: homelog.MarkEnd})
 		must(t, err)
 		must(t, b.Wait(t.Context(), sequence))
-		must(t, b.await(t.Context(), func(s journal.Status) bool { return s.Redirects == 0 }))
+		must(t, b.await(t.Context(), func(s homelog.Status) bool { return s.Redirects == 0 }))
 		must(t, b.Close(t.Context(), nil))
 		rows, err := f.Table.Scan(t.Context(), "", "", 100)
 		must(t, err)
@@ -210,7 +210,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := standin.NewPlatform(standin.PlatformConfig{})
 		a := open(t, f, "a", Config{})
-		submit(t, a, 1, "x", journal.MarkNone)
+		submit(t, a, 1, "x", homelog.MarkNone)
 		a.Stop()
 		b := open(t, f, "b", Config{})
 		must(t, f.Faults.Set(down))
@@ -219,7 +219,7 @@
 		_, err := b.Adopt(short, "a")
 		wantError(t, err, context.DeadlineExceeded)
 		must(t, f.Faults.Set(up))
-		must(t, b.await(t.Context(), func(s journal.Status) bool { return s.Programs == 1 }))
+		must(t, b.await(t.Context(), func(s homelog.Status) bool { return s.Programs == 1 }))
 		entries, err := b.Adopt(t.Context(), "a")
 		must(t, err)
 		if got := texts(entries); got != "a.1=x" {
--- a/internal/committer/duties.go
+++ b/internal/committer/duties.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -15,7 +15,7 @@
 func (c *Committer) stepDuty(ctx context.Context) error {
 	defer close(c.ended)
 	defer c.inbox.Close()
-	wake := c.handle(ctx, letter{message: journal.Start{}})
+	wake := c.handle(ctx, letter{message: homelog.Start{}})
 	for {
 		l, err := c.next(ctx, wake)
 		if err != nil {
@@ -34,14 +34,14 @@
 	defer cancel()
 	l, err := c.inbox.Pop(bounded)
 	if err != nil && ctx.Err() == nil && bounded.Err() != nil {
-		return letter{message: journal.Tick{}}, nil
+		return letter{message: homelog.Tick{}}, nil
 	}
 	return l, err
 }
 
 // handle steps the machine and carries out its effects; it returns the time of the next tick.
 func (c *Committer) handle(ctx context.Context, l letter) time.Time {
-	if a, ok := l.message.(journal.Append); ok {
+	if a, ok := l.message.(homelog.Append); ok {
 		if err := c.machine.Check(a.Entries); err != nil {
 			l.answer <- appended{err: err}
 			return time.Now()
@@ -54,12 +54,12 @@
 	var wake time.Time
 	for _, e := range effects {
 		switch e := e.(type) {
-		case journal.WakeAt:
+		case homelog.WakeAt:
 			wake = e.At
-		case journal.Committed, journal.Stopped:
-		case journal.Adopted:
+		case homelog.Committed, homelog.Stopped:
+		case homelog.Adopted:
 			c.adopted(e)
-		case journal.Retired:
+		case homelog.Retired:
 			c.setRetired()
 		default:
 			if err := c.requests.Push(ctx, e); err != nil {
@@ -72,7 +72,7 @@
 }
 
 // publish makes the status visible and wakes those who wait for a change.
-func (c *Committer) publish(s journal.Status) {
+func (c *Committer) publish(s homelog.Status) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == c.status {
@@ -93,7 +93,7 @@
 func (c *Committer) noticeDuty(ctx context.Context) error {
 	var told uint64
 	for {
-		err := c.await(ctx, func(s journal.Status) bool { return s.Committed > told })
+		err := c.await(ctx, func(s homelog.Status) bool { return s.Committed > told })
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -134,28 +134,28 @@
 }
 
 // request does one request to the platform.
-func (c *Committer) request(ctx context.Context, e journal.Effect) journal.Result {
+func (c *Committer) request(ctx context.Context, e homelog.Effect) homelog.Result {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.RequestTimeout)
 	defer cancel()
-	var r journal.Result
+	var r homelog.Result
 	var err error
 	switch e := e.(type) {
-	case journal.Apply:
+	case homelog.Apply:
 		r.Call = e.Call
 		err = c.table.Apply(ctx, e.Txn)
-	case journal.GetRow:
+	case homelog.GetRow:
 		r.Call = e.Call
 		r.Row, err = c.table.Get(ctx, e.Key)
-	case journal.ScanRows:
+	case homelog.ScanRows:
 		r.Call = e.Call
 		r.Rows, err = c.table.Scan(ctx, e.Prefix, e.After, e.Limit)
-	case journal.PutObject:
+	case homelog.PutObject:
 		r.Call = e.Call
 		err = c.objects.Put(ctx, e.Key, e.Value)
-	case journal.GetObject:
+	case homelog.GetObject:
 		r.Call = e.Call
 		r.Value, err = c.objects.Get(ctx, e.Key)
-	case journal.DeleteObject:
+	case homelog.DeleteObject:
 		r.Call = e.Call
 		err = c.objects.Delete(ctx, e.Key)
 	}
@@ -165,16 +165,16 @@
 
 // outcomeOf reads an error of the platform. An error that it does not know leaves the
 // outcome open.
-func outcomeOf(err error) journal.Outcome {
+func outcomeOf(err error) homelog.Outcome {
 	switch {
 	case err == nil:
-		return journal.Done
+		return homelog.Done
 	case errors.Is(err, platform.ErrConditionFailed):
-		return journal.ConditionFailed
+		return homelog.ConditionFailed
 	case errors.Is(err, platform.ErrNotFound):
-		return journal.NotFound
+		return homelog.NotFound
 	case errors.Is(err, platform.ErrNotApplied):
-		return journal.NotApplied
+		return homelog.NotApplied
 	}
-	return journal.Unknown
+	return homelog.Unknown
 }
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthornroute/buckthornroute/action"
 	"github.com/buckthornroute/buckthornroute/admission"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/committer"
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/engine"
@@ -18,7 +19,6 @@
 	"github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/runner"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/preset"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/routing"
@@ -158,9 +158,9 @@
 	}
 }
 
-func (e *entry) journalConfig() journal.Config {
+func (e *entry) journalConfig() homelog.Config {
 	j := e.cfg.Journal
-	return journal.Config{
+	return homelog.Config{
 		Log:             e.log,
 		Owner:           e.owner(),
 		Seed:            e.incarnation,
@@ -173,8 +173,8 @@
 }
 
 // owner is what the open row of the home log says of this entry.
-func (e *entry) owner() journal.Owner {
-	return journal.Owner{
+func (e *entry) owner() homelog.Owner {
+	return homelog.Owner{
 		Node:        e.cfg.Node,
 		VM:          e.cfg.VM,
 		Domain:      e.cfg.FailureDomain,
@@ -235,7 +235,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	next, err := s.committer.Successor(ctx, log)
-	if errors.Is(err, journal.ErrNoLog) {
+	if errors.Is(err, homelog.ErrNoLog) {
 		return "", errors.Mark(err, home.ErrNoHome)
 	}
 	return next, err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/committer"
 	"github.com/buckthornroute/buckthornroute/internal/daemon"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
@@ -22,7 +23,6 @@
 	"github.com/buckthornroute/buckthornroute/internal/runner"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
 	"github.com/buckthornroute/buckthornroute/internal/telemetry"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -161,7 +161,7 @@
 	defer cancel()
 	successor, err := e.committer.Successor(ctx, e.log)
 	switch {
-	case errors.Is(err, journal.ErrNoLog):
+	case errors.Is(err, homelog.ErrNoLog):
 		e.logSealed("")
 	case err != nil:
 		return err
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -7,11 +7,11 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/peer"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/membership"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -73,7 +73,7 @@
 	e.local.beginAdoption()
 	defer e.local.endAdoption()
 	entries, err := e.committer.Adopt(ctx, log)
-	if errors.Is(err, journal.ErrNoLog) || errors.Is(err, journal.ErrAdoptedElsewhere) {
+	if errors.Is(err, homelog.ErrNoLog) || errors.Is(err, homelog.ErrAdoptedElsewhere) {
 		e.peers.tell(ctx, membership.Taken{Log: log})
 		return nil // its programs have ended or run elsewhere
 	}
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/peer/peerpb"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/membership"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -57,7 +57,7 @@
 	if err == nil && len(entries) > 0 {
 		_, err = e.committer.Append(ctx, entries...)
 	}
-	if err != nil && !errors.Is(err, journal.ErrStopped) {
+	if err != nil && !errors.Is(err, homelog.ErrStopped) {
 		e.env.Log.Emit(eventlog.LogAdoptionFailed, eventlog.Fields{Step: "hand over", Err: err})
 	}
 	if err := e.committer.Close(ctx, e.askAdoption); err != nil {
--- a/internal/runner/adopt.go
+++ b/internal/runner/adopt.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
@@ -13,7 +13,7 @@
 // Adopt takes over the programs of another home from their entries, which the own log
 // holds already, and goes on with their half-done turns. Programs whose entries do not fit
 // together are left out; the error names each of them.
-func (r *Runner) Adopt(ctx context.Context, entries []journal.Entry) error {
+func (r *Runner) Adopt(ctx context.Context, entries []homelog.Entry) error {
 	machines, failures := r.restore(entries)
 	shards := map[int][]*program.Machine{}
 	r.mu.Lock()
@@ -40,7 +40,7 @@
 }
 
 // restore rebuilds the programs of the entries.
-func (r *Runner) restore(entries []journal.Entry) (map[structs.ProgramID]*program.Machine, error) {
+func (r *Runner) restore(entries []homelog.Entry) (map[structs.ProgramID]*program.Machine, error) {
 	grouped := map[structs.ProgramID][]program.Entry{}
 	for _, e := range entries {
 		grouped[e.Program] = append(grouped[e.Program], program.Entry{Program: e.Program, Kind: e.Kind, Data: e.Data})
--- a/internal/runner/adopt_test.go
+++ b/internal/runner/adopt_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -56,8 +56,8 @@
 		_, _, _ = a.turn(id, 1, "agent 7; answer done")
 		a.onlyProgram(id)
 		time.Sleep(time.Second)
-		kept := slices.DeleteFunc(a.log.seal(), func(e journal.Entry) bool {
-			if e.Kind == program.KindClosed && e.Mark != journal.MarkEnd {
+		kept := slices.DeleteFunc(a.log.seal(), func(e homelog.Entry) bool {
+			if e.Kind == program.KindClosed && e.Mark != homelog.MarkEnd {
 				t.Errorf("the end of %q has mark %d", e.Program, e.Mark)
 			}
 			return e.Kind == program.KindClosed
@@ -116,7 +116,7 @@
 			t.Fatalf("a new turn while draining: %v", refusal)
 		}
 		entries, err := a.r.HandOver(t.Context())
-		if err != nil || len(entries) != 1 || entries[0].Mark != journal.MarkReset {
+		if err != nil || len(entries) != 1 || entries[0].Mark != homelog.MarkReset {
 			t.Fatalf("hand over gave %d entries, %v", len(entries), err)
 		}
 		b := newBench(t, "e2-b", a)
--- a/internal/runner/appender.go
+++ b/internal/runner/appender.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cockroachdb/errors"
@@ -26,7 +26,7 @@
 
 // record is one program's record on its way to the journal.
 type record struct {
-	entry journal.Entry
+	entry homelog.Entry
 	seq   uint64
 }
 
@@ -99,14 +99,14 @@
 // append gives the records to the journal. It returns false when the journal takes no more;
 // the journal's owner tells the runner then with Stopped.
 func (a *appender) append(batch []record) bool {
-	entries := make([]journal.Entry, 0, len(batch))
+	entries := make([]homelog.Entry, 0, len(batch))
 	marks := make([]mark, 0, len(batch))
 	for _, r := range batch {
 		entries = append(entries, r.entry)
 		marks = append(marks, mark{r.entry.Program, r.seq})
 	}
 	sequence, err := a.s.r.cfg.Journal.Append(a.s.r.ctx, entries...)
-	if errors.Is(err, journal.ErrTooLarge) && len(batch) > 1 {
+	if errors.Is(err, homelog.ErrTooLarge) && len(batch) > 1 {
 		return a.append(batch[:len(batch)/2])
 	}
 	if err != nil {
--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -6,8 +6,8 @@
 	"runtime"
 	"testing"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/home"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -18,7 +18,7 @@
 	n uint64
 }
 
-func (j *instantJournal) Append(_ context.Context, entries ...journal.Entry) (uint64, error) {
+func (j *instantJournal) Append(_ context.Context, entries ...homelog.Entry) (uint64, error) {
 	j.n += uint64(len(entries))
 	go j.r.Committed(j.n)
 	return j.n, nil
--- a/internal/runner/committer_test.go
+++ b/internal/runner/committer_test.go
@@ -7,9 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/committer"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -53,7 +53,7 @@
 func newProcess(t *testing.T, log structs.LogID, table *fakeTable, objects *fakeObjects, world *fakeWorld) *process {
 	p := &process{bench: &bench{t: t, world: world, table: table}}
 	p.c = committer.New(committer.Config{
-		Journal:     journal.Config{Log: log, CheckpointEvery: 4},
+		Journal:     homelog.Config{Log: log, CheckpointEvery: 4},
 		OnCommitted: func(through uint64) { p.r.Committed(through) },
 		OnStopped:   func(successor structs.LogID) { p.r.Stopped(successor) },
 	}, table, objects)
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/buckthornroute/buckthornroute/journal"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
@@ -44,13 +44,13 @@
 }
 
 // entryOf returns the journal entry of a record.
-func entryOf(id structs.ProgramID, kind string, data []byte) journal.Entry {
-	entry := journal.Entry{Program: id, Kind: kind, Data: data}
+func entryOf(id structs.ProgramID, kind string, data []byte) homelog.Entry {
+	entry := homelog.Entry{Program: id, Kind: kind, Data: data}
 	switch kind {
 	case program.KindCheckpoint:
-		entry.Mark = journal.MarkReset
+		entry.Mark = homelog.MarkReset
 	case program.KindClosed:
-		entry.Mark = journal.MarkEnd
+		entry.Mark = homelog.MarkEnd
 	}
 	return entry
 }
@@ -246,8 +246,8 @@
 }
 
 // handOver returns the whole states of the programs and drops them.
-func (s *shard) handOver(refusal *structs.Refusal) []journal.Entry {
-	var entries []journal.Entry
+func (s *shard) handOver(refusal *structs.Refusal) []homelog.Entry {
+	var entries []homelog.Entry
 	for _, id := range sortedIDs(s.slots) {
 		machine := s.slots[id].machine
 		if !machine.Ended() {
--- a/internal/runner/fake_test.go
+++ b/internal/runner/fake_test.go
@@ -10,15 +10,15 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/action"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
 // fakeJournal is a home log in memory that commits after a delay, unless it is down.
 type fakeJournal struct {
 	mu      sync.Mutex
-	entries []journal.Entry
+	entries []homelog.Entry
 	kept    int
 	down    bool
 	sealed  bool
@@ -28,7 +28,7 @@
 	delay  time.Duration
 }
 
-func (j *fakeJournal) Append(ctx context.Context, entries ...journal.Entry) (uint64, error) {
+func (j *fakeJournal) Append(ctx context.Context, entries ...homelog.Entry) (uint64, error) {
 	if j.full.Load() {
 		<-ctx.Done()
 		return 0, ctx.Err()
@@ -36,7 +36,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.sealed {
-		return 0, journal.ErrStopped
+		return 0, homelog.ErrStopped
 	}
 	j.entries = append(j.entries, entries...)
 	time.AfterFunc(j.delay, j.commit)
@@ -65,11 +65,11 @@
 }
 
 // seal ends the log and returns what it keeps.
-func (j *fakeJournal) seal() []journal.Entry {
+func (j *fakeJournal) seal() []homelog.Entry {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.sealed = true
-	return append([]journal.Entry(nil), j.entries[:j.kept]...)
+	return append([]homelog.Entry(nil), j.entries[:j.kept]...)
 }
 
 // fakeTable is the platform's table in memory. Faults are errors for the next requests.
@@ -87,7 +87,7 @@
 func (t *fakeTable) openLog(log structs.LogID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rows[journal.OpenKey(log)] = platform.Row{Key: journal.OpenKey(log), Version: 1}
+	t.rows[homelog.OpenKey(log)] = platform.Row{Key: homelog.OpenKey(log), Version: 1}
 }
 
 func (t *fakeTable) Apply(_ context.Context, txn platform.Txn) error {
--- a/internal/runner/home.go
+++ b/internal/runner/home.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/home"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"go.opentelemetry.io/otel/trace"
@@ -362,6 +362,6 @@
 	return ids
 }
 
-func sortByProgram(entries []journal.Entry) {
-	slices.SortFunc(entries, func(a, b journal.Entry) int { return strings.Compare(string(a.Program), string(b.Program)) })
+func sortByProgram(entries []homelog.Entry) {
+	slices.SortFunc(entries, func(a, b homelog.Entry) int { return strings.Compare(string(a.Program), string(b.Program)) })
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/action"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"github.com/cespare/xxhash/v2"
@@ -45,7 +45,7 @@
 type Journal interface {
 	// Append queues entries that are committed together and returns the sequence number of
 	// the last. It waits while too much is not committed.
-	Append(ctx context.Context, entries ...journal.Entry) (uint64, error)
+	Append(ctx context.Context, entries ...homelog.Entry) (uint64, error)
 }
 
 // Config holds the settings of a Runner. Zero numbers and durations take their defaults.
@@ -248,16 +248,16 @@
 
 // HandOver ends the running of all programs and returns their whole states for the
 // journal, in the order of their ids. Turns still under way go on at the next home.
-func (r *Runner) HandOver(ctx context.Context) ([]journal.Entry, error) {
+func (r *Runner) HandOver(ctx context.Context) ([]homelog.Entry, error) {
 	r.draining.Store(true)
 	refusal := structs.Refusalf(structs.CodeDraining, structs.OutcomeUnknown, "hand over",
 		"home log %q is handed over", r.cfg.Log)
 	refusal.Peer = string(r.cfg.Node)
 	refusal.RetryAfter = handOverRetryAfter
 	r.fenced.CompareAndSwap(nil, refusal)
-	var entries []journal.Entry
+	var entries []homelog.Entry
 	for _, s := range r.shards {
-		part, err := ask(ctx, s, func(s *shard) []journal.Entry { return s.handOver(refusal) })
+		part, err := ask(ctx, s, func(s *shard) []homelog.Entry { return s.handOver(refusal) })
 		if err != nil {
 			return nil, err
 		}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/action"
+	"github.com/buckthornroute/buckthornroute/homelog"
 	"github.com/buckthornroute/buckthornroute/internal/home"
 	"github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/journal"
 	"github.com/buckthornroute/buckthornroute/program"
 	"github.com/buckthornroute/buckthornroute/structs"
 	"go.uber.org/goleak"
@@ -281,7 +281,7 @@
 		}
 		machine, _ := program.New(time.Now(), &b.r.cfg.Program, "e0.1", structs.ProgramSpec{})
 		e := machine.HandOver()
-		if err := b.r.Adopt(t.Context(), []journal.Entry{entryOf(e.Program, e.Kind, e.Data)}); structs.AsRefusal(err).Code != structs.CodeFenced {
+		if err := b.r.Adopt(t.Context(), []homelog.Entry{entryOf(e.Program, e.Kind, e.Data)}); structs.AsRefusal(err).Code != structs.CodeFenced {
 			t.Fatalf("adoption by a fenced home: %v", err)
 		}
 		if views, err := b.r.List(t.Context(), home.List{}); err != nil || len(views) != 0 {
