--- a/cmd/buckthorn-entry/main.go
+++ b/cmd/buckthorn-entry/main.go
@@ -21,6 +21,18 @@
 }
 
 func run(ctx context.Context, path string) error {
+	kind, err := settings.KindOf(path)
+	if err != nil {
+		return err
+	}
+	if kind == settings.KindGateway {
+		return runGateway(ctx, path)
+	}
+	return runHome(ctx, path)
+}
+
+// runHome runs an entry that is the home of programs.
+func runHome(ctx context.Context, path string) error {
 	cfg, err := settings.LoadEntry(path)
 	if err != nil {
 		return err
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -28,6 +28,7 @@
 	6: "Presets",
 	7: "Platform and engines",
 	8: "Tools",
+	9: "Entries on which callers drive programs",
 }
 
 const preface = `# Log events
--- /dev/null
+++ b/internal/gateway/digest.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/routing"
+)
+
+const (
+	// digestInterval is the least time between two digests to the others: some ten calls
+	// of an entry in a burst.
+	digestInterval = 100 * time.Millisecond
+	// digestBudget is the time that each further entry adds to it, so that what an entry
+	// sends and hears a second does not grow with the number of entries.
+	digestBudget = 4 * time.Millisecond
+	// maxDigest bounds a digest in bytes, so that it travels in one packet.
+	maxDigest = 1300
+	// maxFresh bounds the newly cached prompts that wait to be told.
+	maxFresh = 64
+	// digestFormat is the first byte of a digest.
+	digestFormat = 1
+)
+
+const flagTableUp = 1
+
+// cachedParts are prompt parts that an upstream has read.
+type cachedParts struct {
+	upstream string
+	parts    []routing.PromptPart
+}
+
+// noteCached remembers what to tell the others of an upstream's cache: the first part,
+// which many programs share.
+func (m *mesh) noteCached(upstream string, prompt []routing.PromptPart) {
+	if len(prompt) == 0 {
+		return
+	}
+	m.mu.Lock()
+	if len(m.fresh) < maxFresh {
+		m.fresh = append(m.fresh, cachedParts{upstream, prompt[:1]})
+	}
+	m.mu.Unlock()
+}
+
+// tell sends digests until ctx ends.
+func (m *mesh) tell(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, max(digestInterval, time.Duration(m.size())*digestBudget))
+		if m.packets == nil {
+			continue
+		}
+		packet := m.digest()
+		for _, to := range m.targets() {
+			if _, err := m.packets.WriteTo(packet, to); err != nil {
+				m.g.metrics.digestErrors.Inc(1)
+			}
+		}
+	}
+}
+
+func (m *mesh) targets() []net.Addr {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]net.Addr, 0, len(m.peers))
+	for _, p := range m.peers {
+		out = append(out, net.UDPAddrFromAddrPort(p.address))
+	}
+	return out
+}
+
+// digest encodes this entry's calls by upstream and the parts newly cached.
+func (m *mesh) digest() []byte {
+	self := m.self()
+	b := append(make([]byte, 0, maxDigest), digestFormat)
+	flags := byte(0)
+	if m.g.link.reachable() {
+		flags |= flagTableUp
+	}
+	b = append(b, flags)
+	for _, text := range []string{self.Node, self.Domain, self.Mesh, self.Digests, self.Life} {
+		b = appendText(b, text)
+	}
+	m.mu.Lock()
+	m.seq++
+	b = binary.AppendUvarint(b, m.seq)
+	fresh := m.fresh
+	m.fresh = nil
+	m.mu.Unlock()
+	m.g.mu.Lock()
+	m.g.book.Own(func(id string, calls int) {
+		if len(b)+len(id)+8 < maxDigest {
+			b = append(b, 'l')
+			b = binary.AppendUvarint(appendText(b, id), uint64(calls))
+		}
+	})
+	m.g.mu.Unlock()
+	for _, f := range fresh {
+		if len(b)+len(f.upstream)+16 < maxDigest {
+			b = append(b, 'c')
+			b = appendText(b, f.upstream)
+			b = binary.AppendUvarint(b, f.parts[0].ID)
+			b = binary.AppendUvarint(b, uint64(f.parts[0].Tokens))
+		}
+	}
+	return b
+}
+
+func appendText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+// receive reads digests until the socket is closed.
+func (m *mesh) receive() {
+	buf := make([]byte, maxDigest+1)
+	for {
+		n, _, err := m.packets.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		if !m.heard(buf[:n]) {
+			m.g.metrics.digestErrors.Inc(1)
+		}
+	}
+}
+
+// packet reads the fields of a digest.
+type packet struct {
+	b   []byte
+	bad bool
+}
+
+func (p *packet) byte() byte {
+	if len(p.b) == 0 {
+		p.bad = true
+		return 0
+	}
+	v := p.b[0]
+	p.b = p.b[1:]
+	return v
+}
+
+func (p *packet) uvarint() uint64 {
+	v, n := binary.Uvarint(p.b)
+	if n <= 0 {
+		p.bad = true
+		return 0
+	}
+	p.b = p.b[n:]
+	return v
+}
+
+func (p *packet) text() string {
+	n := p.uvarint()
+	if p.bad || n > uint64(len(p.b)) {
+		p.bad = true
+		return ""
+	}
+	v := string(p.b[:n])
+	p.b = p.b[n:]
+	return v
+}
+
+// heard takes one digest; it reports whether it was well-formed.
+func (m *mesh) heard(b []byte) bool {
+	p := packet{b: b}
+	if p.byte() != digestFormat {
+		return false
+	}
+	flags := p.byte()
+	from := peer{Node: p.text(), Domain: p.text(), Mesh: p.text(), Digests: p.text(), Life: p.text()}
+	seq := p.uvarint()
+	if p.bad || from.Node == string(m.g.cfg.Node) {
+		return !p.bad
+	}
+	if _, err := netip.ParseAddrPort(from.Digests); err != nil {
+		return false
+	}
+	m.add(from)
+	if !m.accept(from, seq, flags&flagTableUp != 0) {
+		return true
+	}
+	return m.takeLoads(from.Node, &p)
+}
+
+// accept records the digest's sender as heard; an overtaken digest is not accepted.
+func (m *mesh) accept(from peer, seq uint64, tableUp bool) bool {
+	now := time.Now()
+	m.mu.Lock()
+	known := m.peers[from.Node]
+	if known == nil || known.Life != from.Life || seq <= known.seq {
+		m.mu.Unlock()
+		return false
+	}
+	silent := !known.heard.IsZero() && now.Sub(known.heard) > entrySilence
+	known.seq, known.heard, known.tableUp = seq, now, tableUp
+	m.mu.Unlock()
+	if silent {
+		m.g.env.Events.Emit(eventlog.GatewayPeerBack, eventlog.Fields{Step: "mesh", Peer: from.Node})
+	}
+	return true
+}
+
+func (m *mesh) takeLoads(from string, p *packet) bool {
+	now := time.Now()
+	m.g.mu.Lock()
+	defer m.g.mu.Unlock()
+	m.g.book.PeerBegins(from)
+	for len(p.b) > 0 && !p.bad {
+		switch p.byte() {
+		case 'l':
+			id, calls := p.text(), int(p.uvarint())
+			if !p.bad && m.g.fleet.Load().registry.Get(id) != nil {
+				m.g.book.Heard(now, from, id, calls)
+			}
+		case 'c':
+			id, part, tokens := p.text(), p.uvarint(), int(p.uvarint())
+			if !p.bad && m.g.fleet.Load().registry.Get(id) != nil {
+				m.g.book.Cached(id, []routing.PromptPart{{ID: part, Tokens: tokens}})
+			}
+		default:
+			return false
+		}
+	}
+	return !p.bad
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/forward"
+)
+
+const (
+	// eventBuffer fits most events; longer ones take a second read.
+	eventBuffer = 2 << 10
+	// maxEvent bounds one event of an answer.
+	maxEvent = 1 << 20
+)
+
+// event is one event of a stream.
+type event struct {
+	// raw is the event as it came, with the empty line that ends it.
+	raw   []byte
+	data  []byte
+	id    int64
+	hasID bool
+}
+
+// eventReader cuts an answer into events. An event that is not whole is not returned.
+type eventReader struct {
+	br  *bufio.Reader
+	buf []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next returns the next event, or nil at the end of a whole stream. The event is valid
+// until the next call.
+func (r *eventReader) next() (*event, error) {
+	r.buf = r.buf[:0]
+	e := &event{}
+	for {
+		begin := len(r.buf)
+		for {
+			piece, err := r.br.ReadSlice('\n')
+			r.buf = append(r.buf, piece...)
+			if err == nil {
+				break
+			}
+			if len(r.buf) > maxEvent {
+				return nil, errors.Wrap(forward.ErrMalformed, "an event is too long")
+			}
+			if err == bufio.ErrBufferFull {
+				continue
+			}
+			if err == io.EOF && len(r.buf) == 0 {
+				return nil, nil
+			}
+			if err == io.EOF {
+				return nil, errors.Wrap(forward.ErrMalformed, "the stream ends in the middle of an event")
+			}
+			return nil, errors.Wrap(err, "read event")
+		}
+		line := bytes.TrimRight(r.buf[begin:], "\r\n")
+		if len(line) == 0 {
+			if begin == 0 {
+				r.buf = r.buf[:0]
+				continue
+			}
+			e.raw = r.buf
+			return e, nil
+		}
+		if err := e.field(line); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (e *event) field(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		id, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil {
+			return errors.Wrapf(forward.ErrMalformed, "event id %q", value)
+		}
+		e.id, e.hasID = id, true
+	case "data":
+		if e.data != nil {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"github.com/buckthornroute/buckthornroute/relay"
+	"github.com/buckthornroute/buckthornroute/routing"
+)
+
+// fleet is the upstreams that may be chosen, by service. It is immutable.
+type fleet struct {
+	registry *relay.Registry
+	seats    map[string][]routing.Seat
+}
+
+// newFleet lists the seats of the registry; services come from the document in force
+// and may be nil before there is one.
+func newFleet(r *relay.Registry, services map[string]relay.Service) *fleet {
+	f := &fleet{registry: r, seats: map[string][]routing.Seat{}}
+	for name, s := range services {
+		for _, u := range r.Of(name) {
+			if u.Draining {
+				continue
+			}
+			seat := routing.Seat{ID: u.ID, Service: name, Domain: u.Domain, Slots: u.Slots}
+			if s.Model != nil {
+				seat.CacheTokens = s.Model.CacheTokens
+			}
+			f.seats[name] = append(f.seats[name], seat)
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,249 @@
+// Package gateway is the shell of a buckthorn-entry on which callers drive their own
+// programs: they send each turn and each call of a tool, and the entry sends it on to
+// an upstream, once as far as its route asks for that, within the program's budget.
+//
+// Decisions are those of relay, routing, ledger, turnlog, retry and quarantine; what
+// must last lies in the platform's table.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/forward"
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/reqlog"
+	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/internal/telemetry"
+	"github.com/buckthornroute/buckthornroute/relay"
+	"github.com/buckthornroute/buckthornroute/routing"
+)
+
+// Environment is what a gateway runs with.
+type Environment struct {
+	// Events takes what changes the process, Requests what becomes of requests.
+	Events    *eventlog.Logger
+	Requests  *reqlog.Logger
+	Telemetry *telemetry.Telemetry
+	// Table is the platform's table.
+	Table table.Watcher
+	// Reload brings changed settings; nil when they never change.
+	Reload <-chan *settings.Gateway
+}
+
+// upstreamDialTimeout bounds a new connection to an upstream: some ten times the way
+// between two domains and the upstream's own set-up time.
+const upstreamDialTimeout = 200 * time.Millisecond
+
+// Gateway is one process.
+type Gateway struct {
+	cfg     *settings.Gateway
+	env     Environment
+	metrics *metrics
+	life    string
+	started time.Time
+
+	link    *link
+	mesh    *mesh
+	pool    *forward.Pool
+	commits *committer
+	budgets *budgets
+	turns   *turns
+
+	routes atomic.Pointer[relay.Table]
+	fleet  atomic.Pointer[fleet]
+	// confirmed is when the document was last known to be the newest.
+	confirmed atomic.Int64
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+
+	mu   sync.Mutex
+	book *routing.Book
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func Run(ctx context.Context, cfg *settings.Gateway, env Environment) error {
+	g := newGateway(cfg, env)
+	return g.run(ctx)
+}
+
+func newGateway(cfg *settings.Gateway, env Environment) *Gateway {
+	g := &Gateway{
+		cfg:     cfg,
+		env:     env,
+		metrics: newMetrics(env.Telemetry.Scope),
+		life:    newLife(),
+		started: time.Now(),
+		pool:    forward.NewPool(upstreamDialTimeout),
+		book:    routing.NewBook(routing.BookConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
+	}
+	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
+	g.fleet.Store(newFleet(relay.NewRegistry(), nil))
+	g.mesh = newMesh(g)
+	g.link = newLink(env.Table, g.mesh, g.linkChanged)
+	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
+	g.budgets = newBudgets(g.link, g.commits, g.holder())
+	g.turns = newTurns(g.link, g.commits, cfg)
+	return g
+}
+
+// holder names this life of the entry in budget rows.
+func (g *Gateway) holder() string { return string(g.cfg.Node) + "/" + g.life }
+
+func (g *Gateway) run(ctx context.Context) error {
+	listeners, err := g.listen()
+	if err != nil {
+		return err
+	}
+	g.env.Events.Emit(eventlog.GatewayStarted, eventlog.Fields{Step: "start", Detail: "callers " + g.cfg.ListenCallers + ", life " + g.life})
+	// Duties outlive ctx: calls go on during a graceful shutdown.
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, duties := errgroup.WithContext(duties)
+	for _, duty := range []func(context.Context){
+		g.pool.Run, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.housekeep,
+	} {
+		group.Go(func() error {
+			duty(duties)
+			return nil
+		})
+	}
+	servers := g.serve(listeners)
+	g.reloadUntil(ctx)
+	g.shutdown(servers)
+	stop()
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	g.env.Events.Emit(eventlog.GatewayStopped, eventlog.Fields{Step: "stop", Took: time.Since(g.started)})
+	return nil
+}
+
+// reloadUntil takes changed settings until ctx ends. Addresses stay as they are: a
+// process under another address is another process.
+func (g *Gateway) reloadUntil(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case cfg := <-g.env.Reload:
+			g.commits.setRate(cfg.TableWritesPerSecond)
+			g.env.Events.Emit(eventlog.GatewayReloaded, eventlog.Fields{Step: "reload"})
+		}
+	}
+}
+
+// listeners are the sockets of the process.
+type listeners struct {
+	callers, ready, mesh net.Listener
+	digests              net.PacketConn
+}
+
+func (g *Gateway) listen() (*listeners, error) {
+	l := &listeners{}
+	var err error
+	open := func(key, address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", address); err != nil {
+			err = errors.Wrapf(err, "%s %q", key, address)
+		}
+		return ln
+	}
+	l.callers = open("listen_callers", g.cfg.ListenCallers)
+	l.ready = open("listen_ready", g.cfg.ListenReady)
+	l.mesh = open("listen_mesh", g.cfg.ListenMesh)
+	if err != nil {
+		return nil, err
+	}
+	if l.digests, err = net.ListenPacket("udp", g.cfg.ListenDigests); err != nil {
+		return nil, errors.Wrapf(err, "listen_digests %q", g.cfg.ListenDigests)
+	}
+	return l, nil
+}
+
+// linkChanged records that the table was lost or came back.
+func (g *Gateway) linkChanged(event eventlog.Event, f eventlog.Fields) { g.env.Events.Emit(event, f) }
+
+// servers are the HTTP servers of the process.
+type servers struct {
+	callers, ready, mesh *http.Server
+	listener             *callerListener
+}
+
+const (
+	// readyTimeout bounds a question for readiness or of another entry.
+	readyTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a caller's headers until a document sets a bound; the prompt's
+	// parts are the longest.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds how long a caller takes to send them.
+	headerTimeout = 5 * time.Second
+)
+
+func (g *Gateway) serve(l *listeners) *servers {
+	s := &servers{listener: newCallerListener(l.callers, g.idleTimeout)}
+	s.callers = &http.Server{
+		Handler:           http.HandlerFunc(g.serveCaller),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       defaultIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.listener.connState,
+		ErrorLog:          nil,
+	}
+	s.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readyTimeout}
+	s.mesh = &http.Server{Handler: g.mesh.handler(), ReadHeaderTimeout: readyTimeout}
+	g.mesh.packets = l.digests
+	go g.serveOn(s.callers, s.listener)
+	go g.serveOn(s.ready, l.ready)
+	go g.serveOn(s.mesh, l.mesh)
+	go g.mesh.receive()
+	return s
+}
+
+func (g *Gateway) serveOn(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		g.env.Events.Emit(eventlog.GatewayListenerFailed, eventlog.Fields{Step: "serve", Peer: l.Addr().String(), Err: err})
+	}
+}
+
+// idleTimeout returns how long a caller's connection may rest.
+func (g *Gateway) idleTimeout() time.Duration {
+	if t := g.routes.Load(); t != nil && t.Document().Limits.IdleTimeout > 0 {
+		return t.Document().Limits.IdleTimeout
+	}
+	return defaultIdle
+}
+
+// serveReady answers whether the balancer should send new connections here.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.notReady() != "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// notReady returns why the process takes no new connections; empty when it does.
+func (g *Gateway) notReady() string {
+	switch {
+	case g.draining.Load():
+		return "shutting down"
+	case g.routes.Load() == nil:
+		return "no document"
+	case g.fleet.Load().registry.Len() == 0:
+		return "no upstreams"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/gateway/link.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+)
+
+const (
+	// readTimeout bounds a read of the table: a store sixty times slower than its 4 ms
+	// still answers within it.
+	readTimeout = 350 * time.Millisecond
+	// applyTimeout bounds a transaction over several parts at such a store, which takes
+	// 480 ms.
+	applyTimeout = 700 * time.Millisecond
+	// directPause is how long after a failure the table is asked through other entries
+	// before it is tried again directly.
+	directPause = 400 * time.Millisecond
+	// peerChangesWait is how long another entry waits for changes on this one's behalf.
+	peerChangesWait = 300 * time.Millisecond
+	// peerSlack is added to the timeout of a call that goes through another entry.
+	peerSlack = 100 * time.Millisecond
+	// lostAfter is how long nothing may succeed before the table counts as lost.
+	lostAfter = 500 * time.Millisecond
+)
+
+// tablePeers finds another entry that reaches the table.
+type tablePeers interface {
+	// tableVia returns the table as reached through another entry, or nil.
+	tableVia() table.Watcher
+}
+
+// link is the table as this entry reaches it: directly, or through another entry while
+// the table turns this one away. It is safe for concurrent use.
+type link struct {
+	direct table.Watcher
+	peers  tablePeers
+	note   func(eventlog.Event, eventlog.Fields)
+
+	mu sync.Mutex
+	// avoid is until when the table is not asked directly.
+	avoid    time.Time
+	directUp bool
+	// failing is when calls began to fail in a row; zero when the last one succeeded.
+	failing time.Time
+	lost    bool
+	back    time.Time
+}
+
+var _ table.Watcher = (*link)(nil)
+
+func newLink(direct table.Watcher, peers tablePeers, note func(eventlog.Event, eventlog.Fields)) *link {
+	return &link{direct: direct, peers: peers, note: note, directUp: true}
+}
+
+// reachable reports whether this entry itself reaches the table.
+func (l *link) reachable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.directUp
+}
+
+// away reports whether the table can't be reached by any way.
+func (l *link) away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+// returned is when the table was last reached again after it was lost; zero when never.
+func (l *link) returned() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost {
+		return time.Now()
+	}
+	return l.back
+}
+
+// failed reports whether an error says that the table was not reached or refused this entry.
+func failed(err error) bool {
+	return errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrNotApplied)
+}
+
+// do runs f on the table directly or, when that fails, through another entry.
+func (l *link) do(ctx context.Context, timeout time.Duration, f func(ctx context.Context, t table.Watcher) error) error {
+	err := error(table.ErrUnavailable)
+	if l.tryDirect() {
+		err = within(ctx, timeout, l.direct, f)
+		l.noteDirect(err)
+		if !failed(err) {
+			return err
+		}
+	}
+	if ctx.Err() != nil {
+		return err
+	}
+	if via := l.peers.tableVia(); via != nil {
+		err = within(ctx, timeout+peerSlack, via, f)
+	}
+	l.noteAny(err)
+	return err
+}
+
+func within(ctx context.Context, timeout time.Duration, t table.Watcher, f func(context.Context, table.Watcher) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f(ctx, t)
+}
+
+func (l *link) tryDirect() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !time.Now().Before(l.avoid)
+}
+
+func (l *link) noteDirect(err error) {
+	now := time.Now()
+	l.mu.Lock()
+	was := l.directUp
+	l.directUp = !failed(err)
+	if l.directUp {
+		l.avoid = time.Time{}
+	} else {
+		l.avoid = now.Add(directPause)
+	}
+	l.mu.Unlock()
+	if was && failed(err) {
+		l.note(eventlog.GatewayTableDirectLost, eventlog.Fields{Step: "table", Err: err})
+	}
+	if !was && !failed(err) {
+		l.note(eventlog.GatewayTableDirectBack, eventlog.Fields{Step: "table"})
+	}
+	if !failed(err) {
+		l.noteAny(err)
+	}
+}
+
+// noteAny records the outcome by whatever way.
+func (l *link) noteAny(err error) {
+	now := time.Now()
+	l.mu.Lock()
+	wasLost := l.lost
+	if !failed(err) {
+		l.failing = time.Time{}
+		if l.lost {
+			l.lost, l.back = false, now
+		}
+	} else {
+		if l.failing.IsZero() {
+			l.failing = now
+		}
+		l.lost = l.lost || now.Sub(l.failing) >= lostAfter
+	}
+	lost := l.lost
+	l.mu.Unlock()
+	if lost && !wasLost {
+		l.note(eventlog.GatewayTableLost, eventlog.Fields{Step: "table", Err: err})
+	}
+	if wasLost && !lost {
+		l.note(eventlog.GatewayTableBack, eventlog.Fields{Step: "table"})
+	}
+}
+
+// Apply implements table.Table.
+func (l *link) Apply(ctx context.Context, txn table.Txn) error {
+	return l.do(ctx, applyTimeout, func(ctx context.Context, t table.Watcher) error { return t.Apply(ctx, txn) })
+}
+
+// Get implements table.Table.
+func (l *link) Get(ctx context.Context, key string) (row table.Row, err error) {
+	err = l.do(ctx, readTimeout, func(ctx context.Context, t table.Watcher) error {
+		row, err = t.Get(ctx, key)
+		return err
+	})
+	return row, err
+}
+
+// Scan implements table.Table.
+func (l *link) Scan(ctx context.Context, prefix, after string, limit int) (rows []table.Row, err error) {
+	err = l.do(ctx, readTimeout, func(ctx context.Context, t table.Watcher) error {
+		rows, err = t.Scan(ctx, prefix, after, limit)
+		return err
+	})
+	return rows, err
+}
+
+// Snapshot implements table.Watcher.
+func (l *link) Snapshot(ctx context.Context, prefix string) (rows []table.Row, version int64, err error) {
+	err = l.do(ctx, listTimeout, func(ctx context.Context, t table.Watcher) error {
+		rows, version, err = t.Snapshot(ctx, prefix)
+		return err
+	})
+	return rows, version, err
+}
+
+// Changes implements table.Watcher.
+func (l *link) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []table.Change, version int64, err error) {
+	err = l.do(ctx, 2*wait, func(ctx context.Context, t table.Watcher) error {
+		if t != l.direct {
+			wait = peerChangesWait
+		}
+		changes, version, err = t.Changes(ctx, prefix, after, wait)
+		return err
+	})
+	return changes, version, err
+}
--- /dev/null
+++ b/internal/gateway/mesh.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+)
+
+const (
+	// entriesPrefix is where entries register in the table.
+	entriesPrefix = "entries//"
+	// registerInterval is the time between two readings of the list of entries; digests
+	// tell of new entries meanwhile.
+	registerInterval = 5 * time.Second
+	// registerRetry is the wait after a registration that failed.
+	registerRetry = 300 * time.Millisecond
+	// entrySilence is how long after its last digest an entry counts as gone: some ten
+	// digests.
+	entrySilence = 3 * time.Second
+	// entryForgotten is how long a silent entry's row stays in the table.
+	entryForgotten = 2 * time.Minute
+)
+
+// peer is another entry.
+type peer struct {
+	Node    string `json:"node"`
+	Domain  string `json:"domain"`
+	Mesh    string `json:"mesh"`
+	Digests string `json:"digests"`
+	Life    string `json:"life"`
+
+	// heard is when its last digest came; zero when none has.
+	heard time.Time
+	// listed is when the table first listed it here.
+	listed time.Time
+	// tableUp says that it reaches the table.
+	tableUp bool
+	address netip.AddrPort
+	// seq is the newest digest of its life.
+	seq uint64
+}
+
+// mesh is what this entry knows of the others, and its ways to them.
+type mesh struct {
+	g       *Gateway
+	packets net.PacketConn
+	client  *meshClient
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	seq   uint64
+	// fresh are the prompt parts that upstreams have newly read through this entry.
+	fresh []cachedParts
+}
+
+func newMesh(g *Gateway) *mesh {
+	return &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient()}
+}
+
+// size returns the number of entries that live, this one too.
+func (m *mesh) size() int {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for _, p := range m.peers {
+		if m.lives(p, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// lives reports whether a peer was heard lately, or was listed too lately to be heard.
+func (m *mesh) lives(p *peer, now time.Time) bool {
+	return now.Sub(p.heard) < entrySilence || now.Sub(p.listed) < entrySilence
+}
+
+// tableVia implements tablePeers: the entry heard last among those that reach the
+// table, those of this failure domain first.
+func (m *mesh) tableVia() table.Watcher {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best *peer
+	for _, p := range m.peers {
+		if !p.tableUp || now.Sub(p.heard) > entrySilence {
+			continue
+		}
+		if best == nil || m.nearer(p, best) {
+			best = p
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return &remoteTable{client: m.client, address: best.Mesh}
+}
+
+func (m *mesh) nearer(a, b *peer) bool {
+	own := string(m.g.cfg.FailureDomain)
+	if (a.Domain == own) != (b.Domain == own) {
+		return a.Domain == own
+	}
+	return a.heard.After(b.heard)
+}
+
+// run registers this entry, follows the list of the others and tells them of its load
+// until ctx ends.
+func (m *mesh) run(ctx context.Context) {
+	go m.tell(ctx)
+	defer m.client.close()
+	registered := false
+	for ctx.Err() == nil {
+		if !registered {
+			registered = m.register(ctx) == nil
+		}
+		if !registered || m.list(ctx) != nil {
+			sleep(ctx, registerRetry)
+			continue
+		}
+		sleep(ctx, registerInterval)
+	}
+}
+
+func (m *mesh) self() peer {
+	cfg := m.g.cfg
+	return peer{Node: string(cfg.Node), Domain: string(cfg.FailureDomain), Mesh: cfg.ListenMesh, Digests: cfg.ListenDigests, Life: m.g.life}
+}
+
+func (m *mesh) register(ctx context.Context) error {
+	value, err := json.Marshal(m.self())
+	if err != nil {
+		return errors.Wrap(err, "encode entry")
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return m.g.commits.apply(ctx, nil, []table.Write{{Key: entriesPrefix + string(m.g.cfg.Node), Value: value}})
+}
+
+// list reads the registered entries and drops the rows of those silent for long.
+func (m *mesh) list(ctx context.Context) error {
+	rows, _, err := m.g.link.Snapshot(ctx, entriesPrefix)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		var p peer
+		if err := json.Unmarshal(r.Value, &p); err != nil {
+			m.g.env.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "entries", Detail: r.Key, Count: r.Version, Err: err})
+			continue
+		}
+		m.add(p)
+	}
+	m.dropForgotten(ctx)
+	return nil
+}
+
+// add records an entry; one under a known name replaces an earlier life.
+func (m *mesh) add(p peer) {
+	address, err := netip.ParseAddrPort(p.Digests)
+	if err != nil || p.Node == "" || p.Node == string(m.g.cfg.Node) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old := m.peers[p.Node]; old != nil && old.Life == p.Life {
+		return
+	}
+	p.address, p.listed = address, time.Now()
+	m.peers[p.Node] = &p
+	m.g.env.Requests.Info("entry_listed").Str("peer", p.Node).Str("domain", p.Domain).Str("life", p.Life).End()
+}
+
+func (m *mesh) dropForgotten(ctx context.Context) {
+	now := time.Now()
+	var gone []table.Write
+	m.mu.Lock()
+	for name, p := range m.peers {
+		if now.Sub(p.heard) > entryForgotten && now.Sub(p.listed) > entryForgotten {
+			delete(m.peers, name)
+			gone = append(gone, table.Write{Key: entriesPrefix + name, Delete: true})
+		}
+	}
+	m.mu.Unlock()
+	if len(gone) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if err := m.g.commits.apply(ctx, nil, gone); err != nil {
+		m.g.env.Requests.Info("entry_rows_kept").Int("count", int64(len(gone))).Err(err).End()
+	}
+}
--- /dev/null
+++ b/internal/gateway/meshhttp.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+)
+
+const (
+	// meshDialTimeout bounds a connection to another entry.
+	meshDialTimeout = 150 * time.Millisecond
+	// maxMeshBody bounds a message between entries: a list of some thousand rows.
+	maxMeshBody = 8 << 20
+	// maxMeshIdle is the number of connections kept to one entry.
+	maxMeshIdle = 4
+)
+
+// Codes of the table's errors between entries.
+const (
+	codeConflict    = "conflict"
+	codeNotFound    = "not_found"
+	codeNotApplied  = "not_applied"
+	codeHistoryGone = "history_gone"
+	codeUnavailable = "unavailable"
+)
+
+// tableCall is a call of the table that another entry makes on one's behalf.
+type tableCall struct {
+	Txn    *table.Txn    `json:"txn,omitempty"`
+	Key    string        `json:"key,omitempty"`
+	Prefix string        `json:"prefix,omitempty"`
+	After  int64         `json:"after,omitempty"`
+	From   string        `json:"from,omitempty"`
+	Limit  int           `json:"limit,omitempty"`
+	Wait   time.Duration `json:"wait,omitempty"`
+}
+
+// tableAnswer is its result.
+type tableAnswer struct {
+	Code    string         `json:"code,omitempty"`
+	Detail  string         `json:"detail,omitempty"`
+	Rows    []table.Row    `json:"rows,omitempty"`
+	Changes []table.Change `json:"changes,omitempty"`
+	Version int64          `json:"version,omitempty"`
+}
+
+// handler serves the other entries.
+func (m *mesh) handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/table/{verb}", m.serveTable)
+	return r
+}
+
+// serveTable makes a call of the table for an entry that the table turns away. It asks
+// the table directly only, so that entries don't ask each other in circles.
+func (m *mesh) serveTable(w http.ResponseWriter, r *http.Request) {
+	var call tableCall
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxMeshBody)).Decode(&call); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer := m.callTable(r.Context(), chi.URLParam(r, "verb"), &call)
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		m.g.env.Requests.Info("mesh_answer_lost").Str("peer", r.RemoteAddr).Err(err).End()
+	}
+}
+
+func (m *mesh) callTable(ctx context.Context, verb string, c *tableCall) (a tableAnswer) {
+	t := m.g.link.direct
+	var err error
+	switch verb {
+	case "apply":
+		if c.Txn == nil {
+			return tableAnswer{Code: codeNotApplied, Detail: "no transaction"}
+		}
+		err = t.Apply(ctx, *c.Txn)
+	case "get":
+		var row table.Row
+		row, err = t.Get(ctx, c.Key)
+		a.Rows = []table.Row{row}
+	case "scan":
+		a.Rows, err = t.Scan(ctx, c.Prefix, c.From, c.Limit)
+	case "snapshot":
+		a.Rows, a.Version, err = t.Snapshot(ctx, c.Prefix)
+	case "changes":
+		a.Changes, a.Version, err = t.Changes(ctx, c.Prefix, c.After, c.Wait)
+	default:
+		return tableAnswer{Code: codeNotApplied, Detail: "unknown call " + verb}
+	}
+	if err != nil {
+		return encodeError(err)
+	}
+	return a
+}
+
+func encodeError(err error) tableAnswer {
+	var conflict *table.Conflict
+	a := tableAnswer{Code: codeUnavailable, Detail: err.Error()}
+	switch {
+	case errors.As(err, &conflict):
+		a.Code, a.Rows = codeConflict, conflict.Rows
+	case errors.Is(err, table.ErrNotFound):
+		a.Code = codeNotFound
+	case errors.Is(err, table.ErrHistoryGone):
+		a.Code = codeHistoryGone
+	case errors.Is(err, table.ErrNotApplied):
+		a.Code = codeNotApplied
+	}
+	return a
+}
+
+func (a *tableAnswer) err() error {
+	switch a.Code {
+	case "":
+		return nil
+	case codeConflict:
+		return &table.Conflict{Rows: a.Rows}
+	case codeNotFound:
+		return table.ErrNotFound
+	case codeHistoryGone:
+		return table.ErrHistoryGone
+	case codeNotApplied:
+		return errors.Wrap(table.ErrNotApplied, a.Detail)
+	default:
+		return errors.Wrap(table.ErrUnavailable, a.Detail)
+	}
+}
+
+// meshClient sends messages to other entries.
+type meshClient struct{ http *http.Client }
+
+func newMeshClient() *meshClient {
+	dialer := &net.Dialer{Timeout: meshDialTimeout}
+	return &meshClient{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxMeshIdle,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}}
+}
+
+func (c *meshClient) close() { c.http.CloseIdleConnections() }
+
+// post sends a message and decodes the answer. Errors are table.ErrUnavailable.
+func (c *meshClient) post(ctx context.Context, address, path string, message, answer any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make message")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "entry"), table.ErrUnavailable)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMeshBody))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Newf("entry's status %d", resp.StatusCode)
+	}
+	if err == nil {
+		err = json.Unmarshal(data, answer)
+	}
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "entry's answer"), table.ErrUnavailable)
+	}
+	return nil
+}
+
+// remoteTable is the table as another entry reaches it.
+type remoteTable struct {
+	client  *meshClient
+	address string
+}
+
+var _ table.Watcher = (*remoteTable)(nil)
+
+func (t *remoteTable) call(ctx context.Context, verb string, c tableCall) (*tableAnswer, error) {
+	var a tableAnswer
+	if err := t.client.post(ctx, t.address, "/table/"+verb, c, &a); err != nil {
+		return nil, err
+	}
+	return &a, a.err()
+}
+
+// Apply implements table.Table.
+func (t *remoteTable) Apply(ctx context.Context, txn table.Txn) error {
+	_, err := t.call(ctx, "apply", tableCall{Txn: &txn})
+	return err
+}
+
+// Get implements table.Table.
+func (t *remoteTable) Get(ctx context.Context, key string) (table.Row, error) {
+	a, err := t.call(ctx, "get", tableCall{Key: key})
+	if err != nil {
+		return table.Row{}, err
+	}
+	if len(a.Rows) != 1 {
+		return table.Row{}, errors.Wrap(table.ErrUnavailable, "entry's answer has no row")
+	}
+	return a.Rows[0], nil
+}
+
+// Scan implements table.Table.
+func (t *remoteTable) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	a, err := t.call(ctx, "scan", tableCall{Prefix: prefix, From: after, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	return a.Rows, nil
+}
+
+// Snapshot implements table.Watcher.
+func (t *remoteTable) Snapshot(ctx context.Context, prefix string) ([]table.Row, int64, error) {
+	a, err := t.call(ctx, "snapshot", tableCall{Prefix: prefix})
+	if err != nil {
+		return nil, 0, err
+	}
+	return a.Rows, a.Version, nil
+}
+
+// Changes implements table.Watcher.
+func (t *remoteTable) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]table.Change, int64, error) {
+	a, err := t.call(ctx, "changes", tableCall{Prefix: prefix, After: after, Wait: wait})
+	if err != nil {
+		return nil, 0, err
+	}
+	return a.Changes, a.Version, nil
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics are the counters and histograms of a gateway.
+type metrics struct {
+	requests, answered, refused, failed, gone       tally.Counter
+	resent, connections, commits, digestErrors      tally.Counter
+	notFound, budgetSpent, turnsKept, turnsNotKept  tally.Counter
+	latency, firstEvent, commitLatency, waitLatency tally.Histogram
+}
+
+// latencyBuckets reach from 1 ms to some 8 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+func newMetrics(s tally.Scope) *metrics {
+	s = s.SubScope("gateway")
+	return &metrics{
+		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
+		failed: s.Counter("failed"), gone: s.Counter("caller_gone"), resent: s.Counter("resent"),
+		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
+		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
+		budgetSpent: s.Counter("budget_spent"), turnsKept: s.Counter("turns_kept"), turnsNotKept: s.Counter("turns_not_kept"),
+		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
+		commitLatency: s.Histogram("commit", latencyBuckets), waitLatency: s.Histogram("wait", latencyBuckets),
+	}
+}
--- /dev/null
+++ b/internal/gateway/outcome.go
@@ -0,0 +1,40 @@
+package gateway
+
+import "time"
+
+// outcome logs what became of a request, with the inputs that decided it.
+func (g *Gateway) outcome(j *job, outcome string, status int, reason string, cause error, after time.Duration) {
+	took := time.Since(j.start)
+	ln := g.env.Requests.Info("request")
+	if cause != nil || status >= 500 {
+		ln = g.env.Requests.Warn("request")
+	}
+	ln.Str("request", idOf(j)).Str("outcome", outcome).Int("status", int64(status)).Str("reason", reason).Ms("took_ms", took)
+	if j.call != nil {
+		ln.Str("program", j.call.Program).Str("continues", j.call.Previous)
+	}
+	if j.route != nil {
+		ln.Str("route", j.route.Name).Int("document", int64(j.version)).Str("service", j.service).Ms("left_ms", j.left())
+	}
+	if j.pick.ID != "" {
+		ln.Str("upstream", j.pick.ID).Int("sends", int64(j.sends)).Int("in_flight", int64(j.pick.InFlight)).
+			Int("own", int64(j.pick.Own)).Ms("peers_age_ms", j.pick.PeersAge).Int("cached", int64(j.pick.Cached)).
+			Int("prompt", int64(j.work.Tokens)).Ms("predicted_ms", j.pick.Finish)
+	}
+	if j.notSent > 0 {
+		ln.Int("not_sent", int64(j.notSent))
+	}
+	if j.events > 0 {
+		ln.Int("events", int64(j.events))
+	}
+	if j.reads > 0 {
+		ln.Int("turns_read", int64(j.reads))
+	}
+	if j.keptIn > 0 {
+		ln.Ms("kept_in_ms", j.keptIn)
+	}
+	if after > 0 {
+		ln.Ms("retry_after_ms", after)
+	}
+	ln.Err(cause).End()
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,6 +20,8 @@
 	ErrNotApplied = errors.New("not applied by the platform")
 	// ErrUnavailable: the service did not answer; a write may have taken effect.
 	ErrUnavailable = errors.New("platform did not answer")
+	// ErrHistoryGone: changes since the version asked for are no longer kept; list again.
+	ErrHistoryGone = errors.New("history is gone at the platform")
 )
 
 // AnyVersion is a condition that always holds; Absent holds when there is no row.
@@ -65,6 +67,35 @@
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 }
 
+// Conflict is an ErrConditionFailed that says which rows there are now.
+type Conflict struct {
+	// Rows are the current rows of the conditions; a row that does not exist is missing.
+	Rows []Row `json:"rows"`
+}
+
+// Error implements error.
+func (c *Conflict) Error() string { return ErrConditionFailed.Error() }
+
+// Is makes a Conflict an ErrConditionFailed.
+func (c *Conflict) Is(target error) bool { return target == ErrConditionFailed }
+
+// Change is one change of a table's rows.
+type Change struct {
+	Row
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Watcher is a table whose changes can be followed.
+type Watcher interface {
+	Table
+	// Snapshot returns all rows whose keys start with prefix, and the version they show.
+	Snapshot(ctx context.Context, prefix string) ([]Row, int64, error)
+	// Changes waits up to wait for changes after a version of the rows whose keys start
+	// with prefix. It returns them and the version to go on from. It returns
+	// ErrHistoryGone when they are no longer kept.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
+}
+
 // Objects is the object store.
 type Objects interface {
 	Put(ctx context.Context, key string, value []byte) error
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,26 +96,55 @@
 const (
 	KindEntry Kind = "entry"
 	KindSide  Kind = "side"
+	// KindGateway is an entry on which callers drive their own programs.
+	KindGateway Kind = "gateway"
 )
 
 // Check reads the file as the settings of whichever program it is for and returns
-// that kind. A file with the table [upstream] belongs to a side. Errors are *Error.
+// that kind. Errors are *Error.
 func Check(path string) (Kind, error) {
 	data, err := read(path)
 	if err != nil {
 		return "", err
 	}
+	kind := kindOf(data)
+	switch kind {
+	case KindSide:
+		_, err = ParseSide(data, path)
+	case KindGateway:
+		_, err = ParseGateway(data, path)
+	default:
+		_, err = ParseEntry(data, path)
+	}
+	return kind, err
+}
+
+// KindOf reads which program the file is for, without checking it. Errors are *Error.
+func KindOf(path string) (Kind, error) {
+	data, err := read(path)
+	if err != nil {
+		return "", err
+	}
+	return kindOf(data), nil
+}
+
+// kindOf tells the kind by a key that only one has: a side's table [upstream], a
+// gateway's table_address.
+func kindOf(data []byte) Kind {
 	var probe struct {
-		Upstream map[string]any `toml:"upstream"`
+		Upstream     map[string]any `toml:"upstream"`
+		TableAddress any            `toml:"table_address"`
 	}
-	// A file that does not parse is reported by the strict reading below.
+	// A file that does not parse is reported by the strict reading that follows.
 	_ = toml.Unmarshal(data, &probe)
-	if probe.Upstream != nil {
-		_, err = ParseSide(data, path)
-		return KindSide, err
+	switch {
+	case probe.Upstream != nil:
+		return KindSide
+	case probe.TableAddress != nil:
+		return KindGateway
+	default:
+		return KindEntry
 	}
-	_, err = ParseEntry(data, path)
-	return KindEntry, err
 }
 
 func read(path string) ([]byte, error) {
--- /dev/null
+++ b/ledger/row.go
@@ -0,0 +1,65 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrBadRow reports a row that does not decode.
+var ErrBadRow = errors.New("malformed budget row")
+
+// lumpShare is the part of what is left that one draw takes: half, so that a program
+// which moves to another entry finds as much again.
+const lumpShare = 2
+
+// Row is what the platform's table holds of one program's budget.
+type Row struct {
+	// Total is the budget in tokens.
+	Total int `json:"total"`
+	// Drawn is the tokens drawn by each life of an entry.
+	Drawn map[string]int `json:"drawn"`
+}
+
+// DecodeRow reads a row. Errors are ErrBadRow.
+func DecodeRow(value []byte) (Row, error) {
+	var r Row
+	if err := json.Unmarshal(value, &r); err != nil || r.Total <= 0 {
+		return Row{}, errors.Wrapf(ErrBadRow, "%d bytes: %v", len(value), err)
+	}
+	return r, nil
+}
+
+// Encode returns the bytes to store.
+func (r Row) Encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil { // a map of integers always encodes
+		panic(err)
+	}
+	return b
+}
+
+// Left returns the tokens that nobody has drawn.
+func (r Row) Left() int {
+	left := r.Total
+	for _, n := range r.Drawn {
+		left -= n
+	}
+	return left
+}
+
+// Draw returns the row after holder has drawn need tokens or more, and how many. It
+// returns zero when the row does not hold need.
+func (r Row) Draw(holder string, need int) (Row, int) {
+	left := r.Left()
+	if left < need {
+		return r, 0
+	}
+	lump := max(need, left/lumpShare)
+	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+1)}
+	for h, n := range r.Drawn {
+		next.Drawn[h] = n
+	}
+	next.Drawn[holder] += lump
+	return next, lump
+}
--- /dev/null
+++ b/relay/match.go
@@ -0,0 +1,50 @@
+package relay
+
+import "strings"
+
+// Table finds the route of a call. It is immutable.
+type Table struct {
+	doc    *Document
+	byHost map[string]map[string]*Route
+}
+
+// NewTable indexes the routes of a document.
+func NewTable(doc *Document) *Table {
+	t := &Table{doc: doc, byHost: make(map[string]map[string]*Route)}
+	for i := range doc.Routes {
+		r := &doc.Routes[i]
+		prefixes := t.byHost[r.Host]
+		if prefixes == nil {
+			prefixes = make(map[string]*Route)
+			t.byHost[r.Host] = prefixes
+		}
+		prefixes[r.Prefix] = r
+	}
+	return t
+}
+
+// Document returns the document that the table was made of.
+func (t *Table) Document() *Document { return t.doc }
+
+// Match returns the route of the host whose prefix is the longest that begins the
+// path, or nil. A port in host is ignored, and so is its case.
+func (t *Table) Match(host, path string) *Route {
+	prefixes := t.byHost[hostName(host)]
+	if prefixes == nil {
+		return nil
+	}
+	// A prefix ends with a slash, so only the path up to each of its slashes can match.
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/routing/book.go
@@ -0,0 +1,385 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// BookConfig bounds what a Book believes; zero fields take the defaults.
+type BookConfig struct {
+	// Entry names this entry; it spreads entries that know the same over equal upstreams.
+	Entry string
+	// PeerSilence is how long the calls that another entry said it runs are believed;
+	// 1 s by default, several times the interval of its digests.
+	PeerSilence time.Duration
+	// EjectAfter is the number of failures in a row after which an upstream gets no
+	// calls for a while; 2 by default.
+	EjectAfter int
+	// EjectMin and EjectMax bound that while; it doubles with each failure after it.
+	// 400 ms and 5 s by default.
+	EjectMin, EjectMax time.Duration
+	// EjectShare is the greatest share of a service's upstreams that is ejected at
+	// once; one half by default.
+	EjectShare float64
+	Seed       uint64
+}
+
+func (c BookConfig) withDefaults() BookConfig {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	def(&c.PeerSilence, time.Second)
+	def(&c.EjectMin, 400*time.Millisecond)
+	def(&c.EjectMax, 5*time.Second)
+	if c.EjectAfter == 0 {
+		c.EjectAfter = 2
+	}
+	if c.EjectShare == 0 {
+		c.EjectShare = 0.5
+	}
+	return c
+}
+
+// Seat is an upstream that may be chosen.
+type Seat struct {
+	ID      string
+	Service string
+	Domain  string
+	Slots   int
+	// CacheTokens is the memory of a model engine; zero for other upstreams.
+	CacheTokens int64
+}
+
+// PromptPart is one part of a prompt, as callers name it.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// Work is what a call asks of an upstream.
+type Work struct {
+	Prompt []PromptPart
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Generate is the expected number of generated tokens; zero for plain calls.
+	Generate int
+	// Object names what a plain call is about; upstreams that saw it work faster.
+	Object string
+	// Domain is the caller's entry's failure domain.
+	Domain string
+}
+
+// Pick is a chosen upstream and what the choice rests on.
+type Pick struct {
+	ID string
+	// InFlight is the number of calls believed to run there, Own those of this entry.
+	InFlight int
+	Own      int
+	Slots    int
+	// Cached is the number of prompt tokens believed cached there.
+	Cached int
+	// Finish is the predicted time to the end of the answer.
+	Finish time.Duration
+	// PeersAge is the age of the oldest digest that InFlight rests on.
+	PeersAge time.Duration
+}
+
+// remote is what another entry said of its calls at an upstream.
+type remote struct {
+	calls int
+	at    time.Time
+}
+
+type account struct {
+	own    int
+	remote map[string]remote
+	cache  *prefixSet
+	// slowness is the observed time of a generated token, or of a plain call, over the
+	// predicted one.
+	slowness float64
+	failures int
+	ejected  time.Time
+	lastSend time.Time
+}
+
+// Book knows what runs at each upstream, by this entry's own calls and what other
+// entries tell, and chooses where a call goes. It is not safe for concurrent use.
+type Book struct {
+	cfg      BookConfig
+	accounts map[string]*account
+	paces    map[string]*Pace
+	rng      *rand.Rand
+}
+
+// NewBook returns a book that knows of no call.
+func NewBook(cfg BookConfig) *Book {
+	cfg = cfg.withDefaults()
+	return &Book{
+		cfg:      cfg,
+		accounts: map[string]*account{},
+		paces:    map[string]*Pace{},
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
+	}
+}
+
+func (b *Book) account(id string, cacheTokens int64) *account {
+	a := b.accounts[id]
+	if a == nil {
+		a = &account{remote: map[string]remote{}, slowness: 1, cache: newPrefixSet(cacheTokens)}
+		b.accounts[id] = a
+	}
+	if cacheTokens > 0 {
+		a.cache.limit = cacheTokens
+	}
+	return a
+}
+
+// PaceOf returns the learned pace of a service's upstreams.
+func (b *Book) PaceOf(service string) *Pace {
+	p := b.paces[service]
+	if p == nil {
+		p = newPace()
+		b.paces[service] = p
+	}
+	return p
+}
+
+// Retain forgets the upstreams that keep does not know.
+func (b *Book) Retain(keep func(id string) bool) {
+	for id, a := range b.accounts {
+		if a.own == 0 && !keep(id) {
+			delete(b.accounts, id)
+		}
+	}
+}
+
+// inFlight returns the calls believed to run at the upstream, and the age of the
+// oldest digest among what that rests on.
+func (b *Book) inFlight(now time.Time, a *account) (int, time.Duration) {
+	n, oldest := a.own, time.Duration(0)
+	for peer, r := range a.remote {
+		age := now.Sub(r.at)
+		if age > b.cfg.PeerSilence {
+			delete(a.remote, peer)
+			continue
+		}
+		n += r.calls
+		oldest = max(oldest, age)
+	}
+	return n, oldest
+}
+
+// Heard records the calls that another entry runs at an upstream.
+func (b *Book) Heard(now time.Time, peer, id string, calls int) {
+	a := b.account(id, 0)
+	if calls == 0 {
+		delete(a.remote, peer)
+		return
+	}
+	a.remote[peer] = remote{calls: calls, at: now}
+}
+
+// Cached records that an upstream has read the parts, as another entry tells.
+func (b *Book) Cached(id string, parts []PromptPart) { b.account(id, 0).cache.add(parts) }
+
+// Own calls each with the upstreams at which this entry runs calls.
+func (b *Book) Own(each func(id string, calls int)) {
+	for id, a := range b.accounts {
+		if a.own > 0 {
+			each(id, a.own)
+		}
+	}
+}
+
+// Started records a call that is sent to an upstream; it must be ended by Ended.
+func (b *Book) Started(now time.Time, s Seat, w *Work) {
+	a := b.account(s.ID, s.CacheTokens)
+	a.own++
+	a.lastSend = now
+	if len(w.Prompt) > 0 {
+		a.cache.add(w.Prompt)
+	}
+}
+
+// Verdict is what the end of a call says of its upstream.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Fine: the upstream answered.
+	Fine Verdict = iota
+	// Failed: it could not be reached, broke off or answered wrongly.
+	Failed
+	// Silent tells nothing, such as a call that its caller cancelled.
+	Silent
+)
+
+// Ended records the end of a call.
+func (b *Book) Ended(now time.Time, id string, v Verdict) {
+	a := b.account(id, 0)
+	a.own = max(0, a.own-1)
+	switch v {
+	case Fine:
+		a.failures = 0
+		a.ejected = time.Time{}
+	case Failed:
+		a.failures++
+		if over := a.failures - b.cfg.EjectAfter; over >= 0 {
+			a.ejected = now.Add(min(b.cfg.EjectMax, b.cfg.EjectMin<<min(over, 10)))
+		}
+	case Silent:
+	}
+}
+
+// Forget drops what is believed of an upstream's cache, such as after its restart.
+func (b *Book) Forget(id string) {
+	a := b.account(id, 0)
+	a.cache = newPrefixSet(a.cache.limit)
+	a.slowness, a.failures, a.ejected = 1, 0, time.Time{}
+}
+
+// slownessWeight is the weight of one observation of an upstream's pace: some eight
+// calls move the belief, so that one long call does not.
+const slownessWeight = 0.12
+
+// Decoded records that an upstream made tokens in took while running calls ran there.
+func (b *Book) Decoded(service, id string, tokens int, took time.Duration, running int) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	p := b.PaceOf(service)
+	observed := ms(took) / float64(tokens)
+	a := b.account(id, 0)
+	p.observeStep(observed/p.batchFactor(running), a.slowness)
+	ratio := observed / p.step(running)
+	a.slowness = clamp(a.slowness+slownessWeight*(ratio-a.slowness), minPaceRatio, maxPaceRatio)
+}
+
+// Served records that a plain call took the time at an upstream.
+func (b *Book) Served(service, id string, took time.Duration) {
+	p := b.PaceOf(service)
+	p.observeCall(ms(took))
+	a := b.account(id, 0)
+	ratio := ms(took) / p.call
+	a.slowness = clamp(a.slowness+slownessWeight/2*(ratio-a.slowness), minPaceRatio, maxPaceRatio)
+}
+
+const (
+	minPaceRatio = 0.5
+	maxPaceRatio = 10
+)
+
+func clamp(v, low, high float64) float64 { return math.Max(low, math.Min(high, v)) }
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Choose returns the seat for the work of least cost. tried seats are left out. It
+// returns false when there is none.
+func (b *Book) Choose(now time.Time, seats []Seat, w *Work, tried []string) (Pick, bool) {
+	best, found := Pick{}, false
+	bestCost := math.Inf(1)
+	spare := b.mayEject(now, seats)
+	for i := range seats {
+		s := &seats[i]
+		if contains(tried, s.ID) {
+			continue
+		}
+		a := b.account(s.ID, s.CacheTokens)
+		n, age := b.inFlight(now, a)
+		cost, finish, cached := b.cost(s, a, w, n)
+		if now.Before(a.ejected) && spare {
+			cost += ejectedCost
+		}
+		if cost < bestCost {
+			bestCost, found = cost, true
+			best = Pick{
+				ID: s.ID, InFlight: n, Own: a.own, Slots: s.Slots, Cached: cached, PeersAge: age,
+				Finish: time.Duration(finish * float64(time.Millisecond)),
+			}
+		}
+	}
+	return best, found
+}
+
+// ejectedCost in milliseconds puts an ejected seat behind all others; it is still
+// taken when it is the only one.
+const ejectedCost = 1e6
+
+// mayEject reports whether the share of ejected seats is within its bound; beyond it
+// ejection says more of the way to the seats than of them.
+func (b *Book) mayEject(now time.Time, seats []Seat) bool {
+	ejected := 0
+	for i := range seats {
+		if a := b.accounts[seats[i].ID]; a != nil && now.Before(a.ejected) {
+			ejected++
+		}
+	}
+	return float64(ejected) <= b.cfg.EjectShare*float64(len(seats))
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// harmWeight is the weight of the delay of other calls against that of the call itself.
+	harmWeight = 1.0
+	// crossDomainCost is the cost in milliseconds of the way to another failure domain
+	// and back, and of the bytes between.
+	crossDomainCost = 2.5
+	// tieBreak in milliseconds spreads entries over upstreams of equal cost: less than
+	// one call beside costs.
+	tieBreak = 6
+)
+
+// cost returns the cost of running the work at the seat where n calls run, and the
+// predicted time to its end, in milliseconds.
+func (b *Book) cost(s *Seat, a *account, w *Work, n int) (cost, finish float64, cached int) {
+	p := b.PaceOf(s.Service)
+	slots := max(1, s.Slots)
+	if w.Generate > 0 {
+		cached = a.cache.cached(w.Prompt)
+		prefill := p.prefill(max(0, w.Tokens-cached)) * a.slowness
+		step := p.step(min(n+1, slots)) * a.slowness
+		decode := float64(w.Generate) * step
+		finish = prefill + decode + p.wait(n, slots, decode)
+		// A prefill stalls all that run beside it; one more in the batch slows each of
+		// them for as long as both run, half of the call on average.
+		beside := float64(min(n, slots-1))
+		harm := beside * (prefill + decode/2*(p.batchFactor(2)-p.batchFactor(1)))
+		cost = finish + harmWeight*harm
+	} else {
+		call := p.call * a.slowness
+		finish = call * (1 + float64(n)*plainShare/float64(slots))
+		if n >= slots {
+			finish += call * float64(n-slots+1) / float64(slots)
+		}
+		cost = finish
+	}
+	if w.Domain != "" && s.Domain != w.Domain {
+		cost += crossDomainCost
+	}
+	return cost + tieBreak*b.rng.Float64(), finish, cached
+}
+
+// plainShare is how much slower a plain call is taken to be at an upstream whose
+// slots are nearly all used, so that calls spread before slots run out.
+const plainShare = 0.5
+
+// PeerBegins starts a digest of another entry: what it does not name, it runs no more.
+func (b *Book) PeerBegins(peer string) {
+	for _, a := range b.accounts {
+		delete(a.remote, peer)
+	}
+}
+
+// Draw returns a random number from 0 to 1.
+func (b *Book) Draw() float64 { return b.rng.Float64() }
--- /dev/null
+++ b/routing/prefixset.go
@@ -0,0 +1,51 @@
+package routing
+
+import "container/list"
+
+// prefixSet is the believed cache of a model engine by the parts that callers name:
+// the least recently used leave first.
+type prefixSet struct {
+	limit int64
+	size  int64
+	order *list.List // of PromptPart, the most recently used in front
+	byID  map[uint64]*list.Element
+}
+
+func newPrefixSet(limit int64) *prefixSet {
+	return &prefixSet{limit: limit, order: list.New(), byID: map[uint64]*list.Element{}}
+}
+
+// cached returns the tokens of the leading parts that are believed cached: a part
+// counts only if all parts before it do.
+func (s *prefixSet) cached(prompt []PromptPart) int {
+	tokens := 0
+	for _, p := range prompt {
+		if _, ok := s.byID[p.ID]; !ok {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// add marks the parts as just used. The first parts are marked last, as an engine
+// that evicts a part evicts those after it first.
+func (s *prefixSet) add(prompt []PromptPart) {
+	for i := len(prompt) - 1; i >= 0; i-- {
+		p := prompt[i]
+		if e := s.byID[p.ID]; e != nil {
+			s.size += int64(p.Tokens - e.Value.(PromptPart).Tokens)
+			e.Value = p
+			s.order.MoveToFront(e)
+			continue
+		}
+		s.byID[p.ID] = s.order.PushFront(p)
+		s.size += int64(p.Tokens)
+	}
+	for s.limit > 0 && s.size > s.limit && s.order.Len() > 1 {
+		last := s.order.Back()
+		p := s.order.Remove(last).(PromptPart)
+		delete(s.byID, p.ID)
+		s.size -= int64(p.Tokens)
+	}
+}
