--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -28,6 +28,9 @@
 	// budgetIdle is how long an account without turns is remembered; a program's turns
 	// follow each other within seconds.
 	budgetIdle = 2 * time.Minute
+	// settleTries and settleRetry bound how often a reservation's end is told to the owner.
+	settleTries = 3
+	settleRetry = 150 * time.Millisecond
 )
 
 // partOf returns the part of the row of an id.
@@ -37,11 +40,53 @@
 
 func budgetKey(program string) string { return "budgets/" + partOf(program) + "/" + program }
 
-// budgets keeps the accounts of the programs that this entry has seen.
+// budgetOwners finds the entry that counts a program's budget.
+type budgetOwners interface {
+	// owner returns the peer that owns the program; nil when this entry does.
+	owner(program string) *peer
+	// reserveAt and settleAt make the calls at a peer.
+	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveVerdict, error)
+	settleAt(ctx context.Context, p *peer, s settleCall) error
+	// knowsAll reports whether nobody else is likely to have drawn for the programs
+	// that this entry owns.
+	knowsAll() bool
+}
+
+// reserveCall asks the owner to set aside the most of a turn.
+type reserveCall struct {
+	Program string
+	// ID names the reservation; the same one is granted once.
+	ID    string
+	Total int
+	Most  int
+}
+
+// settleCall ends a reservation with the tokens handed to the caller.
+type settleCall struct {
+	Program string
+	ID      string
+	Used    int
+}
+
+// reserveVerdict is an owner's answer.
+type reserveVerdict uint8
+
+const (
+	reserveGranted reserveVerdict = iota + 1
+	reserveSpent
+	reserveUnknown
+)
+
+// budgets counts the budgets of the programs that this entry owns, and asks the owners
+// of the others. Any entry may draw from a program's row, so an owner that can't be
+// reached delays nothing.
 type budgets struct {
 	table   table.Table
 	commits *committer
+	owners  budgetOwners
 	holder  string
+	// tableAway reports whether the table can't be reached by any way.
+	tableAway func() bool
 
 	mu       sync.Mutex
 	accounts map[string]*budget
@@ -49,20 +94,48 @@
 
 type budget struct {
 	account *ledger.Account
+	// open are the reservations by their ids, with the most of each.
+	open map[string]int
 	// drawing is closed when the draw under way ends; nil when none is.
 	drawing chan struct{}
 	used    time.Time
 }
 
-func newBudgets(t table.Table, c *committer, holder string) *budgets {
-	return &budgets{table: t, commits: c, holder: holder, accounts: map[string]*budget{}}
+func newBudgets(t table.Table, c *committer, owners budgetOwners, holder string, tableAway func() bool) *budgets {
+	return &budgets{table: t, commits: c, owners: owners, holder: holder, tableAway: tableAway, accounts: map[string]*budget{}}
 }
 
 // reservation is the most that one turn may generate, set aside from its program's budget.
 type reservation struct {
-	b    *budgets
-	of   *budget
-	most int
+	b *budgets
+	// at is the owner; nil when this entry counts.
+	at   *peer
+	call reserveCall
+}
+
+// reserve sets aside the most of a turn. It returns errBudgetSpent, or an error of the
+// table when it can't tell.
+func (b *budgets) reserve(ctx context.Context, call reserveCall) (*reservation, error) {
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	at := b.owners.owner(call.Program)
+	verdict := reserveUnknown
+	err := error(table.ErrUnavailable)
+	if at != nil {
+		verdict, err = b.owners.reserveAt(ctx, at, call)
+	}
+	if at == nil || err != nil {
+		at = nil
+		verdict, err = b.grant(ctx, call)
+	}
+	switch verdict {
+	case reserveGranted:
+		return &reservation{b: b, at: at, call: call}, nil
+	case reserveSpent:
+		return nil, errBudgetSpent
+	default:
+		return nil, errors.Mark(errors.Wrap(err, "budget can't be told"), table.ErrUnavailable)
+	}
 }
 
 // settle ends the reservation with the tokens that were handed to the caller.
@@ -70,39 +143,89 @@
 	if r == nil {
 		return
 	}
-	r.b.mu.Lock()
-	r.of.account.Settle(r.most, used)
-	r.b.mu.Unlock()
+	s := settleCall{Program: r.call.Program, ID: r.call.ID, Used: used}
+	if r.at == nil {
+		r.b.settleHere(s)
+		return
+	}
+	go r.b.tellSettled(r.at, s)
 }
 
-// reserve sets aside most tokens of the program's budget of total. It returns
-// errBudgetSpent, or an error of the table when it can't tell.
-func (b *budgets) reserve(ctx context.Context, program string, total, most int) (*reservation, error) {
-	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
-	defer cancel()
+// tellSettled tells the owner, which counts the most of the turn until it hears it.
+func (b *budgets) tellSettled(at *peer, s settleCall) {
+	for range settleTries {
+		ctx, cancel := context.WithTimeout(context.Background(), settleRetry)
+		err := b.owners.settleAt(ctx, at, s)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	b.commits.metrics.settlesLost.Inc(1)
+}
+
+// settleHere ends a reservation that this entry granted; it may come twice.
+func (b *budgets) settleHere(s settleCall) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	of := b.accounts[program]
+	of := b.accounts[s.Program]
 	if of == nil {
-		of = &budget{account: ledger.NewAccount(total)}
-		b.accounts[program] = of
+		return
+	}
+	if most, ok := of.open[s.ID]; ok {
+		delete(of.open, s.ID)
+		of.account.Settle(most, s.Used)
+	}
+}
+
+// tryGrant grants from what is at hand; zero says that a draw is needed.
+func (b *budgets) tryGrant(call reserveCall) reserveVerdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tryLocked(b.accountLocked(call), call)
+}
+
+func (b *budgets) accountLocked(call reserveCall) *budget {
+	of := b.accounts[call.Program]
+	if of == nil {
+		of = &budget{account: ledger.NewAccount(call.Total), open: map[string]int{}}
+		b.accounts[call.Program] = of
 	}
 	of.used = time.Now()
+	return of
+}
+
+func (b *budgets) tryLocked(of *budget, call reserveCall) reserveVerdict {
+	if _, granted := of.open[call.ID]; granted {
+		return reserveGranted
+	}
+	if of.account.Reserve(call.Most) {
+		of.open[call.ID] = call.Most
+		return reserveGranted
+	}
+	if of.account.Exhausted() {
+		return reserveSpent
+	}
+	return 0
+}
+
+// grant sets aside the most of a turn here, drawing from the program's row as needed.
+func (b *budgets) grant(ctx context.Context, call reserveCall) (reserveVerdict, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	of := b.accountLocked(call)
 	for {
-		if of.account.Reserve(most) {
-			return &reservation{b: b, of: of, most: most}, nil
-		}
-		if of.account.Exhausted() {
-			return nil, errBudgetSpent
+		if v := b.tryLocked(of, call); v != 0 {
+			return v, nil
 		}
 		if of.drawing == nil {
-			if err := b.drawLocked(ctx, of, program, total, most); err != nil {
-				return nil, err
+			if err := b.drawLocked(ctx, of, call); err != nil {
+				return reserveUnknown, err
 			}
 			continue
 		}
 		if err := b.awaitLocked(ctx, of); err != nil {
-			return nil, err
+			return reserveUnknown, err
 		}
 	}
 }
@@ -120,44 +243,52 @@
 	}
 }
 
-// drawLocked draws a lump from the program's row; the lock is released meanwhile.
-func (b *budgets) drawLocked(ctx context.Context, of *budget, program string, total, most int) error {
+// drawLocked draws a lump from the program's row; the lock is released meanwhile. While
+// the table is away it advances tokens instead.
+func (b *budgets) drawLocked(ctx context.Context, of *budget, call reserveCall) error {
+	if b.advanceLocked(of, call) {
+		return nil
+	}
 	of.drawing = make(chan struct{})
-	granted := of.account.Granted()
-	need := most - of.account.Free()
+	state := of.account.Drawing(call.Most)
 	b.mu.Unlock()
-	lump, err := b.draw(ctx, program, total, granted, need)
+	lump, err := b.draw(ctx, call.Program, call.Total, state)
 	b.mu.Lock()
 	close(of.drawing)
 	of.drawing = nil
 	if err != nil {
+		if b.advanceLocked(of, call) {
+			return nil
+		}
 		return err
 	}
-	if lump == 0 {
-		of.account.Exhaust()
-		return nil
-	}
-	of.account.Grant(lump)
+	of.account.Drawn(state, lump)
 	return nil
 }
 
-// draw takes need tokens or more from the program's row, of which this life of the
-// entry has drawn granted. It returns zero when the row does not hold them.
-func (b *budgets) draw(ctx context.Context, program string, total, granted, need int) (int, error) {
+// advanceLocked grants tokens ahead of the row while the table is away. It reports
+// whether the turn may go on.
+func (b *budgets) advanceLocked(of *budget, call reserveCall) bool {
+	return b.tableAway() && of.account.Advance(call.Most, b.owners.knowsAll())
+}
+
+// draw takes the tokens asked for or more from the program's row. It returns zero when
+// the row does not hold them.
+func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (int, error) {
 	key := budgetKey(program)
 	row, version := ledger.Row{Total: total}, table.Absent
-	if granted > 0 {
+	if d.Recorded > 0 {
 		var err error
 		if row, version, err = b.read(ctx, key, total); err != nil {
 			return 0, err
 		}
 	}
 	for range maxDrawTries {
-		if had := row.Drawn[b.holder]; had > granted {
+		if had := row.Drawn[b.holder]; had > d.Recorded {
 			// An earlier draw of this entry went through though its answer was lost.
-			return had - granted, nil
+			return had - d.Recorded, nil
 		}
-		next, lump := row.Draw(b.holder, need)
+		next, lump := row.Draw(b.holder, d.Need)
 		if lump == 0 {
 			return 0, nil
 		}
@@ -214,3 +345,43 @@
 		}
 	}
 }
+
+// giveBack returns to the rows what this entry has drawn and not used, before it ends.
+func (b *budgets) giveBack(ctx context.Context) {
+	b.mu.Lock()
+	free := map[string]int{}
+	for program, of := range b.accounts {
+		if n := of.account.Return(); n > 0 {
+			free[program] = n
+		}
+	}
+	b.mu.Unlock()
+	var wait sync.WaitGroup
+	for program, tokens := range free {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if err := b.giveBackOne(ctx, program, tokens); err != nil {
+				b.commits.metrics.lumpsLost.Inc(1)
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+func (b *budgets) giveBackOne(ctx context.Context, program string, tokens int) error {
+	key := budgetKey(program)
+	for range maxDrawTries {
+		row, version, err := b.read(ctx, key, 0)
+		if err != nil || version == table.Absent {
+			return err
+		}
+		next := row.Return(b.holder, tokens)
+		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
+		// An unknown outcome is not repeated: tokens given back twice could be spent twice.
+		if err == nil || !errors.Is(err, table.ErrConditionFailed) {
+			return err
+		}
+	}
+	return errors.Mark(errors.New("budget row changes too fast"), table.ErrUnavailable)
+}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -22,11 +22,22 @@
 	maxDigest = 1300
 	// maxFresh bounds the newly cached prompts that wait to be told.
 	maxFresh = 64
-	// digestFormat is the first byte of a digest.
-	digestFormat = 1
 )
 
-const flagTableUp = 1
+// Flags of a digest.
+const (
+	// flagTableUp: the entry reaches the table.
+	flagTableUp = 1 << iota
+	// flagOwns: the entry counts budgets; it has registered and does not shut down.
+	flagOwns
+)
+
+// Kinds of packets, the first byte of each.
+const (
+	packetDigest = 1
+	packetCall   = 2
+	packetAnswer = 3
+)
 
 // cachedParts are prompt parts that an upstream has read.
 type cachedParts struct {
@@ -76,11 +87,14 @@
 // digest encodes this entry's calls by upstream and the parts newly cached.
 func (m *mesh) digest() []byte {
 	self := m.self()
-	b := append(make([]byte, 0, maxDigest), digestFormat)
+	b := append(make([]byte, 0, maxDigest), packetDigest)
 	flags := byte(0)
 	if m.g.link.reachable() {
 		flags |= flagTableUp
 	}
+	if m.owns() {
+		flags |= flagOwns
+	}
 	b = append(b, flags)
 	for _, text := range []string{self.Node, self.Domain, self.Mesh, self.Digests, self.Life} {
 		b = appendText(b, text)
@@ -118,16 +132,30 @@
 func (m *mesh) receive() {
 	buf := make([]byte, maxDigest+1)
 	for {
-		n, _, err := m.packets.ReadFrom(buf)
+		n, from, err := m.packets.ReadFrom(buf)
 		if err != nil {
 			return
 		}
-		if !m.heard(buf[:n]) {
+		if n == 0 || !m.packet(buf[:n], from) {
 			m.g.metrics.digestErrors.Inc(1)
 		}
 	}
 }
 
+// packet takes one packet; it reports whether it was well-formed.
+func (m *mesh) packet(b []byte, from net.Addr) bool {
+	switch b[0] {
+	case packetDigest:
+		return m.heard(b[1:])
+	case packetCall:
+		return m.calls.serve(b[1:], from)
+	case packetAnswer:
+		return m.calls.answer(b[1:])
+	default:
+		return false
+	}
+}
+
 // packet reads the fields of a digest.
 type packet struct {
 	b   []byte
@@ -168,9 +196,6 @@
 // heard takes one digest; it reports whether it was well-formed.
 func (m *mesh) heard(b []byte) bool {
 	p := packet{b: b}
-	if p.byte() != digestFormat {
-		return false
-	}
 	flags := p.byte()
 	from := peer{Node: p.text(), Domain: p.text(), Mesh: p.text(), Digests: p.text(), Life: p.text()}
 	seq := p.uvarint()
@@ -181,14 +206,14 @@
 		return false
 	}
 	m.add(from)
-	if !m.accept(from, seq, flags&flagTableUp != 0) {
+	if !m.accept(from, seq, flags) {
 		return true
 	}
 	return m.takeLoads(from.Node, &p)
 }
 
 // accept records the digest's sender as heard; an overtaken digest is not accepted.
-func (m *mesh) accept(from peer, seq uint64, tableUp bool) bool {
+func (m *mesh) accept(from peer, seq uint64, flags byte) bool {
 	now := time.Now()
 	m.mu.Lock()
 	known := m.peers[from.Node]
@@ -197,7 +222,11 @@
 		return false
 	}
 	silent := !known.heard.IsZero() && now.Sub(known.heard) > entrySilence
-	known.seq, known.heard, known.tableUp = seq, now, tableUp
+	known.seq, known.heard = seq, now
+	if silent {
+		m.changed = now
+	}
+	known.tableUp, known.owns = flags&flagTableUp != 0, flags&flagOwns != 0
 	m.mu.Unlock()
 	if silent {
 		m.g.env.Events.Emit(eventlog.GatewayPeerBack, eventlog.Fields{Step: "mesh", Peer: from.Node})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,7 @@
 	g.mesh = newMesh(g)
 	g.link = newLink(env.Table, g.mesh, g.linkChanged)
 	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
-	g.budgets = newBudgets(g.link, g.commits, g.holder())
+	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.holder(), g.link.away)
 	g.turns = newTurns(g.link, g.commits, cfg)
 	return g
 }
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	listed time.Time
 	// tableUp says that it reaches the table.
 	tableUp bool
+	// owns says that it counts budgets.
+	owns    bool
 	address netip.AddrPort
 	// seq is the newest digest of its life.
 	seq uint64
@@ -53,16 +56,23 @@
 	g       *Gateway
 	packets net.PacketConn
 	client  *meshClient
+	calls   *calls
+	// registered says that this entry is in the list of entries.
+	registered atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	seq   uint64
+	// changed is when an entry last joined, or came back after silence.
+	changed time.Time
+	seq     uint64
 	// fresh are the prompt parts that upstreams have newly read through this entry.
 	fresh []cachedParts
 }
 
 func newMesh(g *Gateway) *mesh {
-	return &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient()}
+	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient()}
+	m.calls = newCalls(m)
+	return m
 }
 
 // size returns the number of entries that live, this one too.
@@ -118,12 +128,11 @@
 func (m *mesh) run(ctx context.Context) {
 	go m.tell(ctx)
 	defer m.client.close()
-	registered := false
 	for ctx.Err() == nil {
-		if !registered {
-			registered = m.register(ctx) == nil
+		if !m.registered.Load() {
+			m.registered.Store(m.register(ctx) == nil)
 		}
-		if !registered || m.list(ctx) != nil {
+		if !m.registered.Load() || m.list(ctx) != nil {
 			sleep(ctx, registerRetry)
 			continue
 		}
@@ -177,6 +186,7 @@
 	}
 	p.address, p.listed = address, time.Now()
 	m.peers[p.Node] = &p
+	m.changed = p.listed
 	m.g.env.Requests.Info("entry_listed").Str("peer", p.Node).Str("domain", p.Domain).Str("life", p.Life).End()
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -95,7 +95,9 @@
 	if j.call.TokenBudget <= 0 || j.call.Program == "" || j.call.MaxTokens <= 0 {
 		return nil, true
 	}
-	r, err := s.g.budgets.reserve(ctx, j.call.Program, j.call.TokenBudget, j.call.MaxTokens)
+	r, err := s.g.budgets.reserve(ctx, reserveCall{
+		Program: j.call.Program, ID: j.call.ID, Total: j.call.TokenBudget, Most: j.call.MaxTokens,
+	})
 	switch {
 	case err == nil:
 		return r, true
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -5,8 +5,10 @@
 type Account struct {
 	// total is the program's budget in tokens.
 	total int
-	// granted is what this entry may spend: drawn lumps and advances.
-	granted  int
+	// recorded is what this entry has drawn from the row.
+	recorded int
+	// advanced is what it has granted ahead of the row, while the table was away.
+	advanced int
 	reserved int
 	spent    int
 	// exhausted says that the row had nothing left when it was last read.
@@ -16,20 +18,9 @@
 // NewAccount returns the account of a program with the budget in tokens.
 func NewAccount(total int) *Account { return &Account{total: total} }
 
-// Total returns the program's budget in tokens.
-func (a *Account) Total() int { return a.total }
-
-// Granted returns the tokens that this entry may spend in all.
-func (a *Account) Granted() int { return a.granted }
-
-// Free returns the tokens that are granted and neither reserved nor spent.
-func (a *Account) Free() int { return a.granted - a.reserved - a.spent }
-
-// Grant adds a lump of tokens.
-func (a *Account) Grant(tokens int) { a.granted += tokens }
-
-// Exhaust records that nothing more can be drawn.
-func (a *Account) Exhaust() { a.exhausted = true }
+// Free returns the tokens that are granted and neither reserved nor spent; it is
+// negative when advances turned out to be more than the row held.
+func (a *Account) Free() int { return a.recorded + a.advanced - a.reserved - a.spent }
 
 // Exhausted reports whether the row had nothing left for another turn.
 func (a *Account) Exhausted() bool { return a.exhausted }
@@ -50,9 +41,58 @@
 	a.spent += used
 }
 
-// Return takes back up to tokens of free grants, for another entry, and returns how many.
-func (a *Account) Return(tokens int) int {
-	back := max(0, min(tokens, a.Free()))
-	a.granted -= back
+// Drawing is what a draw from the row must know.
+type Drawing struct {
+	// Recorded is what the row has of this entry before the draw.
+	Recorded int
+	// Need is the least number of tokens to draw.
+	Need int
+	// advanced is the part of Need that was granted ahead.
+	advanced int
+}
+
+// Drawing returns the draw that is needed for a turn of most tokens. What was granted
+// ahead of the row is drawn with it.
+func (a *Account) Drawing(most int) Drawing {
+	return Drawing{Recorded: a.recorded, Need: a.advanced + max(0, most-a.Free()), advanced: a.advanced}
+}
+
+// Drawn records the lump that a draw took; zero says that the row did not hold it.
+func (a *Account) Drawn(d Drawing, lump int) {
+	if lump == 0 {
+		a.exhausted = true
+		return
+	}
+	a.recorded += lump
+	a.advanced = max(0, a.advanced-d.advanced)
+}
+
+// advanceShare is the part of a budget that an owner grants ahead of the row: with a
+// half, two entries that both take themselves for the owner don't exceed the budget.
+const advanceShare = 2
+
+// Advance grants a turn of most tokens ahead of the row. Without sole, others may have
+// drawn, and only the most of one turn is granted. It reports whether it did.
+func (a *Account) Advance(most int, sole bool) bool {
+	if a.exhausted {
+		return false
+	}
+	need := max(0, most-a.Free())
+	limit := most
+	if sole {
+		limit = max(most, min(a.total/advanceShare, a.total-a.recorded))
+	}
+	if a.advanced+need > limit {
+		return false
+	}
+	a.advanced += need
+	return true
+}
+
+// Return takes back the free part of what was drawn and returns how many tokens it is.
+func (a *Account) Return() int {
+	back := max(0, min(a.recorded, a.Free()-a.advanced))
+	a.recorded -= back
+	a.exhausted = true
 	return back
 }
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -63,3 +63,13 @@
 	next.Drawn[holder] += lump
 	return next, lump
 }
+
+// Return returns the row after holder has given back tokens that it had drawn.
+func (r Row) Return(holder string, tokens int) Row {
+	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn))}
+	for h, n := range r.Drawn {
+		next.Drawn[h] = n
+	}
+	next.Drawn[holder] = max(0, next.Drawn[holder]-tokens)
+	return next
+}
