Advance tokens only at a program's sole owner while the table is away

Ruled out: the draws from rows, which are swaps. Now an entry advances only when no entry that owned the program within 30 s may have, and records advances as soon as the table is back.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -31,6 +31,8 @@
 	// settleTries and settleRetry bound how often a reservation's end is told to the owner.
 	settleTries = 3
 	settleRetry = 150 * time.Millisecond
+	// recordTimeout bounds the recording of what was granted ahead of a row.
+	recordTimeout = 3 * time.Second
 )
 
 // partOf returns the part of the row of an id.
@@ -47,9 +49,9 @@
 	// reserveAt and settleAt make the calls at a peer.
 	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveVerdict, error)
 	settleAt(ctx context.Context, p *peer, s settleCall) error
-	// knowsAll reports whether nobody else is likely to have drawn for the programs
-	// that this entry owns.
-	knowsAll() bool
+	// soleOwner reports whether this entry owns the program and nobody else did lately,
+	// so that it knows all that was granted for it.
+	soleOwner(program string) bool
 }
 
 // reserveCall asks the owner to set aside the most of a turn.
@@ -269,7 +271,7 @@
 // advanceLocked grants tokens ahead of the row while the table is away. It reports
 // whether the turn may go on.
 func (b *budgets) advanceLocked(of *budget, call reserveCall) bool {
-	return b.tableAway() && of.account.Advance(call.Most, b.owners.knowsAll())
+	return b.tableAway() && b.owners.soleOwner(call.Program) && of.account.Advance(call.Most)
 }
 
 // draw takes the tokens asked for or more from the program's row. It returns zero when
@@ -346,6 +348,34 @@
 	}
 }
 
+// recordAdvances draws from the rows what was granted ahead of them, when the table is
+// back.
+func (b *budgets) recordAdvances(ctx context.Context) {
+	b.mu.Lock()
+	calls := make([]reserveCall, 0, len(b.accounts))
+	for program, of := range b.accounts {
+		if of.account.Advanced() > 0 && of.drawing == nil {
+			calls = append(calls, reserveCall{Program: program, Total: of.account.Total()})
+		}
+	}
+	b.mu.Unlock()
+	for _, call := range calls {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+			defer cancel()
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			of := b.accountLocked(call)
+			if of.drawing != nil || of.account.Advanced() == 0 {
+				return
+			}
+			if err := b.drawLocked(ctx, of, call); err != nil {
+				b.commits.metrics.advancesUnrecorded.Inc(1)
+			}
+		}()
+	}
+}
+
 // giveBack returns to the rows what this entry has drawn and not used, before it ends.
 func (b *budgets) giveBack(ctx context.Context) {
 	b.mu.Lock()
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -20,8 +20,8 @@
 	// callTimeout bounds a call whose owner has what is asked for at hand or draws it.
 	callTimeout = 250 * time.Millisecond
 	// ownerSettled is how long the entries must have been the same for an owner to know
-	// what was drawn for its programs: programs last some seconds.
-	ownerSettled = 20 * time.Second
+	// what was granted for its programs: programs last some ten seconds.
+	ownerSettled = 30 * time.Second
 )
 
 // Calls between entries.
@@ -201,17 +201,21 @@
 // budgets: a few digests, so that a dead owner delays few turns.
 const ownerSilence = time.Second
 
-// knowsAll implements budgetOwners.
-func (m *mesh) knowsAll() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// soleOwner implements budgetOwners. An entry that died or joined lately may have
+// granted tokens for the programs that are or were its own.
+func (m *mesh) soleOwner(program string) bool {
 	now := time.Now()
-	if !m.g.cfg.FirstStart && now.Sub(m.g.started) < ownerSettled {
+	if !m.owns() || !m.g.cfg.FirstStart && now.Sub(m.g.started) < ownerSettled {
 		return false
 	}
-	return now.Sub(m.changed) > ownerSettled || m.g.cfg.FirstStart && m.changed.Sub(m.g.started) < firstListing
+	weight := routing.Rendezvous(program, string(m.g.cfg.Node))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, p := range m.peers {
+		lately := now.Sub(p.heard) < ownerSettled || now.Sub(p.listed) < ownerSettled
+		if lately && routing.Rendezvous(program, name) > weight {
+			return false
+		}
+	}
+	return true
 }
-
-// firstListing is the time after a first start within which all entries have found
-// each other; what they find then is no change.
-const firstListing = 8 * time.Second
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -223,9 +223,6 @@
 	}
 	silent := !known.heard.IsZero() && now.Sub(known.heard) > entrySilence
 	known.seq, known.heard = seq, now
-	if silent {
-		m.changed = now
-	}
 	known.tableUp, known.owns = flags&flagTableUp != 0, flags&flagOwns != 0
 	m.mu.Unlock()
 	if silent {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,7 +173,12 @@
 }
 
 // linkChanged records that the table was lost or came back.
-func (g *Gateway) linkChanged(event eventlog.Event, f eventlog.Fields) { g.env.Events.Emit(event, f) }
+func (g *Gateway) linkChanged(event eventlog.Event, f eventlog.Fields) {
+	g.env.Events.Emit(event, f)
+	if event.Number == eventlog.GatewayTableBack.Number {
+		go g.budgets.recordAdvances(context.Background())
+	}
+}
 
 // servers are the HTTP servers of the process.
 type servers struct {
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -62,9 +62,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// changed is when an entry last joined, or came back after silence.
-	changed time.Time
-	seq     uint64
+	seq   uint64
 	// fresh are the prompt parts that upstreams have newly read through this entry.
 	fresh []cachedParts
 }
@@ -186,7 +184,6 @@
 	}
 	p.address, p.listed = address, time.Now()
 	m.peers[p.Node] = &p
-	m.changed = p.listed
 	m.g.env.Requests.Info("entry_listed").Str("peer", p.Node).Str("domain", p.Domain).Str("life", p.Life).End()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,7 +11,7 @@
 	requests, answered, refused, failed, gone       tally.Counter
 	resent, connections, commits, digestErrors      tally.Counter
 	notFound, budgetSpent, turnsKept, turnsNotKept  tally.Counter
-	settlesLost, lumpsLost                          tally.Counter
+	settlesLost, lumpsLost, advancesUnrecorded      tally.Counter
 	latency, firstEvent, commitLatency, waitLatency tally.Histogram
 }
 
@@ -26,7 +26,7 @@
 		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsKept: s.Counter("turns_kept"), turnsNotKept: s.Counter("turns_not_kept"),
-		settlesLost: s.Counter("settles_lost"), lumpsLost: s.Counter("budget_lumps_lost"),
+		settlesLost: s.Counter("settles_lost"), lumpsLost: s.Counter("budget_lumps_lost"), advancesUnrecorded: s.Counter("budget_advances_unrecorded"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets), waitLatency: s.Histogram("wait", latencyBuckets),
 	}
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -18,6 +18,9 @@
 // NewAccount returns the account of a program with the budget in tokens.
 func NewAccount(total int) *Account { return &Account{total: total} }
 
+// Total returns the program's budget in tokens.
+func (a *Account) Total() int { return a.total }
+
 // Free returns the tokens that are granted and neither reserved nor spent; it is
 // negative when advances turned out to be more than the row held.
 func (a *Account) Free() int { return a.recorded + a.advanced - a.reserved - a.spent }
@@ -71,17 +74,14 @@
 // half, two entries that both take themselves for the owner don't exceed the budget.
 const advanceShare = 2
 
-// Advance grants a turn of most tokens ahead of the row. Without sole, others may have
-// drawn, and only the most of one turn is granted. It reports whether it did.
-func (a *Account) Advance(most int, sole bool) bool {
+// Advance grants a turn of most tokens ahead of the row, for an entry that knows all
+// that was drawn for the program. It reports whether it did.
+func (a *Account) Advance(most int) bool {
 	if a.exhausted {
 		return false
 	}
 	need := max(0, most-a.Free())
-	limit := most
-	if sole {
-		limit = max(most, min(a.total/advanceShare, a.total-a.recorded))
-	}
+	limit := min(max(most, a.total/advanceShare), a.total-a.recorded)
 	if a.advanced+need > limit {
 		return false
 	}
@@ -89,6 +89,9 @@
 	return true
 }
 
+// Advanced returns the tokens granted ahead of the row.
+func (a *Account) Advanced() int { return a.advanced }
+
 // Return takes back the free part of what was drawn and returns how many tokens it is.
 func (a *Account) Return() int {
 	back := max(0, min(a.recorded, a.Free()-a.advanced))
