Write rows in parts of their own, fetch turns from peers, test the calls' outcomes

Now a change is a transaction of its own while the rate allows it, in one of 1024 parts; a kept turn is asked from other entries' memory while the table is away; a lost call is never refused. The stand-in of the table can be followed.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -17,9 +17,9 @@
 var errBudgetSpent = errors.New("the program's token budget is spent")
 
 const (
-	// rowParts is the number of parts over which rows are spread: one part takes 250
-	// transactions a second, the table six times as many.
-	rowParts = 16
+	// rowParts is the number of parts over which rows are spread: so many that calls
+	// seldom meet in one, even while the table takes 240 ms for each transaction.
+	rowParts = 1024
 	// maxDrawTries bounds the compare-and-swaps of one draw; each failure means that
 	// another entry has drawn.
 	maxDrawTries = 6
@@ -254,7 +254,10 @@
 	of.drawing = make(chan struct{})
 	state := of.account.Drawing(call.Most)
 	b.mu.Unlock()
-	lump, err := b.draw(ctx, call.Program, call.Total, state)
+	// Other turns wait for the draw too, so it outlives the call that began it.
+	drawing, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
+	lump, err := b.draw(drawing, call.Program, call.Total, state)
+	cancel()
 	b.mu.Lock()
 	close(of.drawing)
 	of.drawing = nil
--- /dev/null
+++ b/internal/gateway/budgets_test.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/standin"
+)
+
+func turnHeader(program string, total, most int) map[string]string {
+	return map[string]string{
+		"X-Program-Id": program, "X-Token-Budget": fmt.Sprint(total), "X-Token-Count": fmt.Sprintf("100,%d", most),
+	}
+}
+
+// TestBudgetOverEntries runs a program's turns through three entries at once: what the
+// caller gets stays within the budget, and nothing is left stranded at one entry.
+func TestBudgetOverEntries(t *testing.T) {
+	p, e, _, l := newSystem(t, notRun, events(0, 4, false)) // five events of ten tokens
+	entries := []*entryOf{e, startEntry(t, "entry-2", p.p.Table), startEntry(t, "entry-3", p.p.Table)}
+	eventually(t, "the entries know each other", func() bool {
+		for _, e := range entries {
+			if e.mesh.size() != len(entries) {
+				return false
+			}
+		}
+		return true
+	})
+	var mu sync.Mutex
+	answered, spent := 0, 0
+	var wait sync.WaitGroup
+	for i := range 30 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			r := entries[i%3].call("POST", "/ask/1", "x", turnHeader("runaway", 500, 50))
+			mu.Lock()
+			defer mu.Unlock()
+			switch r.status {
+			case http.StatusOK:
+				answered++
+			case http.StatusPaymentRequired:
+				spent++
+			}
+		}()
+	}
+	wait.Wait()
+	if answered != 10 || spent != 20 {
+		t.Errorf("%d turns answered, %d told that the budget is spent; want 10 and 20", answered, spent)
+	}
+	if n := len(l.requests()); n != answered {
+		t.Errorf("%d turns ran", n)
+	}
+}
+
+// TestBudgetDuringAnOutage: new programs go on while the table is away, and the whole of
+// a runaway's turns through several entries stays within its budget and one turn.
+func TestBudgetDuringAnOutage(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	entries := []*entryOf{e, startEntry(t, "entry-2", p.p.Table), startEntry(t, "entry-3", p.p.Table)}
+	eventually(t, "the entries know each other", func() bool {
+		for _, e := range entries {
+			if e.mesh.size() != len(entries) {
+				return false
+			}
+		}
+		return true
+	})
+	p.fault(standin.Fault{Kind: standin.FaultDown})
+	for _, e := range entries {
+		eventually(t, "the table is lost", e.link.away)
+	}
+	answered := 0
+	for i := range 12 {
+		if r := entries[i%3].call("POST", "/ask/1", "x", turnHeader("runaway", 200, 50)); r.status == http.StatusOK {
+			answered++
+		}
+	}
+	if answered == 0 {
+		t.Error("no turn of a new program was served during the outage")
+	}
+	p.fault(standin.Fault{Kind: "all", Clear: true})
+	for _, e := range entries {
+		eventually(t, "the table is back", func() bool { return !e.link.away() })
+	}
+	for i := range 12 {
+		if r := entries[i%3].call("POST", "/ask/1", "x", turnHeader("runaway", 200, 50)); r.status == http.StatusOK {
+			answered++
+		}
+	}
+	if answered != 4 {
+		t.Errorf("%d turns of 50 tokens ran on a budget of 200", answered)
+	}
+}
+
+// turnedAway is a table that refuses one entry.
+type turnedAway struct{ table.Watcher }
+
+func (turnedAway) Apply(context.Context, table.Txn) error { return table.ErrNotApplied }
+func (turnedAway) Get(context.Context, string) (table.Row, error) {
+	return table.Row{}, table.ErrUnavailable
+}
+func (turnedAway) Snapshot(context.Context, string) ([]table.Row, int64, error) {
+	return nil, 0, table.ErrNotApplied
+}
+func (turnedAway) Changes(context.Context, string, int64, time.Duration) ([]table.Change, int64, error) {
+	return nil, 0, table.ErrUnavailable
+}
+
+// TestEntryWithoutTheTableGoesThroughAnother: the table turns one entry away; it keeps
+// turns, draws budgets and follows documents through another one.
+func TestEntryWithoutTheTableGoesThroughAnother(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	switching := &switchTable{Watcher: p.p.Table}
+	other := startEntry(t, "entry-2", switching)
+	eventually(t, "the entries know each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	switching.set(turnedAway{p.p.Table})
+	for i := range 3 {
+		if r := other.call("POST", "/draft/1", "x", turnHeader(fmt.Sprintf("p%d", i), 500, 50)); r.status != http.StatusOK || r.err != nil {
+			t.Fatalf("%+v", r)
+		}
+	}
+	p.document(9)
+	eventually(t, "the document comes through the other entry", func() bool { return other.routes.Load().Document().Version == 9 })
+	if other.link.away() {
+		t.Error("the table counts as lost though another entry reaches it")
+	}
+}
+
+// switchTable is a table that a test replaces.
+type switchTable struct {
+	mu sync.Mutex
+	table.Watcher
+}
+
+func (s *switchTable) set(t table.Watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Watcher = t
+}
+
+func (s *switchTable) now() table.Watcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Watcher
+}
+
+func (s *switchTable) Apply(ctx context.Context, txn table.Txn) error { return s.now().Apply(ctx, txn) }
+func (s *switchTable) Get(ctx context.Context, key string) (table.Row, error) {
+	return s.now().Get(ctx, key)
+}
+func (s *switchTable) Snapshot(ctx context.Context, prefix string) ([]table.Row, int64, error) {
+	return s.now().Snapshot(ctx, prefix)
+}
+func (s *switchTable) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]table.Change, int64, error) {
+	return s.now().Changes(ctx, prefix, after, wait)
+}
+
+// TestDrawWhoseAnswerIsLost: a draw that went through though its answer was lost is
+// found by reading back, and not drawn again.
+func TestDrawWhoseAnswerIsLost(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	eventually(t, "the entry owns budgets", e.mesh.owns)
+	p.fault(standin.Fault{Kind: standin.FaultLoseAnswer, Match: "/table/apply", Count: 1})
+	if r := e.call("POST", "/ask/1", "x", turnHeader("p", 400, 50)); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	row, err := p.p.Table.Get(t.Context(), budgetKey("p"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	budget, _, err := decodeBudget(row)
+	if err != nil || budget.Left() != 200 {
+		t.Fatalf("%d are left of 400 after one draw of half, %v", budget.Left(), err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/calls_test.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/standin"
+)
+
+// newSystem starts an entry with one upstream of each service.
+func newSystem(t *testing.T, app, llm answerFunc) (*platformOf, *entryOf, *upstream, *upstream) {
+	t.Helper()
+	p := newPlatformOf(t)
+	a, l := newUpstream(t, "app-1", app), newUpstream(t, "llm-1", llm)
+	p.document(1)
+	p.register(a, "app", "ready", 1)
+	p.register(l, "llm", "ready", 1)
+	return p, startEntry(t, "entry-1", p.p.Table), a, l
+}
+
+func TestAnswerIsPassedUnchanged(t *testing.T) {
+	_, e, a, _ := newSystem(t, sealed(http.StatusOK, "hello"), events(0, 2, false))
+	r := e.call("POST", "/act/2f?x=1", "body", map[string]string{"X-Hold": "mine", "X-Timeout-Ms": "900"})
+	if r.status != http.StatusOK || r.body != "hello" || r.header.Get("X-Response-Seal") != "s" {
+		t.Fatalf("%+v", r)
+	}
+	got := a.requests()[0]
+	if got.body != "body" || got.header.Get("X-Hold") != "" || got.header.Get("X-Expect-Instance") != "app-1" {
+		t.Fatalf("%+v", got)
+	}
+	if left := got.header.Get("X-Timeout-Ms"); left == "900" || len(left) != 3 {
+		t.Errorf("time left %q, want a little below 600", left)
+	}
+	r = e.call("POST", "/ask/2f", "prompt", nil)
+	if r.status != http.StatusOK || r.err != nil || r.body != "id: 0\ndata: e0\n\nid: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestRefusalsSayNotRunOnlyWhenTrue(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		answer answerFunc
+		status int
+		sends  int
+	}{
+		{"at most once, refused", "/act/1", notRun, http.StatusServiceUnavailable, 1},
+		{"at most once, cut", "/act/1", cut, http.StatusBadGateway, 1},
+		// The upstream may still run it when the deadline passes.
+		{"at most once, silent", "/act/1", silent, http.StatusGatewayTimeout, 1},
+		{"at most once, without seal", "/act/1", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }, http.StatusBadGateway, 1},
+		{"at most once, 503 of no promise", "/act/1", sealed(http.StatusServiceUnavailable, ""), http.StatusBadGateway, 1},
+		{"failure of its own", "/act/1", sealed(http.StatusInternalServerError, "sorry"), http.StatusInternalServerError, 1},
+		{"no route", "/none/1", notRun, http.StatusNotFound, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, e, a, _ := newSystem(t, c.answer, notRun)
+			r := e.call("POST", c.path, "b", nil)
+			if r.status != c.status || len(a.requests()) != c.sends {
+				t.Fatalf("status %d after %d sends", r.status, len(a.requests()))
+			}
+			if after := r.header.Get("Retry-After"); (after != "") != (c.status == http.StatusServiceUnavailable) {
+				t.Errorf("Retry-After %q", after)
+			}
+		})
+	}
+}
+
+func TestRepeatableCallGoesOnElsewhere(t *testing.T) {
+	p := newPlatformOf(t)
+	bad, good := newUpstream(t, "app-1", cut), newUpstream(t, "app-2", sealed(http.StatusOK, "ok"))
+	p.document(1)
+	p.register(bad, "app", "ready", 1)
+	p.register(good, "app", "ready", 1)
+	e := startEntry(t, "entry-1", p.p.Table)
+	for range 6 {
+		if r := e.call("GET", "/read/1", "", nil); r.status != http.StatusOK {
+			t.Fatalf("%+v", r)
+		}
+	}
+}
+
+func TestResumableStreamGoesOnAfterABreak(t *testing.T) {
+	p := newPlatformOf(t)
+	// Whichever is asked first breaks off after two events; the other goes on.
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "1" {
+			events(2, 4, false)(w, r)
+			return
+		}
+		events(0, 1, true)(w, r)
+	}
+	a, b := newUpstream(t, "llm-1", answer), newUpstream(t, "llm-2", answer)
+	p.document(1)
+	p.register(a, "llm", "ready", 1)
+	p.register(b, "llm", "ready", 1)
+	e := startEntry(t, "entry-1", p.p.Table)
+	r := e.call("POST", "/ask/1", "x", nil)
+	if r.err != nil || strings.Count(r.body, "data:") != 5 || !strings.HasSuffix(r.body, "data: e4\n\n") {
+		t.Fatalf("%+v", r)
+	}
+	// One that must not be resumed breaks off and does not look complete.
+	if r = e.call("POST", "/draft/1", "x", nil); r.err == nil {
+		t.Fatalf("a broken stream looks complete: %+v", r)
+	}
+}
+
+func TestMissingEventIsNotJoinedOver(t *testing.T) {
+	skip := func(w http.ResponseWriter, r *http.Request) {
+		events(0, 1, false)(w, r)
+		events(3, 3, false)(w, r)
+	}
+	_, e, _, _ := newSystem(t, notRun, skip)
+	if r := e.call("POST", "/draft/1", "x", nil); r.err == nil || strings.Contains(r.body, "e3") {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestKeptTurnIsFoundByItsIDAlone(t *testing.T) {
+	p, e, _, l := newSystem(t, notRun, events(0, 1, false))
+	ids := []string{newID(), newID(), newID()}
+	for i, id := range ids {
+		h := map[string]string{"X-Request-Id": id}
+		if i > 0 {
+			h["X-Previous-Turn"] = ids[i-1]
+		}
+		if r := e.call("POST", "/draft/1", "in"+id+" ", h); r.status != http.StatusOK || r.err != nil {
+			t.Fatalf("turn %d: %+v", i, r)
+		}
+	}
+	want := "in" + ids[0] + " e0\ne1\nin" + ids[1] + " e0\ne1\nin" + ids[2] + " "
+	if got := l.requests()[2].body; got != want {
+		t.Fatalf("the upstream got %q, want %q", got, want)
+	}
+	// Another entry, which has seen none of it, goes on as well.
+	other := startEntry(t, "entry-2", p.p.Table)
+	if r := other.call("POST", "/draft/1", "more", map[string]string{"X-Previous-Turn": ids[2]}); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	if got := l.requests()[3].body; got != want+"e0\ne1\nmore" {
+		t.Fatalf("the upstream got %q", got)
+	}
+	if r := other.call("POST", "/draft/1", "x", map[string]string{"X-Previous-Turn": "nothing"}); r.status != http.StatusNotFound {
+		t.Fatalf("unknown turn: %+v", r)
+	}
+	p.fault(standin.Fault{Kind: standin.FaultDown})
+	if r := other.call("POST", "/draft/1", "x", map[string]string{"X-Previous-Turn": "nothing"}); r.status != http.StatusServiceUnavailable {
+		t.Fatalf("unknown turn while the table is down: %+v", r)
+	}
+}
+
+func TestTurnThatIsNotKeptDoesNotEnd(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 1, false))
+	p.fault(standin.Fault{Kind: standin.FaultDown})
+	start := time.Now()
+	r := e.call("POST", "/draft/1", "x", nil)
+	if r.err == nil {
+		t.Fatalf("a turn that the table has not was promised: %+v", r)
+	}
+	if !strings.Contains(r.body, "e1") {
+		t.Errorf("events waited for the table: %q", r.body)
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("broke off after %v", took)
+	}
+	// A lost answer is settled by writing the same turn again.
+	p.fault(standin.Fault{Kind: "all", Clear: true})
+	p.fault(standin.Fault{Kind: standin.FaultLoseAnswer, Match: "/table/apply", Count: 2})
+	if r := e.call("POST", "/draft/1", "x", nil); r.err != nil || r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestCallerThatLeavesStopsTheUpstream(t *testing.T) {
+	left := make(chan struct{})
+	_, e, _, _ := newSystem(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	}, notRun)
+	client := &http.Client{Timeout: 100 * time.Millisecond}
+	req, _ := http.NewRequest("POST", e.base+"/act/1", strings.NewReader("x"))
+	req.Host = "h"
+	req.Header.Set("X-Request-Id", newID())
+	if _, err := client.Do(req); err == nil {
+		t.Fatal("an answer came")
+	}
+	select {
+	case <-left:
+	case <-time.After(400 * time.Millisecond):
+		t.Fatal("the upstream still works on it")
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	_, e, _, _ := newSystem(t, sealed(http.StatusOK, ""), notRun)
+	if r := e.call("POST", "/act/1", "x", map[string]string{"X-Request-Id": ""}); r.status != http.StatusBadRequest {
+		t.Errorf("without an id: %+v", r)
+	}
+	if r := e.call("POST", "/act/1", strings.Repeat("x", 100_001), nil); r.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("too long a body: %+v", r)
+	}
+}
+
+func TestDrainingUpstreamGetsNothing(t *testing.T) {
+	p := newPlatformOf(t)
+	a, b := newUpstream(t, "app-1", sealed(http.StatusOK, "")), newUpstream(t, "app-2", sealed(http.StatusOK, ""))
+	p.document(1)
+	p.register(a, "app", "ready", 1)
+	p.register(b, "app", "ready", 1)
+	e := startEntry(t, "entry-1", p.p.Table)
+	p.register(a, "app", "draining", 2)
+	eventually(t, "the entry knows", func() bool { return e.fleet.Load().registry.Get("app-1").Draining })
+	before := len(a.requests())
+	for range 10 {
+		e.call("GET", "/read/1", "", nil)
+	}
+	if n := len(a.requests()); n != before {
+		t.Errorf("%d calls reached a draining upstream", n-before)
+	}
+}
+
+// TestVanishedUpstreamAfterAnOutage: rows that lapsed while the table was away come back
+// within the grace; what is still missing after it is gone.
+func TestVanishedUpstreamAfterAnOutage(t *testing.T) {
+	p, e, a, l := newSystem(t, sealed(http.StatusOK, ""), notRun)
+	p.fault(standin.Fault{Kind: standin.FaultDown, Match: "/table/changes"})
+	p.fault(standin.Fault{Kind: standin.FaultRefuse, Match: "/table/snapshot"})
+	eventually(t, "the table is lost", e.link.away)
+	p.remove(a)
+	p.p.Table.ForgetHistory()
+	p.fault(standin.Fault{Kind: "all", Clear: true})
+	eventually(t, "the table is back", func() bool { return !e.link.away() })
+	if r := e.call("GET", "/read/1", "", nil); r.status != http.StatusOK {
+		t.Errorf("right after the return: %+v", r)
+	}
+	eventually(t, "the upstream is gone", func() bool { return e.fleet.Load().registry.Get(a.id) == nil })
+	if e.fleet.Load().registry.Get(l.id) == nil {
+		t.Error("a live upstream is gone too")
+	}
+}
+
+func TestDocumentNeverGoesBack(t *testing.T) {
+	p, e, _, _ := newSystem(t, sealed(http.StatusOK, ""), notRun)
+	p.document(5)
+	eventually(t, "version 5", func() bool { return e.routes.Load().Document().Version == 5 })
+	p.document(3)
+	p.write("op//config", "{")
+	p.document(6)
+	eventually(t, "version 6", func() bool { return e.routes.Load().Document().Version == 6 })
+	if !strings.Contains(e.log.String(), "gateway_row_malformed") {
+		eventually(t, "the malformed row is logged", func() bool { return strings.Contains(e.log.String(), "gateway_row_malformed") })
+	}
+	if n := strings.Count(e.log.String(), `"document_in_force"`); n > 3 {
+		t.Errorf("%d documents came in force", n)
+	}
+}
--- a/internal/gateway/committer.go
+++ b/internal/gateway/committer.go
@@ -13,9 +13,17 @@
 const (
 	// commitQueue bounds the commits that wait; a burst's turns of some seconds fit.
 	commitQueue = 4096
-	// maxTxnEntries and maxTxnBytes bound one transaction below what the table takes.
-	maxTxnEntries = 90
-	maxTxnBytes   = 400 << 10
+	// maxTxnCommits bounds the changes of one transaction: two entries each at most, of
+	// the hundred that the table takes, and some 20 KB each of its megabyte.
+	maxTxnCommits = 30
+	// maxTransactions bounds the transactions under way: a table sixty times slower than
+	// usual holds each for some 240 ms.
+	maxTransactions = 24
+	// minBurst and burstTime are how much unused rate is saved for a burst.
+	minBurst  = 4
+	burstTime = 300 * time.Millisecond
+	// paceInterval is the wait when the rate is used up.
+	paceInterval = 8 * time.Millisecond
 	// writeShare is the part of the table's rate that commits use; feeds, sweeps and
 	// entries that other entries don't know of yet need the rest.
 	writeShare = 0.8
@@ -30,13 +38,13 @@
 	ctx        context.Context
 	conditions []table.Condition
 	writes     []table.Write
-	bytes      int
 	done       chan error
 }
 
-// committer joins the changes of many calls into few transactions: one is under way,
-// and what comes meanwhile gathers for the next. Its rate is this entry's part of what
-// the table takes from all.
+// committer writes the changes of many calls within this entry's part of the rate that
+// the table takes. While the rate allows it each change is a transaction of its own, in
+// one part, so that a slow table delays each by one transaction; beyond it changes are
+// joined, across parts, which takes the table twice as long.
 type committer struct {
 	link    *link
 	metrics *metrics
@@ -45,6 +53,8 @@
 	perSecond atomic.Int64
 	queue     chan *commit
 
+	// again takes back what must be sent again, with a slot each for what is under way.
+	again    chan []*commit
 	tokens   float64
 	refilled time.Time
 }
@@ -52,7 +62,7 @@
 func newCommitter(l *link, m *metrics, writesPerSecond int, entries func() int) *committer {
 	c := &committer{
 		link: l, metrics: m, queue: make(chan *commit, commitQueue), entries: entries,
-		tokens: 1, refilled: time.Now(),
+		tokens: 1, refilled: time.Now(), again: make(chan []*commit, maxTransactions),
 	}
 	c.setRate(writesPerSecond)
 	return c
@@ -73,9 +83,6 @@
 // without conditions must be repeatable: it is sent again while its outcome is unknown.
 func (c *committer) apply(ctx context.Context, conditions []table.Condition, writes []table.Write) error {
 	it := &commit{ctx: ctx, conditions: conditions, writes: writes, done: make(chan error, 1)}
-	for _, w := range writes {
-		it.bytes += len(w.Value) + len(w.Key)
-	}
 	select {
 	case c.queue <- it:
 	default:
@@ -90,77 +97,77 @@
 }
 
 func (c *committer) run(ctx context.Context) {
-	var again []*commit
+	var pending []*commit
+	underWay := 0
 	for {
-		batch := c.gather(ctx, again)
-		if batch == nil {
+		pending = c.gather(ctx, pending, &underWay)
+		if ctx.Err() != nil {
 			return
 		}
-		c.pace(ctx)
-		var wait bool
-		again, wait = c.write(ctx, batch)
-		if wait {
-			sleep(ctx, commitRetry)
+		lots := min(c.allowed(), maxTransactions-underWay, len(pending))
+		if lots <= 0 {
+			sleep(ctx, paceInterval)
+			continue
+		}
+		size := min((len(pending)+lots-1)/lots, maxTxnCommits)
+		for range lots {
+			batch := pending[:min(size, len(pending))]
+			if len(batch) == 0 {
+				break
+			}
+			pending = pending[len(batch):]
+			underWay++
+			c.tokens--
+			go c.write(ctx, batch)
 		}
 	}
 }
 
-// gather waits for a first change and takes what else is there.
-func (c *committer) gather(ctx context.Context, again []*commit) []*commit {
-	batch := make([]*commit, 0, len(again)+1)
-	entries, bytes := 0, 0
-	add := func(it *commit) {
-		if it.ctx.Err() != nil {
-			return
+// gather returns what waits to be written, and waits for something when nothing does.
+func (c *committer) gather(ctx context.Context, pending []*commit, underWay *int) []*commit {
+	live := make([]*commit, 0, len(pending)+1)
+	for _, it := range pending {
+		if it.ctx.Err() == nil {
+			live = append(live, it)
 		}
-		batch = append(batch, it)
-		entries += len(it.conditions) + len(it.writes)
-		bytes += it.bytes
 	}
-	for _, it := range again {
-		add(it)
+	take := func(again []*commit) {
+		*underWay--
+		live = append(live, again...)
 	}
-	for len(batch) == 0 {
+	for len(live) == 0 {
 		select {
 		case <-ctx.Done():
 			return nil
 		case it := <-c.queue:
-			add(it)
+			live = append(live, it)
+		case again := <-c.again:
+			take(again)
 		}
 	}
-	for entries < maxTxnEntries && bytes < maxTxnBytes {
+	for {
 		select {
 		case it := <-c.queue:
-			add(it)
-			continue
+			live = append(live, it)
+		case again := <-c.again:
+			take(again)
 		default:
+			return live
 		}
-		break
 	}
-	return batch
 }
 
-// pace waits until this entry may write again.
-func (c *committer) pace(ctx context.Context) {
-	for {
-		rate := c.rate()
-		now := time.Now()
-		c.tokens = min(max(2, rate/4), c.tokens+now.Sub(c.refilled).Seconds()*rate)
-		c.refilled = now
-		if c.tokens >= 1 {
-			c.tokens--
-			return
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		sleep(ctx, time.Duration((1-c.tokens)/rate*float64(time.Second)))
-	}
+// allowed returns the transactions that the rate allows now.
+func (c *committer) allowed() int {
+	rate := c.rate()
+	now := time.Now()
+	c.tokens = min(max(minBurst, rate*burstTime.Seconds()), c.tokens+now.Sub(c.refilled).Seconds()*rate)
+	c.refilled = now
+	return int(c.tokens)
 }
 
-// write sends one transaction. It returns what must be sent again, and whether to wait
-// before that.
-func (c *committer) write(ctx context.Context, batch []*commit) (again []*commit, wait bool) {
+// write sends one transaction and hands back what must be sent again.
+func (c *committer) write(ctx context.Context, batch []*commit) {
 	var txn table.Txn
 	for _, it := range batch {
 		txn.Conditions = append(txn.Conditions, it.conditions...)
@@ -170,20 +177,31 @@
 	err := c.link.Apply(ctx, txn)
 	c.metrics.commitLatency.RecordDuration(time.Since(start))
 	c.metrics.commits.Inc(1)
+	again := c.ended(batch, err)
+	if len(again) > 0 && !errors.Is(err, table.ErrConditionFailed) {
+		sleep(ctx, commitRetry)
+	}
+	c.again <- again
+}
+
+// ended tells the owners of the changes what became of them, and returns those that
+// must be sent again.
+func (c *committer) ended(batch []*commit, err error) []*commit {
 	var conflict *table.Conflict
 	switch {
 	case err == nil:
 		for _, it := range batch {
 			it.done <- nil
 		}
-		return nil, false
+		return nil
 	case errors.As(err, &conflict):
-		return c.dropConflicts(batch, conflict), false
+		return c.dropConflicts(batch, conflict)
 	case errors.Is(err, table.ErrNotApplied):
-		return batch, true
+		return batch
 	}
 	// The outcome is unknown: unconditional changes may be repeated, the owner of a
 	// conditional one reads back what became of it.
+	var again []*commit
 	for _, it := range batch {
 		if len(it.conditions) > 0 {
 			it.done <- err
@@ -191,7 +209,7 @@
 		}
 		again = append(again, it)
 	}
-	return again, true
+	return again
 }
 
 // dropConflicts ends the changes whose conditions fail and returns the others.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	metrics *metrics
 	life    string
 	started time.Time
+	// notice is how long the balancer may still send new connections after the process
+	// said that it takes none.
+	notice time.Duration
 
 	link    *link
 	mesh    *mesh
@@ -82,6 +85,7 @@
 		metrics: newMetrics(env.Telemetry.Scope),
 		life:    newLife(),
 		started: time.Now(),
+		notice:  balancerNotice,
 		pool:    forward.NewPool(upstreamDialTimeout),
 		book:    routing.NewBook(routing.BookConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
 	}
@@ -91,7 +95,7 @@
 	g.link = newLink(env.Table, g.mesh, g.linkChanged)
 	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
 	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.holder(), g.link.away)
-	g.turns = newTurns(g.link, g.commits, cfg)
+	g.turns = newTurns(g.link, g.commits, g.mesh, cfg)
 	return g
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -14,13 +14,15 @@
 const (
 	// readTimeout bounds a read of the table: a store sixty times slower than its 4 ms
 	// still answers within it.
-	readTimeout = 350 * time.Millisecond
+	readTimeout = 500 * time.Millisecond
 	// applyTimeout bounds a transaction over several parts at such a store, which takes
 	// 480 ms.
 	applyTimeout = 700 * time.Millisecond
-	// directPause is how long after a failure the table is asked through other entries
-	// before it is tried again directly.
+	// directPause is how long after a failure the table is asked through other entries,
+	// or not at all once it is lost, before it is tried again directly.
 	directPause = 400 * time.Millisecond
+	// maxVia bounds the entries that one call tries to go through.
+	maxVia = 2
 	// peerChangesWait is how long another entry waits for changes on this one's behalf.
 	peerChangesWait = 300 * time.Millisecond
 	// peerSlack is added to the timeout of a call that goes through another entry.
@@ -31,8 +33,9 @@
 
 // tablePeers finds another entry that reaches the table.
 type tablePeers interface {
-	// tableVia returns the table as reached through another entry, or nil.
-	tableVia() table.Watcher
+	// tableVia returns the table as reached through another entry, or nil, and a function
+	// to call when that entry does not reach it after all.
+	tableVia() (t table.Watcher, unreached func())
 }
 
 // link is the table as this entry reaches it: directly, or through another entry while
@@ -90,18 +93,26 @@
 // do runs f on the table directly or, when that fails, through another entry.
 func (l *link) do(ctx context.Context, timeout time.Duration, f func(ctx context.Context, t table.Watcher) error) error {
 	err := error(table.ErrUnavailable)
-	if l.tryDirect() {
+	via, unreached := l.peers.tableVia()
+	if l.tryDirect(via != nil) {
 		err = within(ctx, timeout, l.direct, f)
 		l.noteDirect(err)
 		if !failed(err) {
 			return err
 		}
 	}
-	if ctx.Err() != nil {
-		return err
-	}
-	if via := l.peers.tableVia(); via != nil {
-		err = within(ctx, timeout+peerSlack, via, f)
+	for range maxVia {
+		if ctx.Err() != nil {
+			return err
+		}
+		if via == nil {
+			break
+		}
+		if err = within(ctx, timeout+peerSlack, via, f); !failed(err) {
+			break
+		}
+		unreached()
+		via, unreached = l.peers.tableVia()
 	}
 	l.noteAny(err)
 	return err
@@ -113,10 +124,12 @@
 	return f(ctx, t)
 }
 
-func (l *link) tryDirect() bool {
+// tryDirect reports whether the table is asked directly. After a failure it is not for a
+// while, if another entry reaches it or it is known to be lost.
+func (l *link) tryDirect(another bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !time.Now().Before(l.avoid)
+	return !time.Now().Before(l.avoid) || !another && !l.lost
 }
 
 func (l *link) noteDirect(err error) {
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -94,7 +94,7 @@
 
 // tableVia implements tablePeers: the entry heard last among those that reach the
 // table, those of this failure domain first.
-func (m *mesh) tableVia() table.Watcher {
+func (m *mesh) tableVia() (table.Watcher, func()) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -108,9 +108,13 @@
 		}
 	}
 	if best == nil {
-		return nil
+		return nil, nil
+	}
+	return &remoteTable{client: m.client, address: best.Mesh}, func() {
+		m.mu.Lock()
+		best.tableUp = false
+		m.mu.Unlock()
 	}
-	return &remoteTable{client: m.client, address: best.Mesh}
 }
 
 func (m *mesh) nearer(a, b *peer) bool {
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/turnlog"
 )
 
 const (
@@ -57,6 +58,7 @@
 func (m *mesh) handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post("/table/{verb}", m.serveTable)
+	r.Post("/turn", m.serveTurn)
 	return r
 }
 
@@ -239,3 +241,80 @@
 	}
 	return a.Changes, a.Version, nil
 }
+
+// turnCall asks for a kept turn; the answer has its stored form, or nothing.
+type turnCall struct {
+	ID    string `json:"id"`
+	Value []byte `json:"value,omitempty"`
+}
+
+func (m *mesh) serveTurn(w http.ResponseWriter, r *http.Request) {
+	var call turnCall
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxMeshBody)).Decode(&call); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if turn := m.g.turns.get(call.ID); turn != nil {
+		call.Value = turn.Encode()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(call); err != nil {
+		m.g.env.Requests.Info("mesh_answer_lost").Str("peer", r.RemoteAddr).Err(err).End()
+	}
+}
+
+const (
+	// turnPeerTimeout bounds the search for a turn in the memory of other entries.
+	turnPeerTimeout = 120 * time.Millisecond
+	// turnPeersAtOnce bounds the entries that are asked at once.
+	turnPeersAtOnce = 12
+)
+
+// turnAt implements turnPeers. It asks all entries that live, since callers move
+// between them from turn to turn.
+func (m *mesh) turnAt(ctx context.Context, id string) *turnlog.Turn {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), turnPeerTimeout)
+	defer cancel()
+	addresses := m.liveMeshes()
+	found := make(chan *turnlog.Turn, len(addresses))
+	slots := make(chan struct{}, turnPeersAtOnce)
+	for _, address := range addresses {
+		go func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			found <- m.askTurn(ctx, address, id)
+		}()
+	}
+	for range addresses {
+		if turn := <-found; turn != nil {
+			return turn
+		}
+	}
+	return nil
+}
+
+func (m *mesh) askTurn(ctx context.Context, address, id string) *turnlog.Turn {
+	var answer turnCall
+	if err := m.client.post(ctx, address, "/turn", turnCall{ID: id}, &answer); err != nil || len(answer.Value) == 0 {
+		return nil
+	}
+	turn, err := turnlog.Decode(id, answer.Value)
+	if err != nil {
+		m.g.env.Requests.Warn("turn_malformed").Str("turn", id).Str("peer", address).Err(err).End()
+		return nil
+	}
+	return turn
+}
+
+func (m *mesh) liveMeshes() []string {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, p := range m.peers {
+		if now.Sub(p.heard) < entrySilence {
+			out = append(out, p.Mesh)
+		}
+	}
+	return out
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -149,15 +149,15 @@
 
 // again reports whether the call may be sent to a further upstream after res.
 func (g *Gateway) again(j *job, res *result) bool {
+	if !res.notSent && !res.notRun {
+		j.mayHaveRun = true
+	}
 	if j.left() <= 0 {
 		return false
 	}
 	if res.notSent {
 		return j.notSent < maxNotSent
 	}
-	if !res.notRun {
-		j.mayHaveRun = true
-	}
 	if j.sends >= j.maxSends() {
 		return false
 	}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -8,8 +8,7 @@
 )
 
 const (
-	// balancerNotice is how long the balancer may still send new connections after the
-	// process said that it takes none: it asks once a second and wants two refusals.
+	// balancerNotice fits a balancer that asks once a second and wants two refusals.
 	balancerNotice = 2500 * time.Millisecond
 	// shutdownMargin before the end by force leaves time for the last lines.
 	shutdownMargin = 700 * time.Millisecond
@@ -25,7 +24,7 @@
 	g.draining.Store(true)
 	g.env.Events.Emit(eventlog.GatewayStopping, eventlog.Fields{Step: "stop", Count: g.inFlight.Load()})
 	end := begun.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
-	time.Sleep(min(balancerNotice, time.Until(end)))
+	time.Sleep(min(g.notice, time.Until(end)))
 	for g.inFlight.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(idlePoll)
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -31,15 +31,22 @@
 type turns struct {
 	table    table.Table
 	commits  *committer
+	peers    turnPeers
 	rowBytes int
 
 	mu    sync.Mutex
 	cache *turnlog.Cache
 }
 
-func newTurns(t table.Table, c *committer, cfg *settings.Gateway) *turns {
+// turnPeers finds turns in the memory of other entries.
+type turnPeers interface {
+	// turnAt returns the turn from any entry that has it at hand, or nil.
+	turnAt(ctx context.Context, id string) *turnlog.Turn
+}
+
+func newTurns(t table.Table, c *committer, peers turnPeers, cfg *settings.Gateway) *turns {
 	return &turns{
-		table: t, commits: c, rowBytes: cfg.TableRowBytes - rowMargin,
+		table: t, commits: c, peers: peers, rowBytes: cfg.TableRowBytes - rowMargin,
 		cache: turnlog.NewCache(int(float64(cfg.MemoryMB) * cacheShare * (1 << 20))),
 	}
 }
@@ -125,6 +132,13 @@
 	if errors.Is(err, table.ErrNotFound) {
 		return nil, errNoTurn
 	}
+	if failed(err) {
+		// Entries that have written or read the turn have it in memory.
+		if turn := t.peers.turnAt(ctx, id); turn != nil {
+			t.put(turn)
+			return turn, nil
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/standin/feed.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/platform"
+)
+
+// maxFeed bounds the changes that a table keeps for those who follow it.
+const maxFeed = 4096
+
+// feed is the newest changes of a table. Versions are counts of transactions.
+type feed struct {
+	changes []feedChange
+	// gone is the version up to which changes are no longer kept.
+	gone uint64
+	wake chan struct{}
+}
+
+type feedChange struct {
+	version uint64
+	change  platform.Change
+}
+
+// publish records a transaction; the table's lock is held.
+func (f *feed) publish(version uint64, writes []platform.Write, rows map[string]platform.Row) {
+	for _, w := range writes {
+		c := platform.Change{Row: rows[w.Key], Deleted: w.Delete}
+		c.Key = w.Key
+		f.changes = append(f.changes, feedChange{version, c})
+	}
+	if drop := len(f.changes) - maxFeed; drop > 0 {
+		f.gone = f.changes[drop-1].version
+		f.changes = f.changes[drop:]
+	}
+	if f.wake != nil {
+		close(f.wake)
+		f.wake = nil
+	}
+}
+
+var _ platform.Watcher = (*Table)(nil)
+
+// ForgetHistory drops the changes so far, so that followers must list again.
+func (t *Table) ForgetHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.feed.changes, t.feed.gone = nil, t.writes
+}
+
+// Snapshot implements platform.Watcher.
+func (t *Table) Snapshot(ctx context.Context, prefix string) ([]platform.Row, int64, error) {
+	if err := t.beforeRead(ctx, "/table/snapshot"); err != nil {
+		return nil, 0, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	var out []platform.Row
+	for _, key := range t.sorted[t.firstAfter(prefix, ""):] {
+		if !strings.HasPrefix(key, prefix) {
+			break
+		}
+		out = append(out, t.rows[key])
+	}
+	return out, int64(t.writes), nil
+}
+
+// Changes implements platform.Watcher.
+func (t *Table) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.Change, int64, error) {
+	if err := t.beforeRead(ctx, "/table/changes"); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, version, wake, err := t.changed(prefix, after)
+		if err != nil || len(changes) > 0 {
+			return changes, version, err
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, platform.ErrUnavailable
+		}
+	}
+}
+
+func (t *Table) changed(prefix string, after int64) ([]platform.Change, int64, <-chan struct{}, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if uint64(after) < t.feed.gone {
+		return nil, 0, nil, platform.ErrHistoryGone
+	}
+	var out []platform.Change
+	for _, c := range t.feed.changes {
+		if c.version > uint64(after) && strings.HasPrefix(c.change.Key, prefix) {
+			out = append(out, c.change)
+		}
+	}
+	if t.feed.wake == nil {
+		t.feed.wake = make(chan struct{})
+	}
+	return out, int64(t.writes), t.feed.wake, nil
+}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -32,6 +32,7 @@
 	sorted []string
 	writes uint64
 	reads  uint64
+	feed   feed
 }
 
 var _ platform.Table = (*Table)(nil)
@@ -88,7 +89,7 @@
 	for _, c := range txn.Conditions {
 		version := t.rows[c.Key].Version
 		if c.Version != platform.AnyVersion && c.Version != version {
-			return errors.Wrapf(platform.ErrConditionFailed, "row %q has version %d, not %d", c.Key, version, c.Version)
+			return t.conflict(txn)
 		}
 	}
 	if len(t.rows)+len(txn.Writes) > maxRows {
@@ -98,9 +99,21 @@
 		t.put(w)
 	}
 	t.writes++
+	t.feed.publish(t.writes, txn.Writes, t.rows)
 	return nil
 }
 
+// conflict returns the current rows of the transaction's conditions.
+func (t *Table) conflict(txn platform.Txn) error {
+	c := &platform.Conflict{}
+	for _, cond := range txn.Conditions {
+		if row, exists := t.rows[cond.Key]; exists {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	return c
+}
+
 func (t *Table) put(w platform.Write) {
 	old, exists := t.rows[w.Key]
 	at := sort.SearchStrings(t.sorted, w.Key)
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,124 @@
+package ledger
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestRowDraw(t *testing.T) {
+	row := Row{Total: 1000}
+	row, lump := row.Draw("a", 100)
+	if lump != 500 {
+		t.Fatalf("first draw took %d, want half", lump)
+	}
+	row, lump = row.Draw("b", 400)
+	if lump != 400 || row.Left() != 100 {
+		t.Fatalf("second draw took %d and left %d", lump, row.Left())
+	}
+	if _, lump = row.Draw("a", 101); lump != 0 {
+		t.Fatalf("drew %d of a row that holds 100", lump)
+	}
+	if back := row.Return("a", 200); back.Left() != 300 {
+		t.Fatalf("after a return %d are left", back.Left())
+	}
+	decoded, err := DecodeRow(row.Encode())
+	if err != nil || decoded.Left() != row.Left() {
+		t.Fatalf("decoded %+v, %v", decoded, err)
+	}
+	for _, bad := range []string{"", "{}", `{"total":-1}`, `{"total":"5"}`} {
+		if _, err := DecodeRow([]byte(bad)); !errors.Is(err, ErrBadRow) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+func TestAdvanceIsBoundByHalfAndByTheRow(t *testing.T) {
+	a := NewAccount(1716)
+	if !a.Advance(572) || !a.Reserve(572) {
+		t.Fatal("no advance for the first turn")
+	}
+	if a.Advance(572) {
+		t.Fatal("advanced a second turn beyond half of the budget")
+	}
+	d := a.Drawing(0)
+	if d.Need != 572 {
+		t.Fatalf("the draw after the outage needs %d", d.Need)
+	}
+	a.Drawn(d, 858)
+	if a.Free() != 858-572 || a.Advanced() != 0 {
+		t.Fatalf("free %d, advanced %d", a.Free(), a.Advanced())
+	}
+
+	drawn := NewAccount(1716)
+	drawn.Drawn(drawn.Drawing(1716), 1716)
+	for range 3 {
+		if !drawn.Reserve(572) {
+			t.Fatal("a drawn turn was refused")
+		}
+	}
+	if drawn.Advance(572) {
+		t.Fatal("advanced beyond what the row held in all")
+	}
+}
+
+func TestExhaustedAdvancesNothing(t *testing.T) {
+	a := NewAccount(1000)
+	a.Drawn(a.Drawing(100), 0)
+	if !a.Exhausted() || a.Advance(100) {
+		t.Fatal("an exhausted account advanced")
+	}
+}
+
+// TestBudgetHoldsOverEntries plays draws, advances, settlements, returns and deaths of
+// entries at random: what callers got never exceeds the budget and one turn.
+func TestBudgetHoldsOverEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 100
+		total := rapid.IntRange(1, 12).Draw(t, "turns") * most
+		row := Row{Total: total}
+		names := []string{"a", "b", "c"}
+		accounts := map[string]*Account{}
+		open := map[string]int{}
+		for _, n := range names {
+			accounts[n] = NewAccount(total)
+		}
+		handed := 0
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			n := rapid.SampledFrom(names).Draw(t, "entry")
+			a := accounts[n]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if a.Reserve(most) {
+					open[n]++
+				} else if !a.Exhausted() {
+					d := a.Drawing(most)
+					next, lump := row.Draw(n, d.Need)
+					row = next
+					a.Drawn(d, lump)
+				}
+			case 1:
+				if open[n] > 0 {
+					used := rapid.IntRange(0, most).Draw(t, "used")
+					a.Settle(most, used)
+					open[n]--
+					handed += used
+				}
+			case 2:
+				row = row.Return(n, a.Return())
+				a.exhausted = false
+			case 3: // the entry dies: open turns got anything, its account is lost
+				handed += open[n] * most
+				open[n] = 0
+				next := n + "'" // a new life draws under a name of its own
+				names[slices.Index(names, n)] = next
+				accounts[next] = NewAccount(total)
+			}
+		}
+		if handed > total {
+			t.Fatalf("handed %d of %d", handed, total)
+		}
+	})
+}
