Close resting connections of callers soon after the signal to stop

The server was shut down only once no call was under way; now right after the balancer's notice. Ruled out: the end of the grace time itself (calls last 3 s at most).

--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -257,3 +259,55 @@
 		t.Errorf("%d documents came in force", n)
 	}
 }
+
+// TestShutdownTakesNoCallThatItCannotFinish: a kept connection gets its answer with the
+// notice to close, and is closed soon after, while the call under way ends whole.
+func TestShutdownTakesNoCallThatItCannotFinish(t *testing.T) {
+	release := make(chan struct{})
+	_, e, _, _ := newSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/act/slow" {
+			<-release
+		}
+		sealed(http.StatusOK, "whole")(w, r)
+	}, notRun)
+	client := &http.Client{Transport: &http.Transport{}}
+	get := func(path string) (*http.Response, error) {
+		req, _ := http.NewRequest("POST", e.base+path, strings.NewReader("x"))
+		req.Host = "h"
+		req.Header.Set("X-Request-Id", newID())
+		return client.Do(req)
+	}
+	resp, err := get("/act/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.ReadAll(resp.Body)
+	resp.Body.Close()
+	slow := make(chan string, 1)
+	go func() {
+		resp, err := get("/act/slow")
+		if err != nil {
+			slow <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		slow <- string(b)
+	}()
+	eventually(t, "the slow call is under way", func() bool { return e.inFlight.Load() == 1 })
+	e.stop()
+	eventually(t, "the entry takes no new connections", func() bool {
+		c, err := net.Dial("tcp", e.cfg.ListenCallers)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	if resp, err := get("/act/2"); err == nil {
+		t.Errorf("a call on a kept connection was taken: %d", resp.StatusCode)
+	}
+	close(release)
+	if got := <-slow; got != "whole" {
+		t.Errorf("the call under way got %q", got)
+	}
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -12,8 +12,6 @@
 	balancerNotice = 2500 * time.Millisecond
 	// shutdownMargin before the end by force leaves time for the last lines.
 	shutdownMargin = 700 * time.Millisecond
-	// idlePoll is the time between two looks whether calls are still under way.
-	idlePoll = 50 * time.Millisecond
 	// housekeepInterval is the time between two searches for what is no longer needed.
 	housekeepInterval = 20 * time.Second
 )
@@ -25,9 +23,8 @@
 	g.env.Events.Emit(eventlog.GatewayStopping, eventlog.Fields{Step: "stop", Count: g.inFlight.Load()})
 	end := begun.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
 	time.Sleep(min(g.notice, time.Until(end)))
-	for g.inFlight.Load() > 0 && time.Now().Before(end) {
-		time.Sleep(idlePoll)
-	}
+	// From here on resting connections are closed: a call that came on one later could
+	// not be finished in time.
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
