Let entries know each other's grants, and write around parts of the table that are away

Now each grant is told to the two entries that rank next for the program, an entry that starts learns what the others know, and tokens are advanced only after one of them has heard it. Parts that fail are remembered by part; a kept turn goes to the first of three parts that takes it, and is looked for in all.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -31,6 +31,9 @@
 	// settleTries and settleRetry bound how often a reservation's end is told to the owner.
 	settleTries = 3
 	settleRetry = 150 * time.Millisecond
+	// advanceTimeout bounds the questions and notices to other entries for tokens that are
+	// granted ahead of a row.
+	advanceTimeout = 200 * time.Millisecond
 	// recordTimeout bounds the recording of what was granted ahead of a row.
 	recordTimeout = 3 * time.Second
 )
@@ -49,9 +52,18 @@
 	// reserveAt and settleAt make the calls at a peer.
 	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveVerdict, error)
 	settleAt(ctx context.Context, p *peer, s settleCall) error
-	// soleOwner reports whether this entry owns the program and nobody else did lately,
-	// so that it knows all that was granted for it.
-	soleOwner(program string) bool
+	// learn returns what entries know to have been granted for the program, and whether
+	// nothing can be missing from that.
+	learn(ctx context.Context, program string) (granted int, conclusive bool)
+	// tell tells the entries that would own the program next what was granted for it. It
+	// reports whether one has heard it.
+	tell(ctx context.Context, n grantNotice) bool
+}
+
+// grantNotice says how many tokens of a program's budget entries were granted in all.
+type grantNotice struct {
+	Program string `json:"program"`
+	Granted int    `json:"granted"`
 }
 
 // reserveCall asks the owner to set aside the most of a turn.
@@ -87,11 +99,18 @@
 	commits *committer
 	owners  budgetOwners
 	holder  string
-	// tableAway reports whether the table can't be reached by any way.
-	tableAway func() bool
+	// away reports whether a key of the table surely can't be reached now.
+	away func(key string) bool
 
 	mu       sync.Mutex
 	accounts map[string]*budget
+	// known is what other entries told of the programs that this one may own next.
+	known map[string]knownGrant
+}
+
+type knownGrant struct {
+	granted int
+	at      time.Time
 }
 
 type budget struct {
@@ -103,8 +122,11 @@
 	used    time.Time
 }
 
-func newBudgets(t table.Table, c *committer, owners budgetOwners, holder string, tableAway func() bool) *budgets {
-	return &budgets{table: t, commits: c, owners: owners, holder: holder, tableAway: tableAway, accounts: map[string]*budget{}}
+func newBudgets(t table.Table, c *committer, owners budgetOwners, holder string, away func(string) bool) *budgets {
+	return &budgets{
+		table: t, commits: c, owners: owners, holder: holder, away: away,
+		accounts: map[string]*budget{}, known: map[string]knownGrant{},
+	}
 }
 
 // reservation is the most that one turn may generate, set aside from its program's budget.
@@ -246,66 +268,131 @@
 }
 
 // drawLocked draws a lump from the program's row; the lock is released meanwhile. While
-// the table is away it advances tokens instead.
+// the row can't be reached it grants tokens ahead of it instead.
 func (b *budgets) drawLocked(ctx context.Context, of *budget, call reserveCall) error {
-	if b.advanceLocked(of, call) {
+	of.drawing = make(chan struct{})
+	defer func() {
+		close(of.drawing)
+		of.drawing = nil
+	}()
+	// Other turns wait for the draw too, so it outlives the call that began it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
+	defer cancel()
+	err := error(table.ErrUnavailable)
+	if call.Most == 0 || !b.away(budgetKey(call.Program)) {
+		state := of.account.Drawing(call.Most)
+		b.mu.Unlock()
+		lump, left, drawErr := b.draw(ctx, call.Program, call.Total, state)
+		b.mu.Lock()
+		err = drawErr
+		if err == nil {
+			of.account.Drawn(state, lump)
+			go b.owners.tell(context.WithoutCancel(ctx), grantNotice{call.Program, call.Total - left})
+			return nil
+		}
+	}
+	if call.Most > 0 && failed(err) && b.advanceLocked(ctx, of, call) {
 		return nil
 	}
-	of.drawing = make(chan struct{})
-	state := of.account.Drawing(call.Most)
+	return err
+}
+
+// advanceLocked grants tokens ahead of the row when all that was granted for the program
+// is known, and another entry knows of this grant too. It reports whether the turn may
+// go on; the lock is released meanwhile.
+func (b *budgets) advanceLocked(ctx context.Context, of *budget, call reserveCall) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), advanceTimeout)
+	defer cancel()
 	b.mu.Unlock()
-	// Other turns wait for the draw too, so it outlives the call that began it.
-	drawing, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
-	lump, err := b.draw(drawing, call.Program, call.Total, state)
-	cancel()
+	granted, conclusive := b.owners.learn(ctx, call.Program)
 	b.mu.Lock()
-	close(of.drawing)
-	of.drawing = nil
-	if err != nil {
-		if b.advanceLocked(of, call) {
-			return nil
+	if !conclusive {
+		return false
+	}
+	of.account.Learn(granted)
+	need, ok := of.account.AdvanceNeeded(call.Most)
+	if !ok {
+		return false
+	}
+	notice := grantNotice{call.Program, of.account.Known() + need}
+	b.mu.Unlock()
+	heard := b.owners.tell(ctx, notice)
+	b.mu.Lock()
+	if heard {
+		of.account.Advance(need)
+	}
+	return heard
+}
+
+// hear records what another entry was granted.
+func (b *budgets) hear(n grantNotice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known[n.Program] = knownGrant{max(n.Granted, b.known[n.Program].granted), time.Now()}
+}
+
+// knows returns what this entry knows to have been granted for a program.
+func (b *budgets) knows(program string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	granted := b.known[program].granted
+	if of := b.accounts[program]; of != nil {
+		granted = max(granted, of.account.Known())
+		if of.account.Exhausted() {
+			granted = max(granted, of.account.Total())
 		}
-		return err
 	}
-	of.account.Drawn(state, lump)
-	return nil
+	return granted
 }
 
-// advanceLocked grants tokens ahead of the row while the table is away. It reports
-// whether the turn may go on.
-func (b *budgets) advanceLocked(of *budget, call reserveCall) bool {
-	return b.tableAway() && b.owners.soleOwner(call.Program) && of.account.Advance(call.Most)
+// knowsOf returns all that this entry knows, for one that starts.
+func (b *budgets) knowsOf() []grantNotice {
+	b.mu.Lock()
+	programs := make([]string, 0, len(b.known)+len(b.accounts))
+	for program := range b.known {
+		programs = append(programs, program)
+	}
+	for program := range b.accounts {
+		if _, also := b.known[program]; !also {
+			programs = append(programs, program)
+		}
+	}
+	b.mu.Unlock()
+	out := make([]grantNotice, 0, len(programs))
+	for _, program := range programs {
+		out = append(out, grantNotice{program, b.knows(program)})
+	}
+	return out
 }
 
-// draw takes the tokens asked for or more from the program's row. It returns zero when
-// the row does not hold them.
-func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (int, error) {
+// draw takes the tokens asked for or more from the program's row, and returns what is
+// left there too. The lump is zero when the row does not hold them.
+func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (lump, left int, err error) {
 	key := budgetKey(program)
 	row, version := ledger.Row{Total: total}, table.Absent
 	if d.Recorded > 0 {
-		var err error
 		if row, version, err = b.read(ctx, key, total); err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 	}
 	for range maxDrawTries {
 		if had := row.Drawn[b.holder]; had > d.Recorded {
 			// An earlier draw of this entry went through though its answer was lost.
-			return had - d.Recorded, nil
+			return had - d.Recorded, row.Left(), nil
 		}
-		next, lump := row.Draw(b.holder, d.Need)
-		if lump == 0 {
-			return 0, nil
+		var next ledger.Row
+		if next, lump = row.Draw(b.holder, d.Need); lump == 0 {
+			return 0, 0, nil
 		}
-		err := b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
+		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
 		if err == nil {
-			return lump, nil
+			return lump, next.Left(), nil
 		}
 		if row, version, err = b.afterFailure(ctx, key, total, err); err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 	}
-	return 0, errors.Mark(errors.New("budget row changes too fast"), table.ErrUnavailable)
+	return 0, 0, errors.Mark(errors.New("budget row changes too fast"), table.ErrUnavailable)
 }
 
 // afterFailure returns the row as it is after a swap that failed or whose outcome is unknown.
@@ -349,6 +436,11 @@
 			delete(b.accounts, program)
 		}
 	}
+	for program, k := range b.known {
+		if now.Sub(k.at) > budgetIdle {
+			delete(b.known, program)
+		}
+	}
 }
 
 // recordAdvances draws from the rows what was granted ahead of them, when the table is
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
+	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,15 +22,25 @@
 	callRetry = 25 * time.Millisecond
 	// callTimeout bounds a call whose owner has what is asked for at hand or draws it.
 	callTimeout = 250 * time.Millisecond
-	// ownerSettled is how long the entries must have been the same for an owner to know
-	// what was granted for its programs: programs last some ten seconds.
-	ownerSettled = 30 * time.Second
+	// ownerSettled is how long an entry that died may still matter for what was granted:
+	// as long as a stopped program may come back.
+	ownerSettled = time.Minute
+	// witnesses is the number of entries beside the owner that hear of each grant.
+	witnesses = 2
+	// settleInterval is the wait before an entry that started asks what the others know:
+	// some digests.
+	settleInterval = 400 * time.Millisecond
+	// learnTimeout bounds the answer of one of them.
+	learnTimeout = 500 * time.Millisecond
 )
 
 // Calls between entries.
 const (
 	callReserve = 'r'
 	callSettle  = 's'
+	// callGranted tells, and callKnown asks, what was granted for a program.
+	callGranted = 'g'
+	callKnown   = 'k'
 )
 
 // calls are short questions between entries, one datagram each way. Each is repeatable,
@@ -37,16 +50,16 @@
 
 	mu      sync.Mutex
 	next    uint64
-	waiting map[uint64]chan byte
+	waiting map[uint64]chan uint64
 }
 
-func newCalls(m *mesh) *calls { return &calls{m: m, waiting: map[uint64]chan byte{}} }
+func newCalls(m *mesh) *calls { return &calls{m: m, waiting: map[uint64]chan uint64{}} }
 
-// ask sends a call to a peer and waits for its one-byte answer.
-func (c *calls) ask(ctx context.Context, p *peer, body []byte) (byte, error) {
+// ask sends a call to a peer and waits for its answer, a small number.
+func (c *calls) ask(ctx context.Context, p *peer, body []byte) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer := make(chan byte, 1)
+	answer := make(chan uint64, 1)
 	c.mu.Lock()
 	c.next++
 	id := c.next
@@ -81,7 +94,7 @@
 // answer takes the answer to a call of this entry.
 func (c *calls) answer(b []byte) bool {
 	p := packet{b: b}
-	id, life, v := p.uvarint(), p.text(), p.byte()
+	id, life, v := p.uvarint(), p.text(), p.uvarint()
 	if p.bad || life != c.m.g.life {
 		return !p.bad
 	}
@@ -105,9 +118,9 @@
 	if p.bad {
 		return false
 	}
-	reply := func(v byte) {
+	reply := func(v uint64) {
 		b := append(make([]byte, 0, 32), packetAnswer)
-		b = append(appendText(binary.AppendUvarint(b, id), life), v)
+		b = binary.AppendUvarint(appendText(binary.AppendUvarint(b, id), life), v)
 		if _, err := c.m.packets.WriteTo(b, from); err != nil {
 			c.m.g.metrics.digestErrors.Inc(1)
 		}
@@ -125,17 +138,36 @@
 			return false
 		}
 		c.m.g.budgets.settleHere(call)
-		reply(byte(reserveGranted))
+		reply(uint64(reserveGranted))
+	case callGranted:
+		n := grantNotice{Program: p.text(), Granted: int(p.uvarint())}
+		if p.bad {
+			return false
+		}
+		c.m.g.budgets.hear(n)
+		reply(uint64(reserveGranted))
+	case callKnown:
+		program := p.text()
+		if p.bad {
+			return false
+		}
+		reply(uint64(c.m.g.budgets.knows(program)))
 	default:
 		return false
 	}
 	return true
 }
 
-func (c *calls) serveReserve(call reserveCall, reply func(byte)) {
+// askNumber is ask with an answer that fits a count of tokens.
+func (c *calls) askNumber(ctx context.Context, p *peer, body []byte) (int, error) {
+	v, err := c.ask(ctx, p, body)
+	return int(min(v, math.MaxInt32)), err
+}
+
+func (c *calls) serveReserve(call reserveCall, reply func(uint64)) {
 	b := c.m.g.budgets
 	if v := b.tryGrant(call); v != 0 {
-		reply(byte(v))
+		reply(uint64(v))
 		return
 	}
 	go func() {
@@ -145,7 +177,7 @@
 		if err != nil {
 			c.m.g.env.Requests.Warn("budget_not_told").Str("request", call.ID).Str("program", call.Program).Err(err).End()
 		}
-		reply(byte(v))
+		reply(uint64(v))
 	}()
 }
 
@@ -187,7 +219,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, p := range m.peers {
-		if !p.owns || now.Sub(p.heard) > ownerSilence {
+		if !p.owns || !alive(p, now) {
 			continue
 		}
 		if w := routing.Rendezvous(program, name); w > weight {
@@ -201,21 +233,117 @@
 // budgets: a few digests, so that a dead owner delays few turns.
 const ownerSilence = time.Second
 
-// soleOwner implements budgetOwners. An entry that died or joined lately may have
-// granted tokens for the programs that are or were its own.
-func (m *mesh) soleOwner(program string) bool {
-	now := time.Now()
-	if !m.owns() || !m.g.cfg.FirstStart && now.Sub(m.g.started) < ownerSettled {
-		return false
+// alive reports whether a peer was heard lately enough to be asked.
+func alive(p *peer, now time.Time) bool { return now.Sub(p.heard) < ownerSilence }
+
+// ranked returns the entries by their weight for the program, the owner-to-be first;
+// nil stands for this entry. keep says which peers count.
+func (m *mesh) ranked(program string, count int, keep func(*peer) bool) []*peer {
+	type weighed struct {
+		p      *peer
+		weight uint64
 	}
-	weight := routing.Rendezvous(program, string(m.g.cfg.Node))
+	all := []weighed{{nil, routing.Rendezvous(program, string(m.g.cfg.Node))}}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	for name, p := range m.peers {
-		lately := now.Sub(p.heard) < ownerSettled || now.Sub(p.listed) < ownerSettled
-		if lately && routing.Rendezvous(program, name) > weight {
+		if keep(p) {
+			all = append(all, weighed{p, routing.Rendezvous(program, name)})
+		}
+	}
+	m.mu.Unlock()
+	slices.SortFunc(all, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]*peer, 0, count)
+	for _, w := range all[:min(count, len(all))] {
+		out = append(out, w.p)
+	}
+	return out
+}
+
+// tell implements budgetOwners: the entries that rank next for the program hear it.
+func (m *mesh) tell(ctx context.Context, n grantNotice) bool {
+	now := time.Now()
+	heard := make(chan bool, witnesses)
+	asked := 0
+	for _, p := range m.ranked(n.Program, witnesses+1, func(p *peer) bool { return alive(p, now) }) {
+		if p == nil {
+			continue
+		}
+		asked++
+		go func() {
+			b := appendText(append(make([]byte, 0, 48), callGranted), n.Program)
+			_, err := m.calls.ask(ctx, p, binary.AppendUvarint(b, uint64(max(0, n.Granted))))
+			heard <- err == nil
+		}()
+	}
+	for range asked {
+		if <-heard {
+			return true
+		}
+	}
+	return false
+}
+
+// learn implements budgetOwners. Of the entries that lived lately, each that ranked
+// among the first for the program has heard of its grants; one that has been there all
+// along is enough.
+func (m *mesh) learn(ctx context.Context, program string) (int, bool) {
+	now := time.Now()
+	lately := func(p *peer) bool { return now.Sub(p.heard) < ownerSettled || now.Sub(p.listed) < ownerSettled }
+	own := m.g.budgets.knows(program)
+	var ask []*peer
+	for _, p := range m.ranked(program, witnesses+1, lately) {
+		if p == nil && m.settled.Load() {
+			return own, true
+		}
+		if p != nil && p.settled && alive(p, now) {
+			ask = append(ask, p)
+		}
+	}
+	for _, p := range ask {
+		granted, err := m.calls.askNumber(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
+		if err == nil {
+			return max(own, granted), true
+		}
+	}
+	return own, false
+}
+
+// settle makes this entry one that has been there all along: it learns what those that
+// have been know.
+func (m *mesh) settle(ctx context.Context) {
+	if m.g.cfg.FirstStart {
+		m.settled.Store(true)
+		return
+	}
+	for ctx.Err() == nil && !m.settled.Load() {
+		sleep(ctx, settleInterval)
+		m.settled.Store(m.learnAll(ctx))
+	}
+}
+
+// learnAll asks all settled entries for what they know. It reports whether there are
+// such and all have answered.
+func (m *mesh) learnAll(ctx context.Context) bool {
+	now := time.Now()
+	m.mu.Lock()
+	var from []string
+	for _, p := range m.peers {
+		if p.settled && alive(p, now) {
+			from = append(from, p.Mesh)
+		}
+	}
+	m.mu.Unlock()
+	for _, address := range from {
+		var known []grantNotice
+		ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+		err := m.client.post(ctx, address, "/grants", struct{}{}, &known)
+		cancel()
+		if err != nil {
 			return false
 		}
+		for _, n := range known {
+			m.g.budgets.hear(n)
+		}
 	}
-	return true
+	return len(from) > 0
 }
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -30,6 +30,8 @@
 	flagTableUp = 1 << iota
 	// flagOwns: the entry counts budgets; it has registered and does not shut down.
 	flagOwns
+	// flagSettled: the entry has heard of all grants that it should have.
+	flagSettled
 )
 
 // Kinds of packets, the first byte of each.
@@ -58,8 +60,8 @@
 	m.mu.Unlock()
 }
 
-// tell sends digests until ctx ends.
-func (m *mesh) tell(ctx context.Context) {
+// sendDigests sends digests until ctx ends.
+func (m *mesh) sendDigests(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, max(digestInterval, time.Duration(m.size())*digestBudget))
 		if m.packets == nil {
@@ -95,6 +97,9 @@
 	if m.owns() {
 		flags |= flagOwns
 	}
+	if m.settled.Load() {
+		flags |= flagSettled
+	}
 	b = append(b, flags)
 	for _, text := range []string{self.Node, self.Domain, self.Mesh, self.Digests, self.Life} {
 		b = appendText(b, text)
@@ -223,7 +228,7 @@
 	}
 	silent := !known.heard.IsZero() && now.Sub(known.heard) > entrySilence
 	known.seq, known.heard = seq, now
-	known.tableUp, known.owns = flags&flagTableUp != 0, flags&flagOwns != 0
+	known.tableUp, known.owns, known.settled = flags&flagTableUp != 0, flags&flagOwns != 0, flags&flagSettled != 0
 	m.mu.Unlock()
 	if silent {
 		m.g.env.Events.Emit(eventlog.GatewayPeerBack, eventlog.Fields{Step: "mesh", Peer: from.Node})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,8 +94,8 @@
 	g.mesh = newMesh(g)
 	g.link = newLink(env.Table, g.mesh, g.linkChanged)
 	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
-	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.holder(), g.link.away)
-	g.turns = newTurns(g.link, g.commits, g.mesh, cfg)
+	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.holder(), g.link.awayFor)
+	g.turns = newTurns(g.link, g.commits, g.mesh, g.link.awayFor, cfg)
 	return g
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,8 +47,11 @@
 	note   func(eventlog.Event, eventlog.Fields)
 
 	mu sync.Mutex
-	// avoid is until when the table is not asked directly.
-	avoid    time.Time
+	// parts is what is known of the table's parts that failed lately: at times some are
+	// away while the others serve.
+	parts map[string]*partState
+	// directUp says that the table itself served this entry when it was last asked for
+	// what the operator and the upstreams write.
 	directUp bool
 	// failing is when calls began to fail in a row; zero when the last one succeeded.
 	failing time.Time
@@ -55,10 +59,18 @@
 	back    time.Time
 }
 
+// partState is what is known of a part that failed.
+type partState struct {
+	// avoid is until when the part is not asked directly.
+	avoid time.Time
+	// away is until when it counts as unreachable by any way.
+	away time.Time
+}
+
 var _ table.Watcher = (*link)(nil)
 
 func newLink(direct table.Watcher, peers tablePeers, note func(eventlog.Event, eventlog.Fields)) *link {
-	return &link{direct: direct, peers: peers, note: note, directUp: true}
+	return &link{direct: direct, peers: peers, note: note, directUp: true, parts: map[string]*partState{}}
 }
 
 // reachable reports whether this entry itself reaches the table.
@@ -85,36 +97,49 @@
 	return l.back
 }
 
+// errPeer marks a call that failed on the way to another entry, not at the table.
+var errPeer = errors.New("another entry was not reached")
+
 // failed reports whether an error says that the table was not reached or refused this entry.
 func failed(err error) bool {
 	return errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrNotApplied)
 }
 
+// common is the part of the rows that the operator, the upstreams and the entries
+// write. Whether the table serves this entry is judged by it.
+const common = ""
+
+// partOfKey returns the part of a key or prefix.
+func partOfKey(key string) string {
+	_, rest, _ := strings.Cut(key, "/")
+	part, _, _ := strings.Cut(rest, "/")
+	return part
+}
+
 // do runs f on the table directly or, when that fails, through another entry.
-func (l *link) do(ctx context.Context, timeout time.Duration, f func(ctx context.Context, t table.Watcher) error) error {
+func (l *link) do(ctx context.Context, part string, timeout time.Duration, f func(ctx context.Context, t table.Watcher) error) error {
 	err := error(table.ErrUnavailable)
 	via, unreached := l.peers.tableVia()
-	if l.tryDirect(via != nil) {
+	if l.tryDirect(part, via != nil) {
 		err = within(ctx, timeout, l.direct, f)
-		l.noteDirect(err)
+		l.noteDirect(part, err)
 		if !failed(err) {
+			l.noteAny(part, nil)
 			return err
 		}
 	}
 	for range maxVia {
-		if ctx.Err() != nil {
-			return err
-		}
-		if via == nil {
+		if ctx.Err() != nil || via == nil {
 			break
 		}
-		if err = within(ctx, timeout+peerSlack, via, f); !failed(err) {
+		err = within(ctx, timeout+peerSlack, via, f)
+		if !errors.Is(err, errPeer) {
 			break
 		}
 		unreached()
 		via, unreached = l.peers.tableVia()
 	}
-	l.noteAny(err)
+	l.noteAny(part, err)
 	return err
 }
 
@@ -124,24 +149,35 @@
 	return f(ctx, t)
 }
 
-// tryDirect reports whether the table is asked directly. After a failure it is not for a
-// while, if another entry reaches it or it is known to be lost.
-func (l *link) tryDirect(another bool) bool {
+// tryDirect reports whether a part is asked directly. After a failure it is not for a
+// while, if another entry reaches the table or the table is known to be lost.
+func (l *link) tryDirect(part string, another bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.parts[part]
+	return p == nil || !time.Now().Before(p.avoid) || !another && !l.lost
+}
+
+// awayFor reports whether a key surely can't be reached by any way now.
+func (l *link) awayFor(key string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !time.Now().Before(l.avoid) || !another && !l.lost
+	p := l.parts[partOfKey(key)]
+	return l.lost || p != nil && time.Now().Before(p.away)
 }
 
-func (l *link) noteDirect(err error) {
+func (l *link) noteDirect(part string, err error) {
 	now := time.Now()
 	l.mu.Lock()
+	if failed(err) {
+		l.partLocked(part, now).avoid = now.Add(directPause)
+	}
+	if part != common {
+		l.mu.Unlock()
+		return
+	}
 	was := l.directUp
 	l.directUp = !failed(err)
-	if l.directUp {
-		l.avoid = time.Time{}
-	} else {
-		l.avoid = now.Add(directPause)
-	}
 	l.mu.Unlock()
 	if was && failed(err) {
 		l.note(eventlog.GatewayTableDirectLost, eventlog.Fields{Step: "table", Err: err})
@@ -149,22 +185,40 @@
 	if !was && !failed(err) {
 		l.note(eventlog.GatewayTableDirectBack, eventlog.Fields{Step: "table"})
 	}
-	if !failed(err) {
-		l.noteAny(err)
+}
+
+// partLocked returns the state of a part that failed, and forgets those that failed long ago.
+func (l *link) partLocked(part string, now time.Time) *partState {
+	p := l.parts[part]
+	if p == nil {
+		for name, old := range l.parts {
+			if now.After(old.avoid) && now.After(old.away) {
+				delete(l.parts, name)
+			}
+		}
+		p = &partState{}
+		l.parts[part] = p
 	}
+	return p
 }
 
 // noteAny records the outcome by whatever way.
-func (l *link) noteAny(err error) {
+func (l *link) noteAny(part string, err error) {
 	now := time.Now()
 	l.mu.Lock()
+	if failed(err) {
+		l.partLocked(part, now).away = now.Add(directPause)
+	} else {
+		delete(l.parts, part)
+	}
 	wasLost := l.lost
-	if !failed(err) {
+	switch {
+	case !failed(err):
 		l.failing = time.Time{}
 		if l.lost {
 			l.lost, l.back = false, now
 		}
-	} else {
+	case part == common:
 		if l.failing.IsZero() {
 			l.failing = now
 		}
@@ -180,14 +234,22 @@
 	}
 }
 
+// partOfTxn returns the part of a transaction's first row.
+func partOfTxn(txn table.Txn) string {
+	if len(txn.Writes) == 0 {
+		return common
+	}
+	return partOfKey(txn.Writes[0].Key)
+}
+
 // Apply implements table.Table.
 func (l *link) Apply(ctx context.Context, txn table.Txn) error {
-	return l.do(ctx, applyTimeout, func(ctx context.Context, t table.Watcher) error { return t.Apply(ctx, txn) })
+	return l.do(ctx, partOfTxn(txn), applyTimeout, func(ctx context.Context, t table.Watcher) error { return t.Apply(ctx, txn) })
 }
 
 // Get implements table.Table.
 func (l *link) Get(ctx context.Context, key string) (row table.Row, err error) {
-	err = l.do(ctx, readTimeout, func(ctx context.Context, t table.Watcher) error {
+	err = l.do(ctx, partOfKey(key), readTimeout, func(ctx context.Context, t table.Watcher) error {
 		row, err = t.Get(ctx, key)
 		return err
 	})
@@ -196,7 +258,7 @@
 
 // Scan implements table.Table.
 func (l *link) Scan(ctx context.Context, prefix, after string, limit int) (rows []table.Row, err error) {
-	err = l.do(ctx, readTimeout, func(ctx context.Context, t table.Watcher) error {
+	err = l.do(ctx, partOfKey(prefix), readTimeout, func(ctx context.Context, t table.Watcher) error {
 		rows, err = t.Scan(ctx, prefix, after, limit)
 		return err
 	})
@@ -205,7 +267,7 @@
 
 // Snapshot implements table.Watcher.
 func (l *link) Snapshot(ctx context.Context, prefix string) (rows []table.Row, version int64, err error) {
-	err = l.do(ctx, listTimeout, func(ctx context.Context, t table.Watcher) error {
+	err = l.do(ctx, partOfKey(prefix), listTimeout, func(ctx context.Context, t table.Watcher) error {
 		rows, version, err = t.Snapshot(ctx, prefix)
 		return err
 	})
@@ -214,7 +276,7 @@
 
 // Changes implements table.Watcher.
 func (l *link) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []table.Change, version int64, err error) {
-	err = l.do(ctx, 2*wait, func(ctx context.Context, t table.Watcher) error {
+	err = l.do(ctx, partOfKey(prefix), 2*wait, func(ctx context.Context, t table.Watcher) error {
 		if t != l.direct {
 			wait = peerChangesWait
 		}
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -45,7 +45,9 @@
 	// tableUp says that it reaches the table.
 	tableUp bool
 	// owns says that it counts budgets.
-	owns    bool
+	owns bool
+	// settled says that it has heard of all grants that it should have.
+	settled bool
 	address netip.AddrPort
 	// seq is the newest digest of its life.
 	seq uint64
@@ -59,6 +61,8 @@
 	calls   *calls
 	// registered says that this entry is in the list of entries.
 	registered atomic.Bool
+	// settled says that this entry has heard of all grants that it should have heard of.
+	settled atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -128,7 +132,8 @@
 // run registers this entry, follows the list of the others and tells them of its load
 // until ctx ends.
 func (m *mesh) run(ctx context.Context) {
-	go m.tell(ctx)
+	go m.sendDigests(ctx)
+	go m.settle(ctx)
 	defer m.client.close()
 	for ctx.Err() == nil {
 		if !m.registered.Load() {
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -59,6 +59,7 @@
 	r := chi.NewRouter()
 	r.Post("/table/{verb}", m.serveTable)
 	r.Post("/turn", m.serveTurn)
+	r.Post("/grants", m.serveGrants)
 	return r
 }
 
@@ -192,7 +193,7 @@
 func (t *remoteTable) call(ctx context.Context, verb string, c tableCall) (*tableAnswer, error) {
 	var a tableAnswer
 	if err := t.client.post(ctx, t.address, "/table/"+verb, c, &a); err != nil {
-		return nil, err
+		return nil, errors.Mark(err, errPeer)
 	}
 	return &a, a.err()
 }
@@ -263,6 +264,14 @@
 	}
 }
 
+// serveGrants tells an entry that starts what this one knows of budgets.
+func (m *mesh) serveGrants(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(m.g.budgets.knowsOf()); err != nil {
+		m.g.env.Requests.Info("mesh_answer_lost").Str("peer", r.RemoteAddr).Err(err).End()
+	}
+}
+
 const (
 	// turnPeerTimeout bounds the search for a turn in the memory of other entries.
 	turnPeerTimeout = 120 * time.Millisecond
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -22,6 +23,9 @@
 	cacheShare = 0.12
 	// parallelReads bounds the reads for one chain.
 	parallelReads = 6
+	// placeTimeout is how long one place is tried before the next: a slow table's
+	// transaction and its wait fit.
+	placeTimeout = 600 * time.Millisecond
 	// rowMargin in bytes is left free in a row for the head of a chunk.
 	rowMargin = 64
 )
@@ -29,9 +33,11 @@
 // turns finds and keeps the turns of retained routes: in memory, and in the table
 // under the turn's own id, so that any entry finds them.
 type turns struct {
-	table    table.Table
-	commits  *committer
-	peers    turnPeers
+	table   table.Table
+	commits *committer
+	peers   turnPeers
+	// away reports whether a key of the table surely can't be reached now.
+	away     func(key string) bool
 	rowBytes int
 
 	mu    sync.Mutex
@@ -44,15 +50,19 @@
 	turnAt(ctx context.Context, id string) *turnlog.Turn
 }
 
-func newTurns(t table.Table, c *committer, peers turnPeers, cfg *settings.Gateway) *turns {
+func newTurns(t table.Table, c *committer, peers turnPeers, away func(string) bool, cfg *settings.Gateway) *turns {
 	return &turns{
-		table: t, commits: c, peers: peers, rowBytes: cfg.TableRowBytes - rowMargin,
+		table: t, commits: c, peers: peers, away: away, rowBytes: cfg.TableRowBytes - rowMargin,
 		cache: turnlog.NewCache(int(float64(cfg.MemoryMB) * cacheShare * (1 << 20))),
 	}
 }
 
-func turnKey(id string, chunk int) string {
-	key := "turns/" + partOf(id) + "/" + id
+// turnPlaces is the number of parts in which a turn may lie: the first that takes it,
+// since at times a third of the parts is away.
+const turnPlaces = 3
+
+func turnKey(id string, place, chunk int) string {
+	key := "turns/" + partOf(strconv.Itoa(place)+id) + "/" + id
 	if chunk > 0 {
 		key += "~" + strconv.Itoa(chunk)
 	}
@@ -127,17 +137,38 @@
 	return byID, nil
 }
 
+// fetch looks for a turn in each of its places. It returns errNoTurn only when all of
+// them say so.
 func (t *turns) fetch(ctx context.Context, id string) (*turnlog.Turn, error) {
-	row, err := t.table.Get(ctx, turnKey(id, 0))
-	if errors.Is(err, table.ErrNotFound) {
-		return nil, errNoTurn
-	}
-	if failed(err) {
-		// Entries that have written or read the turn have it in memory.
-		if turn := t.peers.turnAt(ctx, id); turn != nil {
+	var unread error
+	for place := range turnPlaces {
+		turn, err := t.fetchAt(ctx, id, place)
+		if err == nil {
 			t.put(turn)
 			return turn, nil
 		}
+		if errors.Is(err, turnlog.ErrBadTurn) {
+			return nil, err
+		}
+		if !errors.Is(err, errNoTurn) {
+			unread = err
+		}
+	}
+	if unread == nil {
+		return nil, errNoTurn
+	}
+	// Entries that have written or read the turn have it in memory.
+	if turn := t.peers.turnAt(ctx, id); turn != nil {
+		t.put(turn)
+		return turn, nil
+	}
+	return nil, unread
+}
+
+func (t *turns) fetchAt(ctx context.Context, id string, place int) (*turnlog.Turn, error) {
+	row, err := t.table.Get(ctx, turnKey(id, place, 0))
+	if errors.Is(err, table.ErrNotFound) {
+		return nil, errNoTurn
 	}
 	if err != nil {
 		return nil, err
@@ -148,24 +179,40 @@
 	}
 	value := row.Value[n:]
 	for chunk := 1; chunk < int(chunks); chunk++ {
-		more, err := t.table.Get(ctx, turnKey(id, chunk))
+		more, err := t.table.Get(ctx, turnKey(id, place, chunk))
 		if err != nil {
-			return nil, err
+			return nil, errors.Mark(err, table.ErrUnavailable)
 		}
 		value = append(value, more.Value...)
 	}
-	turn, err := turnlog.Decode(id, value)
-	if err != nil {
-		return nil, err
-	}
-	t.put(turn)
-	return turn, nil
+	return turnlog.Decode(id, value)
 }
 
 // keep writes a turn to the table. It returns nil only when the turn will be found
 // from now on.
 func (t *turns) keep(ctx context.Context, turn *turnlog.Turn) error {
 	value := turn.Encode()
+	err := error(nil)
+	for round := 0; ctx.Err() == nil; round++ {
+		place := round % turnPlaces
+		if err = t.keepAt(ctx, turn.ID, value, place); err == nil {
+			t.put(turn)
+			return nil
+		}
+		if place == turnPlaces-1 {
+			sleep(ctx, commitRetry)
+		}
+	}
+	return errors.Mark(errors.CombineErrors(err, ctx.Err()), table.ErrUnavailable)
+}
+
+// keepAt tries one place for some time.
+func (t *turns) keepAt(ctx context.Context, id string, value []byte, place int) error {
+	if t.away(turnKey(id, place, 0)) && place < turnPlaces-1 {
+		return table.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
 	chunks := max(1, (len(value)+t.rowBytes-1)/t.rowBytes)
 	writes := make([]table.Write, 0, chunks)
 	for chunk := range chunks {
@@ -173,11 +220,7 @@
 		if chunk == 0 {
 			piece = append(binary.AppendUvarint(make([]byte, 0, len(piece)+binary.MaxVarintLen64), uint64(chunks)), piece...)
 		}
-		writes = append(writes, table.Write{Key: turnKey(turn.ID, chunk), Value: piece})
-	}
-	if err := t.commits.apply(ctx, nil, writes); err != nil {
-		return err
+		writes = append(writes, table.Write{Key: turnKey(id, place, chunk), Value: piece})
 	}
-	t.put(turn)
-	return nil
+	return t.commits.apply(ctx, nil, writes)
 }
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -9,6 +9,8 @@
 	recorded int
 	// advanced is what it has granted ahead of the row, while the table was away.
 	advanced int
+	// others is what other entries are known to have drawn or granted ahead.
+	others   int
 	reserved int
 	spent    int
 	// exhausted says that the row had nothing left when it was last read.
@@ -74,21 +76,26 @@
 // half, two entries that both take themselves for the owner don't exceed the budget.
 const advanceShare = 2
 
-// Advance grants a turn of most tokens ahead of the row, for an entry that knows all
-// that was drawn for the program. It reports whether it did.
-func (a *Account) Advance(most int) bool {
-	if a.exhausted {
-		return false
-	}
+// Learn records what all entries are known to have been granted in all, this one too.
+func (a *Account) Learn(granted int) {
+	a.others = max(a.others, granted-a.recorded-a.advanced)
+}
+
+// AdvanceNeeded returns the tokens to grant ahead of the row for a turn of most tokens,
+// for an entry that has learnt what the others were granted. It reports false when the
+// turn must not go on.
+func (a *Account) AdvanceNeeded(most int) (int, bool) {
 	need := max(0, most-a.Free())
-	limit := min(max(most, a.total/advanceShare), a.total-a.recorded)
-	if a.advanced+need > limit {
-		return false
-	}
-	a.advanced += need
-	return true
+	limit := min(max(most, a.total/advanceShare), a.total-a.recorded-a.others)
+	return need, !a.exhausted && a.advanced+need <= limit
 }
 
+// Advance grants tokens ahead of the row.
+func (a *Account) Advance(tokens int) { a.advanced += tokens }
+
+// Known returns what this entry knows all entries to have been granted.
+func (a *Account) Known() int { return a.recorded + a.advanced + a.others }
+
 // Advanced returns the tokens granted ahead of the row.
 func (a *Account) Advanced() int { return a.advanced }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -35,12 +35,21 @@
 	}
 }
 
+// advance grants a turn ahead of the row when the account allows it.
+func advance(a *Account, most int) bool {
+	need, ok := a.AdvanceNeeded(most)
+	if ok {
+		a.Advance(need)
+	}
+	return ok
+}
+
 func TestAdvanceIsBoundByHalfAndByTheRow(t *testing.T) {
 	a := NewAccount(1716)
-	if !a.Advance(572) || !a.Reserve(572) {
+	if !advance(a, 572) || !a.Reserve(572) {
 		t.Fatal("no advance for the first turn")
 	}
-	if a.Advance(572) {
+	if advance(a, 572) {
 		t.Fatal("advanced a second turn beyond half of the budget")
 	}
 	d := a.Drawing(0)
@@ -59,15 +68,30 @@
 			t.Fatal("a drawn turn was refused")
 		}
 	}
-	if drawn.Advance(572) {
+	if advance(drawn, 572) {
 		t.Fatal("advanced beyond what the row held in all")
 	}
 }
 
+func TestAdvanceCountsWhatOthersWereGranted(t *testing.T) {
+	a := NewAccount(1000)
+	a.Learn(700)
+	if advance(a, 400) {
+		t.Fatal("advanced beyond what the others left")
+	}
+	if !advance(a, 300) || a.Known() != 1000 {
+		t.Fatalf("known %d", a.Known())
+	}
+	a.Learn(1000)
+	if a.Known() != 1000 {
+		t.Fatalf("its own grants count twice: %d", a.Known())
+	}
+}
+
 func TestExhaustedAdvancesNothing(t *testing.T) {
 	a := NewAccount(1000)
 	a.Drawn(a.Drawing(100), 0)
-	if !a.Exhausted() || a.Advance(100) {
+	if !a.Exhausted() || advance(a, 100) {
 		t.Fatal("an exhausted account advanced")
 	}
 }
