--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -148,9 +148,13 @@
 	if at != nil {
 		verdict, err = b.owners.reserveAt(ctx, at, call)
 	}
-	if at == nil || err != nil {
+	switch {
+	case at == nil:
+		verdict, err = b.grant(ctx, call, true)
+	case errors.Is(err, errPeer):
+		// Any entry may draw from the row; only the owner grants ahead of it.
 		at = nil
-		verdict, err = b.grant(ctx, call)
+		verdict, err = b.grant(ctx, call, false)
 	}
 	switch verdict {
 	case reserveGranted:
@@ -234,7 +238,8 @@
 }
 
 // grant sets aside the most of a turn here, drawing from the program's row as needed.
-func (b *budgets) grant(ctx context.Context, call reserveCall) (reserveVerdict, error) {
+// Only the program's owner grants ahead of the row.
+func (b *budgets) grant(ctx context.Context, call reserveCall, owner bool) (reserveVerdict, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	of := b.accountLocked(call)
@@ -243,7 +248,7 @@
 			return v, nil
 		}
 		if of.drawing == nil {
-			if err := b.drawLocked(ctx, of, call); err != nil {
+			if err := b.drawLocked(ctx, of, call, owner); err != nil {
 				return reserveUnknown, err
 			}
 			continue
@@ -269,7 +274,7 @@
 
 // drawLocked draws a lump from the program's row; the lock is released meanwhile. While
 // the row can't be reached it grants tokens ahead of it instead.
-func (b *budgets) drawLocked(ctx context.Context, of *budget, call reserveCall) error {
+func (b *budgets) drawLocked(ctx context.Context, of *budget, call reserveCall, owner bool) error {
 	of.drawing = make(chan struct{})
 	defer func() {
 		close(of.drawing)
@@ -279,7 +284,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
 	defer cancel()
 	err := error(table.ErrUnavailable)
-	if call.Most == 0 || !b.away(budgetKey(call.Program)) {
+	if !owner || !b.away(budgetKey(call.Program)) {
 		state := of.account.Drawing(call.Most)
 		b.mu.Unlock()
 		lump, left, drawErr := b.draw(ctx, call.Program, call.Total, state)
@@ -291,7 +296,7 @@
 			return nil
 		}
 	}
-	if call.Most > 0 && failed(err) && b.advanceLocked(ctx, of, call) {
+	if owner && failed(err) && b.advanceLocked(ctx, of, call) {
 		return nil
 	}
 	return err
@@ -464,7 +469,7 @@
 			if of.drawing != nil || of.account.Advanced() == 0 {
 				return
 			}
-			if err := b.drawLocked(ctx, of, call); err != nil {
+			if err := b.drawLocked(ctx, of, call, false); err != nil {
 				b.commits.metrics.advancesUnrecorded.Inc(1)
 			}
 		}()
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -179,3 +179,41 @@
 		t.Fatalf("%d are left of 400 after one draw of half, %v", budget.Left(), err)
 	}
 }
+
+// TestOnlyTheOwnerGrantsAheadOfTheRow: the owner can't tell, since it does not know what
+// was granted before; no other entry grants in its place.
+func TestOnlyTheOwnerGrantsAheadOfTheRow(t *testing.T) {
+	p, e, _, l := newSystem(t, notRun, events(0, 4, false))
+	entries := []*entryOf{e, startEntry(t, "entry-2", p.p.Table), startEntry(t, "entry-3", p.p.Table)}
+	eventually(t, "the entries know each other", func() bool {
+		for _, e := range entries {
+			if e.mesh.size() != len(entries) {
+				return false
+			}
+		}
+		return true
+	})
+	var owner *entryOf
+	program := "p"
+	for _, e := range entries {
+		if e.mesh.owner(program) == nil {
+			owner = e
+		}
+	}
+	owner.mesh.settled.Store(false)
+	for _, e := range entries {
+		e.mesh.settled.Store(false)
+	}
+	p.fault(standin.Fault{Kind: standin.FaultDown})
+	for _, e := range entries {
+		eventually(t, "the table is lost", e.link.away)
+	}
+	for _, e := range entries {
+		if r := e.call("POST", "/ask/1", "x", turnHeader(program, 200, 50)); r.status != http.StatusServiceUnavailable {
+			t.Errorf("%s: %+v", e.cfg.Node, r)
+		}
+	}
+	if n := len(l.requests()); n != 0 {
+		t.Errorf("%d turns ran", n)
+	}
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -76,7 +76,7 @@
 	to := net.UDPAddrFromAddrPort(p.address)
 	for wait := callRetry; ; wait *= 2 {
 		if _, err := c.m.packets.WriteTo(b, to); err != nil {
-			return 0, errors.Mark(errors.Wrap(err, "call to entry"), table.ErrUnavailable)
+			return 0, unreached(err, p)
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -85,12 +85,16 @@
 			return v, nil
 		case <-ctx.Done():
 			t.Stop()
-			return 0, errors.Mark(errors.Wrapf(ctx.Err(), "entry %q does not answer", p.Node), table.ErrUnavailable)
+			return 0, unreached(ctx.Err(), p)
 		case <-t.C:
 		}
 	}
 }
 
+func unreached(err error, p *peer) error {
+	return errors.Mark(errors.Mark(errors.Wrapf(err, "entry %q", p.Node), errPeer), table.ErrUnavailable)
+}
+
 // answer takes the answer to a call of this entry.
 func (c *calls) answer(b []byte) bool {
 	p := packet{b: b}
@@ -173,7 +177,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
 		defer cancel()
-		v, err := b.grant(ctx, call)
+		v, err := b.grant(ctx, call, true)
 		if err != nil {
 			c.m.g.env.Requests.Warn("budget_not_told").Str("request", call.ID).Str("program", call.Program).Err(err).End()
 		}
