Tell every entry where a line of turns last ran

The owner of a program's budget is asked once a turn anyway; its answer now names the upstream of the line's last turn.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -50,7 +50,7 @@
 	// owner returns the peer that owns the program; nil when this entry does.
 	owner(program string) *peer
 	// reserveAt and settleAt make the calls at a peer.
-	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveVerdict, error)
+	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveAnswer, error)
 	settleAt(ctx context.Context, p *peer, s settleCall) error
 	// learn returns what entries know to have been granted for the program, and whether
 	// nothing can be missing from that.
@@ -73,6 +73,8 @@
 	ID    string
 	Total int
 	Most  int
+	// Line names the line of turns that the turn belongs to.
+	Line string
 }
 
 // settleCall ends a reservation with the tokens handed to the caller.
@@ -80,6 +82,9 @@
 	Program string
 	ID      string
 	Used    int
+	// Line and Upstream say where the turn ran; Upstream is empty when it did not.
+	Line     string
+	Upstream string
 }
 
 // reserveVerdict is an owner's answer.
@@ -91,6 +96,12 @@
 	reserveUnknown
 )
 
+// reserveAnswer is a verdict and where the line's last turn ran, or else the program's.
+type reserveAnswer struct {
+	verdict reserveVerdict
+	ranAt   string
+}
+
 // budgets counts the budgets of the programs that this entry owns, and asks the owners
 // of the others. Any entry may draw from a program's row, so an owner that can't be
 // reached delays nothing.
@@ -120,6 +131,9 @@
 	// drawing is closed when the draw under way ends; nil when none is.
 	drawing chan struct{}
 	used    time.Time
+	// ranAt is the upstream of each line's last turn, last that of the program's.
+	ranAt map[string]string
+	last  string
 }
 
 func newBudgets(t table.Table, c *committer, owners budgetOwners, holder string, away func(string) bool) *budgets {
@@ -135,6 +149,8 @@
 	// at is the owner; nil when this entry counts.
 	at   *peer
 	call reserveCall
+	// ranAt is where the line's last turn ran; empty when that is not known.
+	ranAt string
 }
 
 // reserve sets aside the most of a turn. It returns errBudgetSpent, or an error of the
@@ -143,22 +159,22 @@
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	at := b.owners.owner(call.Program)
-	verdict := reserveUnknown
+	answer := reserveAnswer{verdict: reserveUnknown}
 	err := error(table.ErrUnavailable)
 	if at != nil {
-		verdict, err = b.owners.reserveAt(ctx, at, call)
+		answer, err = b.owners.reserveAt(ctx, at, call)
 	}
 	switch {
 	case at == nil:
-		verdict, err = b.grant(ctx, call, true)
+		answer, err = b.grant(ctx, call, true)
 	case errors.Is(err, errPeer):
 		// Any entry may draw from the row; only the owner grants ahead of it.
 		at = nil
-		verdict, err = b.grant(ctx, call, false)
+		answer, err = b.grant(ctx, call, false)
 	}
-	switch verdict {
+	switch answer.verdict {
 	case reserveGranted:
-		return &reservation{b: b, at: at, call: call}, nil
+		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -166,12 +182,13 @@
 	}
 }
 
-// settle ends the reservation with the tokens that were handed to the caller.
-func (r *reservation) settle(used int) {
+// settle ends the reservation with the tokens that were handed to the caller by the
+// upstream.
+func (r *reservation) settle(used int, upstream string) {
 	if r == nil {
 		return
 	}
-	s := settleCall{Program: r.call.Program, ID: r.call.ID, Used: used}
+	s := settleCall{Program: r.call.Program, ID: r.call.ID, Used: used, Line: r.call.Line, Upstream: upstream}
 	if r.at == nil {
 		r.b.settleHere(s)
 		return
@@ -203,11 +220,14 @@
 	if most, ok := of.open[s.ID]; ok {
 		delete(of.open, s.ID)
 		of.account.Settle(most, s.Used)
+		if s.Upstream != "" {
+			of.ranAt[s.Line], of.last = s.Upstream, s.Upstream
+		}
 	}
 }
 
-// tryGrant grants from what is at hand; zero says that a draw is needed.
-func (b *budgets) tryGrant(call reserveCall) reserveVerdict {
+// tryGrant grants from what is at hand; a zero verdict says that a draw is needed.
+func (b *budgets) tryGrant(call reserveCall) reserveAnswer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.tryLocked(b.accountLocked(call), call)
@@ -216,45 +236,49 @@
 func (b *budgets) accountLocked(call reserveCall) *budget {
 	of := b.accounts[call.Program]
 	if of == nil {
-		of = &budget{account: ledger.NewAccount(call.Total), open: map[string]int{}}
+		of = &budget{account: ledger.NewAccount(call.Total), open: map[string]int{}, ranAt: map[string]string{}}
 		b.accounts[call.Program] = of
 	}
 	of.used = time.Now()
 	return of
 }
 
-func (b *budgets) tryLocked(of *budget, call reserveCall) reserveVerdict {
-	if _, granted := of.open[call.ID]; granted {
-		return reserveGranted
+func (b *budgets) tryLocked(of *budget, call reserveCall) reserveAnswer {
+	answer := reserveAnswer{ranAt: of.ranAt[call.Line]}
+	if answer.ranAt == "" {
+		answer.ranAt = of.last
 	}
-	if of.account.Reserve(call.Most) {
+	_, granted := of.open[call.ID]
+	switch {
+	case granted:
+		answer.verdict = reserveGranted
+	case of.account.Reserve(call.Most):
 		of.open[call.ID] = call.Most
-		return reserveGranted
-	}
-	if of.account.Exhausted() {
-		return reserveSpent
+		answer.verdict = reserveGranted
+	case of.account.Exhausted():
+		answer.verdict = reserveSpent
 	}
-	return 0
+	return answer
 }
 
 // grant sets aside the most of a turn here, drawing from the program's row as needed.
 // Only the program's owner grants ahead of the row.
-func (b *budgets) grant(ctx context.Context, call reserveCall, owner bool) (reserveVerdict, error) {
+func (b *budgets) grant(ctx context.Context, call reserveCall, owner bool) (reserveAnswer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	of := b.accountLocked(call)
 	for {
-		if v := b.tryLocked(of, call); v != 0 {
-			return v, nil
+		if answer := b.tryLocked(of, call); answer.verdict != 0 {
+			return answer, nil
 		}
 		if of.drawing == nil {
 			if err := b.drawLocked(ctx, of, call, owner); err != nil {
-				return reserveUnknown, err
+				return reserveAnswer{verdict: reserveUnknown}, err
 			}
 			continue
 		}
 		if err := b.awaitLocked(ctx, of); err != nil {
-			return reserveUnknown, err
+			return reserveAnswer{verdict: reserveUnknown}, err
 		}
 	}
 }
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -50,16 +50,22 @@
 
 	mu      sync.Mutex
 	next    uint64
-	waiting map[uint64]chan uint64
+	waiting map[uint64]chan callAnswer
 }
 
-func newCalls(m *mesh) *calls { return &calls{m: m, waiting: map[uint64]chan uint64{}} }
+// callAnswer is a small number and, for some calls, a name.
+type callAnswer struct {
+	value uint64
+	text  string
+}
+
+func newCalls(m *mesh) *calls { return &calls{m: m, waiting: map[uint64]chan callAnswer{}} }
 
-// ask sends a call to a peer and waits for its answer, a small number.
-func (c *calls) ask(ctx context.Context, p *peer, body []byte) (uint64, error) {
+// ask sends a call to a peer and waits for its answer.
+func (c *calls) ask(ctx context.Context, p *peer, body []byte) (callAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer := make(chan uint64, 1)
+	answer := make(chan callAnswer, 1)
 	c.mu.Lock()
 	c.next++
 	id := c.next
@@ -76,7 +82,7 @@
 	to := net.UDPAddrFromAddrPort(p.address)
 	for wait := callRetry; ; wait *= 2 {
 		if _, err := c.m.packets.WriteTo(b, to); err != nil {
-			return 0, unreached(err, p)
+			return callAnswer{}, unreached(err, p)
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -85,7 +91,7 @@
 			return v, nil
 		case <-ctx.Done():
 			t.Stop()
-			return 0, unreached(ctx.Err(), p)
+			return callAnswer{}, unreached(ctx.Err(), p)
 		case <-t.C:
 		}
 	}
@@ -98,7 +104,8 @@
 // answer takes the answer to a call of this entry.
 func (c *calls) answer(b []byte) bool {
 	p := packet{b: b}
-	id, life, v := p.uvarint(), p.text(), p.uvarint()
+	id, life := p.uvarint(), p.text()
+	v := callAnswer{value: p.uvarint(), text: p.text()}
 	if p.bad || life != c.m.g.life {
 		return !p.bad
 	}
@@ -122,40 +129,40 @@
 	if p.bad {
 		return false
 	}
-	reply := func(v uint64) {
+	reply := func(v callAnswer) {
 		b := append(make([]byte, 0, 32), packetAnswer)
-		b = binary.AppendUvarint(appendText(binary.AppendUvarint(b, id), life), v)
+		b = appendText(binary.AppendUvarint(appendText(binary.AppendUvarint(b, id), life), v.value), v.text)
 		if _, err := c.m.packets.WriteTo(b, from); err != nil {
 			c.m.g.metrics.digestErrors.Inc(1)
 		}
 	}
 	switch kind {
 	case callReserve:
-		call := reserveCall{Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint())}
+		call := reserveCall{Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint()), Line: p.text()}
 		if p.bad {
 			return false
 		}
 		c.serveReserve(call, reply)
 	case callSettle:
-		call := settleCall{Program: p.text(), ID: p.text(), Used: int(p.uvarint())}
+		call := settleCall{Program: p.text(), ID: p.text(), Used: int(p.uvarint()), Line: p.text(), Upstream: p.text()}
 		if p.bad {
 			return false
 		}
 		c.m.g.budgets.settleHere(call)
-		reply(uint64(reserveGranted))
+		reply(callAnswer{})
 	case callGranted:
 		n := grantNotice{Program: p.text(), Granted: int(p.uvarint())}
 		if p.bad {
 			return false
 		}
 		c.m.g.budgets.hear(n)
-		reply(uint64(reserveGranted))
+		reply(callAnswer{})
 	case callKnown:
 		program := p.text()
 		if p.bad {
 			return false
 		}
-		reply(uint64(c.m.g.budgets.knows(program)))
+		reply(callAnswer{value: uint64(c.m.g.budgets.knows(program))})
 	default:
 		return false
 	}
@@ -165,46 +172,47 @@
 // askNumber is ask with an answer that fits a count of tokens.
 func (c *calls) askNumber(ctx context.Context, p *peer, body []byte) (int, error) {
 	v, err := c.ask(ctx, p, body)
-	return int(min(v, math.MaxInt32)), err
+	return int(min(v.value, math.MaxInt32)), err
 }
 
-func (c *calls) serveReserve(call reserveCall, reply func(uint64)) {
+func (c *calls) serveReserve(call reserveCall, reply func(callAnswer)) {
 	b := c.m.g.budgets
-	if v := b.tryGrant(call); v != 0 {
-		reply(uint64(v))
+	if a := b.tryGrant(call); a.verdict != 0 {
+		reply(callAnswer{uint64(a.verdict), a.ranAt})
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
 		defer cancel()
-		v, err := b.grant(ctx, call, true)
+		a, err := b.grant(ctx, call, true)
 		if err != nil {
 			c.m.g.env.Requests.Warn("budget_not_told").Str("request", call.ID).Str("program", call.Program).Err(err).End()
 		}
-		reply(uint64(v))
+		reply(callAnswer{uint64(a.verdict), a.ranAt})
 	}()
 }
 
 // reserveAt implements budgetOwners.
-func (m *mesh) reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveVerdict, error) {
-	b := append(make([]byte, 0, 64), callReserve)
+func (m *mesh) reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveAnswer, error) {
+	b := append(make([]byte, 0, 96), callReserve)
 	b = appendText(appendText(b, r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.Most))
-	v, err := m.calls.ask(ctx, p, b)
+	v, err := m.calls.ask(ctx, p, appendText(b, r.Line))
+	answer := reserveAnswer{reserveVerdict(v.value), v.text}
 	if err != nil {
-		return reserveUnknown, err
+		return reserveAnswer{verdict: reserveUnknown}, err
 	}
-	if reserveVerdict(v) == reserveUnknown {
-		return reserveUnknown, errors.Wrapf(table.ErrUnavailable, "owner %q can't tell", p.Node)
+	if answer.verdict != reserveGranted && answer.verdict != reserveSpent {
+		return answer, errors.Wrapf(table.ErrUnavailable, "owner %q can't tell", p.Node)
 	}
-	return reserveVerdict(v), nil
+	return answer, nil
 }
 
 // settleAt implements budgetOwners.
 func (m *mesh) settleAt(ctx context.Context, p *peer, s settleCall) error {
 	b := append(make([]byte, 0, 64), callSettle)
 	b = appendText(appendText(b, s.Program), s.ID)
-	b = binary.AppendUvarint(b, uint64(s.Used))
+	b = appendText(appendText(binary.AppendUvarint(b, uint64(s.Used)), s.Line), s.Upstream)
 	_, err := m.calls.ask(ctx, p, b)
 	return err
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,8 +56,11 @@
 	if !ok {
 		return
 	}
-	defer func() { reserved.settle(s.tokens) }()
+	defer func() { reserved.settle(s.tokens, s.ranAt()) }()
 	j.work = g.workOf(j)
+	if reserved != nil {
+		j.work.RanAt = reserved.ranAt
+	}
 	s.run(ctx)
 }
 
@@ -96,7 +99,7 @@
 		return nil, true
 	}
 	r, err := s.g.budgets.reserve(ctx, reserveCall{
-		Program: j.call.Program, ID: j.call.ID, Total: j.call.TokenBudget, Most: j.call.MaxTokens,
+		Program: j.call.Program, ID: j.call.ID, Total: j.call.TokenBudget, Most: j.call.MaxTokens, Line: j.call.Line,
 	})
 	switch {
 	case err == nil:
@@ -110,6 +113,14 @@
 	return nil, false
 }
 
+// ranAt is the upstream that made the last event; empty when none was made.
+func (s *stream) ranAt() string {
+	if !s.started {
+		return ""
+	}
+	return s.j.pick.ID
+}
+
 // workOf returns what the call asks of an upstream.
 func (g *Gateway) workOf(j *job) routing.Work {
 	w := routing.Work{Tokens: j.call.PromptTokens, Generate: j.call.LengthHint, Domain: string(g.cfg.FailureDomain)}
--- a/routing/book.go
+++ b/routing/book.go
@@ -66,6 +66,9 @@
 	Tokens int
 	// Generate is the expected number of generated tokens; zero for plain calls.
 	Generate int
+	// RanAt is the upstream of the line's last turn: whatever the prompt had then is
+	// cached there.
+	RanAt string
 	// Object names what a plain call is about; upstreams that saw it work faster.
 	Object string
 	// Domain is the caller's entry's failure domain.
@@ -346,7 +349,7 @@
 	p := b.PaceOf(s.Service)
 	slots := max(1, s.Slots)
 	if w.Generate > 0 {
-		cached = a.cache.cached(w.Prompt)
+		cached = w.cachedAt(s.ID, a)
 		prefill := p.prefill(max(0, w.Tokens-cached)) * a.slowness
 		step := p.step(min(n+1, slots)) * a.slowness
 		decode := float64(w.Generate) * step
@@ -370,6 +373,20 @@
 	return cost + tieBreak*b.rng.Float64(), finish, cached
 }
 
+// cachedAt returns the prompt tokens believed cached at an upstream. All but the last
+// part of a prompt were in that of the line's last turn, or its parent's.
+func (w *Work) cachedAt(id string, a *account) int {
+	cached := a.cache.cached(w.Prompt)
+	if id != w.RanAt || len(w.Prompt) == 0 {
+		return cached
+	}
+	before := 0
+	for _, p := range w.Prompt[:len(w.Prompt)-1] {
+		before += p.Tokens
+	}
+	return max(cached, before)
+}
+
 // plainShare is how much slower a plain call is taken to be at an upstream whose
 // slots are nearly all used, so that calls spread before slots run out.
 const plainShare = 0.5
