Give shared prompt parts homes among the engines

Cause: a third of the prompt tokens read on the grown sites were shared parts that some engine had read before: every entry spread each of the 16 parts over all 49 engines, whose memory holds fewer beside what runs.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -20,7 +20,7 @@
 			if u.Draining {
 				continue
 			}
-			seat := routing.Seat{ID: u.ID, Service: name, Domain: u.Domain, Slots: u.Slots}
+			seat := routing.Seat{ID: u.ID, Service: name, Domain: u.Domain, Slots: u.Slots, Hash: routing.HashSeat(u.ID)}
 			if s.Model != nil {
 				seat.CacheTokens = s.Model.CacheTokens
 			}
--- a/routing/book.go
+++ b/routing/book.go
@@ -51,6 +51,8 @@
 	Slots   int
 	// CacheTokens is the memory of a model engine; zero for other upstreams.
 	CacheTokens int64
+	// Hash is HashSeat of the id.
+	Hash uint64
 }
 
 // PromptPart is one part of a prompt, as callers name it.
@@ -114,7 +116,10 @@
 	cfg      BookConfig
 	accounts map[string]*account
 	paces    map[string]*Pace
+	heads    *heads
 	rng      *rand.Rand
+	// homes is room for the answer of heads.homes.
+	homes []bool
 }
 
 // NewBook returns a book that knows of no call.
@@ -124,6 +129,7 @@
 		cfg:      cfg,
 		accounts: map[string]*account{},
 		paces:    map[string]*Pace{},
+		heads:    newHeads(),
 		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
 	}
 }
@@ -285,6 +291,10 @@
 	best, found := Pick{}, false
 	bestCost := math.Inf(1)
 	spare := b.mayEject(now, seats)
+	if len(w.Prompt) > 0 {
+		b.heads.came(now, w.Prompt[0])
+		b.homes = b.heads.homes(b.homes[:0], w.Prompt[0], seats)
+	}
 	for i := range seats {
 		s := &seats[i]
 		if contains(tried, s.ID) {
@@ -293,6 +303,9 @@
 		a := b.account(s.ID, s.CacheTokens)
 		n, age := b.inFlight(now, a)
 		cost, finish, cached := b.cost(s, a, w, n)
+		if cached == 0 && len(w.Prompt) > 0 && !b.homes[i] {
+			cost += strayWeight * b.PaceOf(s.Service).prefill(w.Prompt[0].Tokens)
+		}
 		if now.Before(a.ejected) && spare {
 			cost += ejectedCost
 		}
@@ -307,6 +320,11 @@
 	return best, found
 }
 
+// strayWeight is the cost of reading a shared part at an upstream that is none of its
+// homes, in readings: one other part leaves the cache for it and is read again later,
+// which stalls a batch of some calls.
+const strayWeight = 3
+
 // ejectedCost in milliseconds puts an ejected seat behind all others; it is still
 // taken when it is the only one.
 const ejectedCost = 1e6
