--- a/routing/book.go
+++ b/routing/book.go
@@ -323,7 +323,7 @@
 // strayWeight is the cost of reading a shared part at an upstream that is none of its
 // homes, in readings: one other part leaves the cache for it and is read again later,
 // which stalls a batch of some calls.
-const strayWeight = 3
+const strayWeight = 8
 
 // ejectedCost in milliseconds puts an ejected seat behind all others; it is still
 // taken when it is the only one.
