--- a/routing/heads.go
+++ b/routing/heads.go
@@ -39,7 +39,7 @@
 	headDecayEvery = 250 * time.Millisecond
 	// headMemory is the share of an engine's memory for shared first parts; the rest
 	// holds what runs and the private parts of lines between their turns.
-	headMemory = 0.12
+	headMemory = 0.07
 	// minHomes is the least number of homes of a part, so that one may leave.
 	minHomes = 2
 	// headForgotten is the count below which a part is no longer known.
