Notice a lost table within half a second and grant whole budgets meanwhile

Timeouts now follow how fast the table answers, any three calls in a row that fail mean that it is lost, and an owner whose witnesses all live grants what is left.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -52,14 +52,25 @@
 	// reserveAt and settleAt make the calls at a peer.
 	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveAnswer, error)
 	settleAt(ctx context.Context, p *peer, s settleCall) error
-	// learn returns what entries know to have been granted for the program, and whether
-	// nothing can be missing from that.
-	learn(ctx context.Context, program string) (granted int, conclusive bool)
+	// learn returns what entries know to have been granted for the program, and how much
+	// that says.
+	learn(ctx context.Context, program string) (granted int, k knowledge)
 	// tell tells the entries that would own the program next what was granted for it. It
 	// reports whether one has heard it.
 	tell(ctx context.Context, n grantNotice) bool
 }
 
+// knowledge is how much an owner knows of a program's grants.
+type knowledge uint8
+
+const (
+	knowsNothing knowledge = iota
+	// knowsGrants: nothing is missing, unless another entry takes itself for the owner.
+	knowsGrants
+	// knowsAlone: no other entry does.
+	knowsAlone
+)
+
 // grantNotice says how many tokens of a program's budget entries were granted in all.
 type grantNotice struct {
 	Program string `json:"program"`
@@ -333,13 +344,13 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), advanceTimeout)
 	defer cancel()
 	b.mu.Unlock()
-	granted, conclusive := b.owners.learn(ctx, call.Program)
+	granted, knows := b.owners.learn(ctx, call.Program)
 	b.mu.Lock()
-	if !conclusive {
+	if knows == knowsNothing {
 		return false
 	}
 	of.account.Learn(granted)
-	need, ok := of.account.AdvanceNeeded(call.Most)
+	need, ok := of.account.AdvanceNeeded(call.Most, knows == knowsAlone)
 	if !ok {
 		return false
 	}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -297,27 +297,37 @@
 
 // learn implements budgetOwners. Of the entries that lived lately, each that ranked
 // among the first for the program has heard of its grants; one that has been there all
-// along is enough.
-func (m *mesh) learn(ctx context.Context, program string) (int, bool) {
+// along is enough to know them. When all of them live, no other entry can take itself
+// for the owner unheard.
+func (m *mesh) learn(ctx context.Context, program string) (int, knowledge) {
 	now := time.Now()
 	lately := func(p *peer) bool { return now.Sub(p.heard) < ownerSettled || now.Sub(p.listed) < ownerSettled }
-	own := m.g.budgets.knows(program)
+	granted := m.g.budgets.knows(program)
 	var ask []*peer
+	knows, all := knowsNothing, true
 	for _, p := range m.ranked(program, witnesses+1, lately) {
-		if p == nil && m.settled.Load() {
-			return own, true
-		}
-		if p != nil && p.settled && alive(p, now) {
+		switch {
+		case p == nil && m.settled.Load():
+			knows = knowsGrants
+		case p != nil && p.settled && alive(p, now):
 			ask = append(ask, p)
+		default:
+			all = false
 		}
 	}
 	for _, p := range ask {
-		granted, err := m.calls.askNumber(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
+		if knows != knowsNothing {
+			break
+		}
+		n, err := m.calls.askNumber(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
 		if err == nil {
-			return max(own, granted), true
+			granted, knows = max(granted, n), knowsGrants
 		}
 	}
-	return own, false
+	if knows == knowsGrants && all {
+		knows = knowsAlone
+	}
+	return granted, knows
 }
 
 // settle makes this entry one that has been there all along: it learns what those that
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -13,12 +13,16 @@
 )
 
 const (
-	// readTimeout bounds a read of the table: a store sixty times slower than its 4 ms
-	// still answers within it.
-	readTimeout = 500 * time.Millisecond
-	// applyTimeout bounds a transaction over several parts at such a store, which takes
-	// 480 ms.
-	applyTimeout = 700 * time.Millisecond
+	// minTimeout bounds a call of a table that answers as fast as usual, in some ms: what
+	// is not answered by then is not going to be soon.
+	minTimeout = 200 * time.Millisecond
+	// maxTimeout bounds a call of a slow one: sixty times slower than usual, a transaction
+	// over several parts takes 480 ms.
+	maxTimeout = 700 * time.Millisecond
+	// timeoutFactor is how many times longer than usual a call may take.
+	timeoutFactor = 8
+	// latencyWeight is the weight of one answer in what is usual.
+	latencyWeight = 0.1
 	// directPause is how long after a failure the table is asked through other entries,
 	// or not at all once it is lost, before it is tried again directly.
 	directPause = 400 * time.Millisecond
@@ -28,8 +32,10 @@
 	peerChangesWait = 300 * time.Millisecond
 	// peerSlack is added to the timeout of a call that goes through another entry.
 	peerSlack = 100 * time.Millisecond
-	// lostAfter is how long nothing may succeed before the table counts as lost.
-	lostAfter = 500 * time.Millisecond
+	// lostAfter and lostFailures are how long, and in how many calls, nothing may succeed
+	// before the table counts as lost.
+	lostAfter    = 250 * time.Millisecond
+	lostFailures = 3
 )
 
 // tablePeers finds another entry that reaches the table.
@@ -54,9 +60,12 @@
 	// what the operator and the upstreams write.
 	directUp bool
 	// failing is when calls began to fail in a row; zero when the last one succeeded.
-	failing time.Time
-	lost    bool
-	back    time.Time
+	failing  time.Time
+	failures int
+	// usual is how long the table takes for an answer.
+	usual time.Duration
+	lost  bool
+	back  time.Time
 }
 
 // partState is what is known of a part that failed.
@@ -117,11 +126,20 @@
 }
 
 // do runs f on the table directly or, when that fails, through another entry.
+// A zero timeout is one that fits how fast the table is.
 func (l *link) do(ctx context.Context, part string, timeout time.Duration, f func(ctx context.Context, t table.Watcher) error) error {
 	err := error(table.ErrUnavailable)
 	via, unreached := l.peers.tableVia()
+	adaptive := timeout == 0
+	if adaptive {
+		timeout = l.timeout()
+	}
 	if l.tryDirect(part, via != nil) {
+		start := time.Now()
 		err = within(ctx, timeout, l.direct, f)
+		if adaptive && ctx.Err() == nil {
+			l.learnLatency(time.Since(start), err)
+		}
 		l.noteDirect(part, err)
 		if !failed(err) {
 			l.noteAny(part, nil)
@@ -143,6 +161,25 @@
 	return err
 }
 
+// timeout bounds a call by how fast the table has been.
+func (l *link) timeout() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(minTimeout, min(maxTimeout, timeoutFactor*l.usual))
+}
+
+// learnLatency records how long a call took; one that was given up took longer.
+func (l *link) learnLatency(took time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		l.usual = min(maxTimeout/timeoutFactor, max(2*l.usual, 2*minTimeout/timeoutFactor))
+	case !failed(err):
+		l.usual += time.Duration(latencyWeight * float64(took-l.usual))
+	}
+}
+
 func within(ctx context.Context, timeout time.Duration, t table.Watcher, f func(context.Context, table.Watcher) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -214,15 +251,16 @@
 	wasLost := l.lost
 	switch {
 	case !failed(err):
-		l.failing = time.Time{}
+		l.failing, l.failures = time.Time{}, 0
 		if l.lost {
 			l.lost, l.back = false, now
 		}
-	case part == common:
+	default:
 		if l.failing.IsZero() {
 			l.failing = now
 		}
-		l.lost = l.lost || now.Sub(l.failing) >= lostAfter
+		l.failures++
+		l.lost = l.lost || l.failures >= lostFailures && now.Sub(l.failing) >= lostAfter
 	}
 	lost := l.lost
 	l.mu.Unlock()
@@ -244,12 +282,12 @@
 
 // Apply implements table.Table.
 func (l *link) Apply(ctx context.Context, txn table.Txn) error {
-	return l.do(ctx, partOfTxn(txn), applyTimeout, func(ctx context.Context, t table.Watcher) error { return t.Apply(ctx, txn) })
+	return l.do(ctx, partOfTxn(txn), 0, func(ctx context.Context, t table.Watcher) error { return t.Apply(ctx, txn) })
 }
 
 // Get implements table.Table.
 func (l *link) Get(ctx context.Context, key string) (row table.Row, err error) {
-	err = l.do(ctx, partOfKey(key), readTimeout, func(ctx context.Context, t table.Watcher) error {
+	err = l.do(ctx, partOfKey(key), 0, func(ctx context.Context, t table.Watcher) error {
 		row, err = t.Get(ctx, key)
 		return err
 	})
@@ -258,7 +296,7 @@
 
 // Scan implements table.Table.
 func (l *link) Scan(ctx context.Context, prefix, after string, limit int) (rows []table.Row, err error) {
-	err = l.do(ctx, partOfKey(prefix), readTimeout, func(ctx context.Context, t table.Watcher) error {
+	err = l.do(ctx, partOfKey(prefix), 0, func(ctx context.Context, t table.Watcher) error {
 		rows, err = t.Scan(ctx, prefix, after, limit)
 		return err
 	})
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -82,11 +82,14 @@
 }
 
 // AdvanceNeeded returns the tokens to grant ahead of the row for a turn of most tokens,
-// for an entry that has learnt what the others were granted. It reports false when the
-// turn must not go on.
-func (a *Account) AdvanceNeeded(most int) (int, bool) {
+// for an entry that has learnt what the others were granted; alone says that no other
+// entry grants. It reports false when the turn must not go on.
+func (a *Account) AdvanceNeeded(most int, alone bool) (int, bool) {
 	need := max(0, most-a.Free())
-	limit := min(max(most, a.total/advanceShare), a.total-a.recorded-a.others)
+	limit := a.total - a.recorded - a.others
+	if !alone {
+		limit = min(limit, max(most, a.total/advanceShare))
+	}
 	return need, !a.exhausted && a.advanced+need <= limit
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -37,7 +37,7 @@
 
 // advance grants a turn ahead of the row when the account allows it.
 func advance(a *Account, most int) bool {
-	need, ok := a.AdvanceNeeded(most)
+	need, ok := a.AdvanceNeeded(most, false)
 	if ok {
 		a.Advance(need)
 	}
