Bound what may be lost of grants ahead of rows, avoid failing upstreams, stop crash-causing requests

Now each account records as soon as its row can be reached; a program that sends many turns at once gets the most of one turn ahead of its row, others go on one turn at a time. Ruled out: the owners' accounts themselves. Upstreams that fail part of their calls are avoided by a rate that entries share and that halves in 2 s; a repeatable call goes on elsewhere after a silence of three times what was predicted; content that broke off at three upstreams is sent to no further one.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,6 +66,18 @@
 	whole   bool
 	stop    func() bool
 	written chan error
+
+	// mu guards cancelled, so that a deadline set later does not undo a cancellation.
+	mu        sync.Mutex
+	cancelled bool
+}
+
+// cancel ends all waiting on the connection.
+func (a *Answer) cancel(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelled = true
+	_ = c.SetDeadline(time.Unix(1, 0)) // a closed connection waits for nothing
 }
 
 // Send sends a request and reads the head of its answer. Errors are marked with
@@ -78,9 +91,8 @@
 		p.drop(c)
 		return nil, errors.Mark(errors.Wrap(err, "set deadline"), ErrNotSent)
 	}
-	past := time.Unix(1, 0)
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
-	a := &Answer{pool: p, conn: c, stop: stop}
+	a := &Answer{pool: p, conn: c}
+	a.stop = context.AfterFunc(ctx, func() { a.cancel(c) })
 	if err := a.write(r); err != nil {
 		a.Close()
 		return nil, errors.Mark(err, ErrLost)
@@ -147,6 +159,16 @@
 	return n, err
 }
 
+// SetDeadline replaces the time at which waiting for the rest of the answer ends.
+func (a *Answer) SetDeadline(t time.Time) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancelled {
+		return nil
+	}
+	return a.conn.SetDeadline(t)
+}
+
 // Whole reports whether the body was read to its end.
 func (a *Answer) Whole() bool { return a.whole }
 
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -34,8 +34,8 @@
 	// advanceTimeout bounds the questions and notices to other entries for tokens that are
 	// granted ahead of a row.
 	advanceTimeout = 200 * time.Millisecond
-	// recordTimeout bounds the recording of what was granted ahead of a row.
-	recordTimeout = 3 * time.Second
+	// recordInterval is the time between two looks for grants ahead of rows.
+	recordInterval = 250 * time.Millisecond
 )
 
 // partOf returns the part of the row of an id.
@@ -140,8 +140,11 @@
 	// open are the reservations by their ids, with the most of each.
 	open map[string]int
 	// drawing is closed when the draw under way ends; nil when none is.
-	drawing chan struct{}
-	used    time.Time
+	drawing  chan struct{}
+	used     time.Time
+	arrivals ledger.Arrivals
+	// asked is the reservation that asked last, to count each once.
+	asked string
 	// ranAt is the upstream of each line's last turn, last that of the program's.
 	ranAt map[string]string
 	last  string
@@ -251,6 +254,10 @@
 		b.accounts[call.Program] = of
 	}
 	of.used = time.Now()
+	if call.ID != of.asked {
+		of.asked = call.ID
+		of.arrivals.Note(of.used)
+	}
 	return of
 }
 
@@ -319,6 +326,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
 	defer cancel()
 	err := error(table.ErrUnavailable)
+	// A draw that only records what was granted ahead of the row needs no tokens.
 	if !owner || !b.away(budgetKey(call.Program)) {
 		state := of.account.Drawing(call.Most)
 		b.mu.Unlock()
@@ -350,7 +358,9 @@
 		return false
 	}
 	of.account.Learn(granted)
-	need, ok := of.account.AdvanceNeeded(call.Most, knows == knowsAlone)
+	need, ok := of.account.AdvanceNeeded(call.Most, ledger.Standing{
+		Alone: knows == knowsAlone, Open: len(of.open), Surging: of.arrivals.Surging(),
+	})
 	if !ok {
 		return false
 	}
@@ -483,31 +493,39 @@
 	}
 }
 
-// recordAdvances draws from the rows what was granted ahead of them, when the table is
-// back.
-func (b *budgets) recordAdvances(ctx context.Context) {
+// recordLoop draws from the rows what was granted ahead of them as soon as they can be
+// reached, until ctx ends.
+func (b *budgets) recordLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, recordInterval)
+		for _, call := range b.unrecorded() {
+			go b.record(ctx, call)
+		}
+	}
+}
+
+// unrecorded lists the programs with advances whose rows may be reachable.
+func (b *budgets) unrecorded() []reserveCall {
 	b.mu.Lock()
-	calls := make([]reserveCall, 0, len(b.accounts))
+	defer b.mu.Unlock()
+	var calls []reserveCall
 	for program, of := range b.accounts {
-		if of.account.Advanced() > 0 && of.drawing == nil {
-			calls = append(calls, reserveCall{Program: program, Total: of.account.Total()})
+		if of.account.Advanced() > 0 && of.drawing == nil && !b.away(budgetKey(program)) {
+			calls = append(calls, reserveCall{Program: program, Total: of.account.Total(), ID: of.asked})
 		}
 	}
-	b.mu.Unlock()
-	for _, call := range calls {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-			defer cancel()
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			of := b.accountLocked(call)
-			if of.drawing != nil || of.account.Advanced() == 0 {
-				return
-			}
-			if err := b.drawLocked(ctx, of, call, false); err != nil {
-				b.commits.metrics.advancesUnrecorded.Inc(1)
-			}
-		}()
+	return calls
+}
+
+func (b *budgets) record(ctx context.Context, call reserveCall) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	of := b.accounts[call.Program]
+	if of == nil || of.drawing != nil || of.account.Advanced() == 0 {
+		return
+	}
+	if err := b.drawLocked(ctx, of, call, false); err != nil {
+		b.commits.metrics.advancesUnrecorded.Inc(1)
 	}
 }
 
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/platform"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
@@ -62,7 +63,9 @@
 	service string
 	request *http.Request
 	body    []byte
-	start   time.Time
+	// fingerprint tells the request's content.
+	fingerprint uint64
+	start       time.Time
 	// deadline is when the caller or the route stops waiting.
 	deadline time.Time
 	work     routing.Work
@@ -104,6 +107,7 @@
 	if !g.match(w, j) || !g.readBody(w, j) {
 		return
 	}
+	j.fingerprint = quarantine.OfCall(r.Method, r.URL.Path, about(j.call), j.body)
 	if j.left() <= 0 {
 		g.refuse(w, j, "deadline", nil, retryUpstream)
 		return
@@ -115,6 +119,9 @@
 	g.servePlain(r.Context(), w, j)
 }
 
+// about tells apart calls of the same path and without a body.
+func about(c *relay.Call) string { return c.Object + "/" + c.Program + "/" + c.Line + "/" + c.Previous }
+
 // match finds the route and the service; otherwise it has answered.
 func (g *Gateway) match(w http.ResponseWriter, j *job) bool {
 	t := g.routes.Load()
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -311,3 +312,63 @@
 		t.Errorf("the call under way got %q", got)
 	}
 }
+
+// TestSilentUpstreamOfARepeatableCall: an upstream that hangs while its health is good.
+func TestSilentUpstreamOfARepeatableCall(t *testing.T) {
+	p := newPlatformOf(t)
+	mute, good := newUpstream(t, "app-1", silent), newUpstream(t, "app-2", sealed(http.StatusOK, "ok"))
+	p.document(1)
+	p.register(mute, "app", "ready", 1)
+	p.register(good, "app", "ready", 1)
+	e := startEntry(t, "entry-1", p.p.Table)
+	for range 12 {
+		start := time.Now()
+		if r := e.call("GET", "/read/1", "", nil); r.status != http.StatusOK {
+			t.Fatalf("%+v after %v", r, time.Since(start))
+		}
+	}
+	if n := len(mute.requests()); n > 4 {
+		t.Errorf("%d of 12 calls went to an upstream that never answers", n)
+	}
+}
+
+// TestRequestThatCrashesUpstreamsIsStopped: three upstreams broke off the same content;
+// it is sent to no further one, by any entry.
+func TestRequestThatCrashesUpstreamsIsStopped(t *testing.T) {
+	p, e, a, _ := newSystem(t, cut, notRun)
+	for i := range 4 {
+		p.register(newUpstream(t, fmt.Sprintf("app-%d", i+2), cut), "app", "ready", 1)
+	}
+	other := startEntry(t, "entry-2", p.p.Table)
+	eventually(t, "the entries know each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	eventually(t, "the upstreams are known", func() bool { return len(e.fleet.Load().seats["app"]) == 5 })
+	sends := 0
+	for range 12 {
+		if r := e.call("POST", "/act/1", "poison", nil); r.status == http.StatusBadGateway {
+			sends++
+		}
+	}
+	if sends < 3 || sends > 6 {
+		t.Errorf("%d sends before it was stopped", sends)
+	}
+	eventually(t, "the other entry knows", func() bool {
+		return other.call("POST", "/act/1", "poison", nil).status == http.StatusServiceUnavailable
+	})
+	if r := e.call("POST", "/act/1", "harmless", nil); r.status != http.StatusBadGateway {
+		t.Errorf("another request: %+v", r)
+	}
+	_ = a
+}
+
+func TestStreamPausesAreNotCut(t *testing.T) {
+	// The last upstream that may be tried is given all the time that is left.
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		events(0, 0, false)(w, r)
+		time.Sleep(900 * time.Millisecond)
+		events(1, 1, false)(w, r)
+	}
+	_, e, _, _ := newSystem(t, notRun, slow)
+	if r := e.call("POST", "/draft/1", "x", nil); r.err != nil || !strings.Contains(r.body, "e1") {
+		t.Fatalf("%+v", r)
+	}
+}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
 
@@ -60,6 +61,15 @@
 	m.mu.Unlock()
 }
 
+// noteStrike remembers to tell the others of a strike.
+func (m *mesh) noteStrike(k quarantine.Strike) {
+	m.mu.Lock()
+	if len(m.strikes) < maxFresh {
+		m.strikes = append(m.strikes, k)
+	}
+	m.mu.Unlock()
+}
+
 // sendDigests sends digests until ctx ends.
 func (m *mesh) sendDigests(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -107,8 +117,8 @@
 	m.mu.Lock()
 	m.seq++
 	b = binary.AppendUvarint(b, m.seq)
-	fresh := m.fresh
-	m.fresh = nil
+	fresh, strikes := m.fresh, m.strikes
+	m.fresh, m.strikes = nil, nil
 	m.mu.Unlock()
 	m.g.mu.Lock()
 	m.g.book.Own(func(id string, calls int) {
@@ -117,7 +127,19 @@
 			b = binary.AppendUvarint(appendText(b, id), uint64(calls))
 		}
 	})
+	m.g.book.UntoldFailures(func(id string, failures int) {
+		if len(b)+len(id)+8 < maxDigest {
+			b = append(b, 'f')
+			b = binary.AppendUvarint(appendText(b, id), uint64(failures))
+		}
+	})
 	m.g.mu.Unlock()
+	for _, k := range strikes {
+		if len(b)+2*binary.MaxVarintLen64 < maxDigest {
+			b = append(b, 'x')
+			b = binary.AppendUvarint(binary.AppendUvarint(b, k.Request), k.Upstream)
+		}
+	}
 	for _, f := range fresh {
 		if len(b)+len(f.upstream)+16 < maxDigest {
 			b = append(b, 'c')
@@ -248,6 +270,16 @@
 			if !p.bad && m.g.fleet.Load().registry.Get(id) != nil {
 				m.g.book.Heard(now, from, id, calls)
 			}
+		case 'f':
+			id, failures := p.text(), int(p.uvarint())
+			if !p.bad && m.g.fleet.Load().registry.Get(id) != nil {
+				m.g.book.FailuresHeard(now, id, failures)
+			}
+		case 'x':
+			k := quarantine.Strike{Request: p.uvarint(), Upstream: p.uvarint()}
+			if !p.bad {
+				m.g.strikes.Add(now, k)
+			}
 		case 'c':
 			id, part, tokens := p.text(), p.uvarint(), int(p.uvarint())
 			if !p.bad && m.g.fleet.Load().registry.Get(id) != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
 	"github.com/buckthornroute/buckthornroute/internal/telemetry"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
@@ -68,8 +69,9 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 
-	mu   sync.Mutex
-	book *routing.Book
+	mu      sync.Mutex
+	book    *routing.Book
+	strikes *quarantine.Strikes
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
@@ -87,6 +89,7 @@
 		started: time.Now(),
 		notice:  balancerNotice,
 		pool:    forward.NewPool(upstreamDialTimeout),
+		strikes: quarantine.NewStrikes(),
 		book:    routing.NewBook(routing.BookConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
 	}
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
@@ -113,7 +116,7 @@
 	defer stop()
 	group, duties := errgroup.WithContext(duties)
 	for _, duty := range []func(context.Context){
-		g.pool.Run, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.housekeep,
+		g.pool.Run, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.budgets.recordLoop, g.housekeep,
 	} {
 		group.Go(func() error {
 			duty(duties)
@@ -179,9 +182,6 @@
 // linkChanged records that the table was lost or came back.
 func (g *Gateway) linkChanged(event eventlog.Event, f eventlog.Fields) {
 	g.env.Events.Emit(event, f)
-	if event.Number == eventlog.GatewayTableBack.Number {
-		go g.budgets.recordAdvances(context.Background())
-	}
 }
 
 // servers are the HTTP servers of the process.
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 )
 
 const (
@@ -69,6 +70,8 @@
 	seq   uint64
 	// fresh are the prompt parts that upstreams have newly read through this entry.
 	fresh []cachedParts
+	// strikes are crashes to tell of.
+	strikes []quarantine.Strike
 }
 
 func newMesh(g *Gateway) *mesh {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -21,6 +21,9 @@
 			Int("own", int64(j.pick.Own)).Ms("peers_age_ms", j.pick.PeersAge).Int("cached", int64(j.pick.Cached)).
 			Int("prompt", int64(j.work.Tokens)).Ms("predicted_ms", j.pick.Finish)
 	}
+	if j.pick.Failing > 0.01 {
+		ln.Int("failing_percent", int64(100*j.pick.Failing))
+	}
 	if j.notSent > 0 {
 		ln.Int("not_sent", int64(j.notSent))
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -24,7 +24,7 @@
 	for {
 		res, err := g.send(ctx, j, nil)
 		if err != nil {
-			g.giveUp(w, j, "no_upstream", err)
+			g.giveUp(w, j, noSendReason(err), err)
 			return
 		}
 		body, err := g.readPlain(res)
@@ -50,6 +50,14 @@
 	}
 }
 
+// noSendReason names why a call was not sent.
+func noSendReason(err error) string {
+	if errors.Is(err, errQuarantined) {
+		return "quarantined"
+	}
+	return "no_upstream"
+}
+
 // reasonOf names why a send gave no answer.
 func reasonOf(res *result) string {
 	switch {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	"github.com/buckthornroute/buckthornroute/platform"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
@@ -27,6 +29,9 @@
 	minConns = 4
 )
 
+// errQuarantined says that the call's content has crashed each upstream that ran it.
+var errQuarantined = errors.New("the request crashed upstreams")
+
 // errNoUpstream says that no upstream of the service may take the call.
 var errNoUpstream = errors.New("no upstream")
 
@@ -44,10 +49,16 @@
 // send chooses an upstream and sends the call there, from lastEvent on. The caller must
 // end the result with finish.
 func (g *Gateway) send(ctx context.Context, j *job, lastEvent *int64) (*result, error) {
+	if g.quarantined(j) {
+		return nil, errQuarantined
+	}
 	u, conns, ok := g.choose(j)
 	if !ok {
 		return nil, errNoUpstream
 	}
+	if j.pick.Cached == 0 {
+		g.mesh.noteCached(u.ID, j.work.Prompt)
+	}
 	res := &result{upstream: u.ID, sentAt: time.Now()}
 	head := platform.AppendRequest(make([]byte, 0, headBytes), j.request, platform.Send{
 		Instance: u.ID, Left: j.left(), LastEvent: lastEvent, Priority: -1,
@@ -58,6 +69,8 @@
 	}
 	if !j.route.MayRepeat() {
 		req.MaxRest = maxRestOnce
+	} else if quiet := j.quietBound(); quiet > 0 {
+		req.Deadline = earlier(req.Deadline, res.sentAt.Add(quiet))
 	}
 	res.answer, res.err = g.pool.Send(ctx, &req)
 	switch {
@@ -68,12 +81,53 @@
 	case res.err == nil && res.answer.Head.NotRun:
 		res.notRun = true
 	case res.err == nil:
-		res.err = check(res.answer)
+		if res.err = check(res.answer); res.err == nil {
+			res.err = res.answer.SetDeadline(j.deadline.Add(answerSlack))
+		}
 	}
 	j.sends++
 	return res, nil
 }
 
+const (
+	// quietFactor and quietFloor bound the silence of an upstream before a call that may
+	// be repeated goes on elsewhere: several times what was predicted, and more than the
+	// slowest tenth of calls takes when nothing is wrong.
+	quietFactor = 3
+	quietFloor  = 400 * time.Millisecond
+	// quietGaps is the number of pauses, each as long as is still on time, after which a
+	// stream counts as silent.
+	quietGaps = 3
+)
+
+// quietBound returns how long an upstream may be silent before the call is sent to
+// another; zero when it must not be, or no other send is left.
+func (j *job) quietBound() time.Duration {
+	if !j.route.MayRepeat() || j.sends+1 >= j.maxSends() {
+		return 0
+	}
+	bound := quietFloor + quietFactor*j.pick.Finish
+	if j.route.Kind == relay.Stream {
+		bound = quietFloor + quietFactor*j.pick.First
+	}
+	return bound
+}
+
+// gapBound returns how long a stream may pause before it goes on elsewhere.
+func (j *job) gapBound() time.Duration {
+	if !j.route.MayRepeat() || j.sends >= j.maxSends() || j.route.GapTarget <= 0 {
+		return 0
+	}
+	return quietFloor + quietGaps*j.route.GapTarget
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // check reports an answer that must not reach the caller.
 func check(a *forward.Answer) error {
 	switch {
@@ -102,7 +156,7 @@
 	u := f.registry.Get(pick.ID)
 	for i := range seats {
 		if seats[i].ID == pick.ID {
-			g.book.Started(now, seats[i], &j.work)
+			g.book.Started(seats[i], &j.work)
 			break
 		}
 	}
@@ -151,6 +205,7 @@
 func (g *Gateway) again(j *job, res *result) bool {
 	if !res.notSent && !res.notRun {
 		j.mayHaveRun = true
+		g.strike(j, res)
 	}
 	if j.left() <= 0 {
 		return false
@@ -167,3 +222,26 @@
 	}
 	return false
 }
+
+// strike notes that an upstream broke off a call, which may be what crashed it.
+func (g *Gateway) strike(j *job, res *result) {
+	if !errors.Is(res.err, forward.ErrLost) || errors.Is(res.err, os.ErrDeadlineExceeded) || j.left() <= 0 {
+		return
+	}
+	k := quarantine.Strike{Request: j.fingerprint, Upstream: routing.HashSeat(res.upstream)}
+	g.mu.Lock()
+	g.strikes.Add(time.Now(), k)
+	count := g.strikes.Count(time.Now(), k.Request)
+	g.mu.Unlock()
+	g.mesh.noteStrike(k)
+	if count > 1 {
+		g.env.Requests.Warn("request_broke_upstreams").Str("request", j.call.ID).Str("upstream", res.upstream).Int("upstreams", int64(count)).End()
+	}
+}
+
+// quarantined reports whether the call's content has crashed too many upstreams.
+func (g *Gateway) quarantined(j *job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.strikes.Refused(time.Now(), j.fingerprint)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -146,7 +146,7 @@
 	for {
 		res, err := g.send(ctx, j, from)
 		if err != nil {
-			s.abandon("no_upstream", err)
+			s.abandon(noSendReason(err), err)
 			return
 		}
 		done, err := s.pass(res)
@@ -209,7 +209,13 @@
 	pace := paceMeter{g: s.g, j: s.j, upstream: res.upstream}
 	defer pace.report()
 	events := newEventReader(a)
+	gap := s.j.gapBound()
 	for {
+		if gap > 0 {
+			if err := a.SetDeadline(earlier(s.j.deadline.Add(answerSlack), time.Now().Add(gap))); err != nil {
+				return false, errors.Mark(err, forward.ErrLost)
+			}
+		}
 		e, err := events.next()
 		if err != nil {
 			return false, err
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -81,15 +81,33 @@
 	a.others = max(a.others, granted-a.recorded-a.advanced)
 }
 
+// Standing is what is known of a program and its owner when tokens are granted ahead
+// of the row.
+type Standing struct {
+	// Alone says that no other entry grants tokens for the program.
+	Alone bool
+	// Open is the number of its turns under way.
+	Open int
+	// Surging says that it sends more turns at once than programs do that end.
+	Surging bool
+}
+
 // AdvanceNeeded returns the tokens to grant ahead of the row for a turn of most tokens,
-// for an entry that has learnt what the others were granted; alone says that no other
-// entry grants. It reports false when the turn must not go on.
-func (a *Account) AdvanceNeeded(most int, alone bool) (int, bool) {
+// for an entry that has learnt what the others were granted. It reports false when the
+// turn must not go on.
+//
+// Grants ahead of the row are lost when all entries that know of them end. The most of
+// one turn may be lost without harm, and so may what a program is granted that spends
+// its budget once; so beyond one turn only programs that go one turn at a time get more.
+func (a *Account) AdvanceNeeded(most int, s Standing) (int, bool) {
 	need := max(0, most-a.Free())
 	limit := a.total - a.recorded - a.others
-	if !alone {
+	if !s.Alone {
 		limit = min(limit, max(most, a.total/advanceShare))
 	}
+	if s.Surging || s.Open > 0 {
+		limit = min(limit, most)
+	}
 	return need, !a.exhausted && a.advanced+need <= limit
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -37,7 +38,7 @@
 
 // advance grants a turn ahead of the row when the account allows it.
 func advance(a *Account, most int) bool {
-	need, ok := a.AdvanceNeeded(most, false)
+	need, ok := a.AdvanceNeeded(most, Standing{})
 	if ok {
 		a.Advance(need)
 	}
@@ -146,3 +147,41 @@
 		}
 	})
 }
+
+func TestProgramThatRunsAwayIsAdvancedOneTurn(t *testing.T) {
+	a := NewAccount(3000)
+	if !advance(a, 500) || !a.Reserve(500) {
+		t.Fatal("no first turn")
+	}
+	if _, ok := a.AdvanceNeeded(500, Standing{Alone: true, Open: 1}); ok {
+		t.Fatal("a second turn beside the first was granted ahead of the row")
+	}
+	a.Settle(500, 400)
+	if _, ok := a.AdvanceNeeded(500, Standing{Alone: true, Surging: true}); ok {
+		t.Fatal("a program that runs away got more than one turn")
+	}
+	if need, ok := a.AdvanceNeeded(500, Standing{Alone: true}); !ok || need != 400 {
+		t.Fatalf("the next turn of another program: %d, %v", need, ok)
+	}
+}
+
+func TestArrivals(t *testing.T) {
+	now := time.Unix(100, 0)
+	var calm, wild Arrivals
+	for i := range 40 {
+		if i%4 == 0 {
+			now = now.Add(300 * time.Millisecond)
+		}
+		calm.Note(now)
+	}
+	if calm.Surging() {
+		t.Error("four sub-agents at once count as running away")
+	}
+	for range 16 {
+		now = now.Add(time.Millisecond)
+		wild.Note(now)
+	}
+	if !wild.Surging() {
+		t.Error("sixteen turns at once don't")
+	}
+}
--- a/routing/book.go
+++ b/routing/book.go
@@ -13,13 +13,7 @@
 	// PeerSilence is how long the calls that another entry said it runs are believed;
 	// 1 s by default, several times the interval of its digests.
 	PeerSilence time.Duration
-	// EjectAfter is the number of failures in a row after which an upstream gets no
-	// calls for a while; 2 by default.
-	EjectAfter int
-	// EjectMin and EjectMax bound that while; it doubles with each failure after it.
-	// 400 ms and 5 s by default.
-	EjectMin, EjectMax time.Duration
-	// EjectShare is the greatest share of a service's upstreams that is ejected at
+	// EjectShare is the greatest share of a service's upstreams whose failures count at
 	// once; one half by default.
 	EjectShare float64
 	Seed       uint64
@@ -32,11 +26,6 @@
 		}
 	}
 	def(&c.PeerSilence, time.Second)
-	def(&c.EjectMin, 400*time.Millisecond)
-	def(&c.EjectMax, 5*time.Second)
-	if c.EjectAfter == 0 {
-		c.EjectAfter = 2
-	}
 	if c.EjectShare == 0 {
 		c.EjectShare = 0.5
 	}
@@ -88,6 +77,10 @@
 	Cached int
 	// Finish is the predicted time to the end of the answer.
 	Finish time.Duration
+	// First is the predicted time to the first event.
+	First time.Duration
+	// Failing is the believed chance that the call fails there.
+	Failing float64
 	// PeersAge is the age of the oldest digest that InFlight rests on.
 	PeersAge time.Duration
 }
@@ -105,11 +98,43 @@
 	// slowness is the observed time of a generated token, or of a plain call, over the
 	// predicted one.
 	slowness float64
-	failures int
-	ejected  time.Time
-	lastSend time.Time
+	// failing is the believed chance that a call fails there, as of failedAt; it halves
+	// with time, so that an upstream is tried again.
+	failing  float64
+	failedAt time.Time
+	// untold is the number of failures that other entries have not been told of.
+	untold int
+}
+
+// failingNow returns the believed chance that a call fails.
+func (a *account) failingNow(now time.Time) float64 {
+	if a.failing == 0 {
+		return 0
+	}
+	return a.failing * math.Exp2(-float64(now.Sub(a.failedAt))/float64(failHalfLife))
 }
 
+// observe moves the chance of failure towards an outcome.
+func (a *account) observe(now time.Time, failed float64, weight float64) {
+	v := a.failingNow(now)
+	a.failing, a.failedAt = v+weight*(failed-v), now
+}
+
+const (
+	// failHalfLife is the time after which a failure counts half: upstreams that go down
+	// and up by turns do so about every second and a half.
+	failHalfLife = 2 * time.Second
+	// failWeight is the weight of one failure, fineWeight that of a success: one failure
+	// among many calls says little, two in a row say much.
+	failWeight = 0.3
+	fineWeight = 0.12
+	// failCost is the cost in milliseconds of a failed call: what its caller waits until
+	// it is sent again or gives up.
+	failCost = 1500
+	// suspectChance is the chance of failure from which an upstream counts as failing.
+	suspectChance = 0.25
+)
+
 // Book knows what runs at each upstream, by this entry's own calls and what other
 // entries tell, and chooses where a call goes. It is not safe for concurrent use.
 type Book struct {
@@ -204,10 +229,9 @@
 }
 
 // Started records a call that is sent to an upstream; it must be ended by Ended.
-func (b *Book) Started(now time.Time, s Seat, w *Work) {
+func (b *Book) Started(s Seat, w *Work) {
 	a := b.account(s.ID, s.CacheTokens)
 	a.own++
-	a.lastSend = now
 	if len(w.Prompt) > 0 {
 		a.cache.add(w.Prompt)
 	}
@@ -232,22 +256,42 @@
 	a.own = max(0, a.own-1)
 	switch v {
 	case Fine:
-		a.failures = 0
-		a.ejected = time.Time{}
-	case Failed:
-		a.failures++
-		if over := a.failures - b.cfg.EjectAfter; over >= 0 {
-			a.ejected = now.Add(min(b.cfg.EjectMax, b.cfg.EjectMin<<min(over, 10)))
+		if a.failing > 0 {
+			a.observe(now, 0, fineWeight)
 		}
+	case Failed:
+		a.observe(now, 1, failWeight)
+		a.untold++
 	case Silent:
 	}
 }
 
+// FailuresHeard records failures at an upstream that another entry tells of.
+func (b *Book) FailuresHeard(now time.Time, id string, failures int) {
+	a := b.account(id, 0)
+	for range min(failures, maxFailuresHeard) {
+		a.observe(now, 1, failWeight)
+	}
+}
+
+// maxFailuresHeard bounds what one digest says of an upstream.
+const maxFailuresHeard = 4
+
+// UntoldFailures calls each with the failures since the last time.
+func (b *Book) UntoldFailures(each func(id string, failures int)) {
+	for id, a := range b.accounts {
+		if a.untold > 0 {
+			each(id, a.untold)
+			a.untold = 0
+		}
+	}
+}
+
 // Forget drops what is believed of an upstream's cache, such as after its restart.
 func (b *Book) Forget(id string) {
 	a := b.account(id, 0)
 	a.cache = newPrefixSet(a.cache.limit)
-	a.slowness, a.failures, a.ejected = 1, 0, time.Time{}
+	a.slowness, a.failing = 1, 0
 }
 
 // slownessWeight is the weight of one observation of an upstream's pace: some eight
@@ -290,7 +334,7 @@
 func (b *Book) Choose(now time.Time, seats []Seat, w *Work, tried []string) (Pick, bool) {
 	best, found := Pick{}, false
 	bestCost := math.Inf(1)
-	spare := b.mayEject(now, seats)
+	spare := b.mayAvoid(now, seats)
 	if len(w.Prompt) > 0 {
 		b.heads.came(now, w.Prompt[0])
 		b.homes = b.heads.homes(b.homes[:0], w.Prompt[0], seats)
@@ -302,18 +346,19 @@
 		}
 		a := b.account(s.ID, s.CacheTokens)
 		n, age := b.inFlight(now, a)
-		cost, finish, cached := b.cost(s, a, w, n)
-		if cached == 0 && len(w.Prompt) > 0 && !b.homes[i] {
+		c := b.cost(s, a, w, n)
+		cost := c.cost
+		if c.cached == 0 && len(w.Prompt) > 0 && !b.homes[i] {
 			cost += strayWeight * b.PaceOf(s.Service).prefill(w.Prompt[0].Tokens)
 		}
-		if now.Before(a.ejected) && spare {
-			cost += ejectedCost
+		if spare {
+			cost += failCost * a.failingNow(now)
 		}
 		if cost < bestCost {
 			bestCost, found = cost, true
 			best = Pick{
-				ID: s.ID, InFlight: n, Own: a.own, Slots: s.Slots, Cached: cached, PeersAge: age,
-				Finish: time.Duration(finish * float64(time.Millisecond)),
+				ID: s.ID, InFlight: n, Own: a.own, Slots: s.Slots, Cached: c.cached, PeersAge: age, Failing: a.failingNow(now),
+				Finish: inMs(c.finish), First: inMs(c.first),
 			}
 		}
 	}
@@ -325,20 +370,16 @@
 // which stalls a batch of some calls.
 const strayWeight = 8
 
-// ejectedCost in milliseconds puts an ejected seat behind all others; it is still
-// taken when it is the only one.
-const ejectedCost = 1e6
-
-// mayEject reports whether the share of ejected seats is within its bound; beyond it
-// ejection says more of the way to the seats than of them.
-func (b *Book) mayEject(now time.Time, seats []Seat) bool {
-	ejected := 0
+// mayAvoid reports whether the share of failing seats is within its bound; beyond it
+// the failures say more of the way to the seats than of them.
+func (b *Book) mayAvoid(now time.Time, seats []Seat) bool {
+	failing := 0
 	for i := range seats {
-		if a := b.accounts[seats[i].ID]; a != nil && now.Before(a.ejected) {
-			ejected++
+		if a := b.accounts[seats[i].ID]; a != nil && a.failingNow(now) > suspectChance {
+			failing++
 		}
 	}
-	return float64(ejected) <= b.cfg.EjectShare*float64(len(seats))
+	return float64(failing) <= b.cfg.EjectShare*float64(len(seats))
 }
 
 func contains(list []string, s string) bool {
@@ -361,34 +402,45 @@
 	tieBreak = 6
 )
 
-// cost returns the cost of running the work at the seat where n calls run, and the
-// predicted time to its end, in milliseconds.
-func (b *Book) cost(s *Seat, a *account, w *Work, n int) (cost, finish float64, cached int) {
+// estimate is what running a call at a seat costs and takes, in milliseconds.
+type estimate struct {
+	cost, finish, first float64
+	// cached is the number of prompt tokens believed cached.
+	cached int
+}
+
+func inMs(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// cost estimates the work at the seat where n calls run.
+func (b *Book) cost(s *Seat, a *account, w *Work, n int) estimate {
 	p := b.PaceOf(s.Service)
 	slots := max(1, s.Slots)
+	var e estimate
 	if w.Generate > 0 {
-		cached = w.cachedAt(s.ID, a)
-		prefill := p.prefill(max(0, w.Tokens-cached)) * a.slowness
+		e.cached = w.cachedAt(s.ID, a)
+		prefill := p.prefill(max(0, w.Tokens-e.cached)) * a.slowness
 		step := p.step(min(n+1, slots)) * a.slowness
 		decode := float64(w.Generate) * step
-		finish = prefill + decode + p.wait(n, slots, decode)
+		e.first = prefill + p.wait(n, slots, decode) + step
+		e.finish = e.first + decode
 		// A prefill stalls all that run beside it; one more in the batch slows each of
 		// them for as long as both run, half of the call on average.
 		beside := float64(min(n, slots-1))
 		harm := beside * (prefill + decode/2*(p.batchFactor(2)-p.batchFactor(1)))
-		cost = finish + harmWeight*harm
+		e.cost = e.finish + harmWeight*harm
 	} else {
 		call := p.call * a.slowness
-		finish = call * (1 + float64(n)*plainShare/float64(slots))
+		e.finish = call * (1 + float64(n)*plainShare/float64(slots))
 		if n >= slots {
-			finish += call * float64(n-slots+1) / float64(slots)
+			e.finish += call * float64(n-slots+1) / float64(slots)
 		}
-		cost = finish
+		e.first, e.cost = e.finish, e.finish
 	}
 	if w.Domain != "" && s.Domain != w.Domain {
-		cost += crossDomainCost
+		e.cost += crossDomainCost
 	}
-	return cost + tieBreak*b.rng.Float64(), finish, cached
+	e.cost += tieBreak * b.rng.Float64()
+	return e
 }
 
 // cachedAt returns the prompt tokens believed cached at an upstream. All but the last
