--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -191,10 +191,15 @@
 }
 
 // tryDirect reports whether a part is asked directly. After a failure it is not for a
-// while, if another entry reaches the table or the table is known to be lost.
+// while, if another entry reaches the table or the table is known to be lost, so that
+// calls of an entry that the table turns away don't each wait for a timeout first.
 func (l *link) tryDirect(part string, another bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if another && part != common && !l.directUp {
+		// The questions for the common part find out when the table serves this entry again.
+		return false
+	}
 	p := l.parts[part]
 	return p == nil || !time.Now().Before(p.avoid) || !another && !l.lost
 }
