--- a/internal/gateway/committer.go
+++ b/internal/gateway/committer.go
@@ -29,8 +29,6 @@
 	writeShare = 0.8
 	// minWriteRate is the least rate of one entry in transactions a second.
 	minWriteRate = 4
-	// commitRetry is the wait after a transaction that was not applied.
-	commitRetry = 60 * time.Millisecond
 )
 
 // commit is a change that goes into the next transaction.
@@ -79,8 +77,8 @@
 // errCommitQueueFull says that too many commits wait; nothing was written.
 var errCommitQueueFull = errors.Mark(errors.New("too many commits wait"), table.ErrNotApplied)
 
-// apply waits until the change is written, a condition fails or ctx ends. A change
-// without conditions must be repeatable: it is sent again while its outcome is unknown.
+// apply writes a change, or returns the table's error: table.ErrNotApplied when it was
+// not written, table.ErrUnavailable when that is unknown, a conflict.
 func (c *committer) apply(ctx context.Context, conditions []table.Condition, writes []table.Write) error {
 	it := &commit{ctx: ctx, conditions: conditions, writes: writes, done: make(chan error, 1)}
 	select {
@@ -177,39 +175,21 @@
 	err := c.link.Apply(ctx, txn)
 	c.metrics.commitLatency.RecordDuration(time.Since(start))
 	c.metrics.commits.Inc(1)
-	again := c.ended(batch, err)
-	if len(again) > 0 && !errors.Is(err, table.ErrConditionFailed) {
-		sleep(ctx, commitRetry)
-	}
-	c.again <- again
+	c.again <- c.ended(batch, err)
 }
 
 // ended tells the owners of the changes what became of them, and returns those that
-// must be sent again.
+// must be sent again without the others. After a failure each owner decides: a turn goes
+// to another place, a budget is read back or granted ahead of its row.
 func (c *committer) ended(batch []*commit, err error) []*commit {
 	var conflict *table.Conflict
-	switch {
-	case err == nil:
-		for _, it := range batch {
-			it.done <- nil
-		}
-		return nil
-	case errors.As(err, &conflict):
+	if errors.As(err, &conflict) {
 		return c.dropConflicts(batch, conflict)
-	case errors.Is(err, table.ErrNotApplied):
-		return batch
 	}
-	// The outcome is unknown: unconditional changes may be repeated, the owner of a
-	// conditional one reads back what became of it.
-	var again []*commit
 	for _, it := range batch {
-		if len(it.conditions) > 0 {
-			it.done <- err
-			continue
-		}
-		again = append(again, it)
+		it.done <- err
 	}
-	return again
+	return nil
 }
 
 // dropConflicts ends the changes whose conditions fail and returns the others.
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -23,6 +23,8 @@
 	cacheShare = 0.12
 	// parallelReads bounds the reads for one chain.
 	parallelReads = 6
+	// keepRetry is the wait after all places have failed.
+	keepRetry = 60 * time.Millisecond
 	// placeTimeout is how long one place is tried before the next: a slow table's
 	// transaction and its wait fit.
 	placeTimeout = 600 * time.Millisecond
@@ -200,7 +202,7 @@
 			return nil
 		}
 		if place == turnPlaces-1 {
-			sleep(ctx, commitRetry)
+			sleep(ctx, keepRetry)
 		}
 	}
 	return errors.Mark(errors.CombineErrors(err, ctx.Err()), table.ErrUnavailable)
