--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -119,6 +119,10 @@
 	switching := &switchTable{Watcher: p.p.Table}
 	other := startEntry(t, "entry-2", switching)
 	eventually(t, "the entries know each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	eventually(t, "the entry has heard that the other reaches the table", func() bool {
+		via, _ := other.mesh.tableVia()
+		return via != nil
+	})
 	switching.set(turnedAway{p.p.Table})
 	for i := range 3 {
 		if r := other.call("POST", "/draft/1", "x", turnHeader(fmt.Sprintf("p%d", i), 500, 50)); r.status != http.StatusOK || r.err != nil {
