Refuse new programs while the engines are full

Load pattern: a burst of new programs over engines that are full already; letting all begin makes all late.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -111,8 +111,22 @@
 type reserveAnswer struct {
 	verdict reserveVerdict
 	ranAt   string
+	// standing says whether the program has begun.
+	standing programStanding
 }
 
+// programStanding is how far a program has come.
+type programStanding uint8
+
+const (
+	// programBegun: a turn of it has run or runs.
+	programBegun programStanding = iota
+	// programNew: none has, and none was asked for before.
+	programNew
+	// programReturned: none has, though one was asked for before.
+	programReturned
+)
+
 // budgets counts the budgets of the programs that this entry owns, and asks the owners
 // of the others. Any entry may draw from a program's row, so an owner that can't be
 // reached delays nothing.
@@ -145,6 +159,7 @@
 	arrivals ledger.Arrivals
 	// asked is the reservation that asked last, to count each once.
 	asked string
+	asks  int
 	// ranAt is the upstream of each line's last turn, last that of the program's.
 	ranAt map[string]string
 	last  string
@@ -164,7 +179,8 @@
 	at   *peer
 	call reserveCall
 	// ranAt is where the line's last turn ran; empty when that is not known.
-	ranAt string
+	ranAt    string
+	standing programStanding
 }
 
 // reserve sets aside the most of a turn. It returns errBudgetSpent, or an error of the
@@ -188,7 +204,7 @@
 	}
 	switch answer.verdict {
 	case reserveGranted:
-		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt}, nil
+		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt, standing: answer.standing}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -256,13 +272,27 @@
 	of.used = time.Now()
 	if call.ID != of.asked {
 		of.asked = call.ID
+		of.asks++
 		of.arrivals.Note(of.used)
 	}
 	return of
 }
 
+// standing tells how far the program has come, but for the turn with the id.
+func (of *budget) standing(id string) programStanding {
+	_, granted := of.open[id]
+	switch {
+	case of.last != "" || len(of.open) > 1 || len(of.open) == 1 && !granted:
+		return programBegun
+	case of.asks > 1:
+		return programReturned
+	default:
+		return programNew
+	}
+}
+
 func (b *budgets) tryLocked(of *budget, call reserveCall) reserveAnswer {
-	answer := reserveAnswer{ranAt: of.ranAt[call.Line]}
+	answer := reserveAnswer{ranAt: of.ranAt[call.Line], standing: of.standing(call.ID)}
 	if answer.ranAt == "" {
 		answer.ranAt = of.last
 	}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -78,6 +78,8 @@
 	reads      int
 	events     int
 	keptIn     time.Duration
+	// load is that of the service's upstreams when the program asked to begin.
+	load float64
 }
 
 func (j *job) left() time.Duration { return time.Until(j.deadline) }
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -34,6 +34,9 @@
 	learnTimeout = 500 * time.Millisecond
 )
 
+// standingShift is the place of a program's standing beside the verdict in an answer.
+const standingShift = 4
+
 // Calls between entries.
 const (
 	callReserve = 'r'
@@ -178,7 +181,7 @@
 func (c *calls) serveReserve(call reserveCall, reply func(callAnswer)) {
 	b := c.m.g.budgets
 	if a := b.tryGrant(call); a.verdict != 0 {
-		reply(callAnswer{uint64(a.verdict), a.ranAt})
+		reply(callAnswer{uint64(a.verdict) | uint64(a.standing)<<standingShift, a.ranAt})
 		return
 	}
 	go func() {
@@ -188,7 +191,7 @@
 		if err != nil {
 			c.m.g.env.Requests.Warn("budget_not_told").Str("request", call.ID).Str("program", call.Program).Err(err).End()
 		}
-		reply(callAnswer{uint64(a.verdict), a.ranAt})
+		reply(callAnswer{uint64(a.verdict) | uint64(a.standing)<<standingShift, a.ranAt})
 	}()
 }
 
@@ -198,7 +201,7 @@
 	b = appendText(appendText(b, r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.Most))
 	v, err := m.calls.ask(ctx, p, appendText(b, r.Line))
-	answer := reserveAnswer{reserveVerdict(v.value), v.text}
+	answer := reserveAnswer{reserveVerdict(v.value & (1<<standingShift - 1)), v.text, programStanding(v.value >> standingShift)}
 	if err != nil {
 		return reserveAnswer{verdict: reserveUnknown}, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/buckthornroute/buckthornroute/admission"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
@@ -69,6 +70,8 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 
+	newcomers admission.Newcomers
+
 	mu      sync.Mutex
 	book    *routing.Book
 	strikes *quarantine.Strikes
@@ -82,15 +85,16 @@
 
 func newGateway(cfg *settings.Gateway, env Environment) *Gateway {
 	g := &Gateway{
-		cfg:     cfg,
-		env:     env,
-		metrics: newMetrics(env.Telemetry.Scope),
-		life:    newLife(),
-		started: time.Now(),
-		notice:  balancerNotice,
-		pool:    forward.NewPool(upstreamDialTimeout),
-		strikes: quarantine.NewStrikes(),
-		book:    routing.NewBook(routing.BookConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
+		cfg:       cfg,
+		env:       env,
+		metrics:   newMetrics(env.Telemetry.Scope),
+		life:      newLife(),
+		started:   time.Now(),
+		notice:    balancerNotice,
+		pool:      forward.NewPool(upstreamDialTimeout),
+		newcomers: admission.DefaultNewcomers(),
+		strikes:   quarantine.NewStrikes(),
+		book:      routing.NewBook(routing.BookConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
 	}
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	g.fleet.Store(newFleet(relay.NewRegistry(), nil))
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -24,6 +24,9 @@
 	if j.pick.Failing > 0.01 {
 		ln.Int("failing_percent", int64(100*j.pick.Failing))
 	}
+	if j.load > 0 {
+		ln.Int("load_percent", int64(100*j.load))
+	}
 	if j.notSent > 0 {
 		ln.Int("not_sent", int64(j.notSent))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,6 +60,10 @@
 	j.work = g.workOf(j)
 	if reserved != nil {
 		j.work.RanAt = reserved.ranAt
+		if after, ok := g.mayBegin(j, reserved.standing); !ok {
+			g.refuse(w, j, "engines_full", nil, after)
+			return
+		}
 	}
 	s.run(ctx)
 }
@@ -139,6 +143,19 @@
 	return w
 }
 
+// mayBegin decides whether a program that has not begun begins at the load now.
+func (g *Gateway) mayBegin(j *job, standing programStanding) (after time.Duration, ok bool) {
+	if standing == programBegun {
+		return 0, true
+	}
+	seats := g.fleet.Load().seats[j.service]
+	g.mu.Lock()
+	j.load = g.book.Load(time.Now(), seats)
+	g.mu.Unlock()
+	ok, after = g.newcomers.Admit(j.load, g.routes.Load().Rank(j.route), standing == programReturned)
+	return after, ok
+}
+
 // run sends the call, and goes on elsewhere as far as its route allows that.
 func (s *stream) run(ctx context.Context) {
 	j, g := s.j, s.g
--- a/relay/match.go
+++ b/relay/match.go
@@ -6,11 +6,13 @@
 type Table struct {
 	doc    *Document
 	byHost map[string]map[string]*Route
+	// ranks is the number of less urgent priorities among streams, by priority.
+	ranks map[int]int
 }
 
 // NewTable indexes the routes of a document.
 func NewTable(doc *Document) *Table {
-	t := &Table{doc: doc, byHost: make(map[string]map[string]*Route)}
+	t := &Table{doc: doc, byHost: make(map[string]map[string]*Route), ranks: map[int]int{}}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		prefixes := t.byHost[r.Host]
@@ -19,10 +21,23 @@
 			t.byHost[r.Host] = prefixes
 		}
 		prefixes[r.Prefix] = r
+		if r.Kind == Stream {
+			t.ranks[r.Priority] = 0
+		}
+	}
+	for p := range t.ranks {
+		for other := range t.ranks {
+			if other > p {
+				t.ranks[p]++
+			}
+		}
 	}
 	return t
 }
 
+// Rank returns the number of less urgent priorities among the streams.
+func (t *Table) Rank(r *Route) int { return t.ranks[r.Priority] }
+
 // Document returns the document that the table was made of.
 func (t *Table) Document() *Document { return t.doc }
 
--- a/routing/book.go
+++ b/routing/book.go
@@ -468,5 +468,18 @@
 	}
 }
 
+// Load returns the calls believed to run or wait at the seats, for each of their places.
+func (b *Book) Load(now time.Time, seats []Seat) float64 {
+	calls, slots := 0, 0
+	for i := range seats {
+		slots += max(1, seats[i].Slots)
+		if a := b.accounts[seats[i].ID]; a != nil {
+			n, _ := b.inFlight(now, a)
+			calls += n
+		}
+	}
+	return float64(calls) / float64(max(1, slots))
+}
+
 // Draw returns a random number from 0 to 1.
 func (b *Book) Draw() float64 { return b.rng.Float64() }
