Remove rows that nothing needs any more, read changed settings without a signal

Settings are looked at every 5 s as well. A call that its own caller gave up says nothing of the table: each shutdown logged the table as lost.

--- a/cmd/buckthorn-entry/gateway.go
+++ b/cmd/buckthorn-entry/gateway.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/gateway"
@@ -67,7 +68,12 @@
 	})
 }
 
-// reloads brings the settings anew after each SIGHUP, as far as they can be used.
+// settingsPoll is the time between two looks whether the settings file has changed
+// without a signal.
+const settingsPoll = 5 * time.Second
+
+// reloads brings the settings anew after each SIGHUP and each change of the file, as far
+// as they can be used.
 func reloads(ctx context.Context, path string, events *eventlog.Logger) <-chan *settings.Gateway {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
@@ -76,11 +82,21 @@
 	out := make(chan *settings.Gateway)
 	go func() {
 		defer signal.Stop(signals)
+		tick := time.NewTicker(settingsPoll)
+		defer tick.Stop()
+		changed := changeTime(path)
 		for {
 			select {
 			case <-ctx.Done():
 				return
+			case <-tick.C:
+				now := changeTime(path)
+				if now.Equal(changed) {
+					continue
+				}
+				changed = now
 			case <-signals:
+				changed = changeTime(path)
 			}
 			cfg, err := settings.LoadGateway(path)
 			if err != nil {
@@ -96,3 +112,13 @@
 	}()
 	return out
 }
+
+// changeTime is when the file was last written; zero when it can't be seen, which counts
+// as a change that reading it will report.
+func changeTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -136,6 +136,7 @@
 	table   table.Table
 	commits *committer
 	owners  budgetOwners
+	expiry  *expiry
 	holder  string
 	// away reports whether a key of the table surely can't be reached now, troubled
 	// whether calls of the table have failed lately.
@@ -169,9 +170,9 @@
 	last  string
 }
 
-func newBudgets(l *link, c *committer, owners budgetOwners, holder string) *budgets {
+func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder string) *budgets {
 	return &budgets{
-		table: l, commits: c, owners: owners, holder: holder, away: l.awayFor, troubled: l.troubled,
+		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled,
 		accounts: map[string]*budget{}, known: map[string]knownGrant{},
 	}
 }
@@ -490,6 +491,9 @@
 		}
 		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
 		if err == nil {
+			if version == table.Absent {
+				b.expiry.add(key, budgetIdle)
+			}
 			return lump, next.Left(), nil
 		}
 		if row, version, err = b.afterFailure(ctx, key, total, err); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	mesh    *mesh
 	pool    *forward.Pool
 	commits *committer
+	expiry  *expiry
 	budgets *budgets
 	turns   *turns
 
@@ -101,8 +102,9 @@
 	g.mesh = newMesh(g)
 	g.link = newLink(env.Table, g.mesh, g.linkChanged)
 	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
-	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.holder())
-	g.turns = newTurns(g.link, g.commits, g.mesh, g.link.awayFor, cfg)
+	g.expiry = &expiry{commits: g.commits}
+	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.expiry, g.holder())
+	g.turns = newTurns(g.link, g.commits, g.mesh, g.expiry, g.link.awayFor, cfg)
 	return g
 }
 
@@ -120,7 +122,7 @@
 	defer stop()
 	group, duties := errgroup.WithContext(duties)
 	for _, duty := range []func(context.Context){
-		g.pool.Run, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.budgets.recordLoop, g.housekeep,
+		g.pool.Run, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.budgets.recordLoop, g.expiry.run, g.housekeep,
 	} {
 		group.Go(func() error {
 			duty(duties)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
@@ -225,6 +227,8 @@
 	return e
 }
 
+func noScope() tally.Scope { return tally.NoopScope }
+
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(5 * time.Second)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -153,7 +153,11 @@
 	if l.tryDirect(part, via != nil) {
 		start := time.Now()
 		err = within(ctx, timeout, l.direct, f)
-		if adaptive && ctx.Err() == nil {
+		if ctx.Err() != nil {
+			// The caller gave up, which says nothing of the table.
+			return err
+		}
+		if adaptive {
 			l.learnLatency(time.Since(start), err)
 		}
 		l.noteDirect(part, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -323,7 +323,7 @@
 	defer cancel()
 	err := s.g.turns.keep(ctx, &turnlog.Turn{
 		ID: s.j.call.ID, Ancestors: turnlog.Next(s.last), Input: s.input, Output: s.output,
-	})
+	}, s.j.route.Retention)
 	if err != nil && errors.Is(err, table.ErrNotApplied) {
 		return errors.Wrap(err, "the table took no turn")
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -38,6 +38,7 @@
 	table   table.Table
 	commits *committer
 	peers   turnPeers
+	expiry  *expiry
 	// away reports whether a key of the table surely can't be reached now.
 	away     func(key string) bool
 	rowBytes int
@@ -52,9 +53,9 @@
 	turnAt(ctx context.Context, id string) *turnlog.Turn
 }
 
-func newTurns(t table.Table, c *committer, peers turnPeers, away func(string) bool, cfg *settings.Gateway) *turns {
+func newTurns(t table.Table, c *committer, peers turnPeers, e *expiry, away func(string) bool, cfg *settings.Gateway) *turns {
 	return &turns{
-		table: t, commits: c, peers: peers, away: away, rowBytes: cfg.TableRowBytes - rowMargin,
+		table: t, commits: c, peers: peers, expiry: e, away: away, rowBytes: cfg.TableRowBytes - rowMargin,
 		cache: turnlog.NewCache(int(float64(cfg.MemoryMB) * cacheShare * (1 << 20))),
 	}
 }
@@ -192,12 +193,12 @@
 
 // keep writes a turn to the table. It returns nil only when the turn will be found
 // from now on.
-func (t *turns) keep(ctx context.Context, turn *turnlog.Turn) error {
+func (t *turns) keep(ctx context.Context, turn *turnlog.Turn, retention time.Duration) error {
 	value := turn.Encode()
 	err := error(nil)
 	for round := 0; ctx.Err() == nil; round++ {
 		place := round % turnPlaces
-		if err = t.keepAt(ctx, turn.ID, value, place); err == nil {
+		if err = t.keepAt(ctx, turn.ID, value, place, retention); err == nil {
 			t.put(turn)
 			return nil
 		}
@@ -209,7 +210,7 @@
 }
 
 // keepAt tries one place for some time.
-func (t *turns) keepAt(ctx context.Context, id string, value []byte, place int) error {
+func (t *turns) keepAt(ctx context.Context, id string, value []byte, place int, retention time.Duration) error {
 	if t.away(turnKey(id, place, 0)) && place < turnPlaces-1 {
 		return table.ErrUnavailable
 	}
@@ -224,5 +225,11 @@
 		}
 		writes = append(writes, table.Write{Key: turnKey(id, place, chunk), Value: piece})
 	}
-	return t.commits.apply(ctx, nil, writes)
+	if err := t.commits.apply(ctx, nil, writes); err != nil {
+		return err
+	}
+	for _, w := range writes {
+		t.expiry.add(w.Key, retention)
+	}
+	return nil
 }
