Don't make turns wait for a slow table's draws

A program's owner now grants ahead of the row and records it in the background while the table is slow, within the same bounds as while it is away.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -142,6 +142,8 @@
 	// whether calls of the table have failed lately.
 	away     func(key string) bool
 	troubled func() bool
+	// slow reports whether a turn would wait long for a draw.
+	slow func() bool
 
 	mu       sync.Mutex
 	accounts map[string]*budget
@@ -172,7 +174,7 @@
 
 func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder string) *budgets {
 	return &budgets{
-		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled,
+		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled, slow: l.slow,
 		accounts: map[string]*budget{}, known: map[string]knownGrant{},
 	}
 }
@@ -360,6 +362,9 @@
 	// Other turns wait for the draw too, so it outlives the call that began it.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
 	defer cancel()
+	if owner && b.slow() && b.advanceLocked(ctx, of, call) {
+		return nil // recordLoop draws it in the background
+	}
 	err := table.ErrUnavailable
 	// A draw that only records what was granted ahead of the row needs no tokens.
 	if !owner || !b.away(budgetKey(call.Program)) {
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -10,6 +10,7 @@
 
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/standin"
+	"github.com/buckthornroute/buckthornroute/structs"
 )
 
 func turnHeader(program string, total, most int) map[string]string {
@@ -221,3 +222,42 @@
 		t.Errorf("%d turns ran", n)
 	}
 }
+
+// TestSlowTableHoldsNoFirstTurn: a table that takes 250 ms for an answer is not waited
+// for; what was granted is recorded afterwards.
+func TestSlowTableHoldsNoFirstTurn(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	other := startEntry(t, "entry-2", p.p.Table)
+	eventually(t, "the entries know each other", func() bool { return e.mesh.owns() && other.mesh.owns() && e.mesh.size() == 2 && other.mesh.size() == 2 })
+	p.fault(standin.Fault{Kind: standin.FaultSlow, Delay: structs.Duration(250 * time.Millisecond)})
+	// own returns the next program whose budget the first entry counts.
+	n := 0
+	own := func() string {
+		for {
+			n++
+			if program := fmt.Sprintf("p%d", n); e.mesh.owner(program) == nil {
+				return program
+			}
+		}
+	}
+	eventually(t, "the entry knows that the table is slow", func() bool {
+		e.call("POST", "/ask/1", "x", turnHeader(own(), 500, 50))
+		return e.link.slow()
+	})
+	program := own()
+	start := time.Now()
+	if r := e.call("POST", "/ask/1", "x", turnHeader(program, 500, 50)); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	if took := time.Since(start); took > 200*time.Millisecond {
+		t.Errorf("the first turn took %v", took)
+	}
+	eventually(t, "the grant is recorded", func() bool {
+		row, err := p.p.Table.Get(t.Context(), budgetKey(program))
+		if err != nil {
+			return false
+		}
+		budget, _, err := decodeBudget(row)
+		return err == nil && budget.Left() < 500
+	})
+}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -28,6 +28,9 @@
 	directPause = 400 * time.Millisecond
 	// maxVia bounds the entries that one call tries to go through.
 	maxVia = 2
+	// slowTable is the time of an answer from which turns don't wait for draws: some ten
+	// times what is usual.
+	slowTable = 60 * time.Millisecond
 	// troubledFor is how long after a failure other entries may still have grants that the
 	// table does not show: an entry that was paused records its own once it wakes.
 	troubledFor = 6 * time.Second
@@ -105,6 +108,13 @@
 	return l.lost
 }
 
+// slow reports whether the table takes long for each answer.
+func (l *link) slow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usual > slowTable
+}
+
 // troubled reports whether a call has failed lately.
 func (l *link) troubled() bool {
 	l.mu.Lock()
