--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -168,7 +168,7 @@
 			return err
 		}
 		if adaptive {
-			l.learnLatency(time.Since(start), err)
+			l.learnLatency(time.Since(start), timeout, err)
 		}
 		l.noteDirect(part, err)
 		if !failed(err) {
@@ -199,11 +199,11 @@
 }
 
 // learnLatency records how long a call took; one that was given up took longer.
-func (l *link) learnLatency(took time.Duration, err error) {
+func (l *link) learnLatency(took, timeout time.Duration, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	case failed(err) && took >= timeout:
 		l.usual = min(maxTimeout/timeoutFactor, max(2*l.usual, 2*minTimeout/timeoutFactor))
 	case !failed(err):
 		l.usual += time.Duration(latencyWeight * float64(took-l.usual))
