Record the grants of an owner that ended before it could

Witnesses now write what the row lacks two seconds after it can be reached. Ruled out: the owner's own recording (every 250 ms).

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -34,6 +34,9 @@
 	// advanceTimeout bounds the questions and notices to other entries for tokens that are
 	// granted ahead of a row.
 	advanceTimeout = 200 * time.Millisecond
+	// witnessAfter is how long an owner has to record its grants once it can, before the
+	// entries that have heard of them do it: several rounds of its own attempts.
+	witnessAfter = 2 * time.Second
 	// recordInterval is the time between two looks for grants ahead of rows.
 	recordInterval = 250 * time.Millisecond
 )
@@ -77,6 +80,9 @@
 	Granted int    `json:"granted"`
 	// Returned says that tokens were given back, so that Granted replaces a greater count.
 	Returned bool `json:"returned,omitempty"`
+	// Total is the budget; Ahead says that a part of Granted is not in the row yet.
+	Total int  `json:"total,omitempty"`
+	Ahead bool `json:"ahead,omitempty"`
 }
 
 // reserveCall asks the owner to set aside the most of a turn.
@@ -154,6 +160,11 @@
 type knownGrant struct {
 	granted int
 	at      time.Time
+	total   int
+	// ahead says that a part of it was not in the row; reachable is since when the row
+	// could be reached, after which the owner should have recorded it.
+	ahead     bool
+	reachable time.Time
 }
 
 type budget struct {
@@ -376,7 +387,7 @@
 		err = drawErr
 		if err == nil {
 			of.account.Drawn(state, lump)
-			go b.owners.tell(context.WithoutCancel(ctx), grantNotice{Program: call.Program, Granted: call.Total - left})
+			go b.owners.tell(context.WithoutCancel(ctx), grantNotice{Program: call.Program, Granted: call.Total - left, Total: call.Total})
 			return nil
 		}
 	}
@@ -420,7 +431,7 @@
 	if !ok {
 		return false
 	}
-	notice := grantNotice{Program: call.Program, Granted: of.account.Known() + need}
+	notice := grantNotice{Program: call.Program, Granted: of.account.Known() + need, Total: call.Total, Ahead: true}
 	b.mu.Unlock()
 	heard := b.owners.tell(ctx, notice)
 	b.mu.Lock()
@@ -438,7 +449,7 @@
 	if n.Returned {
 		granted = n.Granted
 	}
-	b.known[n.Program] = knownGrant{granted, time.Now()}
+	b.known[n.Program] = knownGrant{granted: granted, at: time.Now(), total: n.Total, ahead: n.Ahead}
 }
 
 // knows returns what this entry knows to have been granted for a program.
@@ -470,7 +481,13 @@
 	b.mu.Unlock()
 	out := make([]grantNotice, 0, len(programs))
 	for _, program := range programs {
-		out = append(out, grantNotice{Program: program, Granted: b.knows(program)})
+		n := grantNotice{Program: program, Granted: b.knows(program)}
+		b.mu.Lock()
+		if k, also := b.known[program]; also {
+			n.Total, n.Ahead = k.total, k.ahead
+		}
+		b.mu.Unlock()
+		out = append(out, n)
 	}
 	return out
 }
@@ -564,6 +581,66 @@
 		for _, call := range b.unrecorded() {
 			go b.record(ctx, call)
 		}
+		for _, n := range b.orphaned(time.Now()) {
+			go b.witness(ctx, n)
+		}
+	}
+}
+
+// orphaned lists the grants ahead of rows that this entry has heard of and that their
+// owner, which may have ended, has not recorded for a while though it could.
+func (b *budgets) orphaned(now time.Time) []grantNotice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []grantNotice
+	for program, k := range b.known {
+		if !k.ahead || k.total <= 0 {
+			continue
+		}
+		switch {
+		case b.away(budgetKey(program)):
+			k.reachable = time.Time{}
+		case k.reachable.IsZero():
+			k.reachable = now
+		case now.Sub(k.reachable) > witnessAfter:
+			k.reachable = now
+			out = append(out, grantNotice{Program: program, Granted: k.granted, Total: k.total})
+		}
+		b.known[program] = k
+	}
+	return out
+}
+
+// witness records what a program was granted, in place of its owner.
+func (b *budgets) witness(ctx context.Context, n grantNotice) {
+	ctx, cancel := context.WithTimeout(ctx, witnessAfter)
+	defer cancel()
+	key := budgetKey(n.Program)
+	for range maxDrawTries {
+		row, version, err := b.read(ctx, key, n.Total)
+		if err != nil {
+			return // it is tried again after witnessAfter
+		}
+		next, changed := row.Witness(n.Granted)
+		if changed {
+			err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
+		}
+		if err == nil {
+			b.witnessed(n, changed)
+			return
+		}
+	}
+}
+
+func (b *budgets) witnessed(n grantNotice, changed bool) {
+	if changed {
+		b.commits.metrics.grantsWitnessed.Inc(1)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k := b.known[n.Program]; k.granted == n.Granted {
+		k.ahead = false
+		b.known[n.Program] = k
 	}
 }
 
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -261,3 +261,29 @@
 		return err == nil && budget.Left() < 500
 	})
 }
+
+// TestGrantsOfADeadOwnerAreRecorded: the owner ends with grants ahead of the row; those
+// that heard of them record them, so that they count even when all entries end.
+func TestGrantsOfADeadOwnerAreRecorded(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	other := startEntry(t, "entry-2", p.p.Table)
+	eventually(t, "the entries know each other", func() bool {
+		return e.mesh.owns() && other.mesh.owns() && e.mesh.size() == 2 && other.mesh.size() == 2
+	})
+	program := "p0"
+	for n := 1; e.mesh.owner(program) != nil; n++ {
+		program = fmt.Sprintf("p%d", n)
+	}
+	// What a dead owner has told and not recorded.
+	if !e.mesh.tell(t.Context(), grantNotice{Program: program, Granted: 150, Total: 500, Ahead: true}) {
+		t.Fatal("nobody heard it")
+	}
+	eventually(t, "the other entry records it", func() bool {
+		row, err := p.p.Table.Get(t.Context(), budgetKey(program))
+		if err != nil {
+			return false
+		}
+		budget, _, err := decodeBudget(row)
+		return err == nil && budget.Left() == 350
+	})
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -154,7 +154,7 @@
 		c.m.g.budgets.settleHere(call)
 		reply(callAnswer{})
 	case callGranted:
-		n := grantNotice{Program: p.text(), Granted: int(p.uvarint()), Returned: p.uvarint() == 1}
+		n := p.notice()
 		if p.bad {
 			return false
 		}
@@ -285,13 +285,7 @@
 		}
 		asked++
 		go func() {
-			returned := uint64(0)
-			if n.Returned {
-				returned = 1
-			}
-			b := appendText(append(make([]byte, 0, 48), callGranted), n.Program)
-			b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(max(0, n.Granted))), returned)
-			_, err := m.calls.ask(ctx, p, b)
+			_, err := m.calls.ask(ctx, p, n.append(append(make([]byte, 0, 48), callGranted)))
 			heard <- err == nil
 		}()
 	}
@@ -303,6 +297,33 @@
 	return false
 }
 
+// Flags of a notice.
+const (
+	noticeReturned = 1 << iota
+	noticeAhead
+)
+
+// append encodes a notice.
+func (n grantNotice) append(b []byte) []byte {
+	flags := uint64(0)
+	if n.Returned {
+		flags |= noticeReturned
+	}
+	if n.Ahead {
+		flags |= noticeAhead
+	}
+	b = binary.AppendUvarint(appendText(b, n.Program), uint64(max(0, n.Granted)))
+	return binary.AppendUvarint(binary.AppendUvarint(b, uint64(max(0, n.Total))), flags)
+}
+
+// notice reads a notice.
+func (p *packet) notice() grantNotice {
+	n := grantNotice{Program: p.text(), Granted: int(p.uvarint()), Total: int(p.uvarint())}
+	flags := p.uvarint()
+	n.Returned, n.Ahead = flags&noticeReturned != 0, flags&noticeAhead != 0
+	return n
+}
+
 // learn implements budgetOwners. Of the entries that lived lately, each that ranked
 // among the first for the program has heard of its grants; one that has been there all
 // along is enough to know them. When all of them live, no other entry can take itself
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,11 +8,11 @@
 
 // metrics are the counters and histograms of a gateway.
 type metrics struct {
-	requests, answered, refused, failed, gone                  tally.Counter
-	resent, connections, commits, digestErrors                 tally.Counter
-	notFound, budgetSpent, turnsKept, turnsNotKept             tally.Counter
-	settlesLost, lumpsLost, advancesUnrecorded, rowsNotExpired tally.Counter
-	latency, firstEvent, commitLatency, waitLatency            tally.Histogram
+	requests, answered, refused, failed, gone                                   tally.Counter
+	resent, connections, commits, digestErrors                                  tally.Counter
+	notFound, budgetSpent, turnsKept, turnsNotKept                              tally.Counter
+	settlesLost, lumpsLost, advancesUnrecorded, rowsNotExpired, grantsWitnessed tally.Counter
+	latency, firstEvent, commitLatency, waitLatency                             tally.Histogram
 }
 
 // latencyBuckets reach from 1 ms to some 8 s.
@@ -27,8 +27,8 @@
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsKept: s.Counter("turns_kept"), turnsNotKept: s.Counter("turns_not_kept"),
 		settlesLost: s.Counter("settles_lost"), lumpsLost: s.Counter("budget_lumps_lost"), advancesUnrecorded: s.Counter("budget_advances_unrecorded"),
-		rowsNotExpired: s.Counter("rows_not_expired"),
-		latency:        s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
+		rowsNotExpired: s.Counter("rows_not_expired"), grantsWitnessed: s.Counter("budget_grants_witnessed"),
+		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets), waitLatency: s.Histogram("wait", latencyBuckets),
 	}
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -208,3 +208,14 @@
 		t.Fatalf("recording its own grants drew %d", lump)
 	}
 }
+
+func TestWitnessRecordsWhatIsMissing(t *testing.T) {
+	row := Row{Total: 1000, Drawn: map[string]int{"a": 300}}
+	next, changed := row.Witness(500)
+	if !changed || next.Left() != 500 {
+		t.Fatalf("%d are left of 1000 after 500 were granted", next.Left())
+	}
+	if _, changed = next.Witness(500); changed {
+		t.Fatal("a second witness records it again")
+	}
+}
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -70,6 +70,25 @@
 	return next, lump
 }
 
+// witnessHolder stands in rows for what an entry was granted that ended before it had
+// recorded that itself.
+const witnessHolder = "witness"
+
+// Witness returns the row after all that is known to have been granted is in it, and
+// whether that changes it.
+func (r Row) Witness(granted int) (Row, bool) {
+	missing := granted - (r.Total - r.Left())
+	if missing <= 0 {
+		return r, false
+	}
+	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+1)}
+	for h, n := range r.Drawn {
+		next.Drawn[h] = n
+	}
+	next.Drawn[witnessHolder] += missing
+	return next, true
+}
+
 // Return returns the row after holder has given back tokens that it had drawn.
 func (r Row) Return(holder string, tokens int) Row {
 	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn))}
