Divide the budgets by concern, drop settings that nothing reads

No behaviour changes. The settings peers, settle_time and table_reads_per_second were checked and never used.

--- /dev/null
+++ b/internal/gateway/budgetdraw.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/ledger"
+)
+
+// partOf returns the part of the row of an id.
+func partOf(id string) string {
+	return strconv.FormatUint(xxhash.Sum64String(id)%rowParts, 16)
+}
+
+func budgetKey(program string) string { return "budgets/" + partOf(program) + "/" + program }
+
+// awaitLocked waits for the draw under way.
+func (b *budgets) awaitLocked(ctx context.Context, of *budget) error {
+	drawing := of.drawing
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	select {
+	case <-drawing:
+		return nil
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), table.ErrUnavailable)
+	}
+}
+
+// drawLocked draws a lump from the program's row; the lock is released meanwhile. While
+// the row can't be reached it grants tokens ahead of it instead.
+func (b *budgets) drawLocked(ctx context.Context, of *budget, call reserveCall, owner bool) error {
+	of.drawing = make(chan struct{})
+	defer func() {
+		close(of.drawing)
+		of.drawing = nil
+	}()
+	// Other turns wait for the draw too, so it outlives the call that began it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
+	defer cancel()
+	if owner && b.slow() && b.advanceLocked(ctx, of, call) {
+		return nil // recordLoop draws it in the background
+	}
+	err := table.ErrUnavailable
+	// A draw that only records what was granted ahead of the row needs no tokens.
+	if !owner || !b.away(budgetKey(call.Program)) {
+		b.learnLocked(ctx, of, call.Program)
+		state := of.account.Drawing(call.Most)
+		b.mu.Unlock()
+		lump, left, drawErr := b.draw(ctx, call.Program, call.Total, state)
+		b.mu.Lock()
+		err = drawErr
+		if err == nil {
+			of.account.Drawn(state, lump)
+			go b.owners.tell(context.WithoutCancel(ctx), grantNotice{Program: call.Program, Granted: call.Total - left, Total: call.Total})
+			return nil
+		}
+	}
+	if owner && failed(err) && b.advanceLocked(ctx, of, call) {
+		return nil
+	}
+	return err
+}
+
+// draw takes the tokens asked for or more from the program's row, and returns what is
+// left there too. The lump is zero when the row does not hold them.
+func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (lump, left int, err error) {
+	key := budgetKey(program)
+	row, version := ledger.Row{Total: total}, table.Absent
+	if d.Recorded > 0 {
+		if row, version, err = b.read(ctx, key, total); err != nil {
+			return 0, 0, err
+		}
+	}
+	for range maxDrawTries {
+		if had := row.Drawn[b.holder]; had > d.Recorded {
+			// An earlier draw of this entry went through though its answer was lost.
+			return had - d.Recorded, row.Left(), nil
+		}
+		var next ledger.Row
+		if next, lump = row.Draw(b.holder, d); lump == 0 {
+			return 0, 0, nil
+		}
+		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
+		if err == nil {
+			if version == table.Absent {
+				b.expiry.add(key, budgetIdle)
+			}
+			return lump, next.Left(), nil
+		}
+		if row, version, err = b.afterFailure(ctx, key, total, err); err != nil {
+			return 0, 0, err
+		}
+	}
+	return 0, 0, errors.Mark(errors.New("budget row changes too fast"), table.ErrUnavailable)
+}
+
+// afterFailure returns the row as it is after a swap that failed or whose outcome is unknown.
+func (b *budgets) afterFailure(ctx context.Context, key string, total int, err error) (ledger.Row, int64, error) {
+	var conflict *table.Conflict
+	if errors.As(err, &conflict) {
+		for _, r := range conflict.Rows {
+			if r.Key == key {
+				return decodeBudget(r)
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		return ledger.Row{}, 0, err
+	}
+	return b.read(ctx, key, total)
+}
+
+func (b *budgets) read(ctx context.Context, key string, total int) (ledger.Row, int64, error) {
+	r, err := b.table.Get(ctx, key)
+	if errors.Is(err, table.ErrNotFound) {
+		return ledger.Row{Total: total}, table.Absent, nil
+	}
+	if err != nil {
+		return ledger.Row{}, 0, err
+	}
+	return decodeBudget(r)
+}
+
+func decodeBudget(r table.Row) (ledger.Row, int64, error) {
+	row, err := ledger.DecodeRow(r.Value)
+	return row, r.Version, err
+}
+
+// forgetIdle drops accounts that no turn has used for a while.
+func (b *budgets) forgetIdle(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for program, of := range b.accounts {
+		if of.drawing == nil && now.Sub(of.used) > budgetIdle {
+			delete(b.accounts, program)
+		}
+	}
+	for program, k := range b.known {
+		if now.Sub(k.at) > budgetIdle {
+			delete(b.known, program)
+		}
+	}
+}
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -364,7 +364,7 @@
 	// The last upstream that may be tried is given all the time that is left.
 	slow := func(w http.ResponseWriter, r *http.Request) {
 		events(0, 0, false)(w, r)
-		time.Sleep(900 * time.Millisecond)
+		<-time.After(900 * time.Millisecond)
 		events(1, 1, false)(w, r)
 	}
 	_, e, _, _ := newSystem(t, notRun, slow)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -191,8 +191,8 @@
 	return &settings.Gateway{
 		Node: structs.NodeID(node), FailureDomain: "z", FirstStart: true,
 		ListenCallers: freeAddress(t), ListenReady: freeAddress(t), ListenMesh: freeAddress(t), ListenDigests: freeAddress(t),
-		TableWritesPerSecond: 800, TableReadsPerSecond: 2000, TableRowBytes: 65536, MemoryMB: 200,
-		ShutdownGrace: structs.Duration(4 * time.Second), SettleTime: structs.Duration(time.Second),
+		TableWritesPerSecond: 800, TableRowBytes: 65536, MemoryMB: 200,
+		ShutdownGrace:   structs.Duration(4 * time.Second),
 		OutageListGrace: structs.Duration(300 * time.Millisecond),
 		Log:             settings.Log{Format: "json", Level: "info"},
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -21,22 +21,17 @@
 	ListenMesh string `toml:"listen_mesh"`
 	// ListenDigests is the address for other entries' digests, by UDP. Required.
 	ListenDigests string `toml:"listen_digests"`
-	// Peers are addresses of other entries to start from; they may be stale. Default: none.
-	Peers []string `toml:"peers"`
 	// TableAddress is the address of the platform's table. Required.
 	TableAddress string `toml:"table_address"`
-	// TableWritesPerSecond and TableReadsPerSecond are what all entries together may
-	// ask of the table. Required.
+	// TableWritesPerSecond is the transactions that all entries together may ask of the
+	// table. Required.
 	TableWritesPerSecond int `toml:"table_writes_per_second"`
-	TableReadsPerSecond  int `toml:"table_reads_per_second"`
 	// TableRowBytes bounds the value of a row. Default 65536.
 	TableRowBytes int `toml:"table_row_bytes"`
 	// MemoryMB is the memory that the process may use. Required.
 	MemoryMB int `toml:"memory_mb"`
 	// ShutdownGrace is the time between the signal to stop and the end by force. Required.
 	ShutdownGrace structs.Duration `toml:"shutdown_grace"`
-	// SettleTime is how long the tokens of a turn that broke off may stay reserved. Required.
-	SettleTime structs.Duration `toml:"settle_time"`
 	// OutageListGrace is how long after the table's return an upstream that is missing
 	// from it is still believed in. Default 2s.
 	OutageListGrace structs.Duration `toml:"outage_list_grace"`
@@ -63,16 +58,11 @@
 	c.address("listen_ready", s.ListenReady)
 	c.address("listen_mesh", s.ListenMesh)
 	c.address("listen_digests", s.ListenDigests)
-	for i, p := range s.Peers {
-		c.address(at("peers", i, "address"), p)
-	}
 	c.address("table_address", s.TableAddress)
 	c.positive("table_writes_per_second", int64(s.TableWritesPerSecond))
-	c.positive("table_reads_per_second", int64(s.TableReadsPerSecond))
 	c.positive("table_row_bytes", int64(s.TableRowBytes))
 	c.positive("memory_mb", int64(s.MemoryMB))
 	c.duration("shutdown_grace", s.ShutdownGrace)
-	c.duration("settle_time", s.SettleTime)
 	c.duration("outage_list_grace", s.OutageListGrace)
 	s.Telemetry.check(c)
 	s.Log.check(c)
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -16,13 +16,10 @@
 listen_ready = "10.1.0.38:8141"
 listen_mesh = "10.1.0.38:8144"
 listen_digests = "10.1.0.38:7380"
-peers = ["10.2.0.40:8144"]
 table_address = "10.200.1.7:8142"
 table_writes_per_second = 800
-table_reads_per_second = 2000
 memory_mb = 154
 shutdown_grace = "8s"
-settle_time = "1000ms"
 
 [telemetry]
 metrics = "10.1.0.38:9464"
@@ -42,7 +39,6 @@
 		{`memory_mb = 154`, `memory_mb = 0`, "memory_mb"},
 		{`memory_mb = 154`, `memory_gb = 1`, "memory_gb"},
 		{`shutdown_grace = "8s"`, `shutdown_grace = 8`, "shutdown_grace"},
-		{`peers = ["10.2.0.40:8144"]`, `peers = ["nobody"]`, "peers[0].address"},
 		{`table_writes_per_second = 800`, `table_writes_per_second = "many"`, "table_writes_per_second"},
 	} {
 		_, err := ParseGateway([]byte(strings.Replace(goodGateway, c.old, c.new, 1)), "f.toml")
--- a/internal/soak/entry_test.go
+++ b/internal/soak/entry_test.go
@@ -63,10 +63,8 @@
 listen_digests = %q
 table_address = %q
 table_writes_per_second = 800
-table_reads_per_second = 2000
 memory_mb = 200
 shutdown_grace = "%v"
-settle_time = "1s"
 `, e.name, first, e.callers, e.ready, e.mesh, e.digests, e.store, grace)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
