Answer an empty stream as unknown; send nothing for a caller that has left

Found by reading the diff: a stream that ended without an event was refused as not run though its upstream ran it (the new test failed with 503 before); a call whose caller left while it waited for its budget could still reach an upstream.

--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -360,6 +360,14 @@
 	_ = a
 }
 
+// TestEmptyStreamIsNoRefusal: the upstream ran the turn and made no event.
+func TestEmptyStreamIsNoRefusal(t *testing.T) {
+	_, e, _, _ := newSystem(t, notRun, events(0, -1, false))
+	if r := e.call("POST", "/draft/1", "x", nil); r.status != http.StatusBadGateway {
+		t.Fatalf("%+v", r)
+	}
+}
+
 func TestStreamPausesAreNotCut(t *testing.T) {
 	// The last upstream that may be tried is given all the time that is left.
 	slow := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,7 +12,7 @@
 	resent, connections, commits, digestErrors                                  tally.Counter
 	notFound, budgetSpent, turnsKept, turnsNotKept                              tally.Counter
 	settlesLost, lumpsLost, advancesUnrecorded, rowsNotExpired, grantsWitnessed tally.Counter
-	latency, firstEvent, commitLatency, waitLatency                             tally.Histogram
+	latency, firstEvent, commitLatency                                          tally.Histogram
 }
 
 // latencyBuckets reach from 1 ms to some 8 s.
@@ -29,6 +29,6 @@
 		settlesLost: s.Counter("settles_lost"), lumpsLost: s.Counter("budget_lumps_lost"), advancesUnrecorded: s.Counter("budget_advances_unrecorded"),
 		rowsNotExpired: s.Counter("rows_not_expired"), grantsWitnessed: s.Counter("budget_grants_witnessed"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
-		commitLatency: s.Histogram("commit", latencyBuckets), waitLatency: s.Histogram("wait", latencyBuckets),
+		commitLatency: s.Histogram("commit", latencyBuckets),
 	}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -23,6 +23,9 @@
 	j.work = routing.Work{Object: j.call.Object, Domain: string(g.cfg.FailureDomain)}
 	for {
 		res, err := g.send(ctx, j, nil)
+		if res == nil && g.callerGone(ctx, j, err) {
+			return
+		}
 		if err != nil {
 			g.giveUp(w, j, noSendReason(err), err)
 			return
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,6 +49,9 @@
 // send chooses an upstream and sends the call there, from lastEvent on. The caller must
 // end the result with finish.
 func (g *Gateway) send(ctx context.Context, j *job, lastEvent *int64) (*result, error) {
+	if ctx.Err() != nil {
+		return nil, errCallerGone
+	}
 	if g.quarantined(j) {
 		return nil, errQuarantined
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -162,6 +162,10 @@
 	from := j.call.LastEvent
 	for {
 		res, err := g.send(ctx, j, from)
+		if res == nil && g.callerGone(ctx, j, err) {
+			s.abort()
+			return
+		}
 		if err != nil {
 			s.abandon(noSendReason(err), err)
 			return
@@ -294,6 +298,7 @@
 func (s *stream) complete(ctx context.Context) {
 	g, j := s.g, s.j
 	if !s.started {
+		j.mayHaveRun = true
 		g.giveUp(s.w, j, "empty_stream", nil)
 		return
 	}
