Keep a dead owner's grants in view when the next owner draws

The next owner drew the rest and told the row's count alone, which hid the dead owner's grants from the witnesses and from the draw after it. And the question what was granted took the first answer, though a grant is told to one of two entries at least; all that live must answer now. Ruled out: the draws themselves (swaps).

--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -57,7 +57,7 @@
 		err = drawErr
 		if err == nil {
 			of.account.Drawn(state, lump)
-			go b.owners.tell(context.WithoutCancel(ctx), grantNotice{Program: call.Program, Granted: call.Total - left, Total: call.Total})
+			go b.owners.tell(context.WithoutCancel(ctx), drawNotice(call, of.account.Known(), left))
 			return nil
 		}
 	}
@@ -67,6 +67,13 @@
 	return err
 }
 
+// drawNotice tells of a draw after which left tokens are in the row. What another entry
+// was granted ahead of the row, and has not recorded, is still ahead of it.
+func drawNotice(call reserveCall, known, left int) grantNotice {
+	recorded := call.Total - left
+	return grantNotice{Program: call.Program, Granted: max(recorded, known), Total: call.Total, Ahead: known > recorded}
+}
+
 // draw takes the tokens asked for or more from the program's row, and returns what is
 // left there too. The lump is zero when the row does not hold them.
 func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (lump, left int, err error) {
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -10,6 +10,7 @@
 
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/standin"
+	"github.com/buckthornroute/buckthornroute/ledger"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -287,3 +288,24 @@
 		return err == nil && budget.Left() == 350
 	})
 }
+
+// TestDrawBesideGrantsOfADeadOwner: the owner died with 1000 of 1725 tokens granted ahead
+// of the row. The next owner draws the rest, and what it tells keeps both in view.
+func TestDrawBesideGrantsOfADeadOwner(t *testing.T) {
+	call := reserveCall{Program: "p", Total: 1725, Most: 575}
+	row := ledger.Row{Total: call.Total}
+	next := ledger.NewAccount(call.Total)
+	next.Learn(1000)
+	d := next.Drawing(call.Most)
+	row, lump := row.Draw("next", d)
+	next.Drawn(d, lump)
+	told := drawNotice(call, next.Known(), row.Left())
+	if told.Granted != 1000+lump || !told.Ahead {
+		t.Fatalf("told %+v after a draw of %d beside 1000 that are not in the row", told, lump)
+	}
+	third := ledger.NewAccount(call.Total)
+	third.Learn(told.Granted)
+	if _, more := row.Draw("third", third.Drawing(call.Most)); more+lump+1000 > call.Total {
+		t.Fatalf("1000, %d and %d tokens were granted of %d", lump, more, call.Total)
+	}
+}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -137,9 +137,9 @@
 }
 
 // learn implements budgetOwners. Of the entries that lived lately, each that ranked
-// among the first for the program has heard of its grants; one that has been there all
-// along is enough to know them. When all of them live, no other entry can take itself
-// for the owner unheard.
+// among the first for the program may have heard of its grants, and one that has been there
+// all along has. When all of them live, no other entry can take itself for the owner
+// unheard.
 func (m *mesh) learn(ctx context.Context, program string) (int, knowledge) {
 	now := time.Now()
 	lately := func(p *peer) bool { return now.Sub(p.heard) < ownerSettled || now.Sub(p.listed) < ownerSettled }
@@ -157,14 +157,28 @@
 			all = false
 		}
 	}
+	// A grant is told to one of them at least, so each that lives must answer.
+	answers := make(chan int, len(ask))
 	for _, p := range ask {
-		if knows != knowsNothing {
-			break
-		}
-		n, err := m.calls.askNumber(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
-		if err == nil {
-			granted, knows = max(granted, n), knowsGrants
-		}
+		go func() {
+			n, err := m.calls.askNumber(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
+			if err != nil {
+				n = noAnswer
+			}
+			answers <- n
+		}()
+	}
+	answered := true
+	for range ask {
+		n := <-answers
+		answered = answered && n != noAnswer
+		granted = max(granted, n)
+	}
+	switch {
+	case !answered:
+		return granted, knowsNothing
+	case len(ask) > 0:
+		knows = knowsGrants
 	}
 	if knows == knowsGrants && all {
 		knows = knowsAlone
@@ -172,6 +186,9 @@
 	return granted, knows
 }
 
+// noAnswer stands for an entry that did not say what it knows.
+const noAnswer = -1
+
 // settle makes this entry one that has been there all along: it learns what those that
 // have been know.
 func (m *mesh) settle(ctx context.Context) {
