Bound how long a caller may take to read its answer

Found by reading the path: a caller that does not read held its handler and a place at an upstream until it closed. Writes now end a second after the call's deadline; the test plays a caller that never reads.

--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -10,6 +10,14 @@
 // knowledge is how much an owner knows of a program's grants.
 type knowledge uint8
 
+const (
+	knowsNothing knowledge = iota
+	// knowsGrants: nothing is missing, unless another entry takes itself for the owner.
+	knowsGrants
+	// knowsAlone: no other entry does.
+	knowsAlone
+)
+
 // grantNotice says how many tokens of a program's budget entries were granted in all.
 type grantNotice struct {
 	Program string `json:"program"`
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -54,14 +54,6 @@
 	tell(ctx context.Context, n grantNotice) bool
 }
 
-const (
-	knowsNothing knowledge = iota
-	// knowsGrants: nothing is missing, unless another entry takes itself for the owner.
-	knowsGrants
-	// knowsAlone: no other entry does.
-	knowsAlone
-)
-
 // reserveCall asks the owner to set aside the most of a turn.
 type reserveCall struct {
 	Program string
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -28,6 +28,8 @@
 	// answerSlack is how long after a call's deadline its answer is still read: an
 	// upstream says at the deadline what became of the call.
 	answerSlack = 150 * time.Millisecond
+	// writeSlack is how long after a call's deadline its caller may still take the answer.
+	writeSlack = time.Second
 	// documentTrust is how old the last word on the document may be for the entry to say
 	// that there is no such route.
 	documentTrust = 2 * time.Second
@@ -101,6 +103,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{request: r, start: time.Now()}
+	g.boundWrites(w, j, j.start.Add(defaultPatience))
 	var err error
 	if j.call, err = platform.DecodeCall(r.Header); err != nil {
 		g.reject(w, j, http.StatusBadRequest, "bad_request", err)
@@ -151,9 +154,18 @@
 		patience = min(patience, j.route.Timeout)
 	}
 	j.deadline = j.start.Add(patience)
+	g.boundWrites(w, j, j.deadline.Add(writeSlack))
 	return true
 }
 
+// boundWrites sets until when the caller must have taken the answer: one that does not
+// read holds a place at an upstream no longer than it may.
+func (g *Gateway) boundWrites(w http.ResponseWriter, j *job, until time.Time) {
+	if err := http.NewResponseController(w).SetWriteDeadline(until); err != nil {
+		g.line("write_deadline_not_set", j).Err(err).End()
+	}
+}
+
 // service chooses the service by the weights of the route's backends. The calls of one
 // program or object go to the same one, where its prompts are cached.
 func (g *Gateway) service(j *job) string {
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -380,3 +380,35 @@
 		t.Fatalf("%+v", r)
 	}
 }
+
+// TestCallerThatDoesNotRead: an answer that its caller does not take ends soon after the
+// call's deadline, and the upstream's place is free again.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	left := make(chan struct{})
+	flood := func(w http.ResponseWriter, r *http.Request) {
+		defer close(left)
+		w.Header().Set("X-Response-Seal", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		piece := strings.Repeat("x", 64<<10)
+		for i := 0; r.Context().Err() == nil; i++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, piece); err != nil {
+				return
+			}
+		}
+	}
+	_, e, _, _ := newSystem(t, notRun, flood)
+	c, err := net.Dial("tcp", e.cfg.ListenCallers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := fmt.Fprintf(c, "POST /ask/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Timeout-Ms: 500\r\nContent-Length: 0\r\n\r\n", newID()); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-left:
+	case <-time.After(4 * time.Second):
+		t.Fatal("the upstream still sends")
+	}
+	eventually(t, "the call is over", func() bool { return e.inFlight.Load() == 0 })
+}
