Free reservations that nobody waits for; keep grants ahead of rows in witnesses' view

The asker now ends what it asked for, before or after it is granted, and only an owner says that a budget is spent. Also: the tests' entries try again when another test has taken their address, which failed one run of TestDrainingUpstreamGetsNothing; its own error was not shown before.

--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -91,7 +91,9 @@
 	if n.Returned {
 		granted = n.Granted
 	}
-	b.known[n.Program] = knownGrant{granted: granted, at: time.Now(), total: n.Total, ahead: n.Ahead}
+	// A notice that says less than is known leaves what was ahead of the row there.
+	ahead := n.Ahead || b.known[n.Program].ahead && n.Granted < granted
+	b.known[n.Program] = knownGrant{granted: granted, at: time.Now(), total: max(n.Total, b.known[n.Program].total), ahead: ahead}
 }
 
 // knows returns what this entry knows to have been granted for a program.
--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -91,7 +91,7 @@
 		}
 		var next ledger.Row
 		if next, lump = row.Draw(b.holder, d); lump == 0 {
-			return 0, 0, nil
+			return 0, row.Left(), nil
 		}
 		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
 		if err == nil {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -128,8 +128,10 @@
 
 type budget struct {
 	account *ledger.Account
-	// open are the reservations by their ids, with the most of each.
-	open map[string]int
+	// open are the reservations by their ids, with the most of each; ended are those that
+	// were settled, maybe before they were granted: who asked for one may have given up.
+	open  map[string]int
+	ended map[string]bool
 	// drawing is closed when the draw under way ends; nil when none is.
 	drawing  chan struct{}
 	used     time.Time
@@ -175,9 +177,14 @@
 	case at == nil:
 		answer, err = b.grant(ctx, call, true)
 	case errors.Is(err, errPeer):
-		// Any entry may draw from the row; only the owner grants ahead of it.
+		// The owner may still grant what it was asked for; nobody waits for that.
+		go b.tellSettled(context.WithoutCancel(ctx), at, settleCall{Program: call.Program, ID: call.ID})
+		// Any entry may draw from the row; only the owner grants ahead of it, and only the
+		// owner can say that nothing is left.
 		at = nil
-		answer, err = b.grant(ctx, call, false)
+		if answer, err = b.grant(ctx, call, false); answer.verdict == reserveSpent {
+			answer.verdict, err = reserveUnknown, errPeer
+		}
 	}
 	switch answer.verdict {
 	case reserveGranted:
@@ -185,6 +192,9 @@
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
+		if err == nil {
+			err = table.ErrUnavailable
+		}
 		return nil, errors.Mark(errors.Wrap(err, "budget can't be told"), table.ErrUnavailable)
 	}
 }
@@ -200,14 +210,14 @@
 		r.b.settleHere(s)
 		return
 	}
-	go r.b.tellSettled(r.at, s)
+	go r.b.tellSettled(context.Background(), r.at, s)
 }
 
 // tellSettled tells the owner, which counts the most of the turn until it hears it.
-func (b *budgets) tellSettled(at *peer, s settleCall) {
+func (b *budgets) tellSettled(ctx context.Context, at *peer, s settleCall) {
 	for range settleTries {
-		ctx, cancel := context.WithTimeout(context.Background(), settleRetry)
-		err := b.owners.settleAt(ctx, at, s)
+		once, cancel := context.WithTimeout(ctx, settleRetry)
+		err := b.owners.settleAt(once, at, s)
 		cancel()
 		if err == nil {
 			return
@@ -224,6 +234,7 @@
 	if of == nil {
 		return
 	}
+	of.ended[s.ID] = true
 	if most, ok := of.open[s.ID]; ok {
 		delete(of.open, s.ID)
 		of.account.Settle(most, s.Used)
@@ -243,7 +254,7 @@
 func (b *budgets) accountLocked(call reserveCall) *budget {
 	of := b.accounts[call.Program]
 	if of == nil {
-		of = &budget{account: ledger.NewAccount(call.Total), open: map[string]int{}, ranAt: map[string]string{}}
+		of = &budget{account: ledger.NewAccount(call.Total), open: map[string]int{}, ended: map[string]bool{}, ranAt: map[string]string{}}
 		b.accounts[call.Program] = of
 	}
 	of.used = time.Now()
@@ -277,6 +288,8 @@
 	switch {
 	case granted:
 		answer.verdict = reserveGranted
+	case of.ended[call.ID]:
+		answer.verdict = reserveUnknown
 	case of.account.Reserve(call.Most):
 		of.open[call.ID] = call.Most
 		answer.verdict = reserveGranted
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -309,3 +309,45 @@
 		t.Fatalf("1000, %d and %d tokens were granted of %d", lump, more, call.Total)
 	}
 }
+
+// TestReservationOfOneWhoGaveUp: the entry that asked for a reservation has given up when
+// its owner comes to grant it; the tokens stay free for the next turn.
+func TestReservationOfOneWhoGaveUp(t *testing.T) {
+	_, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	eventually(t, "the entry owns budgets", e.mesh.owns)
+	first := reserveCall{Program: "p", ID: "first", Total: 50, Most: 50}
+	e.budgets.mu.Lock()
+	e.budgets.accountLocked(first)
+	e.budgets.mu.Unlock()
+	e.budgets.settleHere(settleCall{Program: "p", ID: "first"})
+	if a, _ := e.budgets.grant(t.Context(), first, true); a.verdict == reserveGranted {
+		t.Error("a reservation that nobody waits for was granted")
+	}
+	if r := e.call("POST", "/ask/1", "x", turnHeader("p", 50, 50)); r.status != http.StatusOK {
+		t.Errorf("the next turn: %+v", r)
+	}
+}
+
+// TestGrantsAheadStayKnown: a notice that says less, such as that of an entry that found
+// nothing to draw, does not hide grants ahead of the row.
+func TestGrantsAheadStayKnown(t *testing.T) {
+	_, e, _, _ := newSystem(t, notRun, notRun)
+	b := e.budgets
+	b.hear(grantNotice{Program: "p", Granted: 1144, Total: 1144, Ahead: true})
+	b.hear(grantNotice{Program: "p", Granted: 500, Total: 1144})
+	b.mu.Lock()
+	k := b.known["p"]
+	b.mu.Unlock()
+	if !k.ahead || k.granted != 1144 {
+		t.Fatalf("%+v", k)
+	}
+	d := ledger.NewAccount(1144)
+	d.Learn(1144)
+	lump, left, err := b.draw(t.Context(), "p", 1144, d.Drawing(572))
+	if err != nil || lump != 0 || left != 1144 {
+		t.Fatalf("drew %d, %d are left in a row that does not exist, %v", lump, left, err)
+	}
+	if n := drawNotice(reserveCall{Program: "p", Total: 1144}, d.Known(), left); !n.Ahead || n.Granted != 1144 {
+		t.Fatalf("told %+v", n)
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -10,9 +10,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
@@ -157,7 +159,8 @@
 	base string
 	log  *syncBuffer
 	stop func()
-	done chan error
+	// err is that of the run, once it has ended.
+	err error
 }
 
 type syncBuffer struct {
@@ -198,8 +201,22 @@
 	}
 }
 
-// startEntry starts a gateway on the table; direct is how it reaches it.
+// startEntry starts a gateway on the table; direct is how it reaches it. Its addresses
+// were free a moment ago, so it is tried again when another test has taken one.
 func startEntry(t *testing.T, node string, direct table.Watcher) *entryOf {
+	t.Helper()
+	for {
+		e, err := tryEntry(t, node, direct)
+		if err == nil {
+			return e
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			t.Fatalf("%v\n%s", err, e.log.String())
+		}
+	}
+}
+
+func tryEntry(t *testing.T, node string, direct table.Watcher) (*entryOf, error) {
 	t.Helper()
 	cfg := testSettings(t, node)
 	log := &syncBuffer{}
@@ -213,18 +230,33 @@
 	g := newGateway(cfg, Environment{Events: emitted, Requests: lines, Telemetry: telemetry.Disabled(), Table: direct})
 	g.notice = time.Millisecond
 	ctx, stop := context.WithCancel(context.Background())
-	e := &entryOf{Gateway: g, t: t, base: "http://" + cfg.ListenCallers, log: log, stop: stop, done: make(chan error, 1)}
-	go func() { e.done <- g.run(ctx) }()
+	ended := make(chan struct{})
+	e := &entryOf{Gateway: g, t: t, base: "http://" + cfg.ListenCallers, log: log, stop: stop}
+	go func() {
+		e.err = g.run(ctx)
+		close(ended)
+	}()
 	t.Cleanup(func() {
 		stop()
-		<-e.done
+		<-ended
 		stopLogging()
 		if t.Failed() {
 			t.Log(log.String())
 		}
 	})
-	eventually(t, "the entry is ready", func() bool { return g.notReady() == "" })
-	return e
+	over := false
+	eventually(t, "the entry is ready", func() bool {
+		select {
+		case <-ended:
+			over = true
+		default:
+		}
+		return over || g.notReady() == ""
+	})
+	if over {
+		return e, e.err
+	}
+	return e, nil
 }
 
 func noScope() tally.Scope { return tally.NoopScope }
