Know grants by the life of the entry that has them

A draw that met the row after another entry's draw took that for the dead owner's grants, and drew them again. Notices, answers, draws and witnesses now name whose grants they are, so that each is held against its own count in the row. This replaces the notices' sums and the test of them by tests of the same cases by holder. Ruled out: the swaps; the owner's own bound.

--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -18,9 +18,11 @@
 	knowsAlone
 )
 
-// grantNotice says how many tokens of a program's budget entries were granted in all.
+// grantNotice says how many tokens of a program's budget one life of an entry was granted
+// in all.
 type grantNotice struct {
 	Program string `json:"program"`
+	Holder  string `json:"holder"`
 	Granted int    `json:"granted"`
 	// Returned says that tokens were given back, so that Granted replaces a greater count.
 	Returned bool `json:"returned,omitempty"`
@@ -29,29 +31,30 @@
 	Ahead bool `json:"ahead,omitempty"`
 }
 
-type knownGrant struct {
-	granted int
-	at      time.Time
+// knownGrants is what was told of one program.
+type knownGrants struct {
 	total   int
-	// ahead says that a part of it was not in the row; reachable is since when the row
-	// could be reached, after which the owner should have recorded it.
-	ahead     bool
+	granted ledger.Grants
+	// ahead are the lives whose grants were not all in the row.
+	ahead map[string]bool
+	at    time.Time
+	// reachable is since when the row could be reached, after which they should have
+	// recorded them.
 	reachable time.Time
 }
 
 // learnLocked takes into account what other entries were granted, as this one has heard
 // or, shortly after trouble with the table, as those say that should know.
 func (b *budgets) learnLocked(ctx context.Context, of *budget, program string) {
-	of.account.Learn(b.known[program].granted)
-	if !b.troubled() {
-		return
+	granted := b.knowsLocked(program)
+	if b.troubled() {
+		ctx, cancel := context.WithTimeout(ctx, advanceTimeout)
+		defer cancel()
+		b.mu.Unlock()
+		granted, _ = b.owners.learn(ctx, program)
+		b.mu.Lock()
 	}
-	ctx, cancel := context.WithTimeout(ctx, advanceTimeout)
-	defer cancel()
-	b.mu.Unlock()
-	granted, _ := b.owners.learn(ctx, program)
-	b.mu.Lock()
-	of.account.Learn(granted)
+	of.account.Learn(granted, b.holder)
 }
 
 // advanceLocked grants tokens ahead of the row when all that was granted for the program
@@ -66,14 +69,14 @@
 	if knows == knowsNothing {
 		return false
 	}
-	of.account.Learn(granted)
+	of.account.Learn(granted, b.holder)
 	need, ok := of.account.AdvanceNeeded(call.Most, ledger.Standing{
 		Alone: knows == knowsAlone, Open: len(of.open), Surging: of.arrivals.Surging(),
 	})
 	if !ok {
 		return false
 	}
-	notice := grantNotice{Program: call.Program, Granted: of.account.Known() + need, Total: call.Total, Ahead: true}
+	notice := b.notice(call, of.account.Granted()+need, true)
 	b.mu.Unlock()
 	heard := b.owners.tell(ctx, notice)
 	b.mu.Lock()
@@ -83,29 +86,46 @@
 	return heard
 }
 
+// notice tells of this life's own grants.
+func (b *budgets) notice(call reserveCall, granted int, ahead bool) grantNotice {
+	return grantNotice{Program: call.Program, Holder: b.holder, Granted: granted, Total: call.Total, Ahead: ahead}
+}
+
 // hear records what another entry was granted.
 func (b *budgets) hear(n grantNotice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	granted := max(n.Granted, b.known[n.Program].granted)
-	if n.Returned {
-		granted = n.Granted
+	k := b.known[n.Program]
+	if k == nil {
+		k = &knownGrants{granted: ledger.Grants{}, ahead: map[string]bool{}}
+		b.known[n.Program] = k
+	}
+	k.at, k.reachable = time.Now(), time.Time{}
+	k.total = max(k.total, n.Total)
+	if n.Granted < k.granted[n.Holder] && !n.Returned {
+		return // overtaken by a later notice
+	}
+	k.granted[n.Holder] = n.Granted
+	k.ahead[n.Holder] = n.Ahead
+	if !n.Ahead {
+		delete(k.ahead, n.Holder)
 	}
-	// A notice that says less than is known leaves what was ahead of the row there.
-	ahead := n.Ahead || b.known[n.Program].ahead && n.Granted < granted
-	b.known[n.Program] = knownGrant{granted: granted, at: time.Now(), total: max(n.Total, b.known[n.Program].total), ahead: ahead}
 }
 
 // knows returns what this entry knows to have been granted for a program.
-func (b *budgets) knows(program string) int {
+func (b *budgets) knows(program string) ledger.Grants {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	granted := b.known[program].granted
-	if of := b.accounts[program]; of != nil {
-		granted = max(granted, of.account.Known())
-		if of.account.Exhausted() {
-			granted = max(granted, of.account.Total())
-		}
+	return b.knowsLocked(program)
+}
+
+func (b *budgets) knowsLocked(program string) ledger.Grants {
+	granted := ledger.Grants{}
+	if k := b.known[program]; k != nil {
+		granted.Merge(k.granted)
+	}
+	if of := b.accounts[program]; of != nil && of.account.Granted() > 0 {
+		granted[b.holder] = of.account.Granted()
 	}
 	return granted
 }
@@ -113,25 +133,17 @@
 // knowsOf returns all that this entry knows, for one that starts.
 func (b *budgets) knowsOf() []grantNotice {
 	b.mu.Lock()
-	programs := make([]string, 0, len(b.known)+len(b.accounts))
-	for program := range b.known {
-		programs = append(programs, program)
-	}
-	for program := range b.accounts {
-		if _, also := b.known[program]; !also {
-			programs = append(programs, program)
+	defer b.mu.Unlock()
+	var out []grantNotice
+	for program, k := range b.known {
+		for holder, n := range k.granted {
+			out = append(out, grantNotice{Program: program, Holder: holder, Granted: n, Total: k.total, Ahead: k.ahead[holder]})
 		}
 	}
-	b.mu.Unlock()
-	out := make([]grantNotice, 0, len(programs))
-	for _, program := range programs {
-		n := grantNotice{Program: program, Granted: b.knows(program)}
-		b.mu.Lock()
-		if k, also := b.known[program]; also {
-			n.Total, n.Ahead = k.total, k.ahead
+	for program, of := range b.accounts {
+		if n := of.account.Granted(); n > 0 {
+			out = append(out, b.notice(reserveCall{Program: program, Total: of.account.Total()}, n, of.account.Advanced() > 0))
 		}
-		b.mu.Unlock()
-		out = append(out, n)
 	}
 	return out
 }
--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -52,12 +52,12 @@
 		b.learnLocked(ctx, of, call.Program)
 		state := of.account.Drawing(call.Most)
 		b.mu.Unlock()
-		lump, left, drawErr := b.draw(ctx, call.Program, call.Total, state)
+		lump, drawErr := b.draw(ctx, call.Program, call.Total, state)
 		b.mu.Lock()
 		err = drawErr
 		if err == nil {
 			of.account.Drawn(state, lump)
-			go b.owners.tell(context.WithoutCancel(ctx), drawNotice(call, of.account.Known(), left))
+			go b.owners.tell(context.WithoutCancel(ctx), b.notice(call, of.account.Granted(), of.account.Advanced() > 0))
 			return nil
 		}
 	}
@@ -67,44 +67,37 @@
 	return err
 }
 
-// drawNotice tells of a draw after which left tokens are in the row. What another entry
-// was granted ahead of the row, and has not recorded, is still ahead of it.
-func drawNotice(call reserveCall, known, left int) grantNotice {
-	recorded := call.Total - left
-	return grantNotice{Program: call.Program, Granted: max(recorded, known), Total: call.Total, Ahead: known > recorded}
-}
-
-// draw takes the tokens asked for or more from the program's row, and returns what is
-// left there too. The lump is zero when the row does not hold them.
-func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (lump, left int, err error) {
+// draw takes the tokens asked for or more from the program's row. It returns zero when
+// the row does not hold them.
+func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (lump int, err error) {
 	key := budgetKey(program)
 	row, version := ledger.Row{Total: total}, table.Absent
 	if d.Recorded > 0 {
 		if row, version, err = b.read(ctx, key, total); err != nil {
-			return 0, 0, err
+			return 0, err
 		}
 	}
 	for range maxDrawTries {
 		if had := row.Drawn[b.holder]; had > d.Recorded {
 			// An earlier draw of this entry went through though its answer was lost.
-			return had - d.Recorded, row.Left(), nil
+			return had - d.Recorded, nil
 		}
 		var next ledger.Row
 		if next, lump = row.Draw(b.holder, d); lump == 0 {
-			return 0, row.Left(), nil
+			return 0, nil
 		}
 		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
 		if err == nil {
 			if version == table.Absent {
 				b.expiry.add(key, budgetIdle)
 			}
-			return lump, next.Left(), nil
+			return lump, nil
 		}
 		if row, version, err = b.afterFailure(ctx, key, total, err); err != nil {
-			return 0, 0, err
+			return 0, err
 		}
 	}
-	return 0, 0, errors.Mark(errors.New("budget row changes too fast"), table.ErrUnavailable)
+	return 0, errors.Mark(errors.New("budget row changes too fast"), table.ErrUnavailable)
 }
 
 // afterFailure returns the row as it is after a swap that failed or whose outcome is unknown.
--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/ledger"
 )
 
 // recordLoop draws from the rows what was granted ahead of them as soon as they can be
@@ -18,20 +19,27 @@
 		for _, call := range b.unrecorded() {
 			go b.record(ctx, call)
 		}
-		for _, n := range b.orphaned(time.Now()) {
-			go b.witness(ctx, n)
+		for _, o := range b.orphaned(time.Now()) {
+			go b.witness(ctx, o)
 		}
 	}
 }
 
+// orphan is grants ahead of a row that nobody has recorded.
+type orphan struct {
+	program string
+	total   int
+	granted ledger.Grants
+}
+
 // orphaned lists the grants ahead of rows that this entry has heard of and that their
-// owner, which may have ended, has not recorded for a while though it could.
-func (b *budgets) orphaned(now time.Time) []grantNotice {
+// owners, which may have ended, have not recorded for a while though they could.
+func (b *budgets) orphaned(now time.Time) []orphan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []grantNotice
+	var out []orphan
 	for program, k := range b.known {
-		if !k.ahead || k.total <= 0 {
+		if len(k.ahead) == 0 || k.total <= 0 {
 			continue
 		}
 		switch {
@@ -41,43 +49,51 @@
 			k.reachable = now
 		case now.Sub(k.reachable) > witnessAfter:
 			k.reachable = now
-			out = append(out, grantNotice{Program: program, Granted: k.granted, Total: k.total})
+			o := orphan{program: program, total: k.total, granted: ledger.Grants{}}
+			for holder := range k.ahead {
+				o.granted[holder] = k.granted[holder]
+			}
+			out = append(out, o)
 		}
-		b.known[program] = k
 	}
 	return out
 }
 
-// witness records what a program was granted, in place of its owner.
-func (b *budgets) witness(ctx context.Context, n grantNotice) {
+// witness records what lives of entries were granted, in their place.
+func (b *budgets) witness(ctx context.Context, o orphan) {
 	ctx, cancel := context.WithTimeout(ctx, witnessAfter)
 	defer cancel()
-	key := budgetKey(n.Program)
+	key := budgetKey(o.program)
 	for range maxDrawTries {
-		row, version, err := b.read(ctx, key, n.Total)
+		row, version, err := b.read(ctx, key, o.total)
 		if err != nil {
 			return // it is tried again after witnessAfter
 		}
-		next, changed := row.Witness(n.Granted)
+		next, changed := row.Witness(o.granted)
 		if changed {
 			err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
 		}
 		if err == nil {
-			b.witnessed(n, changed)
+			b.witnessed(o, changed)
 			return
 		}
 	}
 }
 
-func (b *budgets) witnessed(n grantNotice, changed bool) {
+func (b *budgets) witnessed(o orphan, changed bool) {
 	if changed {
 		b.commits.metrics.grantsWitnessed.Inc(1)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if k := b.known[n.Program]; k.granted == n.Granted {
-		k.ahead = false
-		b.known[n.Program] = k
+	k := b.known[o.program]
+	if k == nil {
+		return
+	}
+	for holder, n := range o.granted {
+		if k.granted[holder] == n {
+			delete(k.ahead, holder)
+		}
 	}
 }
 
@@ -140,7 +156,7 @@
 		err = b.commits.apply(ctx, []table.Condition{{Key: key, Version: version}}, []table.Write{{Key: key, Value: next.Encode()}})
 		// An unknown outcome is not repeated: tokens given back twice could be spent twice.
 		if err == nil {
-			b.owners.tell(ctx, grantNotice{Program: program, Granted: next.Total - next.Left(), Returned: true})
+			b.owners.tell(ctx, grantNotice{Program: program, Holder: b.holder, Granted: next.Drawn[b.holder], Returned: true})
 			return nil
 		}
 		if !errors.Is(err, table.ErrConditionFailed) {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -48,7 +48,7 @@
 	settleAt(ctx context.Context, p *peer, s settleCall) error
 	// learn returns what entries know to have been granted for the program, and how much
 	// that says.
-	learn(ctx context.Context, program string) (granted int, k knowledge)
+	learn(ctx context.Context, program string) (granted ledger.Grants, k knowledge)
 	// tell tells the entries that would own the program next what was granted for it. It
 	// reports whether one has heard it.
 	tell(ctx context.Context, n grantNotice) bool
@@ -123,7 +123,7 @@
 	mu       sync.Mutex
 	accounts map[string]*budget
 	// known is what other entries told of the programs that this one may own next.
-	known map[string]knownGrant
+	known map[string]*knownGrants
 }
 
 type budget struct {
@@ -147,7 +147,7 @@
 func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder string) *budgets {
 	return &budgets{
 		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled, slow: l.slow,
-		accounts: map[string]*budget{}, known: map[string]knownGrant{},
+		accounts: map[string]*budget{}, known: map[string]*knownGrants{},
 	}
 }
 
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -276,7 +276,7 @@
 		program = fmt.Sprintf("p%d", n)
 	}
 	// What a dead owner has told and not recorded.
-	if !e.mesh.tell(t.Context(), grantNotice{Program: program, Granted: 150, Total: 500, Ahead: true}) {
+	if !e.mesh.tell(t.Context(), grantNotice{Program: program, Holder: "dead/1", Granted: 150, Total: 500, Ahead: true}) {
 		t.Fatal("nobody heard it")
 	}
 	eventually(t, "the other entry records it", func() bool {
@@ -289,27 +289,6 @@
 	})
 }
 
-// TestDrawBesideGrantsOfADeadOwner: the owner died with 1000 of 1725 tokens granted ahead
-// of the row. The next owner draws the rest, and what it tells keeps both in view.
-func TestDrawBesideGrantsOfADeadOwner(t *testing.T) {
-	call := reserveCall{Program: "p", Total: 1725, Most: 575}
-	row := ledger.Row{Total: call.Total}
-	next := ledger.NewAccount(call.Total)
-	next.Learn(1000)
-	d := next.Drawing(call.Most)
-	row, lump := row.Draw("next", d)
-	next.Drawn(d, lump)
-	told := drawNotice(call, next.Known(), row.Left())
-	if told.Granted != 1000+lump || !told.Ahead {
-		t.Fatalf("told %+v after a draw of %d beside 1000 that are not in the row", told, lump)
-	}
-	third := ledger.NewAccount(call.Total)
-	third.Learn(told.Granted)
-	if _, more := row.Draw("third", third.Drawing(call.Most)); more+lump+1000 > call.Total {
-		t.Fatalf("1000, %d and %d tokens were granted of %d", lump, more, call.Total)
-	}
-}
-
 // TestReservationOfOneWhoGaveUp: the entry that asked for a reservation has given up when
 // its owner comes to grant it; the tokens stay free for the next turn.
 func TestReservationOfOneWhoGaveUp(t *testing.T) {
@@ -328,26 +307,26 @@
 	}
 }
 
-// TestGrantsAheadStayKnown: a notice that says less, such as that of an entry that found
-// nothing to draw, does not hide grants ahead of the row.
+// TestGrantsAheadStayKnown: neither an overtaken notice nor those of other entries hide
+// what a dead owner was granted ahead of the row.
 func TestGrantsAheadStayKnown(t *testing.T) {
 	_, e, _, _ := newSystem(t, notRun, notRun)
 	b := e.budgets
-	b.hear(grantNotice{Program: "p", Granted: 1144, Total: 1144, Ahead: true})
-	b.hear(grantNotice{Program: "p", Granted: 500, Total: 1144})
+	b.hear(grantNotice{Program: "p", Holder: "dead", Granted: 1144, Total: 1716, Ahead: true})
+	b.hear(grantNotice{Program: "p", Holder: "dead", Granted: 500, Total: 1716})
+	b.hear(grantNotice{Program: "p", Holder: "other", Granted: 572, Total: 1716})
+	if got := decodeGrants(encodeGrants(b.knows("p"))); got["dead"] != 1144 || got["other"] != 572 {
+		t.Fatalf("known %v", got)
+	}
 	b.mu.Lock()
-	k := b.known["p"]
+	ahead := b.known["p"].ahead["dead"]
 	b.mu.Unlock()
-	if !k.ahead || k.granted != 1144 {
-		t.Fatalf("%+v", k)
-	}
-	d := ledger.NewAccount(1144)
-	d.Learn(1144)
-	lump, left, err := b.draw(t.Context(), "p", 1144, d.Drawing(572))
-	if err != nil || lump != 0 || left != 1144 {
-		t.Fatalf("drew %d, %d are left in a row that does not exist, %v", lump, left, err)
+	if !ahead {
+		t.Fatal("the dead owner's grants count as recorded")
 	}
-	if n := drawNotice(reserveCall{Program: "p", Total: 1144}, d.Known(), left); !n.Ahead || n.Granted != 1144 {
-		t.Fatalf("told %+v", n)
+	a := ledger.NewAccount(1716)
+	a.Learn(b.knows("p"), b.holder)
+	if lump, err := b.draw(t.Context(), "p", 1716, a.Drawing(572)); err != nil || lump != 0 {
+		t.Fatalf("drew %d beside 1716 that are granted, %v", lump, err)
 	}
 }
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"math"
 	"net"
 	"sync"
 	"time"
@@ -162,19 +161,13 @@
 		if p.bad {
 			return false
 		}
-		reply(callAnswer{value: uint64(c.m.g.budgets.knows(program))})
+		reply(callAnswer{text: encodeGrants(c.m.g.budgets.knows(program))})
 	default:
 		return false
 	}
 	return true
 }
 
-// askNumber is ask with an answer that fits a count of tokens.
-func (c *calls) askNumber(ctx context.Context, p *peer, body []byte) (int, error) {
-	v, err := c.ask(ctx, p, body)
-	return int(min(v.value, math.MaxInt32)), err
-}
-
 func (c *calls) serveReserve(call reserveCall, reply func(callAnswer)) {
 	b := c.m.g.budgets
 	if a := b.tryGrant(call); a.verdict != 0 {
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/ledger"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
 
@@ -124,13 +125,13 @@
 	if n.Ahead {
 		flags |= noticeAhead
 	}
-	b = binary.AppendUvarint(appendText(b, n.Program), uint64(max(0, n.Granted)))
+	b = binary.AppendUvarint(appendText(appendText(b, n.Program), n.Holder), uint64(max(0, n.Granted)))
 	return binary.AppendUvarint(binary.AppendUvarint(b, uint64(max(0, n.Total))), flags)
 }
 
 // notice reads a notice.
 func (p *packet) notice() grantNotice {
-	n := grantNotice{Program: p.text(), Granted: int(p.uvarint()), Total: int(p.uvarint())}
+	n := grantNotice{Program: p.text(), Holder: p.text(), Granted: int(p.uvarint()), Total: int(p.uvarint())}
 	flags := p.uvarint()
 	n.Returned, n.Ahead = flags&noticeReturned != 0, flags&noticeAhead != 0
 	return n
@@ -140,7 +141,7 @@
 // among the first for the program may have heard of its grants, and one that has been there
 // all along has. When all of them live, no other entry can take itself for the owner
 // unheard.
-func (m *mesh) learn(ctx context.Context, program string) (int, knowledge) {
+func (m *mesh) learn(ctx context.Context, program string) (ledger.Grants, knowledge) {
 	now := time.Now()
 	lately := func(p *peer) bool { return now.Sub(p.heard) < ownerSettled || now.Sub(p.listed) < ownerSettled }
 	granted := m.g.budgets.knows(program)
@@ -158,21 +159,22 @@
 		}
 	}
 	// A grant is told to one of them at least, so each that lives must answer.
-	answers := make(chan int, len(ask))
+	answers := make(chan ledger.Grants, len(ask))
 	for _, p := range ask {
 		go func() {
-			n, err := m.calls.askNumber(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
+			v, err := m.calls.ask(ctx, p, appendText(append(make([]byte, 0, 48), callKnown), program))
 			if err != nil {
-				n = noAnswer
+				answers <- nil
+				return
 			}
-			answers <- n
+			answers <- decodeGrants(v.text)
 		}()
 	}
 	answered := true
 	for range ask {
-		n := <-answers
-		answered = answered && n != noAnswer
-		granted = max(granted, n)
+		theirs := <-answers
+		answered = answered && theirs != nil
+		granted.Merge(theirs)
 	}
 	switch {
 	case !answered:
@@ -186,8 +188,28 @@
 	return granted, knows
 }
 
-// noAnswer stands for an entry that did not say what it knows.
-const noAnswer = -1
+// encodeGrants packs grants into an answer.
+func encodeGrants(g ledger.Grants) string {
+	var b []byte
+	for holder, n := range g {
+		b = binary.AppendUvarint(appendText(b, holder), uint64(max(0, n)))
+	}
+	return string(b)
+}
+
+// decodeGrants reads them; nil says that they are malformed.
+func decodeGrants(text string) ledger.Grants {
+	p := packet{b: []byte(text)}
+	g := ledger.Grants{}
+	for len(p.b) > 0 {
+		holder, n := p.text(), int(p.uvarint())
+		if p.bad {
+			return nil
+		}
+		g[holder] = n
+	}
+	return g
+}
 
 // settle makes this entry one that has been there all along: it learns what those that
 // have been know.
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -9,8 +9,8 @@
 	recorded int
 	// advanced is what it has granted ahead of the row, while the table was away.
 	advanced int
-	// others is what other entries are known to have drawn or granted ahead.
-	others   int
+	// others is what other lives of entries are known to have drawn or granted ahead.
+	others   Grants
 	reserved int
 	spent    int
 	// exhausted says that the row had nothing left when it was last read.
@@ -52,8 +52,9 @@
 	Recorded int
 	// Need is the least number of tokens to draw.
 	Need int
-	// Known is what all entries are known to have been granted, in rows and ahead of them.
-	Known int
+	// Others is what other lives of entries are known to have been granted, in the row and
+	// ahead of it.
+	Others Grants
 	// advanced is the part of Need that was granted ahead.
 	advanced int
 }
@@ -61,7 +62,7 @@
 // Drawing returns the draw that is needed for a turn of most tokens. What was granted
 // ahead of the row is drawn with it.
 func (a *Account) Drawing(most int) Drawing {
-	return Drawing{Recorded: a.recorded, Known: a.Known(), Need: a.advanced + max(0, most-a.Free()), advanced: a.advanced}
+	return Drawing{Recorded: a.recorded, Others: a.others, Need: a.advanced + max(0, most-a.Free()), advanced: a.advanced}
 }
 
 // Drawn records the lump that a draw took; zero says that the row did not hold it.
@@ -78,9 +79,34 @@
 // half, two entries that both take themselves for the owner don't exceed the budget.
 const advanceShare = 2
 
-// Learn records what all entries are known to have been granted in all, this one too.
-func (a *Account) Learn(granted int) {
-	a.others = max(a.others, granted-a.recorded-a.advanced)
+// Grants is the tokens that each life of an entry was granted for a program in all,
+// drawn from its row and ahead of it.
+type Grants map[string]int
+
+// Merge takes the greater count of each life: grants grow until their life ends.
+func (g Grants) Merge(other Grants) {
+	for holder, n := range other {
+		g[holder] = max(g[holder], n)
+	}
+}
+
+// sum returns the tokens granted to all.
+func (g Grants) sum() int {
+	total := 0
+	for _, n := range g {
+		total += n
+	}
+	return total
+}
+
+// Learn replaces what is known of the other lives; self is the account's own.
+func (a *Account) Learn(known Grants, self string) {
+	a.others = make(Grants, len(known))
+	for holder, n := range known {
+		if holder != self {
+			a.others[holder] = n
+		}
+	}
 }
 
 // Standing is what is known of a program and its owner when tokens are granted ahead
@@ -103,7 +129,7 @@
 // its budget once; so beyond one turn only programs that go one turn at a time get more.
 func (a *Account) AdvanceNeeded(most int, s Standing) (int, bool) {
 	need := max(0, most-a.Free())
-	limit := a.total - a.recorded - a.others
+	limit := a.total - a.recorded - a.others.sum()
 	if !s.Alone {
 		limit = min(limit, max(most, a.total/advanceShare))
 	}
@@ -116,8 +142,8 @@
 // Advance grants tokens ahead of the row.
 func (a *Account) Advance(tokens int) { a.advanced += tokens }
 
-// Known returns what this entry knows all entries to have been granted.
-func (a *Account) Known() int { return a.recorded + a.advanced + a.others }
+// Granted returns what this entry was granted in all.
+func (a *Account) Granted() int { return a.recorded + a.advanced }
 
 // Advanced returns the tokens granted ahead of the row.
 func (a *Account) Advanced() int { return a.advanced }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -76,16 +76,12 @@
 
 func TestAdvanceCountsWhatOthersWereGranted(t *testing.T) {
 	a := NewAccount(1000)
-	a.Learn(700)
+	a.Learn(Grants{"x": 700, "me": 50}, "me")
 	if advance(a, 400) {
 		t.Fatal("advanced beyond what the others left")
 	}
-	if !advance(a, 300) || a.Known() != 1000 {
-		t.Fatalf("known %d", a.Known())
-	}
-	a.Learn(1000)
-	if a.Known() != 1000 {
-		t.Fatalf("its own grants count twice: %d", a.Known())
+	if !advance(a, 300) || a.Granted() != 300 {
+		t.Fatalf("granted %d", a.Granted())
 	}
 }
 
@@ -190,7 +186,7 @@
 // ahead of the row and told the others; one of them draws when the table is back.
 func TestDrawLeavesWhatOthersWereGrantedAhead(t *testing.T) {
 	other := NewAccount(180)
-	other.Learn(110)
+	other.Learn(Grants{"a": 110}, "b")
 	d := other.Drawing(60)
 	if _, lump := (Row{Total: 180}).Draw("b", d); lump != 60 {
 		t.Fatalf("drew %d; 110 of 180 are granted already", lump)
@@ -211,11 +207,27 @@
 
 func TestWitnessRecordsWhatIsMissing(t *testing.T) {
 	row := Row{Total: 1000, Drawn: map[string]int{"a": 300}}
-	next, changed := row.Witness(500)
-	if !changed || next.Left() != 500 {
-		t.Fatalf("%d are left of 1000 after 500 were granted", next.Left())
+	granted := Grants{"a": 500, "b": 100}
+	next, changed := row.Witness(granted)
+	if !changed || next.Left() != 400 {
+		t.Fatalf("%d are left of 1000 after 600 were granted", next.Left())
 	}
-	if _, changed = next.Witness(500); changed {
+	if _, changed = next.Witness(granted); changed {
 		t.Fatal("a second witness records it again")
 	}
 }
+
+// TestTwoDrawsBesideADeadOwner: the owner died with 1144 of 1716 tokens granted ahead of the
+// row; two entries that know of it draw at the same time.
+func TestTwoDrawsBesideADeadOwner(t *testing.T) {
+	row := Row{Total: 1716}
+	one, two := NewAccount(1716), NewAccount(1716)
+	one.Learn(Grants{"dead": 1144}, "one")
+	two.Learn(Grants{"dead": 1144}, "two")
+	row, first := row.Draw("one", one.Drawing(572))
+	// The second draw meets the row after the first, and has not heard of that.
+	_, second := row.Draw("two", two.Drawing(572))
+	if first != 572 || second != 0 {
+		t.Fatalf("drew %d and %d beside 1144 of 1716", first, second)
+	}
+}
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -48,16 +48,20 @@
 	return left
 }
 
-// Unrecorded returns the tokens of a program that are known to have been granted and
-// that the row does not show, but for those that the draw itself records.
-func (r Row) Unrecorded(d Drawing) int {
-	return max(0, d.Known-d.advanced-(r.Total-r.Left()))
+// Unrecorded returns the tokens that other lives of entries are known to have been
+// granted and that the row does not show.
+func (r Row) Unrecorded(others Grants) int {
+	missing := 0
+	for holder, n := range others {
+		missing += max(0, n-r.Drawn[holder])
+	}
+	return missing
 }
 
 // Draw returns the row after holder has drawn what it needs or more, and how many tokens
 // that is. It returns zero when the row does not hold them beside what is unrecorded.
 func (r Row) Draw(holder string, d Drawing) (Row, int) {
-	left := r.Left() - r.Unrecorded(d)
+	left := r.Left() - r.Unrecorded(d.Others)
 	if left < d.Need {
 		return r, 0
 	}
@@ -70,22 +74,17 @@
 	return next, lump
 }
 
-// witnessHolder stands in rows for what an entry was granted that ended before it had
-// recorded that itself.
-const witnessHolder = "witness"
-
-// Witness returns the row after all that is known to have been granted is in it, and
-// whether that changes it.
-func (r Row) Witness(granted int) (Row, bool) {
-	missing := granted - (r.Total - r.Left())
-	if missing <= 0 {
+// Witness returns the row after what lives of entries are known to have been granted is
+// in it under their names, and whether that changes it.
+func (r Row) Witness(granted Grants) (Row, bool) {
+	if r.Unrecorded(granted) == 0 {
 		return r, false
 	}
-	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+1)}
+	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+len(granted))}
 	for h, n := range r.Drawn {
 		next.Drawn[h] = n
 	}
-	next.Drawn[witnessHolder] += missing
+	Grants(next.Drawn).Merge(granted)
 	return next, true
 }
 
