Wait to see a surge before granting more than one turn ahead of a row

A turn beyond the first waits 40 ms while its row can't be reached, in which a surge shows, so that what may be lost of a runaway is within one turn's most.

--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -69,6 +69,11 @@
 	if knows == knowsNothing {
 		return false
 	}
+	if of.account.BeyondOneTurn(call.Most) {
+		b.mu.Unlock()
+		sleep(ctx, ledger.SurgeWatch)
+		b.mu.Lock()
+	}
 	of.account.Learn(granted, b.holder)
 	need, ok := of.account.AdvanceNeeded(call.Most, ledger.Standing{
 		Alone: knows == knowsAlone, Open: len(of.open), Surging: of.arrivals.Surging(),
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -330,3 +331,33 @@
 		t.Fatalf("drew %d beside 1716 that are granted, %v", lump, err)
 	}
 }
+
+// TestRunawayDuringAnOutage: a program's first turn is granted ahead of the row, and of
+// the many that it sends at once after that none is: what it got may be lost.
+func TestRunawayDuringAnOutage(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, events(0, 4, false))
+	other := startEntry(t, "entry-2", p.p.Table)
+	eventually(t, "the entries know each other", func() bool {
+		return e.mesh.owns() && other.mesh.owns() && e.mesh.size() == 2 && other.mesh.size() == 2
+	})
+	p.fault(standin.Fault{Kind: standin.FaultDown})
+	eventually(t, "the table is lost", func() bool { return e.link.away() && other.link.away() })
+	if r := e.call("POST", "/ask/1", "x", turnHeader("runaway", 200, 50)); r.status != http.StatusOK {
+		t.Fatalf("the first turn: %+v", r)
+	}
+	var wait sync.WaitGroup
+	var answered atomic.Int64
+	for range 16 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if e.call("POST", "/ask/1", "x", turnHeader("runaway", 200, 50)).status == http.StatusOK {
+				answered.Add(1)
+			}
+		}()
+	}
+	wait.Wait()
+	if n := answered.Load(); n != 0 {
+		t.Errorf("%d of sixteen turns sent at once were granted ahead of the row", n)
+	}
+}
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -139,6 +139,10 @@
 	return need, !a.exhausted && a.advanced+need <= limit
 }
 
+// BeyondOneTurn reports whether another turn of most tokens would bring what is granted
+// ahead of the row beyond the most of one turn.
+func (a *Account) BeyondOneTurn(most int) bool { return a.advanced+max(0, most-a.Free()) > most }
+
 // Advance grants tokens ahead of the row.
 func (a *Account) Advance(tokens int) { a.advanced += tokens }
 
--- a/ledger/arrivals.go
+++ b/ledger/arrivals.go
@@ -19,6 +19,9 @@
 	// turns at once.
 	surgeTurns = 6
 	surgeTime  = 150 * time.Millisecond
+	// SurgeWatch is how long a turn waits to see whether it is the first of a surge, whose
+	// turns come within some 20 ms, before it is granted more than one turn ahead of a row.
+	SurgeWatch = 40 * time.Millisecond
 )
 
 // Note records that a turn asked for tokens.
