--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -77,6 +77,7 @@
 	of.account.Learn(granted, b.holder)
 	need, ok := of.account.AdvanceNeeded(call.Most, ledger.Standing{
 		Alone: knows == knowsAlone, Open: len(of.open), Surging: of.arrivals.Surging(),
+		Stuck: call.Kept && b.lost(),
 	})
 	if !ok {
 		return false
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -63,6 +63,8 @@
 	Most  int
 	// Line names the line of turns that the turn belongs to.
 	Line string
+	// Kept says that the turn ends only once it is in the table.
+	Kept bool
 }
 
 // settleCall ends a reservation with the tokens handed to the caller.
@@ -117,6 +119,8 @@
 	// whether calls of the table have failed lately.
 	away     func(key string) bool
 	troubled func() bool
+	// lost reports whether the table can't be reached by any way.
+	lost func() bool
 	// slow reports whether a turn would wait long for a draw.
 	slow func() bool
 
@@ -146,7 +150,7 @@
 
 func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder string) *budgets {
 	return &budgets{
-		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled, slow: l.slow,
+		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled, slow: l.slow, lost: l.away,
 		accounts: map[string]*budget{}, known: map[string]*knownGrants{},
 	}
 }
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -361,3 +361,21 @@
 		t.Errorf("%d of sixteen turns sent at once were granted ahead of the row", n)
 	}
 }
+
+// TestKeptTurnsDuringAnOutage: a kept turn can't end while the table is away, so its
+// caller sends it again; no more than one turn's most is granted ahead for that.
+func TestKeptTurnsDuringAnOutage(t *testing.T) {
+	p, e, _, l := newSystem(t, notRun, events(0, 4, false))
+	other := startEntry(t, "entry-2", p.p.Table)
+	eventually(t, "the entries know each other", func() bool {
+		return e.mesh.owns() && other.mesh.owns() && e.mesh.size() == 2 && other.mesh.size() == 2
+	})
+	p.fault(standin.Fault{Kind: standin.FaultDown})
+	eventually(t, "the table is lost", func() bool { return e.link.away() && other.link.away() })
+	for range 3 {
+		e.call("POST", "/draft/1", "x", turnHeader("kept", 200, 50))
+	}
+	if n := len(l.requests()); n != 1 {
+		t.Errorf("%d turns of 50 tokens ran ahead of the row", n)
+	}
+}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -19,7 +19,11 @@
 	b := append(make([]byte, 0, 96), callReserve)
 	b = appendText(appendText(b, r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.Most))
-	v, err := m.calls.ask(ctx, p, appendText(b, r.Line))
+	kept := byte(0)
+	if r.Kept {
+		kept = 1
+	}
+	v, err := m.calls.ask(ctx, p, append(appendText(b, r.Line), kept))
 	answer := reserveAnswer{reserveVerdict(v.value & (1<<standingShift - 1)), v.text, programStanding(v.value >> standingShift)}
 	if err != nil {
 		return reserveAnswer{verdict: reserveUnknown}, err
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -118,6 +118,8 @@
 	Open int
 	// Surging says that it sends more turns at once than programs do that end.
 	Surging bool
+	// Stuck says that its turns can't end whole now, so that what they get is sent again.
+	Stuck bool
 }
 
 // AdvanceNeeded returns the tokens to grant ahead of the row for a turn of most tokens,
@@ -133,7 +135,7 @@
 	if !s.Alone {
 		limit = min(limit, max(most, a.total/advanceShare))
 	}
-	if s.Surging || s.Open > 0 {
+	if s.Surging || s.Stuck || s.Open > 0 {
 		limit = min(limit, most)
 	}
 	return need, !a.exhausted && a.advanced+need <= limit
