--- a/internal/reqlog/reqlog_test.go
+++ b/internal/reqlog/reqlog_test.go
@@ -40,15 +40,16 @@
 }
 
 // blocked never takes what is written.
-type blocked struct{ release chan struct{} }
+type blocked struct{ entered, release chan struct{} }
 
 func (b blocked) Write(p []byte) (int, error) {
+	close(b.entered)
 	<-b.release
 	return len(p), nil
 }
 
 func TestSlowOutputBlocksNobody(t *testing.T) {
-	b := blocked{make(chan struct{})}
+	b := blocked{make(chan struct{}), make(chan struct{})}
 	l := New(b, "n1")
 	l.Warn("first").End()
 	flushed := make(chan struct{})
@@ -56,6 +57,7 @@
 		l.Flush()
 		close(flushed)
 	}()
+	<-b.entered
 	line := strings.Repeat("x", 1000)
 	for range 2 * bufferBytes / 1000 {
 		l.Warn("more").Str("text", line).End()
