Read a line's chain from the entry that kept it; refuse at once while the table is lost

The budget's owner now remembers which entry kept each turn and says so with the reservation; the chain comes from there in one message. Places of a lost table are not asked, and neither is a row. Refused callers are asked to come back after a second while the table is lost.

Ruled out: refusals of kept turns for their budget (the most of one turn ahead of the row is what can be promised), a wait for the table before the turn is sent (held for nothing when it stays away).

--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -43,30 +43,37 @@
 	// Other turns wait for the draw too, so it outlives the call that began it.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
 	defer cancel()
-	if owner && b.slow() && b.advanceLocked(ctx, of, call) {
+	away := b.away(budgetKey(call.Program))
+	ahead := owner && (away || b.slow())
+	if ahead && b.advanceLocked(ctx, of, call) {
 		return nil // recordLoop draws it in the background
 	}
-	err := table.ErrUnavailable
-	// A draw that only records what was granted ahead of the row needs no tokens.
-	if !owner || !b.away(budgetKey(call.Program)) {
-		b.learnLocked(ctx, of, call.Program)
-		state := of.account.Drawing(call.Most)
-		b.mu.Unlock()
-		lump, drawErr := b.draw(ctx, call.Program, call.Total, state)
-		b.mu.Lock()
-		err = drawErr
-		if err == nil {
-			of.account.Drawn(state, lump)
-			go b.owners.tell(context.WithoutCancel(ctx), b.notice(call, of.account.Granted(), of.account.Advanced() > 0))
-			return nil
-		}
+	if owner && away || b.lost() {
+		return errors.Wrap(table.ErrUnavailable, "the row can't be reached")
 	}
-	if owner && failed(err) && b.advanceLocked(ctx, of, call) {
+	err := b.drawRowLocked(ctx, of, call)
+	if owner && !ahead && failed(err) && b.advanceLocked(ctx, of, call) {
 		return nil
 	}
 	return err
 }
 
+// drawRowLocked draws from the program's row; the lock is released meanwhile. A call
+// whose most is zero only records what was granted ahead of the row.
+func (b *budgets) drawRowLocked(ctx context.Context, of *budget, call reserveCall) error {
+	b.learnLocked(ctx, of, call.Program)
+	state := of.account.Drawing(call.Most)
+	b.mu.Unlock()
+	lump, err := b.draw(ctx, call.Program, call.Total, state)
+	b.mu.Lock()
+	if err != nil {
+		return err
+	}
+	of.account.Drawn(state, lump)
+	go b.owners.tell(context.WithoutCancel(ctx), b.notice(call, of.account.Granted(), of.account.Advanced() > 0))
+	return nil
+}
+
 // draw takes the tokens asked for or more from the program's row. It returns zero when
 // the row does not hold them.
 func (b *budgets) draw(ctx context.Context, program string, total int, d ledger.Drawing) (lump int, err error) {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -65,6 +65,8 @@
 	Line string
 	// Kept says that the turn ends only once it is in the table.
 	Kept bool
+	// Previous is the turn that it continues from; empty when there is none.
+	Previous string
 }
 
 // settleCall ends a reservation with the tokens handed to the caller.
@@ -75,6 +77,9 @@
 	// Line and Upstream say where the turn ran; Upstream is empty when it did not.
 	Line     string
 	Upstream string
+	// Kept says that the turn was kept, KeptBy names the life of the entry that has it.
+	Kept   bool
+	KeptBy string
 }
 
 // reserveVerdict is an owner's answer.
@@ -92,6 +97,9 @@
 	ranAt   string
 	// standing says whether the program has begun.
 	standing programStanding
+	// keptBy is the life of the entry that has the previous turn at hand; empty when that
+	// is not known.
+	keptBy string
 }
 
 // programStanding is how far a program has come.
@@ -115,6 +123,8 @@
 	owners  budgetOwners
 	expiry  *expiry
 	holder  string
+	// life is this entry's.
+	life string
 	// away reports whether a key of the table surely can't be reached now, troubled
 	// whether calls of the table have failed lately.
 	away     func(key string) bool
@@ -146,11 +156,13 @@
 	// ranAt is the upstream of each line's last turn, last that of the program's.
 	ranAt map[string]string
 	last  string
+	// keptBy is the life of the entry that has each kept turn at hand.
+	keptBy map[string]string
 }
 
-func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder string) *budgets {
+func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder, life string) *budgets {
 	return &budgets{
-		table: l, commits: c, owners: owners, expiry: e, holder: holder, away: l.awayFor, troubled: l.troubled, slow: l.slow, lost: l.away,
+		table: l, commits: c, owners: owners, expiry: e, holder: holder, life: life, away: l.awayFor, troubled: l.troubled, slow: l.slow, lost: l.away,
 		accounts: map[string]*budget{}, known: map[string]*knownGrants{},
 	}
 }
@@ -164,6 +176,8 @@
 	// ranAt is where the line's last turn ran; empty when that is not known.
 	ranAt    string
 	standing programStanding
+	// keptBy is the life of the entry that has the previous turn at hand, if known.
+	keptBy string
 }
 
 // reserve sets aside the most of a turn. It returns errBudgetSpent, or an error of the
@@ -192,7 +206,7 @@
 	}
 	switch answer.verdict {
 	case reserveGranted:
-		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt, standing: answer.standing}, nil
+		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt, standing: answer.standing, keptBy: answer.keptBy}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -204,12 +218,12 @@
 }
 
 // settle ends the reservation with the tokens that were handed to the caller by the
-// upstream.
-func (r *reservation) settle(used int, upstream string) {
+// upstream; kept says that the turn was kept.
+func (r *reservation) settle(used int, upstream string, kept bool) {
 	if r == nil {
 		return
 	}
-	s := settleCall{Program: r.call.Program, ID: r.call.ID, Used: used, Line: r.call.Line, Upstream: upstream}
+	s := settleCall{Program: r.call.Program, ID: r.call.ID, Used: used, Line: r.call.Line, Upstream: upstream, Kept: kept, KeptBy: r.b.life}
 	if r.at == nil {
 		r.b.settleHere(s)
 		return
@@ -245,6 +259,9 @@
 		if s.Upstream != "" {
 			of.ranAt[s.Line], of.last = s.Upstream, s.Upstream
 		}
+		if s.Kept {
+			of.keptBy[s.ID] = s.KeptBy
+		}
 	}
 }
 
@@ -258,7 +275,10 @@
 func (b *budgets) accountLocked(call reserveCall) *budget {
 	of := b.accounts[call.Program]
 	if of == nil {
-		of = &budget{account: ledger.NewAccount(call.Total), open: map[string]int{}, ended: map[string]bool{}, ranAt: map[string]string{}}
+		of = &budget{
+			account: ledger.NewAccount(call.Total), open: map[string]int{}, ended: map[string]bool{},
+			ranAt: map[string]string{}, keptBy: map[string]string{},
+		}
 		b.accounts[call.Program] = of
 	}
 	of.used = time.Now()
@@ -284,7 +304,7 @@
 }
 
 func (b *budgets) tryLocked(of *budget, call reserveCall) reserveAnswer {
-	answer := reserveAnswer{ranAt: of.ranAt[call.Line], standing: of.standing(call.ID)}
+	answer := reserveAnswer{ranAt: of.ranAt[call.Line], standing: of.standing(call.ID), keptBy: of.keptBy[call.Previous]}
 	if answer.ranAt == "" {
 		answer.ranAt = of.last
 	}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -39,8 +39,10 @@
 const (
 	// retryNoDocument fits the start of a process.
 	retryNoDocument = 300 * time.Millisecond
-	// retryTable fits an outage of the table, which lasts seconds.
+	// retryTable fits a part of the table that is away, or slow answers.
 	retryTable = 400 * time.Millisecond
+	// retryOutage fits an outage of the table, which lasts seconds.
+	retryOutage = time.Second
 	// retryUpstream fits an upstream that refused or could not be reached: others are there.
 	retryUpstream = 60 * time.Millisecond
 )
@@ -258,6 +260,14 @@
 	g.own(w, j, http.StatusServiceUnavailable)
 }
 
+// tableRetry returns when a caller should come back whose call needs the table.
+func (g *Gateway) tableRetry() time.Duration {
+	if g.link.away() {
+		return retryOutage
+	}
+	return retryTable
+}
+
 // spread jitters a time to come back by half of it to either side, so that callers that
 // were refused together don't come back together.
 func (g *Gateway) spread(d time.Duration) time.Duration {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -52,10 +52,12 @@
 	waiting map[uint64]chan callAnswer
 }
 
-// callAnswer is a small number and, for some calls, a name.
+// callAnswer is a small number and, for some calls, names.
 type callAnswer struct {
 	value uint64
 	text  string
+	// keptBy is the life of the entry that has a turn at hand.
+	keptBy string
 }
 
 func newCalls(m *mesh) *calls { return &calls{m: m, waiting: map[uint64]chan callAnswer{}} }
@@ -104,7 +106,7 @@
 func (c *calls) answer(b []byte) bool {
 	p := packet{b: b}
 	id, life := p.uvarint(), p.text()
-	v := callAnswer{value: p.uvarint(), text: p.text()}
+	v := callAnswer{value: p.uvarint(), text: p.text(), keptBy: p.text()}
 	if p.bad || life != c.m.g.life {
 		return !p.bad
 	}
@@ -131,19 +133,20 @@
 	reply := func(v callAnswer) {
 		b := append(make([]byte, 0, 32), packetAnswer)
 		b = appendText(binary.AppendUvarint(appendText(binary.AppendUvarint(b, id), life), v.value), v.text)
+		b = appendText(b, v.keptBy)
 		if _, err := c.m.packets.WriteTo(b, from); err != nil {
 			c.m.g.metrics.digestErrors.Inc(1)
 		}
 	}
 	switch kind {
 	case callReserve:
-		call := reserveCall{Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint()), Line: p.text(), Kept: p.byte() == 1}
+		call := reserveCall{Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint()), Line: p.text(), Kept: p.byte() == 1, Previous: p.text()}
 		if p.bad {
 			return false
 		}
 		c.serveReserve(call, reply)
 	case callSettle:
-		call := settleCall{Program: p.text(), ID: p.text(), Used: int(p.uvarint()), Line: p.text(), Upstream: p.text()}
+		call := settleCall{Program: p.text(), ID: p.text(), Used: int(p.uvarint()), Line: p.text(), Upstream: p.text(), Kept: p.byte() == 1, KeptBy: life}
 		if p.bad {
 			return false
 		}
@@ -171,7 +174,7 @@
 func (c *calls) serveReserve(call reserveCall, reply func(callAnswer)) {
 	b := c.m.g.budgets
 	if a := b.tryGrant(call); a.verdict != 0 {
-		reply(callAnswer{uint64(a.verdict) | uint64(a.standing)<<standingShift, a.ranAt})
+		reply(a.encode())
 		return
 	}
 	go func() {
@@ -181,10 +184,21 @@
 		if err != nil {
 			c.m.g.env.Requests.Warn("budget_not_told").Str("request", call.ID).Str("program", call.Program).Err(err).End()
 		}
-		reply(callAnswer{uint64(a.verdict) | uint64(a.standing)<<standingShift, a.ranAt})
+		reply(a.encode())
 	}()
 }
 
+func (a reserveAnswer) encode() callAnswer {
+	return callAnswer{value: uint64(a.verdict) | uint64(a.standing)<<standingShift, text: a.ranAt, keptBy: a.keptBy}
+}
+
+func (v callAnswer) reserveAnswer() reserveAnswer {
+	return reserveAnswer{
+		verdict: reserveVerdict(v.value & (1<<standingShift - 1)), ranAt: v.text,
+		standing: programStanding(v.value >> standingShift), keptBy: v.keptBy,
+	}
+}
+
 // Flags of a notice.
 const (
 	noticeReturned = 1 << iota
--- /dev/null
+++ b/internal/gateway/chains_test.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	table "github.com/buckthornroute/buckthornroute/internal/platform"
+)
+
+// scriptedTable counts the reads of kept turns; while silent it answers nothing.
+type scriptedTable struct {
+	table.Watcher
+	turnReads atomic.Int64
+	silent    atomic.Bool
+}
+
+func (s *scriptedTable) await(ctx context.Context) error {
+	if !s.silent.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return table.ErrUnavailable
+}
+
+func (s *scriptedTable) Get(ctx context.Context, key string) (table.Row, error) {
+	if strings.HasPrefix(key, "turns/") {
+		s.turnReads.Add(1)
+	}
+	if err := s.await(ctx); err != nil {
+		return table.Row{}, err
+	}
+	return s.Watcher.Get(ctx, key)
+}
+
+func (s *scriptedTable) Apply(ctx context.Context, txn table.Txn) error {
+	if err := s.await(ctx); err != nil {
+		return err
+	}
+	return s.Watcher.Apply(ctx, txn)
+}
+
+func (s *scriptedTable) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]table.Change, int64, error) {
+	if err := s.await(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Watcher.Changes(ctx, prefix, after, wait)
+}
+
+func (s *scriptedTable) Snapshot(ctx context.Context, prefix string) ([]table.Row, int64, error) {
+	if err := s.await(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Watcher.Snapshot(ctx, prefix)
+}
+
+// chainPrograms are owned by either entry.
+var chainPrograms = []string{"p1", "p2", "p3", "p4"}
+
+// chainSystem is two entries that know each other, on one table.
+func chainSystem(t *testing.T) (*entryOf, *entryOf, *upstream, *scriptedTable) {
+	t.Helper()
+	p := newPlatformOf(t)
+	l := newUpstream(t, "llm-1", events(0, 1, false))
+	p.document(1)
+	p.register(l, "llm", "ready", 1)
+	shared := &scriptedTable{Watcher: p.p.Table}
+	e, other := startEntry(t, "entry-1", shared), startEntry(t, "entry-2", shared)
+	eventually(t, "the entries agree on who counts which budget", func() bool {
+		for _, program := range chainPrograms {
+			if (e.mesh.owner(program) == nil) == (other.mesh.owner(program) == nil) {
+				return false
+			}
+		}
+		return true
+	})
+	return e, other, l, shared
+}
+
+// lose silences the table and waits until the entries' own calls have shown that.
+func lose(t *testing.T, shared *scriptedTable, entries ...*entryOf) {
+	t.Helper()
+	shared.silent.Store(true)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	for _, e := range entries {
+		for range 2 * lostParts {
+			go func() {
+				for ctx.Err() == nil && !e.link.away() {
+					_, _ = e.link.Get(ctx, budgetKey(newID()))
+				}
+			}()
+		}
+	}
+	for _, e := range entries {
+		eventually(t, "the table is lost", e.link.away)
+	}
+}
+
+// turnsOf sends turns of one line through an entry and returns the id of the last and
+// what an upstream receives before the next.
+func turnsOf(t *testing.T, e *entryOf, program string, n int) (last, history string) {
+	t.Helper()
+	for range n {
+		h := turnHeader(program, 5000, 50)
+		h["X-Request-Id"], h["X-Session-Id"] = newID(), "line"
+		if last != "" {
+			h["X-Previous-Turn"] = last
+		}
+		input := "in" + h["X-Request-Id"] + " "
+		if r := e.call("POST", "/draft/1", input, h); r.status != http.StatusOK || r.err != nil {
+			t.Fatalf("%+v", r)
+		}
+		last = h["X-Request-Id"]
+		history += input + "e0\ne1\n"
+	}
+	return last, history
+}
+
+// nextTurn sends the next turn of such a line.
+func nextTurn(e *entryOf, program, previous string) reply {
+	h := turnHeader(program, 5000, 50)
+	h["X-Session-Id"], h["X-Previous-Turn"] = "line", previous
+	return e.call("POST", "/draft/1", "more", h)
+}
+
+func (e *entryOf) knowsWhoKept(program, turn string) bool {
+	e.budgets.mu.Lock()
+	defer e.budgets.mu.Unlock()
+	of := e.budgets.accounts[program]
+	return of != nil && of.keptBy[turn] != ""
+}
+
+// TestChainComesFromTheEntryThatHasIt: a line that moves to another entry costs no read of
+// the table for each of its turns.
+func TestChainComesFromTheEntryThatHasIt(t *testing.T) {
+	for _, program := range chainPrograms {
+		e, other, l, shared := chainSystem(t)
+		last, history := turnsOf(t, e, program, 4)
+		eventually(t, "the end of the last turn is told", func() bool {
+			return e.knowsWhoKept(program, last) || other.knowsWhoKept(program, last)
+		})
+		if r := nextTurn(other, program, last); r.status != http.StatusOK || r.err != nil {
+			t.Fatalf("%+v", r)
+		}
+		seen := l.requests()
+		if got := seen[len(seen)-1].body; got != history+"more" {
+			t.Fatalf("the upstream got %q, want %q", got, history+"more")
+		}
+		if n := shared.turnReads.Load(); n != 0 {
+			t.Errorf("%d turns of program %s were read from the table", n, program)
+		}
+	}
+}
+
+// TestLineMovesDuringAnOutage: with the table away and silent, a turn through another
+// entry reaches an upstream without a wait for the table.
+func TestLineMovesDuringAnOutage(t *testing.T) {
+	e, other, l, shared := chainSystem(t)
+	last, history := turnsOf(t, e, "p1", 4)
+	lose(t, shared, e, other)
+	start := time.Now()
+	r := make(chan reply, 1)
+	go func() { r <- nextTurn(other, "p1", last) }()
+	eventually(t, "the turn reaches an upstream", func() bool { return len(l.requests()) == 5 })
+	if took := time.Since(start); took > 300*time.Millisecond {
+		t.Errorf("the turn reached an upstream after %v", took)
+	}
+	if got := l.requests()[4].body; got != history+"more" {
+		t.Errorf("the upstream got %q", got)
+	}
+	if got := <-r; got.err == nil {
+		t.Errorf("a turn that the table has not was promised: %+v", got)
+	}
+}
+
+// TestUnreadableTurnIsRefusedAtOnce: a turn that no entry has at hand is not held while
+// the table is away.
+func TestUnreadableTurnIsRefusedAtOnce(t *testing.T) {
+	e, other, _, shared := chainSystem(t)
+	lose(t, shared, e, other)
+	start := time.Now()
+	r := other.call("POST", "/draft/1", "x", map[string]string{"X-Previous-Turn": "nobody-has-it"})
+	if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+		t.Errorf("%+v", r)
+	}
+	if took := time.Since(start); took > turnPeerTimeout+100*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+}
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -58,7 +58,7 @@
 func (m *mesh) handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post("/table/{verb}", m.serveTable)
-	r.Post("/turn", m.serveTurn)
+	r.Post("/chain", m.serveChain)
 	r.Post("/grants", m.serveGrants)
 	return r
 }
@@ -243,20 +243,35 @@
 	return a.Changes, a.Version, nil
 }
 
-// turnCall asks for a kept turn; the answer has its stored form, or nothing.
-type turnCall struct {
+// storedTurn is a kept turn in its stored form.
+type storedTurn struct {
 	ID    string `json:"id"`
-	Value []byte `json:"value,omitempty"`
+	Value []byte `json:"value"`
 }
 
-func (m *mesh) serveTurn(w http.ResponseWriter, r *http.Request) {
-	var call turnCall
+// chainCall asks for a kept turn and its chain; the answer has what is at hand of them,
+// the turn itself first, or nothing.
+type chainCall struct {
+	ID    string       `json:"id"`
+	Turns []storedTurn `json:"turns,omitempty"`
+}
+
+// maxChainBytes bounds the turns in one answer; the rest is read from the table.
+const maxChainBytes = maxMeshBody / 2
+
+func (m *mesh) serveChain(w http.ResponseWriter, r *http.Request) {
+	var call chainCall
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxMeshBody)).Decode(&call); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if turn := m.g.turns.get(call.ID); turn != nil {
-		call.Value = turn.Encode()
+	size := 0
+	for _, turn := range m.g.turns.atHand(call.ID) {
+		value := turn.Encode()
+		if size += len(value); size > maxChainBytes {
+			break
+		}
+		call.Turns = append(call.Turns, storedTurn{turn.ID, value})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(call); err != nil {
@@ -279,40 +294,73 @@
 	turnPeersAtOnce = 12
 )
 
-// turnAt implements turnPeers. It asks all entries that live, since callers move
+// chainAt implements turnPeers.
+func (m *mesh) chainAt(ctx context.Context, life, id string) []*turnlog.Turn {
+	address := m.meshOf(life)
+	if address == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, turnPeerTimeout)
+	defer cancel()
+	return m.askChain(ctx, address, id)
+}
+
+// chainAnywhere implements turnPeers. It asks all entries that live, since callers move
 // between them from turn to turn.
-func (m *mesh) turnAt(ctx context.Context, id string) *turnlog.Turn {
+func (m *mesh) chainAnywhere(ctx context.Context, id string) []*turnlog.Turn {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), turnPeerTimeout)
 	defer cancel()
 	addresses := m.liveMeshes()
-	found := make(chan *turnlog.Turn, len(addresses))
+	found := make(chan []*turnlog.Turn, len(addresses))
 	slots := make(chan struct{}, turnPeersAtOnce)
 	for _, address := range addresses {
 		go func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			found <- m.askTurn(ctx, address, id)
+			found <- m.askChain(ctx, address, id)
 		}()
 	}
 	for range addresses {
-		if turn := <-found; turn != nil {
-			return turn
+		if chain := <-found; len(chain) > 0 {
+			return chain
 		}
 	}
 	return nil
 }
 
-func (m *mesh) askTurn(ctx context.Context, address, id string) *turnlog.Turn {
-	var answer turnCall
-	if err := m.client.post(ctx, address, "/turn", turnCall{ID: id}, &answer); err != nil || len(answer.Value) == 0 {
+// askChain asks one entry for a turn and its chain.
+func (m *mesh) askChain(ctx context.Context, address, id string) []*turnlog.Turn {
+	var answer chainCall
+	if err := m.client.post(ctx, address, "/chain", chainCall{ID: id}, &answer); err != nil {
+		m.g.metrics.chainsNotAsked.Inc(1)
 		return nil
 	}
-	turn, err := turnlog.Decode(id, answer.Value)
-	if err != nil {
-		m.g.env.Requests.Warn("turn_malformed").Str("turn", id).Str("peer", address).Err(err).End()
+	chain := make([]*turnlog.Turn, 0, len(answer.Turns))
+	for _, stored := range answer.Turns {
+		turn, err := turnlog.Decode(stored.ID, stored.Value)
+		if err != nil {
+			m.g.env.Requests.Warn("turn_malformed").Str("turn", stored.ID).Str("peer", address).Err(err).End()
+			return nil
+		}
+		chain = append(chain, turn)
+	}
+	if len(chain) > 0 && chain[0].ID != id {
 		return nil
 	}
-	return turn
+	return chain
+}
+
+// meshOf returns the address of the entry of a life; empty when that one is not heard.
+func (m *mesh) meshOf(life string) string {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Life == life && alive(p, now) {
+			return p.Mesh
+		}
+	}
+	return ""
 }
 
 func (m *mesh) liveMeshes() []string {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,7 +10,7 @@
 type metrics struct {
 	requests, answered, refused, failed, gone                                   tally.Counter
 	resent, connections, commits, digestErrors                                  tally.Counter
-	notFound, budgetSpent, turnsKept, turnsNotKept                              tally.Counter
+	notFound, budgetSpent, turnsKept, turnsNotKept, chainsNotAsked              tally.Counter
 	settlesLost, lumpsLost, advancesUnrecorded, rowsNotExpired, grantsWitnessed tally.Counter
 	latency, firstEvent, commitLatency                                          tally.Histogram
 }
@@ -26,7 +26,8 @@
 		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsKept: s.Counter("turns_kept"), turnsNotKept: s.Counter("turns_not_kept"),
-		settlesLost: s.Counter("settles_lost"), lumpsLost: s.Counter("budget_lumps_lost"), advancesUnrecorded: s.Counter("budget_advances_unrecorded"),
+		chainsNotAsked: s.Counter("chains_not_asked"),
+		settlesLost:    s.Counter("settles_lost"), lumpsLost: s.Counter("budget_lumps_lost"), advancesUnrecorded: s.Counter("budget_advances_unrecorded"),
 		rowsNotExpired: s.Counter("rows_not_expired"), grantsWitnessed: s.Counter("budget_grants_witnessed"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets),
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -19,12 +19,9 @@
 	b := append(make([]byte, 0, 96), callReserve)
 	b = appendText(appendText(b, r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.Most))
-	kept := byte(0)
-	if r.Kept {
-		kept = 1
-	}
-	v, err := m.calls.ask(ctx, p, append(appendText(b, r.Line), kept))
-	answer := reserveAnswer{reserveVerdict(v.value & (1<<standingShift - 1)), v.text, programStanding(v.value >> standingShift)}
+	b = appendBool(appendText(b, r.Line), r.Kept)
+	v, err := m.calls.ask(ctx, p, appendText(b, r.Previous))
+	answer := v.reserveAnswer()
 	if err != nil {
 		return reserveAnswer{verdict: reserveUnknown}, err
 	}
@@ -39,10 +36,17 @@
 	b := append(make([]byte, 0, 64), callSettle)
 	b = appendText(appendText(b, s.Program), s.ID)
 	b = appendText(appendText(binary.AppendUvarint(b, uint64(s.Used)), s.Line), s.Upstream)
-	_, err := m.calls.ask(ctx, p, b)
+	_, err := m.calls.ask(ctx, p, appendBool(b, s.Kept))
 	return err
 }
 
+func appendBool(b []byte, v bool) []byte {
+	if v {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
 // owns reports whether this entry counts budgets for others.
 func (m *mesh) owns() bool { return m.registered.Load() && !m.g.draining.Load() }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,32 +44,36 @@
 	// tokens is the number of generated tokens handed to the caller.
 	tokens    int
 	lastEvent time.Time
+	// kept says that the turn is in the table.
+	kept bool
 }
 
 // serveStream sends a turn or another call that is answered by events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, j *job) {
 	s := &stream{g: g, w: w, j: j, next: -1}
-	if !s.assemble(ctx) {
-		return
-	}
 	reserved, ok := s.reserve(ctx)
 	if !ok {
 		return
 	}
-	defer func() { reserved.settle(s.tokens, s.ranAt()) }()
+	defer func() { reserved.settle(s.tokens, s.ranAt(), s.kept) }()
 	j.work = g.workOf(j)
+	keptBy := ""
 	if reserved != nil {
-		j.work.RanAt = reserved.ranAt
+		j.work.RanAt, keptBy = reserved.ranAt, reserved.keptBy
 		if after, ok := g.mayBegin(j, reserved.standing); !ok {
 			g.refuse(w, j, "engines_full", nil, after)
 			return
 		}
 	}
+	if !s.assemble(ctx, keptBy) {
+		return
+	}
 	s.run(ctx)
 }
 
-// assemble puts what the turn continues from before its input; otherwise it has answered.
-func (s *stream) assemble(ctx context.Context) bool {
+// assemble puts what the turn continues from before its input; otherwise it has
+// answered. keptBy is the life of an entry that has that at hand, if known.
+func (s *stream) assemble(ctx context.Context, keptBy string) bool {
 	j := s.j
 	if !j.route.Retained {
 		return true
@@ -80,7 +84,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	last, history, reads, err := s.g.turns.chain(ctx, j.call.Previous)
+	last, history, reads, err := s.g.turns.chain(ctx, j.call.Previous, keptBy)
 	j.reads = reads
 	switch {
 	case err == nil:
@@ -91,7 +95,7 @@
 	case errors.Is(err, errNoTurn):
 		s.g.reject(s.w, j, http.StatusNotFound, "no_such_turn", err)
 	default:
-		s.g.refuse(s.w, j, "turn_not_readable", err, retryTable)
+		s.g.refuse(s.w, j, "turn_not_readable", err, s.g.tableRetry())
 	}
 	return false
 }
@@ -104,6 +108,7 @@
 	}
 	r, err := s.g.budgets.reserve(ctx, reserveCall{
 		Program: j.call.Program, ID: j.call.ID, Total: j.call.TokenBudget, Most: j.call.MaxTokens, Line: j.call.Line, Kept: j.route.Retained,
+		Previous: j.call.Previous,
 	})
 	switch {
 	case err == nil:
@@ -112,7 +117,7 @@
 		s.g.metrics.budgetSpent.Inc(1)
 		s.g.reject(s.w, j, http.StatusPaymentRequired, "budget_spent", nil)
 	default:
-		s.g.refuse(s.w, j, "budget_not_readable", err, retryTable)
+		s.g.refuse(s.w, j, "budget_not_readable", err, s.g.tableRetry())
 	}
 	return nil, false
 }
@@ -312,6 +317,7 @@
 			s.abort()
 			return
 		}
+		s.kept = true
 		g.metrics.turnsKept.Inc(1)
 	}
 	g.metrics.answered.Inc(1)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -49,8 +49,11 @@
 
 // turnPeers finds turns in the memory of other entries.
 type turnPeers interface {
-	// turnAt returns the turn from any entry that has it at hand, or nil.
-	turnAt(ctx context.Context, id string) *turnlog.Turn
+	// chainAt returns the turn and those of its chain that the entry of the life has at
+	// hand; none when it can't be reached.
+	chainAt(ctx context.Context, life, id string) []*turnlog.Turn
+	// chainAnywhere returns the same of any entry that has the turn.
+	chainAnywhere(ctx context.Context, id string) []*turnlog.Turn
 }
 
 func newTurns(t table.Table, c *committer, peers turnPeers, e *expiry, away func(string) bool, cfg *settings.Gateway) *turns {
@@ -78,17 +81,41 @@
 	return t.cache.Get(id)
 }
 
-func (t *turns) put(turn *turnlog.Turn) {
+func (t *turns) put(turns ...*turnlog.Turn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cache.Put(turn)
+	for _, turn := range turns {
+		t.cache.Put(turn)
+	}
+}
+
+// atHand returns the turn and those of its chain that are in memory; none when the turn
+// itself is not.
+func (t *turns) atHand(id string) []*turnlog.Turn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last := t.cache.Get(id)
+	if last == nil {
+		return nil
+	}
+	chain := []*turnlog.Turn{last}
+	for _, id := range last.Ancestors {
+		if turn := t.cache.Get(id); turn != nil {
+			chain = append(chain, turn)
+		}
+	}
+	return chain
 }
 
 // chain returns the turn with the id and what an upstream is to receive before the
-// input of one that continues from it. reads is the number of turns that were not at
-// hand. It returns errNoTurn, or an error of the table when it can't tell.
-func (t *turns) chain(ctx context.Context, id string) (last *turnlog.Turn, history []byte, reads int, err error) {
-	if last = t.get(id); last == nil {
+// input of one that continues from it. keptBy is the life of the entry that has the turn
+// at hand, if known. reads is the number of turns that no entry was known to have. It
+// returns errNoTurn, or an error of the table when it can't tell.
+func (t *turns) chain(ctx context.Context, id, keptBy string) (last *turnlog.Turn, history []byte, reads int, err error) {
+	if last = t.get(id); last == nil && keptBy != "" {
+		last = t.take(t.peers.chainAt(ctx, keptBy, id))
+	}
+	if last == nil {
 		reads++
 		if last, err = t.fetch(ctx, id); err != nil {
 			return nil, nil, reads, err
@@ -115,6 +142,15 @@
 	return last, history, reads, nil
 }
 
+// take puts a chain that another entry had into memory and returns its last turn.
+func (t *turns) take(chain []*turnlog.Turn) *turnlog.Turn {
+	if len(chain) == 0 {
+		return nil
+	}
+	t.put(chain...)
+	return chain[0]
+}
+
 // fetchAll reads turns that the table must have, since another names them.
 func (t *turns) fetchAll(ctx context.Context, ids []string) (map[string]*turnlog.Turn, error) {
 	group, ctx := errgroup.WithContext(ctx)
@@ -145,6 +181,10 @@
 func (t *turns) fetch(ctx context.Context, id string) (*turnlog.Turn, error) {
 	var unread error
 	for place := range turnPlaces {
+		if t.away(turnKey(id, place, 0)) {
+			unread = errors.Wrapf(table.ErrUnavailable, "place %d of the turn", place)
+			continue
+		}
 		turn, err := t.fetchAt(ctx, id, place)
 		if err == nil {
 			t.put(turn)
@@ -161,8 +201,7 @@
 		return nil, errNoTurn
 	}
 	// Entries that have written or read the turn have it in memory.
-	if turn := t.peers.turnAt(ctx, id); turn != nil {
-		t.put(turn)
+	if turn := t.take(t.peers.chainAnywhere(ctx, id)); turn != nil {
 		return turn, nil
 	}
 	return nil, unread
