Let the end of a kept turn wait as long as its caller; probe a lost table

The return itself was noticed up to two seconds late, behind questions that a silent table never answered; meanwhile each turn that waited wrote in vain.

The end now waits until shortly before the caller leaves, by the route's own targets. While the table is lost the entry asks for it every 150 ms, and turns wait for that instead of each asking.

Ruled out: answering the turn before it is in the table (a promise that dies with the entries).

--- a/internal/gateway/chains_test.go
+++ b/internal/gateway/chains_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/relay"
 )
 
 // scriptedTable counts the reads of kept turns; while silent it answers nothing.
@@ -191,3 +193,52 @@
 		t.Errorf("refused after %v", took)
 	}
 }
+
+// TestEndWaitsAsLongAsTheCaller replays an outage of seven seconds: the turn that it meets
+// and the two times that the caller sends it again must last to its end.
+func TestEndWaitsAsLongAsTheCaller(t *testing.T) {
+	const (
+		outage = 7 * time.Second
+		turn   = 300 * time.Millisecond
+		again  = 250 * time.Millisecond // the middle of a caller's wait before it sends a turn again
+		sends  = 3
+	)
+	route := &relay.Route{Target: 200 * time.Millisecond, GapTarget: 300 * time.Millisecond, Timeout: 3 * time.Second}
+	begun := time.Unix(100, 0)
+	now := begun
+	for range sends {
+		now = keepUntil(&job{route: route, deadline: now.Add(route.Timeout)}, now.Add(turn)).Add(again)
+	}
+	if lasted := now.Sub(begun); lasted < outage {
+		t.Errorf("a turn lasts %v through an outage of %v", lasted, outage)
+	}
+	short := &job{route: route, deadline: begun.Add(time.Second)}
+	if until := keepUntil(short, begun); !until.Before(short.deadline) {
+		t.Errorf("the end waits until %v, the caller until %v", until, short.deadline)
+	}
+}
+
+// noPeers reaches no other entry.
+type noPeers struct{}
+
+func (noPeers) tableVia() (table.Watcher, func()) { return nil, nil }
+
+// TestReturnOfTheTableIsNoticedSoon: while nothing else asks the table, or what asked it
+// waits in vain, the entry still finds out that it is back.
+func TestReturnOfTheTableIsNoticedSoon(t *testing.T) {
+	shared := &scriptedTable{Watcher: newPlatformOf(t).p.Table}
+	l := newLink(shared, noPeers{}, func(eventlog.Event, eventlog.Fields) {})
+	shared.silent.Store(true)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	for !l.away() {
+		_, _ = l.Get(ctx, budgetKey(newID()))
+	}
+	go l.probe(ctx)
+	shared.silent.Store(false)
+	within, cancel := context.WithTimeout(ctx, 2*probeInterval+100*time.Millisecond)
+	defer cancel()
+	if l.awaitTable(within); l.away() {
+		t.Error("the table counts as lost though it is back")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
 	g.expiry = &expiry{commits: g.commits}
 	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.expiry, g.holder(), g.life)
-	g.turns = newTurns(g.link, g.commits, g.mesh, g.expiry, g.link.awayFor, cfg)
+	g.turns = newTurns(g.link, g.commits, g.mesh, g.expiry, cfg)
 	return g
 }
 
@@ -122,7 +122,7 @@
 	defer stop()
 	group, duties := errgroup.WithContext(duties)
 	for _, duty := range []func(context.Context){
-		g.pool.Run, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.budgets.recordLoop, g.expiry.run, g.housekeep,
+		g.pool.Run, g.link.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.budgets.recordLoop, g.expiry.run, g.housekeep,
 	} {
 		group.Go(func() error {
 			duty(duties)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -43,6 +43,9 @@
 	// in a row in different parts are rare.
 	lostAfter = 250 * time.Millisecond
 	lostParts = 4
+	// probeInterval is the time between two questions whether a lost table is back: little
+	// against an outage of seconds, and few calls of all entries a second.
+	probeInterval = 150 * time.Millisecond
 	// commonLostAfter is the same for the common part alone, which is asked once a second.
 	commonLostAfter = time.Second
 )
@@ -76,6 +79,8 @@
 	usual time.Duration
 	lost  bool
 	back  time.Time
+	// regained is closed when the table is reached again; nil while it is not lost.
+	regained chan struct{}
 	// lastFailed is when a call last failed by all ways.
 	lastFailed time.Time
 }
@@ -132,6 +137,9 @@
 	return l.back
 }
 
+// probeKey is a row of the common part that does not exist.
+const probeKey = entriesPrefix + "-"
+
 // errPeer marks a call that failed on the way to another entry, not at the table.
 var errPeer = errors.New("another entry was not reached")
 
@@ -291,6 +299,8 @@
 		clear(l.failed)
 		if l.lost {
 			l.lost, l.back = false, now
+			close(l.regained)
+			l.regained = nil
 		}
 	default:
 		if l.failing.IsZero() {
@@ -301,6 +311,9 @@
 			part == common && now.Sub(l.failing) >= commonLostAfter
 	}
 	lost := l.lost
+	if lost && !wasLost {
+		l.regained = make(chan struct{})
+	}
 	l.mu.Unlock()
 	if lost && !wasLost {
 		l.note(eventlog.GatewayTableLost, eventlog.Fields{Step: "table", Err: err})
@@ -310,6 +323,42 @@
 	}
 }
 
+// awaitTable waits while the table is lost, until ctx ends.
+func (l *link) awaitTable(ctx context.Context) {
+	l.mu.Lock()
+	regained := l.regained
+	l.mu.Unlock()
+	if regained == nil {
+		return
+	}
+	select {
+	case <-regained:
+	case <-ctx.Done():
+	}
+}
+
+// probe asks a lost table again and again whether it is back, until ctx ends. Questions
+// overlap, since one that was sent before the table's return may stay without an answer.
+func (l *link) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, probeInterval)
+		if l.away() {
+			go l.probeOnce(ctx)
+		}
+	}
+}
+
+func (l *link) probeOnce(ctx context.Context) {
+	err := within(ctx, maxTimeout, l.direct, func(ctx context.Context, t table.Watcher) error {
+		_, err := t.Get(ctx, probeKey)
+		return err
+	})
+	if ctx.Err() == nil && !failed(err) {
+		l.noteDirect(common, err)
+		l.noteAny(common, err)
+	}
+}
+
 // partOfTxn returns the part of a transaction's first row.
 func partOfTxn(txn table.Txn) string {
 	if len(txn.Writes) == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,11 +18,9 @@
 const (
 	// defaultGenerate is the expected number of generated tokens when a caller says nothing.
 	defaultGenerate = 256
-	// keepPatience bounds how long the end of an answer waits for its turn to be kept:
-	// callers leave an answer that pauses for two seconds.
-	keepPatience = 1700 * time.Millisecond
-	// keepMargin before the caller's deadline leaves time for the last bytes.
-	keepMargin = 50 * time.Millisecond
+	// keepMargin before the caller leaves is when the end of an answer no longer waits for
+	// its turn to be kept: the last bytes take some ms to the caller.
+	keepMargin = 60 * time.Millisecond
 )
 
 // errCallerGone says that the caller does not take the answer any more.
@@ -325,12 +323,15 @@
 	g.outcome(j, "answered", http.StatusOK, "", nil, 0)
 }
 
+// keepUntil returns until when the end of an answer waits for its turn to be kept: as
+// long as the caller does. It answers the pattern of an outage of the table: a caller
+// sends a turn that broke off twice more, so the waits must last through the outage.
+func keepUntil(j *job, lastEvent time.Time) time.Time {
+	return earlier(lastEvent.Add(j.route.Silence()), j.deadline).Add(-keepMargin)
+}
+
 func (s *stream) keep(ctx context.Context) error {
-	until := s.lastEvent.Add(keepPatience)
-	if d := s.j.deadline.Add(-keepMargin); d.Before(until) {
-		until = d
-	}
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := context.WithDeadline(ctx, keepUntil(s.j, s.lastEvent))
 	defer cancel()
 	err := s.g.turns.keep(ctx, &turnlog.Turn{
 		ID: s.j.call.ID, Ancestors: turnlog.Next(s.last), Input: s.input, Output: s.output,
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -40,7 +40,9 @@
 	peers   turnPeers
 	expiry  *expiry
 	// away reports whether a key of the table surely can't be reached now.
-	away     func(key string) bool
+	away func(key string) bool
+	// await waits while the table can't be reached by any way.
+	await    func(ctx context.Context)
 	rowBytes int
 
 	mu    sync.Mutex
@@ -56,9 +58,9 @@
 	chainAnywhere(ctx context.Context, id string) []*turnlog.Turn
 }
 
-func newTurns(t table.Table, c *committer, peers turnPeers, e *expiry, away func(string) bool, cfg *settings.Gateway) *turns {
+func newTurns(l *link, c *committer, peers turnPeers, e *expiry, cfg *settings.Gateway) *turns {
 	return &turns{
-		table: t, commits: c, peers: peers, expiry: e, away: away, rowBytes: cfg.TableRowBytes - rowMargin,
+		table: l, commits: c, peers: peers, expiry: e, away: l.awayFor, await: l.awaitTable, rowBytes: cfg.TableRowBytes - rowMargin,
 		cache: turnlog.NewCache(int(float64(cfg.MemoryMB) * cacheShare * (1 << 20))),
 	}
 }
@@ -236,6 +238,7 @@
 	value := turn.Encode()
 	err := error(nil)
 	for round := 0; ctx.Err() == nil; round++ {
+		t.await(ctx)
 		place := round % turnPlaces
 		if err = t.keepAt(ctx, turn.ID, value, place, retention); err == nil {
 			t.put(turn)
--- a/relay/document.go
+++ b/relay/document.go
@@ -68,6 +68,19 @@
 	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
 }
 
+// How long callers wait for the next event of a stream, or the first: the longest of these.
+const (
+	leastSilence   = 2 * time.Second
+	silenceTargets = 4
+	silenceGaps    = 8
+)
+
+// Silence returns how long a caller waits for the next event before it leaves, as the
+// callers' side of the interface says.
+func (r *Route) Silence() time.Duration {
+	return max(leastSilence, silenceTargets*r.Target, silenceGaps*r.GapTarget)
+}
+
 // Allows reports whether the route may send calls to the service.
 func (r *Route) Allows(service string) bool {
 	for _, b := range r.Backends {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,9 @@
 package relay
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestMatchLongestPrefix(t *testing.T) {
 	table := NewTable(&Document{Routes: []Route{
@@ -64,3 +67,15 @@
 		t.Error("removal must change the new registry alone")
 	}
 }
+
+func TestSilence(t *testing.T) {
+	for _, c := range []struct{ target, gap, want time.Duration }{
+		{0, 0, 2 * time.Second},
+		{200 * time.Millisecond, 300 * time.Millisecond, 2400 * time.Millisecond},
+		{time.Second, 100 * time.Millisecond, 4 * time.Second},
+	} {
+		if got := (&Route{Target: c.target, GapTarget: c.gap}).Silence(); got != c.want {
+			t.Errorf("target %v, gap %v: %v, want %v", c.target, c.gap, got, c.want)
+		}
+	}
+}
