Keep calls in their failure domain, give shared parts a home in each, shorten digests

Two thirds of the calls left their domain: a shared part had two or three homes wherever the hash put them, and the way weighed 2.5 ms. Of the digests' bytes more than half named the sender.

Homes of a part are now spread evenly, one at least in each domain; a call that leaves pays 2 ms for each KB; seven of eight digests name the sender's life alone.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -23,6 +23,9 @@
 	maxDigest = 1300
 	// digestItem is the greatest length of one item of a digest.
 	digestItem = 24
+	// namedEvery is the number of digests of which one has the sender's name and addresses;
+	// the others name its life alone, since those who listen know it by then.
+	namedEvery = 8
 	// maxFresh bounds the newly cached prompts that wait to be told.
 	maxFresh = 64
 )
@@ -44,6 +47,8 @@
 	packetDigest = 1
 	packetCall   = 2
 	packetAnswer = 3
+	// packetBrief is a digest that names the sender's life alone.
+	packetBrief = 4
 )
 
 // cachedParts are prompt parts that an upstream has read.
@@ -102,31 +107,13 @@
 
 // digest encodes this entry's calls by upstream and the parts newly cached.
 func (m *mesh) digest() []byte {
-	self := m.self()
-	b := append(make([]byte, 0, maxDigest), packetDigest)
-	flags := byte(0)
-	if m.g.link.reachable() {
-		flags |= flagTableUp
-	}
-	if m.owns() {
-		flags |= flagOwns
-	}
-	if m.settled.Load() {
-		flags |= flagSettled
-	}
-	if m.g.draining.Load() {
-		flags |= flagLeaving
-	}
-	b = append(b, flags)
-	for _, text := range []string{self.Node, self.Domain, self.Mesh, self.Digests, self.Life} {
-		b = appendText(b, text)
-	}
 	m.mu.Lock()
 	m.seq++
-	b = binary.AppendUvarint(b, m.seq)
+	seq := m.seq
 	fresh, strikes := m.fresh, m.strikes
 	m.fresh, m.strikes = nil, nil
 	m.mu.Unlock()
+	b := m.digestHead(make([]byte, 0, maxDigest), seq)
 	m.g.mu.Lock()
 	m.g.book.Own(func(id string, calls int) {
 		if len(b)+digestItem < maxDigest {
@@ -157,6 +144,32 @@
 	return b
 }
 
+// digestHead appends who sends the digest and what it says of itself.
+func (m *mesh) digestHead(b []byte, seq uint64) []byte {
+	flags := byte(0)
+	if m.g.link.reachable() {
+		flags |= flagTableUp
+	}
+	if m.owns() {
+		flags |= flagOwns
+	}
+	if m.settled.Load() {
+		flags |= flagSettled
+	}
+	if m.g.draining.Load() {
+		flags |= flagLeaving
+	}
+	self := m.self()
+	if seq%namedEvery != 1 {
+		return binary.AppendUvarint(appendText(append(b, packetBrief, flags), self.Life), seq)
+	}
+	b = append(b, packetDigest, flags)
+	for _, text := range []string{self.Node, self.Domain, self.Mesh, self.Digests, self.Life} {
+		b = appendText(b, text)
+	}
+	return binary.AppendUvarint(b, seq)
+}
+
 // appendSeat appends the short name of an upstream.
 func appendSeat(b []byte, id string) []byte {
 	return binary.BigEndian.AppendUint32(b, uint32(routing.HashSeat(id)))
@@ -185,6 +198,8 @@
 	switch b[0] {
 	case packetDigest:
 		return m.heard(b[1:])
+	case packetBrief:
+		return m.heardBrief(b[1:])
 	case packetCall:
 		return m.calls.serve(b[1:], from)
 	case packetAnswer:
@@ -261,6 +276,33 @@
 	return m.takeLoads(from.Node, &p)
 }
 
+// heardBrief takes a digest that names its sender's life alone; from a life that is not
+// known it says nothing.
+func (m *mesh) heardBrief(b []byte) bool {
+	p := packet{b: b}
+	flags, life, seq := p.byte(), p.text(), p.uvarint()
+	if p.bad {
+		return false
+	}
+	from, known := m.byLife(life)
+	if !known || !m.accept(from, seq, flags) {
+		return true
+	}
+	return m.takeLoads(from.Node, &p)
+}
+
+// byLife returns the peer of a life.
+func (m *mesh) byLife(life string) (peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Life == life {
+			return *p, true
+		}
+	}
+	return peer{}, false
+}
+
 // accept records the digest's sender as heard; an overtaken digest is not accepted.
 func (m *mesh) accept(from peer, seq uint64, flags byte) bool {
 	now := time.Now()
--- /dev/null
+++ b/internal/gateway/digest_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/buckthornroute/buckthornroute/routing"
+)
+
+// TestBriefDigests: after a digest that names its sender, those that name its life alone
+// are believed, and those of a life that is not known are not.
+func TestBriefDigests(t *testing.T) {
+	p, e, _, _ := newSystem(t, notRun, notRun)
+	other := startEntry(t, "entry-2", p.p.Table)
+	eventually(t, "the entries know each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	seat := e.fleet.Load().seats["llm"][0]
+	inFlight := func() int {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		pick, _ := e.book.Choose(e.started, []routing.Seat{seat}, &routing.Work{}, nil)
+		return pick.InFlight
+	}
+	other.mu.Lock()
+	other.book.Started(seat, &routing.Work{})
+	other.mu.Unlock()
+	for range namedEvery {
+		if b := other.mesh.digest(); b[0] == packetBrief {
+			if !e.mesh.packet(b, nil) || inFlight() != 1 {
+				t.Fatalf("a brief digest is not believed: %d in flight", inFlight())
+			}
+			break
+		}
+	}
+	e.mesh.mu.Lock()
+	e.mesh.peers["entry-2"].Life = "another"
+	e.mesh.mu.Unlock()
+	other.mu.Lock()
+	other.book.Started(seat, &routing.Work{})
+	other.mu.Unlock()
+	for range namedEvery {
+		if b := other.mesh.digest(); b[0] == packetBrief && (!e.mesh.packet(b, nil) || inFlight() != 1) {
+			t.Fatalf("a digest of an unknown life is believed: %d in flight", inFlight())
+		}
+	}
+}
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -352,13 +352,8 @@
 
 // meshOf returns the address of the entry of a life; empty when that one is not heard.
 func (m *mesh) meshOf(life string) string {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if p.Life == life && alive(p, now) {
-			return p.Mesh
-		}
+	if p, known := m.byLife(life); known && alive(&p, time.Now()) {
+		return p.Mesh
 	}
 	return ""
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -18,9 +18,12 @@
 // maxPlainAnswer bounds an answer that is held whole before it goes to the caller.
 const maxPlainAnswer = 16 << 20
 
+// plainBytes is about what the heads and the body of an answer take that is no stream.
+const plainBytes = 2 << 10
+
 // servePlain sends a call whose answer is one body.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
-	j.work = routing.Work{Object: j.call.Object, Domain: string(g.cfg.FailureDomain)}
+	j.work = routing.Work{Object: j.call.Object, Domain: string(g.cfg.FailureDomain), Bytes: plainBytes + len(j.body)}
 	for {
 		res, err := g.send(ctx, j, nil)
 		if res == nil && g.callerGone(ctx, j, err) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,6 +18,9 @@
 const (
 	// defaultGenerate is the expected number of generated tokens when a caller says nothing.
 	defaultGenerate = 256
+	// bytesPerToken is about what a generated token takes in an answer, with its part of
+	// the event around it.
+	bytesPerToken = 7
 	// keepMargin before the caller leaves is when the end of an answer no longer waits for
 	// its turn to be kept: the last bytes take some ms to the caller.
 	keepMargin = 60 * time.Millisecond
@@ -66,6 +69,7 @@
 	if !s.assemble(ctx, keptBy) {
 		return
 	}
+	j.work.Bytes = len(j.body) + bytesPerToken*j.work.Generate
 	s.run(ctx)
 }
 
--- a/internal/loadreplay/replay.go
+++ b/internal/loadreplay/replay.go
@@ -32,6 +32,10 @@
 	Length             time.Duration
 	// Patience is how many times its time on idle engines a program may take, beside 200 ms.
 	Patience float64
+	// Domains is the number of failure domains over which entries and engines spread; zero
+	// or one has no effect. NoDomains forgets where they are.
+	Domains   int
+	NoDomains bool
 	// Grey engines fail GreyShare of their calls.
 	Grey      int
 	GreyShare float64
@@ -49,6 +53,8 @@
 	TokensRead, SharedAgain int64
 	// GreyCalls and Calls are the calls sent to failing engines and to all.
 	GreyCalls, Calls int
+	// CrossBytes is what calls sent to engines in other failure domains, of AllBytes.
+	CrossBytes, AllBytes int64
 }
 
 // Worth is the programs in time and, at lateShare each, the late ones, of all.
@@ -71,16 +77,22 @@
 	think       = 60 * time.Millisecond
 	// tellEvery is the interval of digests between entries.
 	tellEvery = 100 * time.Millisecond
+	// roam is the share of turns that come through an entry anywhere.
+	roam = 0.1
+	// tokenBytes is what a token of a prompt or an answer takes on the network.
+	tokenBytes = 1
 	// comeBack bounds how often a refused program asks again.
 	comeBack = 4
 )
 
 type program struct {
 	begun, idle time.Duration
-	prompt      []routing.PromptPart
-	turnsLeft   int
-	ranAt       string
-	asked       int
+	// domain is that of its callers.
+	domain    int
+	prompt    []routing.PromptPart
+	turnsLeft int
+	ranAt     string
+	asked     int
 	// nextAt is when its next turn comes; running says that one is under way.
 	nextAt  time.Duration
 	running bool
@@ -143,6 +155,7 @@
 	for i := range cfg.Engines {
 		id := "engine-" + string(rune('a'+i/26)) + string(rune('a'+i%26))
 		w.seats = append(w.seats, routing.Seat{ID: id, Service: "s", Slots: cfg.Slots, CacheTokens: cfg.CacheTokens, Hash: routing.HashSeat(id)})
+		w.seats[i].Domain = w.domain(i)
 		w.engines = append(w.engines, &engine{cache: routing.NewPrefixCache(cfg.CacheTokens), grey: i < cfg.Grey})
 	}
 	for i := range cfg.Entries {
@@ -151,6 +164,14 @@
 	return w
 }
 
+// domain names the failure domain of the ith entry or engine.
+func (w *world) domain(i int) string {
+	if w.cfg.Domains < 2 {
+		return ""
+	}
+	return string(rune('a' + i%w.cfg.Domains))
+}
+
 func (w *world) clock() time.Time { return w.start.Add(w.now) }
 
 // arrive begins the programs of one tick.
@@ -167,7 +188,7 @@
 		// Shared parts come by the inverse of their rank.
 		head := uint64(float64(w.cfg.Heads) * math.Pow(w.rng.Float64(), 1.8))
 		p := &program{
-			begun: w.now, nextAt: w.now, turnsLeft: turns,
+			begun: w.now, nextAt: w.now, turnsLeft: turns, domain: w.report.Programs % max(1, w.cfg.Domains),
 			prompt: []routing.PromptPart{{ID: head, Tokens: w.cfg.HeadTokens}},
 			idle:   time.Duration(turns) * (think + time.Duration(turnTokens*tokenMs*float64(time.Millisecond)) + 24*time.Millisecond),
 		}
@@ -191,9 +212,18 @@
 	w.live = kept
 }
 
+// entryOf draws the entry to which a program's next turn comes, mostly in its domain.
+func (w *world) entryOf(p *program) int {
+	n := len(w.books)
+	if w.cfg.Domains < 2 || w.rng.Float64() < roam {
+		return w.rng.IntN(n)
+	}
+	return p.domain + w.cfg.Domains*w.rng.IntN((n-p.domain+w.cfg.Domains-1)/w.cfg.Domains)
+}
+
 // place sends a program's next turn; it reports false when the program is over.
 func (w *world) place(p *program) bool {
-	entry := w.rng.IntN(len(w.books))
+	entry := w.entryOf(p)
 	book := w.books[entry]
 	if p.ranAt == "" && !w.cfg.NoAdmission {
 		ok, after := w.admit.Admit(book.Load(w.clock(), w.seats), 0, p.asked > 0)
@@ -210,10 +240,14 @@
 	w.nextPart++
 	own := routing.PromptPart{ID: w.nextPart, Tokens: inputTokens/2 + w.rng.IntN(inputTokens)}
 	prompt := append(append([]routing.PromptPart(nil), p.prompt...), own)
-	work := routing.Work{Prompt: prompt, Generate: turnTokens}
+	work := routing.Work{Prompt: prompt, Generate: turnTokens, Domain: w.domain(entry)}
 	for _, part := range prompt {
 		work.Tokens += part.Tokens
 	}
+	work.Bytes = tokenBytes * (work.Tokens + turnTokens)
+	if w.cfg.NoDomains {
+		work.Domain = ""
+	}
 	if !w.cfg.NoLines {
 		work.RanAt = p.ranAt
 	}
@@ -221,6 +255,10 @@
 	for i := range w.seats {
 		if w.seats[i].ID == pick.ID {
 			book.Started(w.seats[i], &work)
+			w.report.AllBytes += int64(work.Bytes)
+			if w.seats[i].Domain != w.domain(entry) {
+				w.report.CrossBytes += int64(work.Bytes)
+			}
 			w.run(p, &call{p: p, entry: entry, seat: i, decode: turnTokens * (0.4 + 1.2*w.rng.Float64())}, prompt)
 			break
 		}
--- a/internal/loadreplay/replay_test.go
+++ b/internal/loadreplay/replay_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// TestCallsStayInTheirDomain: callers and engines are spread over three failure domains,
+// and bytes between them are paid for.
+func TestCallsStayInTheirDomain(t *testing.T) {
+	for _, seed := range seeds {
+		cfg := grown(seed)
+		cfg.Domains = 3
+		cfg.Engines, cfg.ProgramsPerSecond, cfg.Heads = 12, 36, 6
+		with := Run(cfg)
+		cfg.NoDomains = true
+		without := Run(cfg)
+		share := func(r Report) float64 { return float64(r.CrossBytes) / float64(r.AllBytes) }
+		t.Logf("seed %d: %.2f of the bytes cross with domains, %.2f without; worth %.3f and %.3f, shared tokens read again %d and %d",
+			seed, share(with), share(without), with.Worth(0.3), without.Worth(0.3), with.SharedAgain, without.SharedAgain)
+		if share(with) > 0.8*share(without) || with.Worth(0.3) < 0.97*without.Worth(0.3) {
+			t.Errorf("seed %d: calls don't stay in their domain, or that costs worth", seed)
+		}
+	}
+}
+
 func TestReplayRepeats(t *testing.T) {
 	if a, b := Run(grown(7)), Run(grown(7)); a != b {
 		t.Errorf("one seed gave %+v and %+v", a, b)
--- a/routing/book.go
+++ b/routing/book.go
@@ -60,6 +60,8 @@
 	Object string
 	// Domain is the caller's entry's failure domain.
 	Domain string
+	// Bytes is about what the call and its answer send over the network.
+	Bytes int
 }
 
 // Pick is a chosen upstream and what the choice rests on.
@@ -384,9 +386,11 @@
 const (
 	// harmWeight is the weight of the delay of other calls against that of the call itself.
 	harmWeight = 1.0
-	// crossDomainCost is the cost in milliseconds of the way to another failure domain
-	// and back, and of the bytes between.
-	crossDomainCost = 2.5
+	// crossDomainCost is the cost in milliseconds of the way to another failure domain and
+	// back, crossDomainByte that of each byte, which is paid for: the 17 KB of a long prompt
+	// weigh about as much as one more call in an engine's batch.
+	crossDomainCost = 2.0
+	crossDomainByte = 2.0 / (1 << 10)
 	// tieBreak in milliseconds spreads entries over upstreams of equal cost: less than
 	// one call beside costs.
 	tieBreak = 6
@@ -427,7 +431,7 @@
 		e.first, e.cost = e.finish, e.finish
 	}
 	if w.Domain != "" && s.Domain != w.Domain {
-		e.cost += crossDomainCost
+		e.cost += crossDomainCost + crossDomainByte*float64(w.Bytes)
 	}
 	e.cost += tieBreak * b.rng.Float64()
 	return e
--- a/routing/heads.go
+++ b/routing/heads.go
@@ -22,6 +22,8 @@
 	tokens float64
 	last   time.Time
 	ranks  []headRank
+	// domains is room for the failure domains of the seats in the order of their ranks.
+	domains []domainCount
 }
 
 type headCount struct{ n float64 }
@@ -29,6 +31,13 @@
 type headRank struct {
 	weight uint64
 	seat   int
+	// depth is the number of better seats in its failure domain.
+	depth int
+}
+
+type domainCount struct {
+	name  string
+	seats int
 }
 
 const (
@@ -40,7 +49,8 @@
 	// headMemory is the share of an engine's memory for shared first parts; the rest
 	// holds what runs and the private parts of lines between their turns.
 	headMemory = 0.07
-	// minHomes is the least number of homes of a part, so that one may leave.
+	// minHomes is the least number of homes of a part, so that one may leave; there is one
+	// in each failure domain too.
 	minHomes = 2
 	// headForgotten is the count below which a part is no longer known.
 	headForgotten = 0.05
@@ -74,27 +84,47 @@
 	h.tokens *= factor
 }
 
-// homes appends for each seat whether it is a home of the part.
+// homes appends for each seat whether it is a home of the part. Homes are spread evenly
+// over the failure domains, so that few calls need leave theirs for one.
 func (h *heads) homes(out []bool, p PromptPart, seats []Seat) []bool {
 	h.ranks = h.ranks[:0]
 	for i := range seats {
 		out = append(out, false)
-		h.ranks = append(h.ranks, headRank{mixHead(p.ID, seats[i].Hash), i})
+		h.ranks = append(h.ranks, headRank{weight: mixHead(p.ID, seats[i].Hash), seat: i})
 	}
-	k := h.count(p, seats)
+	slices.SortFunc(h.ranks, func(a, b headRank) int { return cmp.Compare(b.weight, a.weight) })
+	h.spread(seats)
+	k := max(h.count(p, seats), min(len(h.domains), len(seats)))
 	if k >= len(seats) {
 		for i := range out {
 			out[i] = true
 		}
 		return out
 	}
-	slices.SortFunc(h.ranks, func(a, b headRank) int { return cmp.Compare(b.weight, a.weight) })
+	slices.SortFunc(h.ranks, func(a, b headRank) int {
+		return cmp.Or(cmp.Compare(a.depth, b.depth), cmp.Compare(b.weight, a.weight))
+	})
 	for _, r := range h.ranks[:k] {
 		out[r.seat] = true
 	}
 	return out
 }
 
+// spread counts for each ranked seat the better ones in its failure domain.
+func (h *heads) spread(seats []Seat) {
+	h.domains = h.domains[:0]
+	for i := range h.ranks {
+		name := seats[h.ranks[i].seat].Domain
+		at := slices.IndexFunc(h.domains, func(d domainCount) bool { return d.name == name })
+		if at < 0 {
+			at = len(h.domains)
+			h.domains = append(h.domains, domainCount{name: name})
+		}
+		h.ranks[i].depth = h.domains[at].seats
+		h.domains[at].seats++
+	}
+}
+
 // count returns the number of homes of the part.
 func (h *heads) count(p PromptPart, seats []Seat) int {
 	if len(seats) == 0 || h.total == 0 {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -164,3 +164,32 @@
 		s.Exact(now.Add(3*time.Millisecond), s.upstreams["m0001"].load)
 	}
 }
+
+// TestHomesLieInEachDomain: each shared part has a home in every failure domain, and its
+// homes are spread evenly.
+func TestHomesLieInEachDomain(t *testing.T) {
+	var seats []Seat
+	for i := range 12 {
+		id := "engine-" + string(rune('a'+i))
+		seats = append(seats, Seat{ID: id, Domain: string(rune('x' + i%3)), Slots: 8, CacheTokens: 200_000, Hash: HashSeat(id)})
+	}
+	h := newHeads()
+	now := time.Unix(100, 0)
+	for part := range uint64(8) {
+		for range 40 / (part + 1) {
+			h.came(now, PromptPart{ID: part, Tokens: 12_600})
+		}
+	}
+	for part := range uint64(8) {
+		in := map[string]int{}
+		for i, home := range h.homes(nil, PromptPart{ID: part, Tokens: 12_600}, seats) {
+			if home {
+				in[seats[i].Domain]++
+			}
+		}
+		least, most := min(in["x"], in["y"], in["z"]), max(in["x"], in["y"], in["z"])
+		if least < 1 || most-least > 1 {
+			t.Errorf("part %d has homes %v", part, in)
+		}
+	}
+}
