Grant ahead of a row that takes 60 ms, while its draw goes on

The owner now waits 60 ms for a row and then grants ahead of it, on the same conditions as before; the draw goes on and covers the grant. An entry waits 500 ms for an owner while the table fails. Recording grants no longer holds up turns.

--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -75,10 +75,13 @@
 		b.mu.Lock()
 	}
 	of.account.Learn(granted, b.holder)
-	need, ok := of.account.AdvanceNeeded(call.Most, ledger.Standing{
-		Alone: knows == knowsAlone, Open: len(of.open), Surging: of.arrivals.Surging(),
-		Stuck: call.Kept && b.lost(),
-	})
+	needed := func() (int, bool) {
+		return of.account.AdvanceNeeded(call.Most, ledger.Standing{
+			Alone: knows == knowsAlone, Open: len(of.open), Surging: of.arrivals.Surging(),
+			Stuck: call.Kept && b.lost(),
+		})
+	}
+	need, ok := needed()
 	if !ok {
 		return false
 	}
@@ -86,10 +89,14 @@
 	b.mu.Unlock()
 	heard := b.owners.tell(ctx, notice)
 	b.mu.Lock()
-	if heard {
-		of.account.Advance(need)
+	if !heard {
+		return false
+	}
+	// A draw on its way may have ended meanwhile; never more is granted than was told.
+	if still, ok := needed(); ok {
+		of.account.Advance(min(need, still))
 	}
-	return heard
+	return of.account.Free() >= call.Most
 }
 
 // notice tells of this life's own grants.
--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -32,8 +32,21 @@
 	}
 }
 
+// rowDraw is a draw from a program's row on its way.
+type rowDraw struct {
+	// done is closed when it has ended; err is set by then.
+	done chan struct{}
+	err  error
+}
+
+// errRowSlow says that a row has not answered for a while; it still may.
+var errRowSlow = errors.Mark(errors.New("the row takes long"), table.ErrUnavailable)
+
 // drawLocked draws a lump from the program's row; the lock is released meanwhile. While
-// the row can't be reached it grants tokens ahead of it instead.
+// the row can't be reached, or takes long, the owner grants tokens ahead of it instead.
+//
+// It answers the pattern of an outage that has just begun: until it is noticed each draw
+// goes without an answer.
 func (b *budgets) drawLocked(ctx context.Context, of *budget, call reserveCall, owner bool) error {
 	of.drawing = make(chan struct{})
 	defer func() {
@@ -51,15 +64,57 @@
 	if owner && away || b.lost() {
 		return errors.Wrap(table.ErrUnavailable, "the row can't be reached")
 	}
-	err := b.drawRowLocked(ctx, of, call)
-	if owner && !ahead && failed(err) && b.advanceLocked(ctx, of, call) {
+	row := b.startDrawLocked(of, call)
+	if !owner || ahead {
+		return b.awaitRowLocked(ctx, row, drawTimeout)
+	}
+	err := b.awaitRowLocked(ctx, row, drawPatience)
+	if failed(err) && b.advanceLocked(ctx, of, call) {
 		return nil
 	}
+	if errors.Is(err, errRowSlow) {
+		err = b.awaitRowLocked(ctx, row, drawTimeout)
+	}
 	return err
 }
 
-// drawRowLocked draws from the program's row; the lock is released meanwhile. A call
+// awaitRowLocked waits for a draw, for patience at most; the lock is released meanwhile.
+func (b *budgets) awaitRowLocked(ctx context.Context, row *rowDraw, patience time.Duration) error {
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case <-row.done:
+		return row.err
+	case <-t.C:
+		return errRowSlow
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), table.ErrUnavailable)
+	}
+}
+
+// startDrawLocked begins a draw from the program's row unless one is on its way. A call
 // whose most is zero only records what was granted ahead of the row.
+func (b *budgets) startDrawLocked(of *budget, call reserveCall) *rowDraw {
+	if of.row != nil {
+		return of.row
+	}
+	row := &rowDraw{done: make(chan struct{})}
+	of.row = row
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
+		defer cancel()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		row.err = b.drawRowLocked(ctx, of, call)
+		of.row = nil
+		close(row.done)
+	}()
+	return row
+}
+
+// drawRowLocked draws from the program's row; the lock is released meanwhile.
 func (b *budgets) drawRowLocked(ctx context.Context, of *budget, call reserveCall) error {
 	b.learnLocked(ctx, of, call.Program)
 	state := of.account.Drawing(call.Most)
@@ -144,7 +199,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for program, of := range b.accounts {
-		if of.drawing == nil && now.Sub(of.used) > budgetIdle {
+		if of.drawing == nil && of.row == nil && now.Sub(of.used) > budgetIdle {
 			delete(b.accounts, program)
 		}
 	}
--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -17,7 +17,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, recordInterval)
 		for _, call := range b.unrecorded() {
-			go b.record(ctx, call)
+			go b.record(call)
 		}
 		for _, o := range b.orphaned(time.Now()) {
 			go b.witness(ctx, o)
@@ -103,21 +103,24 @@
 	defer b.mu.Unlock()
 	var calls []reserveCall
 	for program, of := range b.accounts {
-		if of.account.Advanced() > 0 && of.drawing == nil && !b.away(budgetKey(program)) {
+		if of.account.Advanced() > 0 && of.row == nil && !b.away(budgetKey(program)) {
 			calls = append(calls, reserveCall{Program: program, Total: of.account.Total(), ID: of.asked})
 		}
 	}
 	return calls
 }
 
-func (b *budgets) record(ctx context.Context, call reserveCall) {
+func (b *budgets) record(call reserveCall) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	of := b.accounts[call.Program]
-	if of == nil || of.drawing != nil || of.account.Advanced() == 0 {
+	if of == nil || of.row != nil || of.account.Advanced() == 0 {
+		b.mu.Unlock()
 		return
 	}
-	if err := b.drawLocked(ctx, of, call, false); err != nil {
+	row := b.startDrawLocked(of, call)
+	b.mu.Unlock()
+	<-row.done
+	if row.err != nil {
 		b.commits.metrics.advancesUnrecorded.Inc(1)
 	}
 }
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -23,6 +23,9 @@
 	maxDrawTries = 6
 	// drawTimeout bounds how long a turn waits for its draw.
 	drawTimeout = 900 * time.Millisecond
+	// drawPatience is how long an owner waits for a row before it grants ahead of it: some
+	// ten times what the table usually takes.
+	drawPatience = 60 * time.Millisecond
 	// budgetIdle is how long an account without turns is remembered; a program's turns
 	// follow each other within seconds.
 	budgetIdle = 2 * time.Minute
@@ -147,7 +150,9 @@
 	open  map[string]int
 	ended map[string]bool
 	// drawing is closed when the draw under way ends; nil when none is.
-	drawing  chan struct{}
+	drawing chan struct{}
+	// row is the draw from the row on its way, which may outlast the one that began it.
+	row      *rowDraw
 	used     time.Time
 	arrivals ledger.Arrivals
 	// asked is the reservation that asked last, to count each once.
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -379,3 +379,29 @@
 		t.Errorf("%d turns of 50 tokens ran ahead of the row", n)
 	}
 }
+
+// TestSilentTableHoldsNoFirstTurn replays the first moments of an outage, before it is
+// noticed: the draws of new programs go without an answer, and their first turns, through
+// the owner or another entry, don't wait for them.
+func TestSilentTableHoldsNoFirstTurn(t *testing.T) {
+	e, other, _, shared := chainSystem(t)
+	shared.silent.Store(true)
+	for _, program := range chainPrograms {
+		start := time.Now()
+		if r := e.call("POST", "/ask/1", "x", turnHeader(program, 500, 50)); r.status != http.StatusOK {
+			t.Errorf("program %s: %+v", program, r)
+		}
+		if took := time.Since(start); took > callTimeout {
+			t.Errorf("the first turn of program %s took %v", program, took)
+		}
+	}
+	shared.silent.Store(false)
+	eventually(t, "the grants are recorded", func() bool {
+		for _, program := range chainPrograms {
+			if row, _, err := other.budgets.read(t.Context(), budgetKey(program), 500); err != nil || row.Left() == 500 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -18,6 +18,9 @@
 	callRetry = 25 * time.Millisecond
 	// callTimeout bounds a call whose owner has what is asked for at hand or draws it.
 	callTimeout = 250 * time.Millisecond
+	// callTimeoutTroubled bounds it while the table fails: the owner then asks others what
+	// was granted, and nothing is gained by a draw of one's own.
+	callTimeoutTroubled = 500 * time.Millisecond
 	// ownerSettled is how long an entry that died may still matter for what was granted:
 	// as long as a stopped program may come back.
 	ownerSettled = time.Minute
@@ -64,7 +67,11 @@
 
 // ask sends a call to a peer and waits for its answer.
 func (c *calls) ask(ctx context.Context, p *peer, body []byte) (callAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	return c.askFor(ctx, p, callTimeout, body)
+}
+
+func (c *calls) askFor(ctx context.Context, p *peer, timeout time.Duration, body []byte) (callAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer := make(chan callAnswer, 1)
 	c.mu.Lock()
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -20,7 +20,11 @@
 	b = appendText(appendText(b, r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.Most))
 	b = appendBool(appendText(b, r.Line), r.Kept)
-	v, err := m.calls.ask(ctx, p, appendText(b, r.Previous))
+	timeout := callTimeout
+	if m.g.link.troubled() {
+		timeout = callTimeoutTroubled
+	}
+	v, err := m.calls.askFor(ctx, p, timeout, appendText(b, r.Previous))
 	answer := v.reserveAnswer()
 	if err != nil {
 		return reserveAnswer{verdict: reserveUnknown}, err
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -72,7 +72,9 @@
 		return
 	}
 	a.recorded += lump
-	a.advanced = max(0, a.advanced-d.advanced)
+	// What was granted ahead while the draw was on its way is covered by the lump too, as
+	// far as that holds what is in use.
+	a.advanced = min(max(0, a.advanced-d.advanced), max(0, a.reserved+a.spent-a.recorded))
 }
 
 // advanceShare is the part of a budget that an owner grants ahead of the row: with a
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -231,3 +231,26 @@
 		t.Fatalf("drew %d and %d beside 1144 of 1716", first, second)
 	}
 }
+
+// TestGrantAheadOfADrawOnItsWay: the row took long, so a turn was granted ahead of it; the
+// draw that ends later covers that turn, and nothing is drawn twice for it.
+func TestGrantAheadOfADrawOnItsWay(t *testing.T) {
+	a := NewAccount(500)
+	d := a.Drawing(100)
+	if !advance(a, 100) || !a.Reserve(100) {
+		t.Fatal("no turn ahead of the row")
+	}
+	a.Drawn(d, 250)
+	if a.Free() != 150 || a.Advanced() != 0 || a.Granted() != 250 {
+		t.Errorf("free %d, ahead %d, granted %d", a.Free(), a.Advanced(), a.Granted())
+	}
+	small := NewAccount(500)
+	d = small.Drawing(100)
+	if !advance(small, 100) || !small.Reserve(100) || !advance(small, 100) || !small.Reserve(100) {
+		t.Fatal("no two turns ahead of the row")
+	}
+	small.Drawn(d, 150)
+	if small.Free() != 0 || small.Advanced() != 50 {
+		t.Errorf("free %d, ahead %d after a draw of 150 for 200 in use", small.Free(), small.Advanced())
+	}
+}
