Send calls where a connection is; judge failing upstreams evenly, by what a failure costs

Rested connections stay for calls that may use them, and an upstream without a connection costs 8 ms. The estimate of failures weighs ends of calls alike, but for a failure right after another; the failure of a call that is sent again costs 400 ms.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -232,3 +232,40 @@
 		t.Errorf("%d connections are counted", p.Open(address))
 	}
 }
+
+// TestRestedConnectionIsLeftToOthers: a call that must not be sent on a connection that
+// rested takes a new one and leaves the old one to calls that may repeat.
+func TestRestedConnectionIsLeftToOthers(t *testing.T) {
+	address, _ := peer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := request(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, answerText(id, "x"))
+		}
+	})
+	p := NewPool(time.Second)
+	once := func(limit int, rest time.Duration) {
+		t.Helper()
+		c, err := p.get(t.Context(), address, limit, rest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(c, 0)
+	}
+	once(0, 0)
+	once(0, 0)
+	if p.Open(address) != 2 {
+		t.Fatalf("%d connections are open, not 2", p.Open(address))
+	}
+	dialled := 0
+	p.Opened = func() { dialled++ }
+	if once(0, time.Minute); dialled != 0 {
+		t.Error("a call that may repeat opened a connection beside two that rest")
+	}
+	once(2, 0)
+	if p.Open(address) != 2 {
+		t.Errorf("%d connections are open, 2 may be", p.Open(address))
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -74,22 +74,32 @@
 	return h
 }
 
-// get returns a connection that rested at most maxRest, or a new one. limit bounds
-// the connections to the address; zero does not.
+// get returns a connection that rested at most maxRest, or a new one. Those that rested
+// longer are left to calls that may use them. limit bounds the connections to the
+// address; zero does not.
 func (p *Pool) get(ctx context.Context, address string, limit int, maxRest time.Duration) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
 	h := p.hostOf(address)
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
+		usable := now.Before(c.expires) && c.quiet()
+		if usable && now.Sub(c.rested) > maxRest {
+			break
+		}
 		h.idle = h.idle[:len(h.idle)-1]
-		if now.Before(c.expires) && now.Sub(c.rested) <= maxRest && c.quiet() {
+		if usable {
 			p.mu.Unlock()
 			return c, nil
 		}
 		h.open--
 		_ = c.Close()
 	}
+	if limit > 0 && h.open >= limit && len(h.idle) > 0 {
+		_ = h.idle[0].Close()
+		h.idle = h.idle[1:]
+		h.open--
+	}
 	if limit > 0 && h.open >= limit {
 		p.mu.Unlock()
 		return nil, ErrBusy
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -68,11 +68,9 @@
 	}, len(j.body))
 	req := forward.Request{
 		Address: u.Address, ID: j.call.ID, Method: j.request.Method, Head: head, Body: j.body,
-		Deadline: j.deadline.Add(answerSlack), MaxConns: conns, MaxRest: maxRest,
+		Deadline: j.deadline.Add(answerSlack), MaxConns: conns, MaxRest: j.maxRest(),
 	}
-	if !j.route.MayRepeat() {
-		req.MaxRest = maxRestOnce
-	} else if quiet := j.quietBound(); quiet > 0 {
+	if quiet := j.quietBound(); quiet > 0 {
 		req.Deadline = earlier(req.Deadline, res.sentAt.Add(quiet))
 	}
 	res.answer, res.err = g.pool.Send(ctx, &req)
@@ -145,6 +143,14 @@
 	}
 }
 
+// maxRest bounds how long a connection may have rested on which the call is sent.
+func (j *job) maxRest() time.Duration {
+	if j.route.MayRepeat() {
+		return maxRest
+	}
+	return maxRestOnce
+}
+
 // choose picks the upstream and records the call there.
 func (g *Gateway) choose(j *job) (*relay.Upstream, int, bool) {
 	now := time.Now()
@@ -152,6 +158,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	seats := f.seats[j.service]
+	j.work.WarmFor, j.work.MayRepeat = j.maxRest(), j.route.MayRepeat()
 	pick, ok := g.book.Choose(now, seats, &j.work, j.tried)
 	if !ok {
 		return nil, 0, false
--- a/internal/loadreplay/replay_test.go
+++ b/internal/loadreplay/replay_test.go
@@ -77,6 +77,24 @@
 	}
 }
 
+// TestEnginesThatLoseFewAnswers: six of ten lose one answer in twenty. The others could not
+// take their load, so they are used nearly as much.
+func TestEnginesThatLoseFewAnswers(t *testing.T) {
+	for _, seed := range seeds {
+		cfg := grown(seed)
+		cfg.ProgramsPerSecond = 45
+		cfg.Grey, cfg.GreyShare = 6, 0.05
+		r := Run(cfg)
+		cfg.GreyShare = 0
+		fair := Run(cfg)
+		share := func(r Report) float64 { return float64(r.GreyCalls) / float64(r.Calls) }
+		t.Logf("seed %d: %.2f of the calls go to the six, %.2f when they lose none; %+v", seed, share(r), share(fair), r)
+		if share(r) < 0.75*share(fair) {
+			t.Errorf("seed %d: engines that lose few answers are shunned", seed)
+		}
+	}
+}
+
 // TestCallsStayInTheirDomain: callers and engines are spread over three failure domains,
 // and bytes between them are paid for.
 func TestCallsStayInTheirDomain(t *testing.T) {
--- a/routing/book.go
+++ b/routing/book.go
@@ -60,6 +60,10 @@
 	Object string
 	// Domain is the caller's entry's failure domain.
 	Domain string
+	// MayRepeat says that the call is sent again when it fails.
+	MayRepeat bool
+	// WarmFor is how long a connection may have rested that the call may be sent on.
+	WarmFor time.Duration
 	// Bytes is about what the call and its answer send over the network.
 	Bytes int
 }
@@ -100,6 +104,10 @@
 	// with time, so that an upstream is tried again.
 	failing  float64
 	failedAt time.Time
+	// streak says that the last call that told anything failed.
+	streak bool
+	// rested is when the last of this entry's calls there ended, which left a connection.
+	rested time.Time
 	// untoldFailed and untoldFine are the ends of calls that other entries have not been
 	// told of.
 	untoldFailed, untoldFine int
@@ -114,23 +122,32 @@
 }
 
 // observe moves the chance of failure towards an outcome.
-func (a *account) observe(now time.Time, failed float64, weight float64) {
-	v := a.failingNow(now)
-	a.failing, a.failedAt = v+weight*(failed-v), now
+func (a *account) observe(now time.Time, failed bool) {
+	v, weight, outcome := a.failingNow(now), endWeight, 0.0
+	if failed {
+		outcome = 1
+		if a.streak {
+			weight = streakWeight
+		}
+	}
+	a.streak = failed
+	a.failing, a.failedAt = v+weight*(outcome-v), now
 }
 
 const (
 	// failHalfLife is the time after which a failure counts half: upstreams that go down
 	// and up by turns do so about every second and a half.
 	failHalfLife = 2 * time.Second
-	// failWeight is the weight of one failure, fineWeight that of a success: one failure
-	// among many calls says little, two in a row say much.
-	failWeight = 0.3
-	fineWeight = 0.12
-	// failCost is the cost in milliseconds of a failed call: what its caller waits until
-	// it is sent again or gives up. It is weighed against the load of the others, so that
-	// upstreams which all fail alike are all used.
-	failCost = 1500
+	// endWeight is the weight of the end of a call, streakWeight that of a failure right
+	// after another: one failure among many calls says little, two in a row say much.
+	endWeight    = 0.12
+	streakWeight = 0.35
+	// failCost is the cost in milliseconds of a failed call: its program may fail with it.
+	// failCostAgain is that of one which may be sent again: the wait until it is. They are
+	// weighed against the load of the others, so that upstreams which all fail alike, or
+	// seldom, are used.
+	failCost      = 1500
+	failCostAgain = 400
 )
 
 // Book knows what runs at each upstream, by this entry's own calls and what other
@@ -254,12 +271,13 @@
 	a.own = max(0, a.own-1)
 	switch v {
 	case Fine:
+		a.rested = now
 		if a.failing > 0 {
-			a.observe(now, 0, fineWeight)
+			a.observe(now, false)
 			a.untoldFine++
 		}
 	case Failed:
-		a.observe(now, 1, failWeight)
+		a.observe(now, true)
 		a.untoldFailed++
 	case Silent:
 	}
@@ -268,11 +286,15 @@
 // EndsHeard records the ends of calls at an upstream that another entry tells of.
 func (b *Book) EndsHeard(now time.Time, id string, failed, fine int) {
 	a := b.account(id, 0)
-	for range min(fine, maxEndsHeard) {
-		a.observe(now, 0, fineWeight)
-	}
-	for range min(failed, maxEndsHeard) {
-		a.observe(now, 1, failWeight)
+	// Their order is not told; taken in turn, more failures than successes are a streak.
+	failed, fine = min(failed, maxEndsHeard), min(fine, maxEndsHeard)
+	for ; failed > 0 || fine > 0; failed, fine = failed-1, fine-1 {
+		if fine > 0 {
+			a.observe(now, false)
+		}
+		if failed > 0 {
+			a.observe(now, true)
+		}
 	}
 }
 
@@ -357,7 +379,10 @@
 		if c.cached == 0 && len(w.Prompt) > 0 && !b.homes[i] && !b.cfg.NoHomes {
 			cost += strayWeight * b.PaceOf(s.Service).prefill(w.Prompt[0].Tokens)
 		}
-		cost += failCost * a.failingNow(now)
+		cost += w.failCost() * a.failingNow(now)
+		if now.Sub(a.rested) > w.WarmFor {
+			cost += coldCost
+		}
 		if cost < bestCost {
 			bestCost, found = cost, true
 			best = Pick{
@@ -391,6 +416,9 @@
 	// weigh about as much as one more call in an engine's batch.
 	crossDomainCost = 2.0
 	crossDomainByte = 2.0 / (1 << 10)
+	// coldCost is the cost in milliseconds of a new connection: its way, the upstream's
+	// work for it, and what it is priced at, some five times these.
+	coldCost = 8
 	// tieBreak in milliseconds spreads entries over upstreams of equal cost: less than
 	// one call beside costs.
 	tieBreak = 6
@@ -437,6 +465,14 @@
 	return e
 }
 
+// failCost returns the cost in milliseconds of the call's failure.
+func (w *Work) failCost() float64 {
+	if w.MayRepeat {
+		return failCostAgain
+	}
+	return failCost
+}
+
 // cachedAt returns the prompt tokens believed cached at an upstream. All but the last
 // part of a prompt were in that of the line's last turn, or its parent's.
 func (w *Work) cachedAt(id string, a *account) int {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -193,3 +194,106 @@
 		}
 	}
 }
+
+// TestCallsGoWhereAConnectionIs replays the plain calls of one entry on a calm day: few a
+// second for each upstream, on connections that may rest for 250 ms.
+func TestCallsGoWhereAConnectionIs(t *testing.T) {
+	opened := func(warm time.Duration) int {
+		var seats []Seat
+		for i := range 12 {
+			id := "app-" + string(rune('a'+i))
+			seats = append(seats, Seat{ID: id, Slots: 6, Hash: HashSeat(id)})
+		}
+		b := NewBook(BookConfig{Seed: 3})
+		now, n := time.Unix(100, 0), 0
+		ended := map[string]time.Time{}
+		for range 500 {
+			now = now.Add(30 * time.Millisecond)
+			w := &Work{WarmFor: warm}
+			pick, _ := b.Choose(now, seats, w, nil)
+			if now.Sub(ended[pick.ID]) > 250*time.Millisecond {
+				n++
+			}
+			b.Started(Seat{ID: pick.ID}, w)
+			ended[pick.ID] = now.Add(20 * time.Millisecond)
+			b.Ended(ended[pick.ID], pick.ID, Fine)
+		}
+		return n
+	}
+	with, without := opened(250*time.Millisecond), opened(0)
+	t.Logf("%d of 500 calls opened a connection, %d when none is preferred", with, without)
+	if 4*with > without {
+		t.Errorf("%d calls opened a connection against %d", with, without)
+	}
+}
+
+// lossyCalls replays plain calls, a third of which must not run twice, at under half of the
+// load that twelve upstreams take, of which seven fail the share of their calls. It returns
+// the shares of the calls of either kind that go to the other five, and the share of all
+// that meet an upstream whose slots are used up.
+func lossyCalls(share float64) (once, again, full float64) {
+	var seats []Seat
+	for i := range 12 {
+		id := "app-" + string(rune('a'+i))
+		seats = append(seats, Seat{ID: id, Slots: 6, Hash: HashSeat(id)})
+	}
+	type call struct {
+		seat int
+		ends time.Time
+	}
+	b := NewBook(BookConfig{Seed: 5})
+	rng := rand.New(rand.NewPCG(5, 1))
+	now := time.Unix(100, 0)
+	var running []call
+	sound, calls := map[bool]float64{}, map[bool]float64{}
+	const all = 3000
+	for i := range all {
+		now = now.Add(2 * time.Millisecond)
+		running = slices.DeleteFunc(running, func(c call) bool {
+			if c.ends.After(now) {
+				return false
+			}
+			v := Fine
+			if c.seat < 7 && rng.Float64() < share {
+				v = Failed
+			}
+			b.Ended(now, seats[c.seat].ID, v)
+			return true
+		})
+		w := &Work{MayRepeat: i%3 != 0}
+		pick, _ := b.Choose(now, seats, w, nil)
+		seat := slices.IndexFunc(seats, func(s Seat) bool { return s.ID == pick.ID })
+		b.Started(seats[seat], w)
+		running = append(running, call{seat, now.Add(time.Duration(30+rng.IntN(60)) * time.Millisecond)})
+		calls[w.MayRepeat]++
+		if pick.InFlight >= pick.Slots {
+			full++
+		}
+		if seat >= 7 {
+			sound[w.MayRepeat]++
+		}
+	}
+	return sound[false] / calls[false], sound[true] / calls[true], full / all
+}
+
+// TestUpstreamsThatLoseFewAnswers: seven of twelve lose one answer in twenty. Calls that
+// must not run twice avoid them; were they shunned by all, the others would queue calls at
+// under half of the load.
+func TestUpstreamsThatLoseFewAnswers(t *testing.T) {
+	const fair = 5. / 12
+	once, again, full := lossyCalls(0.05)
+	t.Logf("to the five that lose none go %.2f of the calls that must not run twice and %.2f of the others; %.3f of all meet full slots", once, again, full)
+	if once < 1.5*fair || again > once {
+		t.Errorf("%.2f and %.2f of the calls go to the five that lose none", once, again)
+	}
+	if full > 0.05 {
+		t.Errorf("%.2f of the calls meet an upstream whose slots are used up", full)
+	}
+}
+
+// TestUpstreamsThatFailMuch: those that fail half of their calls get few.
+func TestUpstreamsThatFailMuch(t *testing.T) {
+	if once, again, _ := lossyCalls(0.5); once < 0.95 || again < 0.85 {
+		t.Errorf("only %.2f and %.2f of the calls go to the five that fail none", once, again)
+	}
+}
