--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	table "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/ledger"
 )
 
@@ -125,6 +126,7 @@
 	commits *committer
 	owners  budgetOwners
 	expiry  *expiry
+	lines   *reqlog.Logger
 	holder  string
 	// life is this entry's.
 	life string
@@ -165,9 +167,9 @@
 	keptBy map[string]string
 }
 
-func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, holder, life string) *budgets {
+func newBudgets(l *link, c *committer, owners budgetOwners, e *expiry, lines *reqlog.Logger, holder, life string) *budgets {
 	return &budgets{
-		table: l, commits: c, owners: owners, expiry: e, holder: holder, life: life, away: l.awayFor, troubled: l.troubled, slow: l.slow, lost: l.away,
+		table: l, commits: c, owners: owners, expiry: e, lines: lines, holder: holder, life: life, away: l.awayFor, troubled: l.troubled, slow: l.slow, lost: l.away,
 		accounts: map[string]*budget{}, known: map[string]*knownGrants{},
 	}
 }
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -80,8 +80,10 @@
 	tried      []string
 	pick       routing.Pick
 	reads      int
-	events     int
-	keptIn     time.Duration
+	// chainFrom is the life of the entry that had the chain at hand.
+	chainFrom string
+	events    int
+	keptIn    time.Duration
 	// load is that of the service's upstreams when the program asked to begin.
 	load float64
 }
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -82,7 +82,13 @@
 // sendDigests sends digests until ctx ends.
 func (m *mesh) sendDigests(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, max(digestInterval, time.Duration(m.size())*digestBudget))
+		interval := intervalAmong(m.size())
+		if m.interval.Swap(int64(interval)) != int64(interval) {
+			m.g.mu.Lock()
+			m.g.book.BelievePeersFor(m.silence(ownerSilence))
+			m.g.mu.Unlock()
+		}
+		sleep(ctx, interval)
 		if m.packets == nil {
 			continue
 		}
@@ -95,6 +101,11 @@
 	}
 }
 
+// intervalAmong returns the time between two digests of each of some entries.
+func intervalAmong(entries int) time.Duration {
+	return max(digestInterval, time.Duration(entries)*digestBudget)
+}
+
 func (m *mesh) targets() []net.Addr {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -312,7 +323,7 @@
 		m.mu.Unlock()
 		return false
 	}
-	silent := !known.heard.IsZero() && now.Sub(known.heard) > entrySilence
+	silent := !known.heard.IsZero() && now.Sub(known.heard) > m.silence(entrySilence)
 	known.seq, known.heard = seq, now
 	known.tableUp, known.owns, known.settled = flags&flagTableUp != 0, flags&flagOwns != 0, flags&flagSettled != 0
 	known.leaving = flags&flagLeaving != 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g.link = newLink(env.Table, g.mesh, g.linkChanged)
 	g.commits = newCommitter(g.link, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
 	g.expiry = &expiry{commits: g.commits}
-	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.expiry, g.holder(), g.life)
+	g.budgets = newBudgets(g.link, g.commits, g.mesh, g.expiry, env.Requests, g.holder(), g.life)
 	g.turns = newTurns(g.link, g.commits, g.mesh, g.expiry, cfg)
 	return g
 }
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -67,6 +67,9 @@
 	// settled says that this entry has heard of all grants that it should have heard of.
 	settled atomic.Bool
 
+	// interval is the time between two digests of each entry.
+	interval atomic.Int64
+
 	mu    sync.Mutex
 	peers map[string]*peer
 	seq   uint64
@@ -98,7 +101,7 @@
 
 // lives reports whether a peer was heard lately, or was listed too lately to be heard.
 func (m *mesh) lives(p *peer, now time.Time) bool {
-	return now.Sub(p.heard) < entrySilence || now.Sub(p.listed) < entrySilence
+	return now.Sub(p.heard) < m.silence(entrySilence) || now.Sub(p.listed) < m.silence(entrySilence)
 }
 
 // tableVia implements tablePeers: the entry heard last among those that reach the
@@ -109,7 +112,7 @@
 	defer m.mu.Unlock()
 	var best *peer
 	for _, p := range m.peers {
-		if !p.tableUp || now.Sub(p.heard) > entrySilence {
+		if !p.tableUp || now.Sub(p.heard) > m.silence(entrySilence) {
 			continue
 		}
 		if best == nil || m.nearer(p, best) {
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -352,7 +352,7 @@
 
 // meshOf returns the address of the entry of a life; empty when that one is not heard.
 func (m *mesh) meshOf(life string) string {
-	if p, known := m.byLife(life); known && alive(&p, time.Now()) {
+	if p, known := m.byLife(life); known && m.alive(&p, time.Now()) {
 		return p.Mesh
 	}
 	return ""
@@ -364,7 +364,7 @@
 	defer m.mu.Unlock()
 	var out []string
 	for _, p := range m.peers {
-		if now.Sub(p.heard) < entrySilence {
+		if now.Sub(p.heard) < m.silence(entrySilence) {
 			out = append(out, p.Mesh)
 		}
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -33,6 +33,7 @@
 	if j.events > 0 {
 		ln.Int("events", int64(j.events))
 	}
+	ln.Str("chain_kept_by", j.chainFrom)
 	if j.reads > 0 {
 		ln.Int("turns_read", int64(j.reads))
 	}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -65,7 +65,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, p := range m.peers {
-		if !p.owns || !alive(p, now) {
+		if !p.owns || !m.alive(p, now) {
 			continue
 		}
 		if w := routing.Rendezvous(program, name); w > weight {
@@ -75,12 +75,22 @@
 	return best
 }
 
-// ownerSilence is how long after its last digest an entry is no longer asked for
-// budgets: a few digests, so that a dead owner delays few turns.
-const ownerSilence = time.Second
+const (
+	// ownerSilence is the least time after its last digest from which an entry is no longer
+	// asked for budgets: a few digests, so that a dead owner delays few turns.
+	ownerSilence = time.Second
+	// silentDigests is the same in digests, which are further apart among many entries: one
+	// may be lost and the next be late.
+	silentDigests = 2.5
+)
 
 // alive reports whether a peer was heard lately enough to be asked.
-func alive(p *peer, now time.Time) bool { return now.Sub(p.heard) < ownerSilence }
+func (m *mesh) alive(p *peer, now time.Time) bool { return now.Sub(p.heard) < m.silence(ownerSilence) }
+
+// silence returns how long an entry may be silent; at least as given.
+func (m *mesh) silence(least time.Duration) time.Duration {
+	return max(least, time.Duration(silentDigests*float64(m.interval.Load())))
+}
 
 // ranked returns the entries by their weight for the program, the owner-to-be first;
 // nil stands for this entry. keep says which peers count.
@@ -110,7 +120,7 @@
 	now := time.Now()
 	heard := make(chan bool, witnesses)
 	asked := 0
-	for _, p := range m.ranked(n.Program, witnesses+1, func(p *peer) bool { return alive(p, now) }) {
+	for _, p := range m.ranked(n.Program, witnesses+1, func(p *peer) bool { return m.alive(p, now) }) {
 		if p == nil {
 			continue
 		}
@@ -163,7 +173,7 @@
 		switch {
 		case p == nil && m.settled.Load():
 			knows = knowsGrants
-		case p != nil && p.settled && alive(p, now):
+		case p != nil && p.settled && m.alive(p, now):
 			ask = append(ask, p)
 		case p != nil && p.leaving:
 		default:
@@ -243,7 +253,7 @@
 	m.mu.Lock()
 	var from []string
 	for _, p := range m.peers {
-		if p.settled && alive(p, now) {
+		if p.settled && m.alive(p, now) {
 			from = append(from, p.Mesh)
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	last, history, reads, err := s.g.turns.chain(ctx, j.call.Previous, keptBy)
-	j.reads = reads
+	j.reads, j.chainFrom = reads, keptBy
 	switch {
 	case err == nil:
 		s.last = last
