Log a grant ahead of a row only when it was granted

Cause: read in the diff; when a draw that was on its way had covered the turn, the line named tokens that were not granted. No decision changes.

--- a/internal/gateway/budgetahead.go
+++ b/internal/gateway/budgetahead.go
@@ -93,12 +93,12 @@
 		return false
 	}
 	// A draw on its way may have ended meanwhile; never more is granted than was told.
-	if still, ok := needed(); ok {
+	if still, ok := needed(); ok && still > 0 {
 		of.account.Advance(min(need, still))
+		b.lines.Info("budget_granted_ahead").Str("request", call.ID).Str("program", call.Program).Int("tokens", int64(min(need, still))).
+			Int("ahead", int64(of.account.Advanced())).Int("drawn", int64(of.account.Granted()-of.account.Advanced())).
+			Int("budget", int64(call.Total)).Int("open_turns", int64(len(of.open))).End()
 	}
-	b.lines.Info("budget_granted_ahead").Str("request", call.ID).Str("program", call.Program).Int("tokens", int64(need)).
-		Int("ahead", int64(of.account.Advanced())).Int("drawn", int64(of.account.Granted()-of.account.Advanced())).
-		Int("budget", int64(call.Total)).Int("open_turns", int64(len(of.open))).End()
 	return of.account.Free() >= call.Most
 }
 
