Name the sender in each digest while entries get to know each other

Meanwhile each may take itself for the owner of a program and draw a lump, which stays with it when another becomes the owner.

For two seconds after its start, and after it has heard of another life, an entry names itself in each digest.

Open: a lump of an entry that lives and no longer owns the program stays with it until it shuts down.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -147,13 +147,19 @@
 	}
 	switch kind {
 	case callReserve:
-		call := reserveCall{Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint()), Line: p.text(), Kept: p.byte() == 1, Previous: p.text()}
+		call := reserveCall{
+			Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint()),
+			Line: p.text(), Kept: p.byte() == 1, Previous: p.text(),
+		}
 		if p.bad {
 			return false
 		}
 		c.serveReserve(call, reply)
 	case callSettle:
-		call := settleCall{Program: p.text(), ID: p.text(), Used: int(p.uvarint()), Line: p.text(), Upstream: p.text(), Kept: p.byte() == 1, KeptBy: life}
+		call := settleCall{
+			Program: p.text(), ID: p.text(), Used: int(p.uvarint()), Line: p.text(), Upstream: p.text(),
+			Kept: p.byte() == 1, KeptBy: life,
+		}
 		if p.bad {
 			return false
 		}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -26,6 +26,9 @@
 	// namedEvery is the number of digests of which one has the sender's name and addresses;
 	// the others name its life alone, since those who listen know it by then.
 	namedEvery = 8
+	// namedFor is how long after an entry has started, or has heard of another, all its
+	// digests do: entries that start at the same time must agree on owners at once.
+	namedFor = 2 * time.Second
 	// maxFresh bounds the newly cached prompts that wait to be told.
 	maxFresh = 64
 )
@@ -101,6 +104,13 @@
 	}
 }
 
+// naming reports whether each digest has the sender's name and addresses.
+func (m *mesh) naming(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.changed) < m.silence(namedFor)
+}
+
 // intervalAmong returns the time between two digests of each of some entries.
 func intervalAmong(entries int) time.Duration {
 	return max(digestInterval, time.Duration(entries)*digestBudget)
@@ -171,7 +181,7 @@
 		flags |= flagLeaving
 	}
 	self := m.self()
-	if seq%namedEvery != 1 {
+	if seq%namedEvery != 1 && !m.naming(time.Now()) {
 		return binary.AppendUvarint(appendText(append(b, packetBrief, flags), self.Life), seq)
 	}
 	b = append(b, packetDigest, flags)
--- a/internal/gateway/digest_test.go
+++ b/internal/gateway/digest_test.go
@@ -7,8 +7,9 @@
 	"github.com/buckthornroute/buckthornroute/routing"
 )
 
-// TestBriefDigests: after a digest that names its sender, those that name its life alone
-// are believed, and those of a life that is not known are not.
+// TestBriefDigests: entries that have heard of another name themselves in each digest for a
+// while. After that those that name the sender's life alone are believed, and those of a
+// life that is not known are not.
 func TestBriefDigests(t *testing.T) {
 	p, e, _, _ := newSystem(t, notRun, notRun)
 	other := startEntry(t, "entry-2", p.p.Table)
@@ -23,6 +24,14 @@
 	other.mu.Lock()
 	other.book.Started(seat, &routing.Work{})
 	other.mu.Unlock()
+	for range 2 * namedEvery {
+		if b := other.mesh.digest(); b[0] != packetDigest {
+			t.Fatal("a digest right after the entry heard of another does not name it")
+		}
+	}
+	other.mesh.mu.Lock()
+	other.mesh.changed = time.Time{}
+	other.mesh.mu.Unlock()
 	for range namedEvery {
 		if b := other.mesh.digest(); b[0] == packetBrief {
 			if !e.mesh.packet(b, nil) || inFlight() != 1 {
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -72,7 +72,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	seq   uint64
+	// changed is when this entry started or last heard of another life.
+	changed time.Time
+	seq     uint64
 	// fresh are the prompt parts that upstreams have newly read through this entry.
 	fresh []cachedParts
 	// strikes are crashes to tell of.
@@ -80,7 +82,7 @@
 }
 
 func newMesh(g *Gateway) *mesh {
-	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient()}
+	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient(), changed: time.Now()}
 	m.calls = newCalls(m)
 	return m
 }
@@ -200,6 +202,7 @@
 		return
 	}
 	p.address, p.listed = address, time.Now()
+	m.changed = p.listed
 	m.peers[p.Node] = &p
 	m.g.env.Requests.Info("entry_listed").Str("peer", p.Node).Str("domain", p.Domain).Str("life", p.Life).End()
 }
