Read a turn's history before its tokens are reserved

After a loss of power during an outage turns could not be read; they were refused, and what had been drawn for them stayed with entries that were no longer asked once all knew each other. The programs were then told that their budget is spent.

Turns are read first again. Which entry kept the previous turn is a question of its own to the budget's owner, asked only when the turn is not at hand.

The new test fails with the old order.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -69,8 +69,6 @@
 	Line string
 	// Kept says that the turn ends only once it is in the table.
 	Kept bool
-	// Previous is the turn that it continues from; empty when there is none.
-	Previous string
 }
 
 // settleCall ends a reservation with the tokens handed to the caller.
@@ -101,9 +99,6 @@
 	ranAt   string
 	// standing says whether the program has begun.
 	standing programStanding
-	// keptBy is the life of the entry that has the previous turn at hand; empty when that
-	// is not known.
-	keptBy string
 }
 
 // programStanding is how far a program has come.
@@ -183,8 +178,6 @@
 	// ranAt is where the line's last turn ran; empty when that is not known.
 	ranAt    string
 	standing programStanding
-	// keptBy is the life of the entry that has the previous turn at hand, if known.
-	keptBy string
 }
 
 // reserve sets aside the most of a turn. It returns errBudgetSpent, or an error of the
@@ -213,7 +206,7 @@
 	}
 	switch answer.verdict {
 	case reserveGranted:
-		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt, standing: answer.standing, keptBy: answer.keptBy}, nil
+		return &reservation{b: b, at: at, call: call, ranAt: answer.ranAt, standing: answer.standing}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -272,6 +265,17 @@
 	}
 }
 
+// keptBy returns the life of the entry that has a kept turn at hand; empty when this entry
+// does not know it.
+func (b *budgets) keptBy(program, turn string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if of := b.accounts[program]; of != nil {
+		return of.keptBy[turn]
+	}
+	return ""
+}
+
 // tryGrant grants from what is at hand; a zero verdict says that a draw is needed.
 func (b *budgets) tryGrant(call reserveCall) reserveAnswer {
 	b.mu.Lock()
@@ -311,7 +315,7 @@
 }
 
 func (b *budgets) tryLocked(of *budget, call reserveCall) reserveAnswer {
-	answer := reserveAnswer{ranAt: of.ranAt[call.Line], standing: of.standing(call.ID), keptBy: of.keptBy[call.Previous]}
+	answer := reserveAnswer{ranAt: of.ranAt[call.Line], standing: of.standing(call.ID)}
 	if answer.ranAt == "" {
 		answer.ranAt = of.last
 	}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -21,6 +21,9 @@
 	// callTimeoutTroubled bounds it while the table fails: the owner then asks others what
 	// was granted, and nothing is gained by a draw of one's own.
 	callTimeoutTroubled = 500 * time.Millisecond
+	// whoKeptTimeout bounds the question which entry has a turn at hand; it is read from the
+	// table otherwise.
+	whoKeptTimeout = 60 * time.Millisecond
 	// ownerSettled is how long an entry that died may still matter for what was granted:
 	// as long as a stopped program may come back.
 	ownerSettled = time.Minute
@@ -43,6 +46,8 @@
 	// callGranted tells, and callKnown asks, what was granted for a program.
 	callGranted = 'g'
 	callKnown   = 'k'
+	// callWhoKept asks which entry has a kept turn at hand.
+	callWhoKept = 'w'
 )
 
 // calls are short questions between entries, one datagram each way. Each is repeatable,
@@ -55,12 +60,10 @@
 	waiting map[uint64]chan callAnswer
 }
 
-// callAnswer is a small number and, for some calls, names.
+// callAnswer is a small number and, for some calls, a name.
 type callAnswer struct {
 	value uint64
 	text  string
-	// keptBy is the life of the entry that has a turn at hand.
-	keptBy string
 }
 
 func newCalls(m *mesh) *calls { return &calls{m: m, waiting: map[uint64]chan callAnswer{}} }
@@ -113,7 +116,7 @@
 func (c *calls) answer(b []byte) bool {
 	p := packet{b: b}
 	id, life := p.uvarint(), p.text()
-	v := callAnswer{value: p.uvarint(), text: p.text(), keptBy: p.text()}
+	v := callAnswer{value: p.uvarint(), text: p.text()}
 	if p.bad || life != c.m.g.life {
 		return !p.bad
 	}
@@ -140,7 +143,6 @@
 	reply := func(v callAnswer) {
 		b := append(make([]byte, 0, 32), packetAnswer)
 		b = appendText(binary.AppendUvarint(appendText(binary.AppendUvarint(b, id), life), v.value), v.text)
-		b = appendText(b, v.keptBy)
 		if _, err := c.m.packets.WriteTo(b, from); err != nil {
 			c.m.g.metrics.digestErrors.Inc(1)
 		}
@@ -149,7 +151,7 @@
 	case callReserve:
 		call := reserveCall{
 			Program: p.text(), ID: p.text(), Total: int(p.uvarint()), Most: int(p.uvarint()),
-			Line: p.text(), Kept: p.byte() == 1, Previous: p.text(),
+			Line: p.text(), Kept: p.byte() == 1,
 		}
 		if p.bad {
 			return false
@@ -178,6 +180,12 @@
 			return false
 		}
 		reply(callAnswer{text: encodeGrants(c.m.g.budgets.knows(program))})
+	case callWhoKept:
+		program, turn := p.text(), p.text()
+		if p.bad {
+			return false
+		}
+		reply(callAnswer{text: c.m.g.budgets.keptBy(program, turn)})
 	default:
 		return false
 	}
@@ -202,13 +210,13 @@
 }
 
 func (a reserveAnswer) encode() callAnswer {
-	return callAnswer{value: uint64(a.verdict) | uint64(a.standing)<<standingShift, text: a.ranAt, keptBy: a.keptBy}
+	return callAnswer{value: uint64(a.verdict) | uint64(a.standing)<<standingShift, text: a.ranAt}
 }
 
 func (v callAnswer) reserveAnswer() reserveAnswer {
 	return reserveAnswer{
 		verdict: reserveVerdict(v.value & (1<<standingShift - 1)), ranAt: v.text,
-		standing: programStanding(v.value >> standingShift), keptBy: v.keptBy,
+		standing: programStanding(v.value >> standingShift),
 	}
 }
 
--- a/internal/gateway/chains_test.go
+++ b/internal/gateway/chains_test.go
@@ -18,6 +18,8 @@
 	table.Watcher
 	turnReads atomic.Int64
 	silent    atomic.Bool
+	// noTurns says that kept turns can't be read.
+	noTurns atomic.Bool
 }
 
 func (s *scriptedTable) await(ctx context.Context) error {
@@ -31,6 +33,9 @@
 func (s *scriptedTable) Get(ctx context.Context, key string) (table.Row, error) {
 	if strings.HasPrefix(key, "turns/") {
 		s.turnReads.Add(1)
+		if s.noTurns.Load() {
+			return table.Row{}, table.ErrUnavailable
+		}
 	}
 	if err := s.await(ctx); err != nil {
 		return table.Row{}, err
@@ -242,3 +247,22 @@
 		t.Error("the table counts as lost though it is back")
 	}
 }
+
+// TestUnreadableTurnDrawsNothing replays the return of entries that lost power during an
+// outage: a turn whose history can't be read is refused, and its program's budget, which
+// holds one turn alone, is still there for the next try through another entry.
+func TestUnreadableTurnDrawsNothing(t *testing.T) {
+	e, other, _, shared := chainSystem(t)
+	shared.noTurns.Store(true)
+	for _, program := range chainPrograms {
+		h := turnHeader(program, 50, 50)
+		h["X-Previous-Turn"] = "nobody-has-it"
+		if r := e.call("POST", "/draft/1", "x", h); r.status != http.StatusServiceUnavailable {
+			t.Fatalf("%+v", r)
+		}
+		row, _, err := other.budgets.read(t.Context(), budgetKey(program), 50)
+		if err != nil || row.Left() != 50 {
+			t.Errorf("program %s: %d of 50 tokens are left after a turn that was refused, %v", program, row.Left(), err)
+		}
+	}
+}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -24,7 +24,7 @@
 	if m.g.link.troubled() {
 		timeout = callTimeoutTroubled
 	}
-	v, err := m.calls.askFor(ctx, p, timeout, appendText(b, r.Previous))
+	v, err := m.calls.askFor(ctx, p, timeout, b)
 	answer := v.reserveAnswer()
 	if err != nil {
 		return reserveAnswer{verdict: reserveUnknown}, err
@@ -35,6 +35,25 @@
 	return answer, nil
 }
 
+// whoKept returns the life of the entry that has a kept turn at hand, as the program's
+// owner knows; empty when it does not or can't be asked.
+func (m *mesh) whoKept(ctx context.Context, program, turn string) string {
+	if program == "" {
+		return ""
+	}
+	at := m.owner(program)
+	if at == nil {
+		return m.g.budgets.keptBy(program, turn)
+	}
+	b := appendText(appendText(append(make([]byte, 0, 64), callWhoKept), program), turn)
+	v, err := m.calls.askFor(ctx, at, whoKeptTimeout, b)
+	if err != nil {
+		m.g.metrics.chainsNotAsked.Inc(1)
+		return ""
+	}
+	return v.text
+}
+
 // settleAt implements budgetOwners.
 func (m *mesh) settleAt(ctx context.Context, p *peer, s settleCall) error {
 	b := append(make([]byte, 0, 64), callSettle)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,30 +52,30 @@
 // serveStream sends a turn or another call that is answered by events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, j *job) {
 	s := &stream{g: g, w: w, j: j, next: -1}
+	// A turn that can't be read must not draw tokens: they could stay with an entry that is
+	// not asked again.
+	if !s.assemble(ctx) {
+		return
+	}
 	reserved, ok := s.reserve(ctx)
 	if !ok {
 		return
 	}
 	defer func() { reserved.settle(s.tokens, s.ranAt(), s.kept) }()
 	j.work = g.workOf(j)
-	keptBy := ""
 	if reserved != nil {
-		j.work.RanAt, keptBy = reserved.ranAt, reserved.keptBy
+		j.work.RanAt = reserved.ranAt
 		if after, ok := g.mayBegin(j, reserved.standing); !ok {
 			g.refuse(w, j, "engines_full", nil, after)
 			return
 		}
 	}
-	if !s.assemble(ctx, keptBy) {
-		return
-	}
 	j.work.Bytes = len(j.body) + bytesPerToken*j.work.Generate
 	s.run(ctx)
 }
 
-// assemble puts what the turn continues from before its input; otherwise it has
-// answered. keptBy is the life of an entry that has that at hand, if known.
-func (s *stream) assemble(ctx context.Context, keptBy string) bool {
+// assemble puts what the turn continues from before its input; otherwise it has answered.
+func (s *stream) assemble(ctx context.Context) bool {
 	j := s.j
 	if !j.route.Retained {
 		return true
@@ -86,8 +86,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	last, history, reads, err := s.g.turns.chain(ctx, j.call.Previous, keptBy)
-	j.reads, j.chainFrom = reads, keptBy
+	if s.g.turns.get(j.call.Previous) == nil {
+		j.chainFrom = s.g.mesh.whoKept(ctx, j.call.Program, j.call.Previous)
+	}
+	last, history, reads, err := s.g.turns.chain(ctx, j.call.Previous, j.chainFrom)
+	j.reads = reads
 	switch {
 	case err == nil:
 		s.last = last
@@ -110,7 +113,6 @@
 	}
 	r, err := s.g.budgets.reserve(ctx, reserveCall{
 		Program: j.call.Program, ID: j.call.ID, Total: j.call.TokenBudget, Most: j.call.MaxTokens, Line: j.call.Line, Kept: j.route.Retained,
-		Previous: j.call.Previous,
 	})
 	switch {
 	case err == nil:
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -254,3 +254,27 @@
 		t.Errorf("free %d, ahead %d after a draw of 150 for 200 in use", small.Free(), small.Advanced())
 	}
 }
+
+// TestBudgetOutlivesItsHolders replays a loss of power of all entries: of a budget of two
+// turns the first used a part, the second was granted and never sent. The program's next turn
+// is then owed its tokens, though the row shows the budget as drawn.
+func TestBudgetOutlivesItsHolders(t *testing.T) {
+	const total, most, used = 1140, 570, 200
+	row, owner := Row{Total: total}, NewAccount(total)
+	for turn := range 2 {
+		d := owner.Drawing(most)
+		var lump int
+		row, lump = row.Draw("owner/1", d)
+		owner.Drawn(d, lump)
+		if !owner.Reserve(most) {
+			t.Fatalf("turn %d does not fit", turn)
+		}
+		if turn == 0 {
+			owner.Settle(most, used)
+		}
+	}
+	next := NewAccount(total)
+	if _, lump := row.Draw("owner/2", next.Drawing(most)); lump < most {
+		t.Errorf("drew %d for a turn of %d; %d of %d tokens were handed out", lump, most, used, total)
+	}
+}
