gateway: log each send without a complete answer, and reports of crashes

Nothing told apart a crash that was not recognised, one that was not counted and one that was forgotten: only the second recorded crash left a line, without the content's hash. Each end of a send that an upstream may have run now leaves one line with the content, how it ended, whether it counts and the count; reports of other entries leave one, reports dropped for lack of room are counted, and a quarantined call names its content. The resend is unchanged: recording moved from mayResend to sendUnanswered, which also sees sends that end with their caller and error answers that break off.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -85,10 +85,12 @@
 // queueCrashReport queues a crash report for the next digest.
 func (m *mesh) queueCrashReport(report quarantine.CrashReport) {
 	m.mu.Lock()
-	if len(m.crashReports) < maxQueuedItems {
-		m.crashReports = append(m.crashReports, report)
+	defer m.mu.Unlock()
+	if len(m.crashReports) >= maxQueuedItems {
+		m.g.metrics.crashReportsDropped.Inc(1)
+		return
 	}
-	m.mu.Unlock()
+	m.crashReports = append(m.crashReports, report)
 }
 
 // sendDigests sends digests to the other entries until ctx ends.
@@ -172,10 +174,12 @@
 	})
 	m.g.mu.Unlock()
 	for _, report := range reports {
-		if len(b)+maxDigestItem < maxPacketSize {
-			b = append(b, 'x')
-			b = binary.AppendUvarint(binary.AppendUvarint(b, report.Request), report.Upstream)
+		if len(b)+maxDigestItem >= maxPacketSize {
+			m.g.metrics.crashReportsDropped.Inc(1)
+			continue
 		}
+		b = append(b, 'x')
+		b = binary.AppendUvarint(binary.AppendUvarint(b, report.Request), report.Upstream)
 	}
 	for _, c := range cached {
 		if len(b)+maxDigestItem < maxPacketSize {
@@ -398,7 +402,7 @@
 		case 'x':
 			report := quarantine.CrashReport{Request: p.uvarint(), Upstream: p.uvarint()}
 			if !p.malformed {
-				m.g.crashes.Add(now, report)
+				m.g.receiveCrashReport(now, from, report)
 			}
 		default:
 			return false
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,10 @@
 	// rowsNotExpired rows that were not deleted after their retention, and orphansRecorded rows
 	// in which this entry recorded the grants of another one that had not done so itself.
 	settlementsLost, blocksLost, provisionalGrantsUnrecorded, rowsNotExpired, orphansRecorded tally.Counter
+	// crashesCounted counts ends of upstreams that this entry counted against the content of a call,
+	// crashReportsReceived those that other entries reported, crashReportsDropped reports that were
+	// not sent for lack of room, and quarantined calls that were not sent because of their content.
+	crashesCounted, crashReportsReceived, crashReportsDropped, quarantined tally.Counter
 	// latency is the time from the start of a request to its complete answer, for answered
 	// requests only; firstEvent that to the first event of a stream; commitLatency the duration
 	// of a transaction of the committer.
@@ -45,6 +49,8 @@
 		chainQueriesFailed: s.Counter("chains_not_asked"),
 		settlementsLost:    s.Counter("settles_lost"), blocksLost: s.Counter("budget_lumps_lost"), provisionalGrantsUnrecorded: s.Counter("budget_advances_unrecorded"),
 		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"),
+		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
+		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets),
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,6 +47,9 @@
 			outcome = routing.OutcomeInconclusive
 		}
 		g.finish(res, outcome)
+		if err != nil {
+			g.sendUnanswered(ctx, j, res)
+		}
 		if g.callerGone(ctx, j, err) {
 			return
 		}
@@ -67,7 +70,7 @@
 // noSendReason returns the logged reason why a call was not sent.
 func noSendReason(err error) string {
 	if errors.Is(err, errQuarantined) {
-		return "quarantined"
+		return reasonQuarantined
 	}
 	return "no_upstream"
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	"github.com/buckthornroute/buckthornroute/platform"
-	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
@@ -230,12 +228,11 @@
 	}
 }
 
-// mayResend updates the call's state after a failed send, counts a possible crash of the
-// upstream, and reports whether the call may be sent to a further upstream.
+// mayResend updates the call's state after a failed send and reports whether the call may be
+// sent to a further upstream.
 func (g *Gateway) mayResend(j *job, res *sendResult) bool {
 	if !res.notSent && !res.notRun {
 		j.mayHaveRun = true
-		g.recordCrash(j, res)
 	}
 	if j.left() <= 0 {
 		return false
@@ -252,28 +249,3 @@
 	}
 	return false
 }
-
-// recordCrash records, here and at the other entries, that the call may have crashed the
-// upstream. It does so when the answer broke off, unless a deadline ended it or the
-// call's deadline has passed.
-func (g *Gateway) recordCrash(j *job, res *sendResult) {
-	if !errors.Is(res.err, forward.ErrLost) || errors.Is(res.err, os.ErrDeadlineExceeded) || j.left() <= 0 {
-		return
-	}
-	report := quarantine.CrashReport{Request: j.fingerprint, Upstream: routing.HashID(res.upstream)}
-	g.mu.Lock()
-	g.crashes.Add(time.Now(), report)
-	count := g.crashes.Count(time.Now(), report.Request)
-	g.mu.Unlock()
-	g.mesh.queueCrashReport(report)
-	if count > 1 {
-		g.env.Requests.Warn("request_broke_upstreams").Str("request", j.call.ID).Str("upstream", res.upstream).Int("upstreams", int64(count)).End()
-	}
-}
-
-// quarantined reports whether the call's content has crashed too many upstreams.
-func (g *Gateway) quarantined(j *job) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.crashes.Refused(time.Now(), j.fingerprint)
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -198,11 +198,12 @@
 			return
 		}
 		if err == nil {
-			s.deliverPlain(res)
+			s.deliverPlain(ctx, res)
 			return
 		}
 		res.err = err
 		g.finish(res, outcomeOf(ctx, res))
+		g.sendUnanswered(ctx, j, res)
 		if g.callerGone(ctx, j, err) {
 			s.abort()
 			return
@@ -220,10 +221,12 @@
 }
 
 // deliverPlain sends the caller an answer that is no stream, such as an error.
-func (s *stream) deliverPlain(res *sendResult) {
+func (s *stream) deliverPlain(ctx context.Context, res *sendResult) {
 	body, err := readAnswer(res.answer)
 	if err != nil {
+		res.err = err
 		s.g.finish(res, routing.OutcomeFailure)
+		s.g.sendUnanswered(ctx, s.j, res)
 		s.j.mayHaveRun = true
 		s.g.refuseOrFail(s.w, s.j, "answer_lost", err)
 		return
