--- /dev/null
+++ b/internal/gateway/crashes_test.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crashingPool stands in for the upstreams of one service. A request with the body "poison" ends the
+// process of the upstream that runs it: its listener and all its connections are closed, and its
+// successor starts.
+type crashingPool struct {
+	t       *testing.T
+	p       *testPlatform
+	service string
+	// sameID makes a successor start under the id and address of its predecessor.
+	sameID bool
+	// crash ends an answer to poison just before the process ends; nil closes the connection without
+	// an answer.
+	crash answerFunc
+	// answer answers all other requests.
+	answer answerFunc
+
+	mu      sync.Mutex
+	started int64
+	// crashes counts the processes that poison has ended, runs the requests that each body ran.
+	crashes int
+	runs    map[string]int
+}
+
+// newCrashingPool starts size upstreams of a service and registers them.
+func newCrashingPool(t *testing.T, p *testPlatform, service string, size int, answer answerFunc) *crashingPool {
+	c := &crashingPool{t: t, p: p, service: service, answer: answer, runs: map[string]int{}}
+	for i := range size {
+		c.start(fmt.Sprintf("%s-%d", service, i), "127.0.0.1:0")
+	}
+	return c
+}
+
+// start starts an upstream and writes its row, with a later start than any before.
+func (c *crashingPool) start(id, address string) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	c.mu.Lock()
+	c.started++
+	born := c.started
+	c.mu.Unlock()
+	s := httptest.NewUnstartedServer(nil)
+	_ = s.Listener.Close()
+	s.Listener = l
+	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, s, id) })
+	s.Start()
+	c.t.Cleanup(s.Close)
+	c.p.write("servers//"+id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,"seq":1,"born":%d}`,
+		c.service, l.Addr(), born))
+}
+
+func (c *crashingPool) serve(w http.ResponseWriter, r *http.Request, s *httptest.Server, id string) {
+	body, _ := io.ReadAll(r.Body)
+	if r.Header.Get("X-Expect-Instance") != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	c.mu.Lock()
+	c.runs[string(body)]++
+	c.mu.Unlock()
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if !strings.HasPrefix(string(body), "poison") {
+		c.answer(w, r)
+		return
+	}
+	if c.crash != nil {
+		c.crash(w, r)
+	}
+	c.end(s, id)
+	panic(http.ErrAbortHandler)
+}
+
+// end ends the process of an upstream and starts its successor.
+func (c *crashingPool) end(s *httptest.Server, id string) {
+	address := s.Listener.Addr().String()
+	_ = s.Listener.Close()
+	s.CloseClientConnections()
+	c.mu.Lock()
+	c.crashes++
+	n := c.crashes
+	c.mu.Unlock()
+	if c.sameID {
+		c.start(id, address)
+		return
+	}
+	c.p.removeRow("servers//" + id)
+	c.start(fmt.Sprintf("%s-new-%d", c.service, n), "127.0.0.1:0")
+}
+
+func (c *crashingPool) crashed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes
+}
+
+// repeat sends a request until it has been refused in 6 attempts in a row, at most 40 times, to the
+// entries in turn.
+func (c *crashingPool) repeat(path, body string, header map[string]string, entries ...*testEntry) {
+	refused := 0
+	for i := 0; i < 40 && refused < 6; i++ {
+		refused++
+		if r := entries[i%len(entries)].call("POST", path, body, header); r.status != http.StatusServiceUnavailable {
+			refused = 0
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+// maxCrashes is the number of upstreams that one request may crash: three before it must be refused,
+// and three retries while the entries learn of that.
+const maxCrashes = 6
+
+func (c *crashingPool) checkCrashes() {
+	c.t.Helper()
+	if n := c.crashed(); n < defaultCrashes || n > maxCrashes {
+		c.t.Errorf("%d upstreams crashed, want %d to %d", n, defaultCrashes, maxCrashes)
+	}
+}
+
+// defaultCrashes is the number of crashes after which a request is refused.
+const defaultCrashes = 3
+
+// startCrashingPool starts an entry with a pool of 8 model engines that poison crashes.
+func startCrashingPool(t *testing.T) (*crashingPool, *testEntry) {
+	t.Helper()
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	c := newCrashingPool(t, p, "llm", 8, answerEvents(0, 1, false))
+	e := startEntry(t, "entry-1", p.standin.Table)
+	eventually(t, "the entry lists all upstreams", func() bool { return len(e.fleet.Load().byService["llm"]) == 8 })
+	return c, e
+}
+
+// TestRequestThatCrashesUpstreamsMidAnswer checks that a request is refused once it has crashed 3
+// upstreams, wherever its answer breaks off.
+func TestRequestThatCrashesUpstreamsMidAnswer(t *testing.T) {
+	head := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Seal", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+	}
+	for _, c := range []struct {
+		name, path string
+		crash      answerFunc
+	}{
+		{"before the head", "/draft/1", nil},
+		{"after the head", "/draft/1", head},
+		{"after an event", "/draft/1", answerEvents(0, 0, false)},
+		{"in an event", "/draft/1", func(w http.ResponseWriter, r *http.Request) {
+			head(w, r)
+			_, _ = io.WriteString(w, "id: 0\nda")
+			w.(http.Flusher).Flush()
+		}},
+		{"in a resumable stream", "/ask/1", answerEvents(0, 0, false)},
+		{"in an answer that is no stream", "/draft/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Response-Seal", "s")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			w.(http.Flusher).Flush()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			pool, e := startCrashingPool(t)
+			pool.crash = c.crash
+			pool.repeat(c.path, "poison", nil, e)
+			pool.checkCrashes()
+		})
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -152,8 +152,10 @@
 		service, strings.TrimPrefix(u.server.URL, "http://"), state, seq))
 }
 
-func (p *testPlatform) removeUpstream(u *scriptedUpstream) {
-	if err := p.standin.Table.Apply(context.Background(), platformapi.Txn{Writes: []platformapi.Write{{Key: "servers//" + u.id, Delete: true}}}); err != nil {
+func (p *testPlatform) removeUpstream(u *scriptedUpstream) { p.removeRow("servers//" + u.id) }
+
+func (p *testPlatform) removeRow(key string) {
+	if err := p.standin.Table.Apply(context.Background(), platformapi.Txn{Writes: []platformapi.Write{{Key: key, Delete: true}}}); err != nil {
 		p.t.Fatal(err)
 	}
 }
