forward, gateway: recognise an upstream's end wherever the answer breaks off

Callers' servers: a request that ends each engine which begins to run it was sent on without end, since an engine's end counted against it only before the head of the answer. Answer.Read returned the error of a body that breaks off without ErrLost, a stream cut in the middle of an event was only malformed, and a stream without an event counted as complete.

Read marks its errors; an end of the connection (EOF, reset, broken pipe) counts at each stage, also past the deadline, and bytes that are no answer no longer do: they come from an upstream that is still alive.

The cause is the place where the error is made, so each reader of an answer gets it.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,8 +17,8 @@
 // ErrNotSent marks the error of a call when no byte of it reached the upstream.
 var ErrNotSent = errors.New("not sent")
 
-// ErrLost marks the error of a call that may have run: sending had begun and no answer was
-// received.
+// ErrLost marks the error of a call that may have run: sending had begun and no complete answer
+// was received.
 var ErrLost = errors.New("answer lost")
 
 // ErrMalformed is the cause of an error about an answer that violates the protocol between
@@ -168,14 +169,21 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF at the end of a complete body and another error
-// when the body breaks off.
+// Read reads the body. It returns io.EOF at the end of a complete body and an error marked with
+// ErrLost when the body breaks off.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
 	if err == io.EOF {
 		a.bodyComplete = true
+		return n, err
 	}
-	return n, err
+	return n, errors.Mark(err, ErrLost)
+}
+
+// IsConnectionLost reports whether err means that the upstream's side of the connection ended
+// before the end of the answer, as it does when the process of the upstream ends.
+func IsConnectionLost(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
 }
 
 // SetDeadline replaces the time at which the exchange ends, for writing and reading. It has no
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -34,10 +34,10 @@
 		return endCallerGone
 	case errors.Is(res.err, os.ErrDeadlineExceeded):
 		return endSilent
-	case errors.Is(res.err, forward.ErrMalformed):
-		return endMalformed
-	default:
+	case forward.IsConnectionLost(res.err):
 		return endBroken
+	default:
+		return endMalformed
 	}
 }
 
@@ -48,7 +48,7 @@
 		return
 	}
 	end := endOf(ctx, res)
-	counted := end == endBroken && errors.Is(res.err, forward.ErrLost) && j.left() > 0
+	counted := end == endBroken
 	if counted {
 		g.recordCrash(j, res)
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -64,7 +64,7 @@
 				return nil, nil
 			}
 			if errors.Is(err, io.EOF) {
-				return nil, errors.Wrap(forward.ErrMalformed, "the stream ends in the middle of an event")
+				return nil, errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "the stream ends in the middle of an event"), forward.ErrMalformed)
 			}
 			return nil, errors.Wrap(err, "read event")
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -194,6 +195,10 @@
 		done, err := s.relayEvents(res)
 		if done {
 			g.finish(res, routing.OutcomeSuccess)
+			if !s.started {
+				res.err = errors.Wrap(io.ErrUnexpectedEOF, "the stream has no event")
+				g.sendUnanswered(ctx, j, res)
+			}
 			s.complete(ctx)
 			return
 		}
