gateway: count a crash for each start of an upstream

Callers' servers: an engine that crashed under a request, came back under its old id and crashed again counted as one crash, since the id was the key. The key is now the id with the start that the upstream's row states.

TestCrashesUnderOneIDCountEachTime failed before (40 crashes in 40 attempts, want 3 to 6) and passes now.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -10,7 +10,6 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	"github.com/buckthornroute/buckthornroute/quarantine"
-	"github.com/buckthornroute/buckthornroute/routing"
 )
 
 // reasonQuarantined is the logged reason of calls that are not sent because of their content.
@@ -64,7 +63,7 @@
 // recordCrash records, here and at the other entries, that the call may have crashed the
 // upstream.
 func (g *Gateway) recordCrash(j *job, res *sendResult) {
-	report := quarantine.CrashReport{Request: j.fingerprint, Upstream: routing.HashID(res.upstream)}
+	report := quarantine.CrashReport{Request: j.fingerprint, Upstream: res.incarnation}
 	g.mu.Lock()
 	g.crashes.Add(time.Now(), report)
 	g.mu.Unlock()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -184,3 +184,15 @@
 		})
 	}
 }
+
+// TestCrashesUnderOneIDCountEachTime checks that a request is refused after 3 crashes of upstreams
+// that each start again under the same id.
+func TestCrashesUnderOneIDCountEachTime(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	c := newCrashingPool(t, p, "llm", 1, answerEvents(0, 1, false))
+	c.sameID = true
+	e := startEntry(t, "entry-1", p.standin.Table)
+	c.repeat("/draft/1", "poison", nil, e)
+	c.checkCrashes()
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,7 +45,9 @@
 	// that it has not run the call.
 	notSent, notRun bool
 	upstream        string
-	sentAt          time.Time
+	// incarnation is the hash of the upstream's incarnation.
+	incarnation uint64
+	sentAt      time.Time
 }
 
 // send chooses an upstream and sends the call there. A stream continues after the event
@@ -67,7 +69,7 @@
 	if j.pick.Cached == 0 {
 		g.mesh.queueCachedPrompt(u.ID, j.info.Prompt)
 	}
-	res := &sendResult{upstream: u.ID, sentAt: time.Now()}
+	res := &sendResult{upstream: u.ID, incarnation: routing.HashID(u.Incarnation()), sentAt: time.Now()}
 	head := platform.AppendRequest(make([]byte, 0, headBytes), j.request, platform.SendOptions{
 		Instance: u.ID, Timeout: j.left(), LastEvent: lastEvent, Priority: -1,
 	}, len(j.body))
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -9,8 +9,8 @@
 // CrashReport records that an upstream crashed while it ran a request. Entries exchange
 // crash reports.
 type CrashReport struct {
-	// Request is the request's hash as HashCall returns it, Upstream a hash of the
-	// upstream's ID.
+	// Request is the request's hash as HashCall returns it, Upstream a hash of the upstream's ID
+	// and start. Each start counts as another upstream.
 	Request  uint64
 	Upstream uint64
 }
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -1,6 +1,9 @@
 package relay
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // Upstream is a server that runs calls of one service, as its row in the platform's table
 // describes it.
@@ -22,6 +25,9 @@
 	Seq int64
 }
 
+// Incarnation names one start of the upstream: an upstream may start again under its id.
+func (u *Upstream) Incarnation() string { return u.ID + "/" + strconv.FormatInt(u.StartedAtMs, 10) }
+
 // supersedes reports whether u replaces v, a registration of the same id: u has a later start, or
 // the same start and no smaller Seq.
 func (u *Upstream) supersedes(v *Upstream) bool {
