gateway, quarantine: keep harmless requests out of the quarantine

Callers' harmless requests: one that ran beside a crashing request was counted like it, and one whose answers broke off at upstreams that did not end (lost answers, resets) stayed counted for ten minutes, also after it had completed. Now that ends in the middle of answers count, more of them would have been refused.

- A broken send is tracked.
It is withdrawn when its upstream is still listed five heartbeats later (an upstream that ends is removed after three), or had announced its end.
Outages of the table extend the wait.
- A request that completes is cleared.
- A refused request's crashes don't count against one that caused fewer; if two share all of theirs, each is tried once after 5 s.

Red without the change, each seen: TestCrashNeighbourIsServed without the trial, TestBrokenAnswersQuarantineNothing without the check of the list, TestCompletedRequestIsCleared without the clearing. The setting upstream_heartbeat is new; its default is the platform's 1.2 s.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -10,11 +10,17 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	"github.com/buckthornroute/buckthornroute/quarantine"
+	"github.com/buckthornroute/buckthornroute/relay"
+	"github.com/buckthornroute/buckthornroute/routing"
 )
 
 // reasonQuarantined is the logged reason of calls that are not sent because of their content.
 const reasonQuarantined = "quarantined"
 
+// survivedHeartbeats is the number of heartbeats after which an upstream that has ended is no
+// longer listed: it is removed after 3, and the removal takes a while to arrive.
+const survivedHeartbeats = 5
+
 // contentName returns the name of a call's content in log lines.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
@@ -46,10 +52,9 @@
 	if res.notSent || res.notRun {
 		return
 	}
-	end := endOf(ctx, res)
-	counted := end == endBroken
-	if counted {
-		g.recordCrash(j, res)
+	end, counted := endOf(ctx, res), false
+	if end == endBroken {
+		counted = g.recordEnd(j, res)
 	}
 	ln := g.env.Requests.Warn
 	if end == endCallerGone { // frequent and usually harmless, so subject to the rate limit
@@ -60,25 +65,88 @@
 		Str("counted", strconv.FormatBool(counted)).Int("crashes", int64(g.crashCount(j.fingerprint))).End()
 }
 
-// recordCrash records, here and at the other entries, that the call may have crashed the
-// upstream.
-func (g *Gateway) recordCrash(j *job, res *sendResult) {
-	report := quarantine.CrashReport{Request: j.fingerprint, Upstream: res.incarnation}
+// recordEnd records a send that may have crashed its upstream. It reports whether that counts
+// against the call's content now.
+func (g *Gateway) recordEnd(j *job, res *sendResult) bool {
+	now := time.Now()
+	current := g.fleet.Load().registry.Get(res.upstream)
+	ended := quarantine.EndedSend{
+		Request: j.fingerprint, Upstream: res.incarnation, Broken: true,
+		UpstreamEnded: current == nil || incarnationHash(current) != res.incarnation,
+	}
 	g.mu.Lock()
-	g.crashes.Add(time.Now(), report)
+	report, counts := g.sends.Add(now, ended)
 	g.mu.Unlock()
-	g.metrics.crashesCounted.Inc(1)
-	g.mesh.queueCrashReport(report)
+	if counts {
+		g.publish(now, []quarantine.CrashReport{report})
+	}
+	return counts
+}
+
+// incarnationHash returns the hash by which crash reports name an incarnation of an upstream.
+func incarnationHash(u *relay.Upstream) uint64 { return routing.HashID(u.Incarnation()) }
+
+// publish applies reports of this entry and queues them for the other entries. g.mu must not be
+// held.
+func (g *Gateway) publish(now time.Time, reports []quarantine.CrashReport) {
+	for _, report := range reports {
+		g.mu.Lock()
+		changed := g.crashes.Add(now, report)
+		g.mu.Unlock()
+		if !changed {
+			continue
+		}
+		g.mesh.queueCrashReport(report)
+		if report.Kind == quarantine.Crash {
+			g.metrics.crashesCounted.Inc(1)
+		}
+		g.logReport(now, "crash_report", string(g.cfg.Node), report)
+	}
 }
 
-// receiveCrashReport counts a crash that another entry reports. g.mu must be held.
+// receiveCrashReport applies a report of another entry.
 func (g *Gateway) receiveCrashReport(now time.Time, from string, report quarantine.CrashReport) {
-	if !g.crashes.Add(now, report) {
-		return
+	g.mu.Lock()
+	changed := g.crashes.Add(now, report)
+	g.mu.Unlock()
+	if changed {
+		g.metrics.crashReportsReceived.Inc(1)
+		g.logReport(now, "crash_report_received", from, report)
+	}
+}
+
+// logReport logs a report that has changed what this entry knows of a content.
+func (g *Gateway) logReport(now time.Time, event, from string, report quarantine.CrashReport) {
+	g.mu.Lock()
+	crashes := g.crashes.Count(now, report.Request)
+	g.mu.Unlock()
+	g.env.Requests.Warn(event).Str("from", from).Str("kind", report.Kind.String()).Str("content", contentName(report.Request)).
+		Str("incarnation", contentName(report.Upstream)).Int("crashes", int64(crashes)).End()
+}
+
+// completed clears the content of a call that an upstream has run to its end.
+func (g *Gateway) completed(j *job) {
+	now := time.Now()
+	g.mu.Lock()
+	reports := g.crashes.Completed(now, j.fingerprint)
+	g.mu.Unlock()
+	for _, report := range reports {
+		g.mesh.queueCrashReport(report)
+	}
+	if len(reports) > 0 {
+		g.env.Requests.Warn("content_cleared").Str("request", j.call.ID).Str("content", contentName(j.fingerprint)).Int("crashes", int64(len(reports))).End()
 	}
-	g.metrics.crashReportsReceived.Inc(1)
-	g.env.Requests.Warn("crash_reported").Str("peer", from).Str("content", contentName(report.Request)).
-		Int("crashes", int64(g.crashes.Count(now, report.Request))).End()
+}
+
+// checkEndedSends withdraws the crashes of upstreams that are still listed. It is called when the
+// list of upstreams has just been confirmed.
+func (g *Gateway) checkEndedSends() {
+	now := time.Now()
+	listedSince := g.removalsDeferredUntil()
+	g.mu.Lock()
+	reports := g.sends.Check(now, listedSince)
+	g.mu.Unlock()
+	g.publish(now, reports)
 }
 
 // crashCount returns the number of crashes that count against a content.
@@ -88,13 +156,20 @@
 	return g.crashes.Count(time.Now(), fingerprint)
 }
 
-// quarantined reports whether the call's content has crashed too many upstreams.
-func (g *Gateway) quarantined(j *job) bool {
+// admitContent reports whether the call may be sent: its content has not crashed too many
+// upstreams, or is tried once more.
+func (g *Gateway) admitContent(j *job) bool {
+	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.crashes.Refused(time.Now(), j.fingerprint) {
+	decision := g.crashes.Admit(now, j.fingerprint)
+	g.mu.Unlock()
+	switch decision {
+	case quarantine.Refused:
+		g.metrics.quarantined.Inc(1)
 		return false
+	case quarantine.AllowedOnce:
+		g.mesh.queueCrashReport(quarantine.CrashReport{Kind: quarantine.Trial, Request: j.fingerprint})
+		g.env.Requests.Warn("content_tried").Str("request", j.call.ID).Str("content", contentName(j.fingerprint)).Int("crashes", int64(g.crashCount(j.fingerprint))).End()
 	}
-	g.metrics.quarantined.Inc(1)
 	return true
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -196,3 +197,98 @@
 	c.repeat("/draft/1", "poison", nil, e)
 	c.checkCrashes()
 }
+
+// TestCrashNeighbourIsServed checks that a request which runs beside a crashing one, at each
+// upstream that this one crashes, is served afterwards, also if both have the same crashes.
+func TestCrashNeighbourIsServed(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	running := make(chan struct{}, 1)
+	ended := false
+	var mu sync.Mutex
+	c := newCrashingPool(t, p, "llm", 1, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		crashing := !ended
+		mu.Unlock()
+		if !crashing {
+			answerEvents(0, 1, false)(w, r)
+			return
+		}
+		running <- struct{}{}
+		neverAnswer(w, r)
+	})
+	e := startEntry(t, "entry-1", p.standin.Table)
+	e.mu.Lock()
+	e.crashes.TrialDelay = 300 * time.Millisecond
+	e.mu.Unlock()
+	for i := range defaultCrashes {
+		eventually(t, "an upstream is listed", func() bool {
+			f := e.fleet.Load()
+			return len(f.byService["llm"]) == 1 && f.registry.Get(fmt.Sprintf("llm-new-%d", i)) != nil || i == 0
+		})
+		var neighbour sync.WaitGroup
+		neighbour.Add(1)
+		go func() {
+			defer neighbour.Done()
+			e.call("POST", "/draft/1", "harmless", nil)
+		}()
+		<-running
+		e.call("POST", "/draft/1", "poison", nil)
+		neighbour.Wait()
+	}
+	mu.Lock()
+	ended = true
+	mu.Unlock()
+	for _, body := range []string{"poison", "harmless"} {
+		if r := e.call("POST", "/draft/1", body, nil); r.status != http.StatusServiceUnavailable {
+			t.Fatalf("%s after %d crashes: %+v, want status 503", body, defaultCrashes, r)
+		}
+	}
+	eventually(t, "the neighbour is served", func() bool {
+		return e.call("POST", "/draft/1", "harmless", nil).status == http.StatusOK
+	})
+	c.repeat("/draft/1", "poison", nil, e)
+	c.checkCrashes()
+}
+
+// TestBrokenAnswersQuarantineNothing checks that a request whose answers break off at upstreams
+// that do not end is refused no longer than it takes to see that they are still listed.
+func TestBrokenAnswersQuarantineNothing(t *testing.T) {
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, dropConnection)
+	for i := range 4 {
+		p.registerUpstream(newScriptedUpstream(t, fmt.Sprintf("llm-%d", i+2), dropConnection), "llm", "ready", 1)
+	}
+	e.mu.Lock()
+	e.sends.SurvivedAfter = 500 * time.Millisecond
+	e.mu.Unlock()
+	eventually(t, "the entry lists all upstreams", func() bool { return len(e.fleet.Load().byService["llm"]) == 5 })
+	eventually(t, "the request is refused", func() bool {
+		return e.call("POST", "/draft/1", "harmless", nil).status == http.StatusServiceUnavailable
+	})
+	eventually(t, "the request is sent again", func() bool {
+		return e.call("POST", "/draft/1", "harmless", nil).status == http.StatusBadGateway
+	})
+}
+
+// TestCompletedRequestIsCleared checks that broken answers do not add up over a request's runs: one
+// that completes is not refused for those before.
+func TestCompletedRequestIsCleared(t *testing.T) {
+	var n atomic.Int64
+	everySecond := func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1)%2 == 1 {
+			dropConnection(w, r)
+			return
+		}
+		answerEvents(0, 1, false)(w, r)
+	}
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, everySecond)
+	for i := range 4 {
+		p.registerUpstream(newScriptedUpstream(t, fmt.Sprintf("llm-%d", i+2), everySecond), "llm", "ready", 1)
+	}
+	eventually(t, "the entry lists all upstreams", func() bool { return len(e.fleet.Load().byService["llm"]) == 5 })
+	for range 20 {
+		if r := e.call("POST", "/draft/1", "harmless", nil); r.status == http.StatusServiceUnavailable {
+			t.Fatalf("%+v, want the request to be sent", r)
+		}
+	}
+}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -147,6 +147,8 @@
 //	'l' upstream, calls in flight at it from this entry
 //	'f' upstream, failed and successful calls since they were last reported
 //	'x' hashes of the request and of the upstream of a crash report
+//	'o' the same of a crash report that is withdrawn
+//	't' hash of a request that is tried once more, and 0
 //	'c' upstream, ID and tokens of a prompt part that it has cached
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
@@ -173,14 +175,6 @@
 		}
 	})
 	m.g.mu.Unlock()
-	for _, report := range reports {
-		if len(b)+maxDigestItem >= maxPacketSize {
-			m.g.metrics.crashReportsDropped.Inc(1)
-			continue
-		}
-		b = append(b, 'x')
-		b = binary.AppendUvarint(binary.AppendUvarint(b, report.Request), report.Upstream)
-	}
 	for _, c := range cached {
 		if len(b)+maxDigestItem < maxPacketSize {
 			b = appendUpstream(append(b, 'c'), c.upstream)
@@ -188,6 +182,22 @@
 			b = binary.AppendUvarint(b, uint64(c.parts[0].Tokens))
 		}
 	}
+	return m.appendReports(b, reports)
+}
+
+// itemsOfReports maps the kinds of crash reports to those of digest items.
+var itemsOfReports = map[quarantine.ReportKind]byte{quarantine.Crash: 'x', quarantine.Withdrawn: 'o', quarantine.Trial: 't'}
+
+// appendReports appends crash reports as far as they fit.
+func (m *mesh) appendReports(b []byte, reports []quarantine.CrashReport) []byte {
+	for _, report := range reports {
+		if len(b)+maxDigestItem >= maxPacketSize {
+			m.g.metrics.crashReportsDropped.Inc(1)
+			continue
+		}
+		b = append(b, itemsOfReports[report.Kind])
+		b = binary.AppendUvarint(binary.AppendUvarint(b, report.Request), report.Upstream)
+	}
 	return b
 }
 
@@ -378,6 +388,17 @@
 // Items of unknown upstreams are ignored. It reports whether all items are well-formed.
 func (m *mesh) applyItems(from string, p *packetReader) bool {
 	now := time.Now()
+	reports, wellFormed := m.applyLocked(now, from, p)
+	if wellFormed {
+		for _, report := range reports {
+			m.g.receiveCrashReport(now, from, report)
+		}
+	}
+	return wellFormed
+}
+
+// applyLocked does the work of applyItems, but for crash reports, which it returns.
+func (m *mesh) applyLocked(now time.Time, from string, p *packetReader) (reports []quarantine.CrashReport, wellFormed bool) {
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
 	m.g.balancer.ClearPeerCalls(from)
@@ -400,13 +421,14 @@
 				m.g.balancer.AddPeerCached(id, []routing.PromptPart{{ID: part, Tokens: tokens}})
 			}
 		case 'x':
-			report := quarantine.CrashReport{Request: p.uvarint(), Upstream: p.uvarint()}
-			if !p.malformed {
-				m.g.receiveCrashReport(now, from, report)
-			}
+			reports = append(reports, quarantine.CrashReport{Kind: quarantine.Crash, Request: p.uvarint(), Upstream: p.uvarint()})
+		case 'o':
+			reports = append(reports, quarantine.CrashReport{Kind: quarantine.Withdrawn, Request: p.uvarint(), Upstream: p.uvarint()})
+		case 't':
+			reports = append(reports, quarantine.CrashReport{Kind: quarantine.Trial, Request: p.uvarint(), Upstream: p.uvarint()})
 		default:
-			return false
+			return reports, false
 		}
 	}
-	return !p.malformed
+	return reports, !p.malformed
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/platform"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 )
 
@@ -149,7 +150,10 @@
 			}
 			g.updateUpstreams(version, out, false, missing)
 		},
-		confirmed: func() { g.expireMissing(missing) },
+		confirmed: func() {
+			g.expireMissing(missing)
+			g.checkEndedSends()
+		},
 	})
 }
 
@@ -181,7 +185,7 @@
 func (g *Gateway) updateUpstreams(version int64, changes []relay.RegistryChange, snapshot bool, missing map[string]time.Time) {
 	now := time.Now()
 	old := g.fleet.Load().registry
-	until := g.table.lastRecovery().Add(time.Duration(g.cfg.OutageListGrace) + recoveryNoticeMargin)
+	until := g.removalsDeferredUntil()
 	if snapshot {
 		changes = append(changes, unlisted(old, changes)...)
 	}
@@ -198,6 +202,12 @@
 	g.applyUpstreams(version, applied)
 }
 
+// removalsDeferredUntil returns the time until which removals of upstreams are deferred because of
+// the last outage of the table.
+func (g *Gateway) removalsDeferredUntil() time.Time {
+	return g.table.lastRecovery().Add(time.Duration(g.cfg.OutageListGrace) + recoveryNoticeMargin)
+}
+
 // recoveryNoticeMargin covers the time between the table's recovery and the moment when
 // this entry notices it.
 const recoveryNoticeMargin = 200 * time.Millisecond
@@ -236,11 +246,11 @@
 // applyUpstreams replaces the registry by one with the changes applied.
 func (g *Gateway) applyUpstreams(version int64, changes []relay.RegistryChange) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	old := g.fleet.Load().registry
 	next := old.Apply(uint64(version), changes)
+	var reports []quarantine.CrashReport
 	for _, c := range changes {
-		g.handleUpstreamChange(version, old.Get(c.ID), next.Get(c.ID), c.ID)
+		reports = append(reports, g.handleUpstreamChange(version, old.Get(c.ID), next.Get(c.ID), c.ID)...)
 	}
 	var services map[string]relay.Service
 	if t := g.routes.Load(); t != nil {
@@ -248,23 +258,33 @@
 	}
 	g.fleet.Store(newFleet(next, services))
 	g.balancer.Retain(func(id string) bool { return next.Get(id) != nil })
+	g.mu.Unlock()
+	g.publish(time.Now(), reports)
 }
 
 // handleUpstreamChange logs the change of one upstream. When the upstream was removed or
-// restarted, it drops what the balancer knows of the old incarnation.
-func (g *Gateway) handleUpstreamChange(version int64, old, current *relay.Upstream, id string) {
+// restarted, it drops what the balancer knows of the old incarnation and returns the crash
+// reports that follow from its end. g.mu must be held.
+func (g *Gateway) handleUpstreamChange(version int64, old, current *relay.Upstream, id string) []quarantine.CrashReport {
 	switch {
 	case old == nil && current == nil: // the removal of an unknown upstream
+		return nil
 	case current == nil:
 		g.env.Requests.Warn("upstream_gone").Str("upstream", id).Int("version", version).End()
-		g.balancer.ResetUpstream(id)
 	case old == nil || old.StartedAtMs != current.StartedAtMs:
 		g.env.Requests.Warn("upstream_joined").Str("upstream", id).Str("service", current.Service).Str("address", current.Address).
 			Int("born", current.StartedAtMs).Int("seq", current.Seq).Int("version", version).End()
-		g.balancer.ResetUpstream(id)
 	case old.Draining != current.Draining:
 		g.env.Requests.Warn("upstream_draining").Str("upstream", id).Int("seq", current.Seq).Int("version", version).End()
+		return nil
+	default:
+		return nil
+	}
+	g.balancer.ResetUpstream(id)
+	if old == nil {
+		return nil
 	}
+	return g.sends.UpstreamEnded(time.Now(), incarnationHash(old), old.Draining)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,10 +83,11 @@
 
 	newPrograms admission.NewProgramPolicy
 
-	// mu guards balancer and crashes.
+	// mu guards balancer, crashes and sends.
 	mu       sync.Mutex
 	balancer *routing.Balancer
 	crashes  *quarantine.CrashCounter
+	sends    *quarantine.EndedSends
 }
 
 // Run serves callers until ctx ends and then shuts down gracefully.
@@ -108,6 +109,7 @@
 		pool:        forward.NewPool(upstreamDialTimeout),
 		newPrograms: admission.DefaultNewProgramPolicy(),
 		crashes:     quarantine.NewCrashCounter(),
+		sends:       quarantine.NewEndedSends(survivedHeartbeats * time.Duration(cfg.UpstreamHeartbeat)),
 		balancer:    routing.NewBalancer(routing.BalancerConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
 	}
 	g.pool.OnDial = func() { g.metrics.connections.Inc(1) }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -212,9 +212,10 @@
 		Node: structs.NodeID(node), FailureDomain: "z", FirstStart: true,
 		ListenCallers: freeAddress(t), ListenReady: freeAddress(t), ListenMesh: freeAddress(t), ListenDigests: freeAddress(t),
 		TableWritesPerSecond: 800, TableRowBytes: 65536, MemoryMB: 200,
-		ShutdownGrace:   structs.Duration(4 * time.Second),
-		OutageListGrace: structs.Duration(300 * time.Millisecond),
-		Log:             settings.Log{Format: "json", Level: "info"},
+		ShutdownGrace:     structs.Duration(4 * time.Second),
+		OutageListGrace:   structs.Duration(300 * time.Millisecond),
+		UpstreamHeartbeat: structs.Duration(1200 * time.Millisecond),
+		Log:               settings.Log{Format: "json", Level: "info"},
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -136,6 +136,7 @@
 func (g *Gateway) finishPlain(j *job, res *sendResult) {
 	took := time.Since(res.sentAt)
 	g.finish(res, routing.OutcomeSuccess)
+	g.completed(j)
 	if res.answer.Status < http.StatusBadRequest {
 		g.mu.Lock()
 		g.balancer.ObserveCall(j.service, res.upstream, took)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -58,7 +58,7 @@
 	if ctx.Err() != nil {
 		return nil, errCallerGone
 	}
-	if g.quarantined(j) {
+	if !g.admitContent(j) {
 		return nil, errQuarantined
 	}
 	u, conns, ok := g.choose(j)
@@ -69,7 +69,7 @@
 	if j.pick.Cached == 0 {
 		g.mesh.queueCachedPrompt(u.ID, j.info.Prompt)
 	}
-	res := &sendResult{upstream: u.ID, incarnation: routing.HashID(u.Incarnation()), sentAt: time.Now()}
+	res := &sendResult{upstream: u.ID, incarnation: incarnationHash(u), sentAt: time.Now()}
 	head := platform.AppendRequest(make([]byte, 0, headBytes), j.request, platform.SendOptions{
 		Instance: u.ID, Timeout: j.left(), LastEvent: lastEvent, Priority: -1,
 	}, len(j.body))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -195,7 +195,9 @@
 		done, err := s.relayEvents(res)
 		if done {
 			g.finish(res, routing.OutcomeSuccess)
-			if !s.started {
+			if s.started {
+				g.completed(j)
+			} else {
 				res.err = errors.Wrap(io.ErrUnexpectedEOF, "the stream has no event")
 				g.sendUnanswered(ctx, j, res)
 			}
@@ -237,6 +239,7 @@
 		return
 	}
 	s.g.finish(res, routing.OutcomeSuccess)
+	s.g.completed(s.j)
 	s.g.deliver(s.w, s.j, res.answer, body)
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"time"
+
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -38,19 +40,26 @@
 	// OutageListGrace is the time after a table outage during which an upstream that is
 	// missing from the table still counts as present. Default 2s.
 	OutageListGrace structs.Duration `toml:"outage_list_grace"`
-	Telemetry       Telemetry        `toml:"telemetry"`
-	Log             Log              `toml:"log"`
+	// UpstreamHeartbeat is the interval at which upstreams report to the table. An upstream that
+	// has been silent for 3 intervals is removed from it. Default 1200ms.
+	UpstreamHeartbeat structs.Duration `toml:"upstream_heartbeat"`
+	Telemetry         Telemetry        `toml:"telemetry"`
+	Log               Log              `toml:"log"`
 }
 
 // defaultRowBytes is the default of Gateway.TableRowBytes.
 const defaultRowBytes = 65536
 
+// defaultUpstreamHeartbeat is the default of Gateway.UpstreamHeartbeat.
+const defaultUpstreamHeartbeat = structs.Duration(1200 * time.Millisecond)
+
 func defaultGateway() *Gateway {
 	return &Gateway{
-		TableRowBytes:   defaultRowBytes,
-		OutageListGrace: seconds(2),
-		Telemetry:       defaultTelemetry(),
-		Log:             defaultLog(),
+		TableRowBytes:     defaultRowBytes,
+		OutageListGrace:   seconds(2),
+		UpstreamHeartbeat: defaultUpstreamHeartbeat,
+		Telemetry:         defaultTelemetry(),
+		Log:               defaultLog(),
 	}
 }
 
@@ -67,6 +76,7 @@
 	c.positive("memory_mb", int64(s.MemoryMB))
 	c.duration("shutdown_grace", s.ShutdownGrace)
 	c.duration("outage_list_grace", s.OutageListGrace)
+	c.duration("upstream_heartbeat", s.UpstreamHeartbeat)
 	s.Telemetry.check(c)
 	s.Log.check(c)
 }
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -6,25 +6,71 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// CrashReport records that an upstream crashed while it ran a request. Entries exchange
-// crash reports.
+// ReportKind is what a CrashReport states.
+type ReportKind uint8
+
+const (
+	// Crash states that the upstream ended while it ran the request.
+	Crash ReportKind = iota + 1
+	// Withdrawn states that the upstream's end, if any, was not caused by the request. It takes
+	// precedence over Crash.
+	Withdrawn
+	// Trial states that a request whose crashes another request shares is sent once more.
+	Trial
+)
+
+// String returns the kind's name.
+func (k ReportKind) String() string {
+	switch k {
+	case Crash:
+		return "crash"
+	case Withdrawn:
+		return "withdrawn"
+	case Trial:
+		return "trial"
+	default:
+		return "unknown"
+	}
+}
+
+// CrashReport is a statement about one request. Entries exchange crash reports.
 type CrashReport struct {
+	Kind ReportKind `json:"kind"`
 	// Request is the request's hash as HashCall returns it, Upstream a hash of the upstream's ID
-	// and start. Each start counts as another upstream.
-	Request  uint64
-	Upstream uint64
+	// and start. Each start counts as another upstream. Upstream is 0 in a report of a trial.
+	Request  uint64 `json:"request"`
+	Upstream uint64 `json:"upstream,omitempty"`
 }
 
+// Decision is the answer of CrashCounter.Admit.
+type Decision uint8
+
+const (
+	// Allowed means that nothing speaks against sending the request.
+	Allowed Decision = iota + 1
+	// AllowedOnce means that the request may be sent once; the other entries are to be told by a report
+	// of a Trial.
+	AllowedOnce
+	// Refused means that the request must not be sent.
+	Refused
+)
+
 // CrashCounter counts, by the content of a request, the upstreams that crashed while they
 // ran it. It is for calls that an entry only forwards: the entry can't rerun them in
 // isolation, and observes only that an answer broke off. A request is refused once
 // MaxUpstreams different upstreams have crashed. CrashCounter is not safe for concurrent
 // use.
+//
+// An upstream that ends breaks off all calls that run there, so each of these is counted. A
+// request that completes is cleared. Crashes do not count if another, refused request shares
+// them and has caused more. If two requests share all their crashes, each is tried once.
 type CrashCounter struct {
 	// MaxUpstreams is the number of crashed upstreams from which on a request is refused.
 	MaxUpstreams int
 	// ReportTTL is how long a request's crashes count after its latest report.
 	ReportTTL time.Duration
+	// TrialDelay is the least time from the latest crash to a trial, and between two trials.
+	TrialDelay time.Duration
 	// MaxRequests is the maximum number of requests that are tracked.
 	MaxRequests int
 
@@ -32,11 +78,14 @@
 	requests map[uint64]*crashRecord
 }
 
-// crashRecord holds the upstreams that crashed while they ran one request, by the hashes of
-// their IDs.
+// crashRecord holds the crashes of one request.
 type crashRecord struct {
-	upstreams map[uint64]bool
-	expires   time.Time
+	// crashes maps the hash of each upstream to whether its crash counts; one that was withdrawn
+	// does not.
+	crashes map[uint64]bool
+	expires time.Time
+	// lastCrash is when the latest crash was reported, lastTrial when the latest trial began.
+	lastCrash, lastTrial time.Time
 }
 
 // Defaults of CrashCounter.
@@ -46,6 +95,8 @@
 	defaultMaxUpstreams = 3
 	// defaultReportTTL covers the period in which callers resend a request.
 	defaultReportTTL = 10 * time.Minute
+	// defaultTrialDelay is the time in which a crashed upstream usually starts again.
+	defaultTrialDelay = 5 * time.Second
 	// defaultMaxRequests limits the memory of a CrashCounter to a few hundred KB.
 	defaultMaxRequests = 4096
 )
@@ -54,8 +105,8 @@
 // crashes at 3 upstreams with at most 10 min between two reports.
 func NewCrashCounter() *CrashCounter {
 	return &CrashCounter{
-		MaxUpstreams: defaultMaxUpstreams, ReportTTL: defaultReportTTL, MaxRequests: defaultMaxRequests,
-		requests: map[uint64]*crashRecord{},
+		MaxUpstreams: defaultMaxUpstreams, ReportTTL: defaultReportTTL, TrialDelay: defaultTrialDelay,
+		MaxRequests: defaultMaxRequests, requests: map[uint64]*crashRecord{},
 	}
 }
 
@@ -71,22 +122,67 @@
 	return d.Sum64()
 }
 
-// Add counts a report. It reports whether the upstream was not counted for the request yet.
+// Add applies a report. It returns false if the report changes nothing.
 func (c *CrashCounter) Add(now time.Time, report CrashReport) bool {
-	r := c.requests[report.Request]
-	if r == nil || now.After(r.expires) {
-		c.evict(now)
-		r = &crashRecord{upstreams: map[uint64]bool{}}
-		c.requests[report.Request] = r
-	}
+	r := c.ensure(now, report.Request)
 	r.expires = now.Add(c.ReportTTL)
-	if r.upstreams[report.Upstream] {
+	switch report.Kind {
+	case Crash:
+		if _, known := r.crashes[report.Upstream]; known {
+			return false
+		}
+		r.crashes[report.Upstream] = true
+		r.lastCrash = now
+	case Withdrawn:
+		if counts, known := r.crashes[report.Upstream]; known && !counts {
+			return false
+		}
+		r.crashes[report.Upstream] = false
+	case Trial:
+		r.lastTrial = now
+	default:
 		return false
 	}
-	r.upstreams[report.Upstream] = true
 	return true
 }
 
+// ensure returns the record of a request. It creates one if there is none or it has expired.
+func (c *CrashCounter) ensure(now time.Time, request uint64) *crashRecord {
+	r := c.record(now, request)
+	if r == nil {
+		c.evict(now)
+		r = &crashRecord{crashes: map[uint64]bool{}}
+		c.requests[request] = r
+	}
+	return r
+}
+
+// record returns the record of a request, or nil if there is none or it has expired.
+func (c *CrashCounter) record(now time.Time, request uint64) *crashRecord {
+	r := c.requests[request]
+	if r == nil || now.After(r.expires) {
+		return nil
+	}
+	return r
+}
+
+// Completed clears a request that an upstream has run to its end. It returns the reports that
+// withdraw the request's crashes.
+func (c *CrashCounter) Completed(now time.Time, request uint64) []CrashReport {
+	r := c.record(now, request)
+	if r == nil {
+		return nil
+	}
+	var out []CrashReport
+	for upstream, counts := range r.crashes {
+		if counts {
+			r.crashes[upstream] = false
+			out = append(out, CrashReport{Kind: Withdrawn, Request: request, Upstream: upstream})
+		}
+	}
+	return out
+}
+
 // evict makes room for one request when the counter is full: it deletes the expired
 // records or, when there are none, the one that expires first.
 func (c *CrashCounter) evict(now time.Time) {
@@ -109,17 +205,76 @@
 	}
 }
 
-// Refused reports whether a request must not be sent to another upstream.
-func (c *CrashCounter) Refused(now time.Time, request uint64) bool {
-	r := c.requests[request]
-	return r != nil && !now.After(r.expires) && len(r.upstreams) >= c.MaxUpstreams
+// Admit decides whether a request may be sent to an upstream.
+func (c *CrashCounter) Admit(now time.Time, request uint64) Decision {
+	r := c.record(now, request)
+	if r == nil || r.count() < c.MaxUpstreams {
+		return Allowed
+	}
+	explained, shared := c.compare(now, request, r)
+	switch {
+	case r.count()-explained < c.MaxUpstreams:
+		return Allowed
+	case shared && c.mayTry(now, r):
+		r.lastTrial = now
+		return AllowedOnce
+	default:
+		return Refused
+	}
 }
 
-// Count returns the number of upstreams that crashed while they ran a request.
+// compare returns how many crashes of a record are explained by refused requests with more
+// crashes, and whether a refused request shares all of them.
+func (c *CrashCounter) compare(now time.Time, request uint64, r *crashRecord) (explained int, shared bool) {
+	own := r.count()
+	byOthers := map[uint64]bool{}
+	for id, other := range c.requests {
+		theirs := other.count()
+		if id == request || now.After(other.expires) || theirs < own {
+			continue
+		}
+		common := 0
+		for upstream, counts := range r.crashes {
+			if counts && other.crashes[upstream] {
+				common++
+				byOthers[upstream] = byOthers[upstream] || theirs > own
+			}
+		}
+		shared = shared || common == own
+	}
+	for _, byMore := range byOthers {
+		if byMore {
+			explained++
+		}
+	}
+	return explained, shared
+}
+
+// mayTry reports whether a trial of the request may begin: none has crashed an upstream, and
+// TrialDelay has passed since the latest crash or trial.
+func (c *CrashCounter) mayTry(now time.Time, r *crashRecord) bool {
+	if r.lastTrial.IsZero() {
+		return now.Sub(r.lastCrash) >= c.TrialDelay
+	}
+	return !r.lastCrash.After(r.lastTrial) && now.Sub(r.lastTrial) >= c.TrialDelay
+}
+
+// count returns the number of crashes that count.
+func (r *crashRecord) count() int {
+	n := 0
+	for _, counts := range r.crashes {
+		if counts {
+			n++
+		}
+	}
+	return n
+}
+
+// Count returns the number of upstreams that crashed while they ran a request, without those
+// that were withdrawn.
 func (c *CrashCounter) Count(now time.Time, request uint64) int {
-	r := c.requests[request]
-	if r == nil || now.After(r.expires) {
-		return 0
+	if r := c.record(now, request); r != nil {
+		return r.count()
 	}
-	return len(r.upstreams)
+	return 0
 }
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -13,18 +13,18 @@
 	now := time.Unix(100, 0)
 	call := HashCall("POST", "/a/1", "", []byte("body"))
 	for i, upstream := range []uint64{1, 1, 2} {
-		c.Add(now, CrashReport{call, upstream})
-		if c.Refused(now, call) {
+		c.Add(now, CrashReport{Crash, call, upstream})
+		if c.Admit(now, call) == Refused {
 			t.Fatalf("refused after %d reports of crashes at 2 upstreams or fewer", i+1)
 		}
 	}
-	if !c.Add(now, CrashReport{call, 3}) || !c.Refused(now, call) {
+	if !c.Add(now, CrashReport{Crash, call, 3}) || c.Admit(now, call) != Refused {
 		t.Fatal("not refused after crashes at 3 upstreams")
 	}
-	if c.Refused(now, HashCall("POST", "/a/1", "", []byte("other"))) {
+	if c.Admit(now, HashCall("POST", "/a/1", "", []byte("other"))) != Allowed {
 		t.Fatal("a request with another body is refused")
 	}
-	if c.Refused(now.Add(c.ReportTTL+time.Second), call) {
+	if c.Admit(now.Add(c.ReportTTL+time.Second), call) != Allowed {
 		t.Fatal("still refused after the reports expired")
 	}
 }
@@ -36,7 +36,7 @@
 	c.MaxRequests = 10
 	now := time.Unix(100, 0)
 	for i := range uint64(50) {
-		c.Add(now.Add(time.Duration(i)*time.Second), CrashReport{i, 1})
+		c.Add(now.Add(time.Duration(i)*time.Second), CrashReport{Crash, i, 1})
 	}
 	if len(c.requests) > c.MaxRequests {
 		t.Fatalf("%d requests are tracked, want at most %d", len(c.requests), c.MaxRequests)
@@ -45,3 +45,130 @@
 		t.Fatalf("%d upstreams counted for the newest report, want 1", n)
 	}
 }
+
+// report applies crashes of the upstreams to a request.
+func report(c *CrashCounter, now time.Time, request uint64, upstreams ...uint64) {
+	for _, u := range upstreams {
+		c.Add(now, CrashReport{Crash, request, u})
+	}
+}
+
+// TestCrashesOfAnotherRequestDoNotCount checks that a request which shares its crashes with one
+// that has caused more is not refused, and that requests with the same crashes are tried once each.
+func TestCrashesOfAnotherRequestDoNotCount(t *testing.T) {
+	c := NewCrashCounter()
+	now := time.Unix(100, 0)
+	const poison, neighbour = 1, 2
+	report(c, now, poison, 1, 2, 3)
+	report(c, now, neighbour, 1, 2, 3)
+	for _, request := range []uint64{poison, neighbour} {
+		if got := c.Admit(now.Add(c.TrialDelay-1), request); got != Refused {
+			t.Fatalf("request %d: %v before the trial delay, want it refused", request, got)
+		}
+	}
+	now = now.Add(c.TrialDelay)
+	if got := c.Admit(now, poison); got != AllowedOnce {
+		t.Fatalf("%v, want a trial of the first request", got)
+	}
+	if got := c.Admit(now.Add(time.Second), poison); got != Refused {
+		t.Fatalf("%v while the trial runs, want the request refused", got)
+	}
+	now = now.Add(2 * time.Second)
+	report(c, now, poison, 4)
+	if got := c.Admit(now.Add(time.Minute), poison); got != Refused {
+		t.Fatalf("%v after a trial that crashed an upstream, want the request refused", got)
+	}
+	if got := c.Admit(now, neighbour); got != Allowed {
+		t.Fatalf("%v, want the neighbour allowed: the other request has crashed more upstreams", got)
+	}
+}
+
+// TestCrashingRequestAloneIsNotTried checks that a request whose crashes no other refused request
+// shares stays refused.
+func TestCrashingRequestAloneIsNotTried(t *testing.T) {
+	c := NewCrashCounter()
+	now := time.Unix(100, 0)
+	report(c, now, 1, 1, 2, 3)
+	report(c, now, 2, 1, 2)
+	report(c, now, 3, 4, 5, 6)
+	for _, request := range []uint64{1, 3} {
+		if got := c.Admit(now.Add(time.Minute), request); got != Refused {
+			t.Errorf("request %d: %v, want it refused", request, got)
+		}
+	}
+	if got := c.Admit(now, 2); got != Allowed {
+		t.Errorf("request 2: %v after 2 crashes, want it allowed", got)
+	}
+}
+
+// TestWithdrawnCrashStaysWithdrawn checks that reports may arrive in any order.
+func TestWithdrawnCrashStaysWithdrawn(t *testing.T) {
+	now := time.Unix(100, 0)
+	reports := []CrashReport{{Crash, 1, 1}, {Withdrawn, 1, 1}, {Crash, 1, 2}}
+	for range 3 {
+		reports = append(reports[1:], reports[0])
+		c := NewCrashCounter()
+		for _, r := range reports {
+			c.Add(now, r)
+		}
+		if n := c.Count(now, 1); n != 1 {
+			t.Errorf("%d crashes count after %v, want 1", n, reports)
+		}
+	}
+}
+
+// TestEndedSends checks which sends without a complete answer count as crashes: those whose
+// upstream ended while it may have run them, without having announced that.
+func TestEndedSends(t *testing.T) {
+	const after = 6 * time.Second
+	begin := time.Unix(100, 0)
+	until := begin.Add(2 * time.Second)
+	for _, c := range []struct {
+		name string
+		send EndedSend
+		// ended is when the upstream ends; 0 when it does not. leaving is as in UpstreamEnded.
+		ended   time.Duration
+		leaving bool
+		// gap is when the list of upstreams was last not followed.
+		gap time.Duration
+		// atOnce and later report whether the send counts at its end, and 10 s later.
+		atOnce, later bool
+	}{
+		{name: "broken, upstream ends", send: EndedSend{Broken: true}, ended: 4 * time.Second, atOnce: true, later: true},
+		{name: "broken, upstream survives", send: EndedSend{Broken: true}, atOnce: true},
+		{name: "broken, list lost", send: EndedSend{Broken: true}, gap: 5 * time.Second, atOnce: true, later: true},
+		{name: "broken by a leaving upstream", send: EndedSend{Broken: true}, ended: time.Second, leaving: true, atOnce: true},
+		{name: "silent, upstream ends", send: EndedSend{RunsUntil: until}, ended: 4 * time.Second, later: true},
+		{name: "silent, upstream ends later", send: EndedSend{RunsUntil: until}, ended: 9 * time.Second},
+		{name: "silent, upstream survives", send: EndedSend{RunsUntil: until}},
+		{name: "silent, upstream leaves", send: EndedSend{RunsUntil: until}, ended: time.Second, leaving: true},
+		{name: "upstream had ended before", send: EndedSend{RunsUntil: until, UpstreamEnded: true}, atOnce: true, later: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, counter := NewEndedSends(after), NewCrashCounter()
+			c.send.Request, c.send.Upstream = 1, 2
+			if r, counts := s.Add(begin, c.send); counts {
+				counter.Add(begin, r)
+			}
+			if got := counter.Count(begin, 1) == 1; got != c.atOnce {
+				t.Errorf("counts at once: %v, want %v", got, c.atOnce)
+			}
+			for d := time.Duration(0); d <= 10*time.Second; d += 500 * time.Millisecond {
+				now := begin.Add(d)
+				var reports []CrashReport
+				if c.ended > 0 && d == c.ended {
+					reports = s.UpstreamEnded(now, 2, c.leaving)
+				}
+				for _, r := range append(reports, s.Check(now, begin.Add(c.gap))...) {
+					counter.Add(now, r)
+				}
+			}
+			if got := counter.Count(begin, 1) == 1; got != c.later {
+				t.Errorf("counts in the end: %v, want %v", got, c.later)
+			}
+			if len(s.sends) > 0 && c.gap == 0 {
+				t.Errorf("%d sends are still tracked", len(s.sends))
+			}
+		})
+	}
+}
