gateway: count a crash whose caller had left or timed out

Such a send is tracked until the upstream stops running the call. It counts if the list of upstreams shows by then, plus the time that a removal takes, that the upstream ended without having announced it; never otherwise.

A complete 5xx that is not delivered clears the request, as a delivered one does.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -53,8 +53,8 @@
 		return
 	}
 	end, counted := endOf(ctx, res), false
-	if end == endBroken {
-		counted = g.recordEnd(j, res)
+	if end != endMalformed { // malformed bytes come from an upstream that still runs
+		counted = g.recordEnd(j, res, end == endBroken)
 	}
 	ln := g.env.Requests.Warn
 	if end == endCallerGone { // frequent and usually harmless, so subject to the rate limit
@@ -65,13 +65,14 @@
 		Str("counted", strconv.FormatBool(counted)).Int("crashes", int64(g.crashCount(j.fingerprint))).End()
 }
 
-// recordEnd records a send that may have crashed its upstream. It reports whether that counts
-// against the call's content now.
-func (g *Gateway) recordEnd(j *job, res *sendResult) bool {
+// recordEnd records a send that may have crashed its upstream, or may do so until the call's
+// deadline. broken is set if the upstream's side of the connection ended. recordEnd reports whether
+// the send counts against the call's content now.
+func (g *Gateway) recordEnd(j *job, res *sendResult, broken bool) bool {
 	now := time.Now()
 	current := g.fleet.Load().registry.Get(res.upstream)
 	ended := quarantine.EndedSend{
-		Request: j.fingerprint, Upstream: res.incarnation, Broken: true,
+		Request: j.fingerprint, Upstream: res.incarnation, Broken: broken, RunsUntil: j.deadline.Add(answerGrace),
 		UpstreamEnded: current == nil || incarnationHash(current) != res.incarnation,
 	}
 	g.mu.Lock()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -292,3 +292,51 @@
 		}
 	}
 }
+
+// TestCrashUnderAbandonedRequest checks that a crash counts also if the caller had left, or had not
+// waited long enough, when the upstream ended.
+func TestCrashUnderAbandonedRequest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// left closes the caller's connection before the upstream ends; otherwise the call's
+		// timeout passes first.
+		left bool
+	}{{"caller gone", true}, {"timeout", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newTestPlatform(t)
+			p.writeDocument(1)
+			// An upstream runs poison for a while before its process ends.
+			pool := newCrashingPool(t, p, "llm", 8, answerEvents(0, 1, false))
+			pool.crash = func(http.ResponseWriter, *http.Request) { <-time.After(450 * time.Millisecond) }
+			e := startEntry(t, "entry-1", p.standin.Table)
+			eventually(t, "the entry lists all upstreams", func() bool { return len(e.fleet.Load().byService["llm"]) == 8 })
+			for i := range 10 {
+				before := pool.crashed()
+				if c.left {
+					e.abandon("/draft/1", "poison", 150*time.Millisecond)
+				} else {
+					e.call("POST", "/draft/1", "poison", map[string]string{"X-Timeout-Ms": "200"})
+				}
+				if i < defaultCrashes {
+					eventually(t, "the upstream has ended", func() bool { return pool.crashed() > before })
+				}
+			}
+			<-time.After(600 * time.Millisecond) // the last ones end
+			pool.checkCrashes()
+		})
+	}
+}
+
+// abandon sends a request and closes its connection after a time.
+func (e *testEntry) abandon(path, body string, after time.Duration) {
+	e.t.Helper()
+	conn, err := net.Dial("tcp", e.cfg.ListenCallers)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Timeout-Ms: 1000\r\nContent-Length: %d\r\n\r\n%s", path, newID(), len(body), body); err != nil {
+		e.t.Fatal(err)
+	}
+	<-time.After(after)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -49,6 +49,8 @@
 		g.finish(res, outcome)
 		if err != nil {
 			g.sendUnanswered(ctx, j, res)
+		} else {
+			g.completed(j)
 		}
 		if g.callerGone(ctx, j, err) {
 			return
