gateway: recognise a crashing request under other headers

Callers' servers: a request that came again under another program, conversation, object or previous turn had another hash, so its crashes were counted apart and it was sent on. It comes again with its path and body.

The hash now covers what the upstream runs: method, path with query, the turn continued from, body. The query is new: with completed requests cleared, /search?q=a must not clear /search?q=b.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -139,7 +139,7 @@
 	if !g.matchRoute(w, j) || !g.readBody(w, j) {
 		return
 	}
-	j.fingerprint = quarantine.HashCall(r.Method, r.URL.Path, callIdentity(j.call), j.body)
+	j.fingerprint = quarantine.HashCall(r.Method, r.URL.RequestURI(), j.call.Previous, j.body)
 	// The deadline may have passed while the body was read.
 	if j.left() <= 0 {
 		g.refuse(w, j, "deadline", nil, retryUpstream)
@@ -152,11 +152,6 @@
 	g.servePlain(r.Context(), w, j)
 }
 
-// callIdentity distinguishes calls that have the same path and no body.
-func callIdentity(c *relay.Call) string {
-	return c.AffinityKey + "/" + c.Program + "/" + c.Conversation + "/" + c.Previous
-}
-
 // matchRoute finds the call's route and chooses its service. When there is none, it
 // answers the caller and returns false.
 func (g *Gateway) matchRoute(w http.ResponseWriter, j *job) bool {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -340,3 +340,21 @@
 	}
 	<-time.After(after)
 }
+
+// TestResentCrashingRequestIsRecognised checks that a request with the same path and body is
+// refused after 3 crashes, although it comes under another program, conversation and object.
+func TestResentCrashingRequestIsRecognised(t *testing.T) {
+	c, e := startCrashingPool(t)
+	for i := range 20 {
+		e.call("POST", "/draft/1", "poison", map[string]string{
+			"X-Program-Id": fmt.Sprint("p", i), "X-Session-Id": fmt.Sprint("s", i), "X-Affinity-Key": fmt.Sprint("o", i),
+		})
+	}
+	c.checkCrashes()
+	if r := e.call("POST", "/draft/1", "harmless", nil); r.status != http.StatusOK {
+		t.Errorf("a request with another body: %+v", r)
+	}
+	if r := e.call("POST", "/draft/2", "harmless", nil); r.status != http.StatusOK {
+		t.Errorf("a request with another path: %+v", r)
+	}
+}
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -110,11 +110,12 @@
 	}
 }
 
-// HashCall returns a hash of the parts of a call that stay the same when its caller resends it:
-// the method, the path, the headers that distinguish calls without a body, and the body.
-func HashCall(method, path, headers string, body []byte) uint64 {
+// HashCall returns a hash of what an upstream runs: the method, the path with its query, the ID of
+// the turn that the call continues from, and the body. It leaves out headers that differ when a
+// request comes again, such as those of its program.
+func HashCall(method, path, previous string, body []byte) uint64 {
 	d := xxhash.New()
-	for _, s := range []string{method, path, headers} {
+	for _, s := range []string{method, path, previous} {
 		_, _ = d.WriteString(s) // writes to a hash never fail
 		_, _ = d.Write([]byte{0})
 	}
