gateway, quarantine: keep entries agreed on crashing requests

Callers' servers: an entry that had lost the one datagram with a report, had no room for it in a digest or its queue of 64, was paused, cut off, restarted or started later never learned of the crashes, and sent the request on.

- A report is in three digests; those that don't fit wait for the next.
They have up to 500 bytes of a packet, behind the other items.
- Each digest ends with a hash of the refused requests.
An entry whose hash differs fetches the peer's records (POST /crashes), once a second at most; one that has started fetches those of a peer.
- Records lose a second with each exchange, so that expired ones don't circulate.

Failed before: TestEntryStartedLaterKnowsCrashingRequest (not refused within 5 s), TestCrashReportsWaitForRoom (report 0 did not arrive) and, with the fetch switched off, TestLostCrashReportsAreRepaired (not known within 5 s).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -97,6 +97,7 @@
 		if !changed {
 			continue
 		}
+		g.updateQuarantineDigest()
 		g.mesh.queueCrashReport(report)
 		if report.Kind == quarantine.Crash {
 			g.metrics.crashesCounted.Inc(1)
@@ -111,6 +112,7 @@
 	changed := g.crashes.Add(now, report)
 	g.mu.Unlock()
 	if changed {
+		g.updateQuarantineDigest()
 		g.metrics.crashReportsReceived.Inc(1)
 		g.logReport(now, "crash_report_received", from, report)
 	}
@@ -135,6 +137,7 @@
 		g.mesh.queueCrashReport(report)
 	}
 	if len(reports) > 0 {
+		g.updateQuarantineDigest()
 		g.env.Requests.Warn("content_cleared").Str("request", j.call.ID).Str("content", contentName(j.fingerprint)).Int("crashes", int64(len(reports))).End()
 	}
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/buckthornroute/buckthornroute/quarantine"
 )
 
 // crashingPool stands in for the upstreams of one service. A request with the body "poison" ends the
@@ -358,3 +360,71 @@
 		t.Errorf("a request with another path: %+v", r)
 	}
 }
+
+// TestEntryStartedLaterKnowsCrashingRequest checks that an entry that starts after a request was
+// refused learns of it.
+func TestEntryStartedLaterKnowsCrashingRequest(t *testing.T) {
+	c, e := startCrashingPool(t)
+	c.repeat("/draft/1", "poison", nil, e)
+	c.checkCrashes()
+	before := c.crashed()
+	other := startEntry(t, "entry-2", c.p.standin.Table)
+	eventually(t, "the other entry refuses the request", func() bool {
+		return other.crashCount(e.fingerprintOf("POST", "/draft/1", "poison")) >= defaultCrashes
+	})
+	if r := other.call("POST", "/draft/1", "poison", nil); r.status != http.StatusServiceUnavailable || c.crashed() != before {
+		t.Errorf("%+v and %d further crashes, want status 503 and none", r, c.crashed()-before)
+	}
+}
+
+// TestLostCrashReportsAreRepaired checks that entries agree on a refused request although all
+// datagrams with the reports were lost.
+func TestLostCrashReportsAreRepaired(t *testing.T) {
+	c, e := startCrashingPool(t)
+	other := startEntry(t, "entry-2", c.p.standin.Table)
+	eventually(t, "the entries list each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	now := time.Now()
+	fingerprint := e.fingerprintOf("POST", "/draft/1", "poison")
+	e.mu.Lock()
+	for upstream := range uint64(defaultCrashes) {
+		e.crashes.Add(now, quarantine.CrashReport{Kind: quarantine.Crash, Request: fingerprint, Upstream: upstream})
+	}
+	e.mu.Unlock()
+	e.updateQuarantineDigest()
+	eventually(t, "the other entry knows the crashes", func() bool { return other.crashCount(fingerprint) == defaultCrashes })
+	if r := other.call("POST", "/draft/1", "poison", nil); r.status != http.StatusServiceUnavailable || c.crashed() > 0 {
+		t.Errorf("%+v and %d crashes, want status 503 and none", r, c.crashed())
+	}
+}
+
+// TestCrashReportsWaitForRoom checks that reports which do not fit in a digest are sent in later
+// ones, and that each is sent several times, since a datagram may be lost.
+func TestCrashReportsWaitForRoom(t *testing.T) {
+	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
+	receiver := newGateway(testSettings(t, "receiver"), e.env)
+	receiver.mesh.addPeer(e.mesh.selfPeer())
+	const reports = 200
+	for i := range uint64(reports) {
+		e.mesh.queueCrashReport(quarantine.CrashReport{Kind: quarantine.Crash, Request: 1<<60 + i, Upstream: 1<<60 + i})
+	}
+	sends := 0
+	for range 60 {
+		b := e.mesh.digest()
+		if len(b) > maxPacketSize {
+			t.Fatalf("a digest has %d bytes, want at most %d", len(b), maxPacketSize)
+		}
+		if sends++; sends%3 != 0 { // every third datagram is lost
+			receiver.mesh.handlePacket(b, nil)
+		}
+	}
+	for i := range uint64(reports) {
+		if receiver.crashCount(1<<60+i) != 1 {
+			t.Fatalf("report %d did not arrive", i)
+		}
+	}
+}
+
+// fingerprintOf returns the fingerprint of a call without a previous turn.
+func (e *testEntry) fingerprintOf(method, path, body string) uint64 {
+	return quarantine.HashCall(method, path, "", []byte(body))
+}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -32,9 +32,17 @@
 	// started or has added another one to its list: entries that start at the same time must agree on
 	// the owners of budgets at once.
 	fullDigestPeriod = 2 * time.Second
-	// maxQueuedItems is the maximum number of cached prompts, and of crash reports, that are
-	// queued for the next digest.
+	// maxQueuedItems is the maximum number of cached prompts that are queued for the next digest.
 	maxQueuedItems = 64
+	// maxQueuedReports is the maximum number of crash reports that are queued; the oldest is
+	// dropped first. An entry sends it in about 2 s.
+	maxQueuedReports = 256
+	// reportRepeats is the number of digests that carry a crash report, since a datagram may be
+	// lost.
+	reportRepeats = 3
+	// maxReportBytes is the part of a digest in bytes that crash reports may use. Other items may
+	// use what they leave.
+	maxReportBytes = 500
 )
 
 // Flags of a digest. The values are part of the wire format.
@@ -82,15 +90,21 @@
 	m.mu.Unlock()
 }
 
-// queueCrashReport queues a crash report for the next digest.
+// queuedReport is a crash report with the number of digests that are still to carry it.
+type queuedReport struct {
+	quarantine.CrashReport
+	repeats int
+}
+
+// queueCrashReport queues a crash report for the next digests.
 func (m *mesh) queueCrashReport(report quarantine.CrashReport) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.crashReports) >= maxQueuedItems {
+	if len(m.crashReports) >= maxQueuedReports {
 		m.g.metrics.crashReportsDropped.Inc(1)
-		return
+		m.crashReports = m.crashReports[1:]
 	}
-	m.crashReports = append(m.crashReports, report)
+	m.crashReports = append(m.crashReports, queuedReport{report, reportRepeats})
 }
 
 // sendDigests sends digests to the other entries until ctx ends.
@@ -149,6 +163,7 @@
 //	'x' hashes of the request and of the upstream of a crash report
 //	'o' the same of a crash report that is withdrawn
 //	't' hash of a request that is tried once more, and 0
+//	'q' hash of all refused requests
 //	'c' upstream, ID and tokens of a prompt part that it has cached
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
@@ -157,48 +172,59 @@
 	m.mu.Lock()
 	m.seq++
 	seq := m.seq
-	cached, reports := m.newlyCached, m.crashReports
-	m.newlyCached, m.crashReports = nil, nil
+	cached := m.newlyCached
+	m.newlyCached = nil
+	reports := m.takeReportsLocked()
 	m.mu.Unlock()
+	limit := maxPacketSize - len(reports)
 	b := m.appendDigestHeader(make([]byte, 0, maxPacketSize), seq)
 	m.g.mu.Lock()
 	m.g.balancer.EachInFlight(func(id string, calls int) {
-		if len(b)+maxDigestItem < maxPacketSize {
+		if len(b)+maxDigestItem < limit {
 			b = appendUpstream(append(b, 'l'), id)
 			b = binary.AppendUvarint(b, uint64(calls))
 		}
 	})
 	m.g.balancer.TakeUnreportedOutcomes(time.Now(), func(id string, failed, succeeded int) {
-		if len(b)+maxDigestItem < maxPacketSize {
+		if len(b)+maxDigestItem < limit {
 			b = appendUpstream(append(b, 'f'), id)
 			b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(failed)), uint64(succeeded))
 		}
 	})
 	m.g.mu.Unlock()
 	for _, c := range cached {
-		if len(b)+maxDigestItem < maxPacketSize {
+		if len(b)+maxDigestItem < limit {
 			b = appendUpstream(append(b, 'c'), c.upstream)
 			b = binary.AppendUvarint(b, c.parts[0].ID)
 			b = binary.AppendUvarint(b, uint64(c.parts[0].Tokens))
 		}
 	}
-	return m.appendReports(b, reports)
+	return append(b, reports...)
 }
 
 // itemsOfReports maps the kinds of crash reports to those of digest items.
 var itemsOfReports = map[quarantine.ReportKind]byte{quarantine.Crash: 'x', quarantine.Withdrawn: 'o', quarantine.Trial: 't'}
 
-// appendReports appends crash reports as far as they fit.
-func (m *mesh) appendReports(b []byte, reports []quarantine.CrashReport) []byte {
-	for _, report := range reports {
-		if len(b)+maxDigestItem >= maxPacketSize {
-			m.g.metrics.crashReportsDropped.Inc(1)
-			continue
+// takeReportsLocked encodes the queued crash reports that fit in a digest, and the digest of the
+// refused requests. Reports that were sent reportRepeats times leave the queue; those sent now go
+// behind the others. m.mu must be held.
+func (m *mesh) takeReportsLocked() []byte {
+	var b []byte
+	var again []queuedReport
+	sent := 0
+	for _, r := range m.crashReports {
+		if len(b)+maxDigestItem > maxReportBytes {
+			break
+		}
+		b = append(b, itemsOfReports[r.Kind])
+		b = binary.AppendUvarint(binary.AppendUvarint(b, r.Request), r.Upstream)
+		sent++
+		if r.repeats--; r.repeats > 0 {
+			again = append(again, r)
 		}
-		b = append(b, itemsOfReports[report.Kind])
-		b = binary.AppendUvarint(binary.AppendUvarint(b, report.Request), report.Upstream)
 	}
-	return b
+	m.crashReports = append(m.crashReports[sent:], again...)
+	return binary.AppendUvarint(append(b, 'q'), m.quarantineDigest.Load())
 }
 
 // appendDigestHeader appends the kind of the packet, this entry's flags, its identity and the
@@ -316,6 +342,15 @@
 	return v
 }
 
+// appendReport reads a crash report and appends it unless it is malformed.
+func (p *packetReader) appendReport(reports []quarantine.CrashReport, kind quarantine.ReportKind) []quarantine.CrashReport {
+	r := quarantine.CrashReport{Kind: kind, Request: p.uvarint(), Upstream: p.uvarint()}
+	if p.malformed {
+		return reports
+	}
+	return append(reports, r)
+}
+
 // handleDigest processes a full digest. It reports whether the digest is well-formed.
 func (m *mesh) handleDigest(b []byte) bool {
 	p := packetReader{b: b}
@@ -389,10 +424,8 @@
 func (m *mesh) applyItems(from string, p *packetReader) bool {
 	now := time.Now()
 	reports, wellFormed := m.applyLocked(now, from, p)
-	if wellFormed {
-		for _, report := range reports {
-			m.g.receiveCrashReport(now, from, report)
-		}
+	for _, report := range reports {
+		m.g.receiveCrashReport(now, from, report)
 	}
 	return wellFormed
 }
@@ -421,11 +454,15 @@
 				m.g.balancer.AddPeerCached(id, []routing.PromptPart{{ID: part, Tokens: tokens}})
 			}
 		case 'x':
-			reports = append(reports, quarantine.CrashReport{Kind: quarantine.Crash, Request: p.uvarint(), Upstream: p.uvarint()})
+			reports = p.appendReport(reports, quarantine.Crash)
 		case 'o':
-			reports = append(reports, quarantine.CrashReport{Kind: quarantine.Withdrawn, Request: p.uvarint(), Upstream: p.uvarint()})
+			reports = p.appendReport(reports, quarantine.Withdrawn)
 		case 't':
-			reports = append(reports, quarantine.CrashReport{Kind: quarantine.Trial, Request: p.uvarint(), Upstream: p.uvarint()})
+			reports = p.appendReport(reports, quarantine.Trial)
+		case 'q':
+			if digest := p.uvarint(); !p.malformed && digest != m.quarantineDigest.Load() {
+				m.requestRecords(from)
+			}
 		default:
 			return reports, false
 		}
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -13,7 +13,6 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
-	"github.com/buckthornroute/buckthornroute/quarantine"
 )
 
 const (
@@ -83,6 +82,11 @@
 	// interval is the time in nanoseconds between two digests of each entry.
 	interval atomic.Int64
 
+	// quarantineDigest is the digest of the requests that this entry refuses.
+	quarantineDigest atomic.Uint64
+	// recordsWanted receives the names of peers whose quarantineDigest differs.
+	recordsWanted chan string
+
 	mu    sync.Mutex
 	peers map[string]*peer
 	// lastPeerChange is when this entry started or last added another entry or
@@ -93,12 +97,12 @@
 	// newlyCached are the prompt parts that upstreams have cached in calls of this entry since
 	// the last digest.
 	newlyCached []cachedPrompt
-	// crashReports are the crash reports that the next digest carries.
-	crashReports []quarantine.CrashReport
+	// crashReports are the crash reports that the next digests carry.
+	crashReports []queuedReport
 }
 
 func newMesh(g *Gateway) *mesh {
-	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient(), lastPeerChange: time.Now()}
+	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient(), lastPeerChange: time.Now(), recordsWanted: make(chan string, 1)}
 	m.calls = newPeerCalls(m)
 	return m
 }
@@ -164,6 +168,7 @@
 func (m *mesh) run(ctx context.Context) {
 	go m.sendDigests(ctx)
 	go m.synchronise(ctx)
+	go m.synchroniseRecords(ctx)
 	defer m.client.close()
 	for ctx.Err() == nil {
 		if !m.registered.Load() {
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -65,6 +65,7 @@
 	r.Post("/table/{verb}", m.serveTable)
 	r.Post("/chain", m.serveChain)
 	r.Post("/grants", m.serveGrants)
+	r.Post("/crashes", m.serveRecords)
 	return r
 }
 
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -46,5 +46,6 @@
 	for ctx.Err() == nil {
 		sleep(ctx, cleanUpInterval)
 		g.budgets.forgetIdle(time.Now())
+		g.updateQuarantineDigest() // records have expired
 	}
 }
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -279,3 +280,104 @@
 	}
 	return 0
 }
+
+// CrashRecord is what is known of one request, as entries exchange and store it.
+type CrashRecord struct {
+	Request uint64 `json:"request"`
+	// Crashes and Withdrawn are the hashes of the upstreams whose crashes count, and of those whose
+	// crashes were withdrawn.
+	Crashes   []uint64 `json:"crashes,omitempty"`
+	Withdrawn []uint64 `json:"withdrawn,omitempty"`
+	// Tried reports whether a trial of the request has crashed an upstream.
+	Tried bool `json:"tried,omitempty"`
+	// TTL is the remaining lifetime of the record.
+	TTL time.Duration `json:"lasts"`
+}
+
+// Export returns all records, in no particular order.
+func (c *CrashCounter) Export(now time.Time) []CrashRecord {
+	out := make([]CrashRecord, 0, len(c.requests))
+	for request := range c.requests {
+		if r, known := c.ExportOne(now, request); known {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// ExportOne returns the record of one request. It returns false if there is none.
+func (c *CrashCounter) ExportOne(now time.Time, request uint64) (CrashRecord, bool) {
+	r := c.record(now, request)
+	if r == nil {
+		return CrashRecord{}, false
+	}
+	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), Tried: !r.lastTrial.IsZero() && r.lastCrash.After(r.lastTrial)}
+	for upstream, counts := range r.crashes {
+		if counts {
+			out.Crashes = append(out.Crashes, upstream)
+		} else {
+			out.Withdrawn = append(out.Withdrawn, upstream)
+		}
+	}
+	return out, true
+}
+
+// Import adds records that Export returned elsewhere and returns the number of those that changed
+// this counter. It reduces their TTL by ttlPerHop.
+func (c *CrashCounter) Import(now time.Time, records []CrashRecord) int {
+	changes := 0
+	for _, in := range records {
+		ttl := min(in.TTL-ttlPerHop, c.ReportTTL)
+		if ttl > 0 && c.importOne(now, in, now.Add(ttl)) {
+			changes++
+		}
+	}
+	return changes
+}
+
+// importOne merges one record. It reports whether the record changed.
+func (c *CrashCounter) importOne(now time.Time, in CrashRecord, expires time.Time) bool {
+	r := c.ensure(now, in.Request)
+	if expires.After(r.expires) {
+		r.expires = expires
+	}
+	changed := false
+	for _, upstream := range in.Withdrawn {
+		if counts, known := r.crashes[upstream]; counts || !known {
+			r.crashes[upstream] = false
+			changed = true
+		}
+	}
+	for _, upstream := range in.Crashes {
+		if _, known := r.crashes[upstream]; !known {
+			r.crashes[upstream] = true
+			r.lastCrash = now
+			changed = true
+		}
+	}
+	if in.Tried && !r.lastCrash.After(r.lastTrial) {
+		// A crash after a trial rules out further ones.
+		r.lastTrial, r.lastCrash = now.Add(-1), now
+		changed = true
+	}
+	return changed
+}
+
+// Digest returns a hash of the requests that have caused MaxUpstreams crashes. Entries compare
+// it to detect that one of them has missed reports.
+func (c *CrashCounter) Digest(now time.Time) uint64 {
+	digest := uint64(0)
+	for request := range c.requests {
+		if c.Counted(now, request) {
+			var b [8]byte
+			binary.BigEndian.PutUint64(b[:], request)
+			digest ^= xxhash.Sum64(b[:])
+		}
+	}
+	return digest
+}
+
+// Counted reports whether a request has caused MaxUpstreams crashes, alone or with others.
+func (c *CrashCounter) Counted(now time.Time, request uint64) bool {
+	return c.Count(now, request) >= c.MaxUpstreams
+}
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -172,3 +172,41 @@
 		})
 	}
 }
+
+// TestExchangedRecordsAgree checks that counters which exchange their records in either order hold
+// the same, that a trial that failed at one is not repeated at the other, and that records do not
+// outlive their TTL by being exchanged.
+func TestExchangedRecordsAgree(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b := NewCrashCounter(), NewCrashCounter()
+	report(a, now, 1, 1, 2, 3)
+	report(b, now, 1, 3, 4)
+	report(a, now, 2, 1, 2, 3, 4)
+	b.Add(now, CrashReport{Withdrawn, 1, 1})
+	now = now.Add(a.TrialDelay)
+	a.Add(now, CrashReport{Kind: Trial, Request: 2})
+	report(a, now.Add(time.Second), 2, 5)
+	now = now.Add(2 * time.Second)
+	for range 2 {
+		a.Import(now, b.Export(now))
+		b.Import(now, a.Export(now))
+	}
+	for request, want := range map[uint64]int{1: 3, 2: 5} {
+		if na, nb := a.Count(now, request), b.Count(now, request); na != want || nb != want {
+			t.Errorf("request %d has %d and %d crashes, want %d at both", request, na, nb, want)
+		}
+	}
+	if a.Digest(now) != b.Digest(now) || a.Digest(now) == NewCrashCounter().Digest(now) {
+		t.Errorf("digests %x and %x, want the same and not that of an empty counter", a.Digest(now), b.Digest(now))
+	}
+	if got := b.Admit(now.Add(time.Minute), 2); got != Refused {
+		t.Errorf("%v after a trial that failed elsewhere, want the request refused", got)
+	}
+	for end := now.Add(2 * a.ReportTTL); now.Before(end); now = now.Add(time.Second) {
+		a.Import(now, b.Export(now))
+		b.Import(now, a.Export(now))
+	}
+	if a.Count(now, 1) != 0 || b.Count(now, 1) != 0 {
+		t.Error("records outlive their TTL")
+	}
+}
