gateway: store refused requests in the platform's table

Callers' servers: after all entries had ended at once (loss of power, kill), nobody knew which requests had crashed engines, and each crashed three more.

The entry that counts the deciding crash writes the request's record into a row (quarantine//HASH), a withdrawal that undoes it deletes the row, and each entry reads the rows at its start. Requests with fewer crashes are not stored.

TestQuarantineOutlivesAllEntries failed before (no row, and the new entry sent the request) and passes now.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -92,11 +92,16 @@
 func (g *Gateway) publish(now time.Time, reports []quarantine.CrashReport) {
 	for _, report := range reports {
 		g.mu.Lock()
+		before := g.crashes.Counted(now, report.Request)
 		changed := g.crashes.Add(now, report)
+		after := g.crashes.Counted(now, report.Request)
 		g.mu.Unlock()
 		if !changed {
 			continue
 		}
+		if before || after {
+			g.quarantine.update(report.Request)
+		}
 		g.updateQuarantineDigest()
 		g.mesh.queueCrashReport(report)
 		if report.Kind == quarantine.Crash {
@@ -131,8 +136,12 @@
 func (g *Gateway) completed(j *job) {
 	now := time.Now()
 	g.mu.Lock()
+	refused := g.crashes.Counted(now, j.fingerprint)
 	reports := g.crashes.Completed(now, j.fingerprint)
 	g.mu.Unlock()
+	if refused {
+		g.quarantine.update(j.fingerprint)
+	}
 	for _, report := range reports {
 		g.mesh.queueCrashReport(report)
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -424,6 +424,26 @@
 	}
 }
 
+// TestQuarantineOutlivesAllEntries checks that a refused request stays refused after all entries
+// have ended at once.
+func TestQuarantineOutlivesAllEntries(t *testing.T) {
+	c, e := startCrashingPool(t)
+	c.repeat("/draft/1", "poison", nil, e)
+	before := c.crashed()
+	eventually(t, "the refused request is stored", func() bool {
+		rows, _, err := c.p.standin.Table.Snapshot(t.Context(), quarantinePrefix)
+		return err == nil && len(rows) == 1
+	})
+	e.stop()
+	next := startEntry(t, "entry-1", c.p.standin.Table)
+	eventually(t, "the entry has read the refused requests", func() bool {
+		return next.crashCount(e.fingerprintOf("POST", "/draft/1", "poison")) >= defaultCrashes
+	})
+	if r := next.call("POST", "/draft/1", "poison", nil); r.status != http.StatusServiceUnavailable || c.crashed() != before {
+		t.Errorf("%+v and %d further crashes, want status 503 and none", r, c.crashed()-before)
+	}
+}
+
 // fingerprintOf returns the fingerprint of a call without a previous turn.
 func (e *testEntry) fingerprintOf(method, path, body string) uint64 {
 	return quarantine.HashCall(method, path, "", []byte(body))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,8 @@
 	expiry  *expiry
 	budgets *budgets
 	turns   *turnStore
+	// quarantine stores the requests that must not be sent.
+	quarantine *quarantineStore
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
@@ -119,6 +121,7 @@
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
 	g.expiry = &expiry{commits: g.commits}
 	g.budgets = newBudgets(g.table, g.commits, g.mesh, g.expiry, env.Requests, g.holder(), g.incarnation)
+	g.quarantine = newQuarantineStore(g)
 	g.turns = newTurnStore(g.table, g.commits, g.mesh, g.expiry, cfg)
 	return g
 }
@@ -139,7 +142,7 @@
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context){
-		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.budgets.recordLoop, g.expiry.run, g.cleanUp,
+		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.quarantine.run, g.budgets.recordLoop, g.expiry.run, g.cleanUp,
 	} {
 		group.Go(func() error {
 			task(taskCtx)
