quarantine: keep refused requests in a full counter

Records below the limit of crashes make room first. TestFullCounterKeepsRefusedRequests failed before (allowed after 50 requests with one crash each) and passes now.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -185,28 +185,38 @@
 	return out
 }
 
-// evict makes room for one request when the counter is full: it deletes the expired
-// records or, when there are none, the one that expires first.
+// evict makes room for one request when the counter is full: it deletes the expired records or,
+// when there are none, one that is not refused rather than one that is, and of these the one that
+// expires first.
 func (c *CrashCounter) evict(now time.Time) {
 	if len(c.requests) < c.MaxRequests {
 		return
 	}
-	var first uint64
-	var at time.Time
+	var least uint64
+	var leastRecord *crashRecord
 	for id, r := range c.requests {
 		if now.After(r.expires) {
 			delete(c.requests, id)
 			continue
 		}
-		if at.IsZero() || r.expires.Before(at) {
-			first, at = id, r.expires
+		if leastRecord == nil || c.evictBefore(r, leastRecord) {
+			least, leastRecord = id, r
 		}
 	}
 	if len(c.requests) >= c.MaxRequests {
-		delete(c.requests, first)
+		delete(c.requests, least)
 	}
 }
 
+// evictBefore reports whether a makes room before b.
+func (c *CrashCounter) evictBefore(a, b *crashRecord) bool {
+	refusedA, refusedB := a.count() >= c.MaxUpstreams, b.count() >= c.MaxUpstreams
+	if refusedA != refusedB {
+		return refusedB
+	}
+	return a.expires.Before(b.expires)
+}
+
 // Admit decides whether a request may be sent to an upstream.
 func (c *CrashCounter) Admit(now time.Time, request uint64) Decision {
 	r := c.record(now, request)
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -210,3 +210,17 @@
 		t.Error("records outlive their TTL")
 	}
 }
+
+// TestFullCounterKeepsRefusedRequests checks that requests with fewer crashes make room first.
+func TestFullCounterKeepsRefusedRequests(t *testing.T) {
+	c := NewCrashCounter()
+	c.MaxRequests = 10
+	now := time.Unix(100, 0)
+	report(c, now, 1, 1, 2, 3)
+	for i := range uint64(50) {
+		report(c, now.Add(time.Duration(i)*time.Second), 100+i, 1)
+	}
+	if got := c.Admit(now.Add(time.Minute), 1); got != Refused {
+		t.Fatalf("%v after 50 requests with one crash each, want the request with 3 refused", got)
+	}
+}
