gateway: withdraw a crash only after a list that can show the removal

A read of the list of upstreams that began before a crashed upstream could have been removed, and was answered late (a paused process, a list some seconds old), would have withdrawn the crash at all entries for good.

The check takes the time at which the read began, and waits for eight heartbeats instead of five. An upstream that states no start is never taken as having survived.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -18,8 +18,8 @@
 const reasonQuarantined = "quarantined"
 
 // survivedHeartbeats is the number of heartbeats after which an upstream that has ended is no
-// longer listed: it is removed after 3, and the removal takes a while to arrive.
-const survivedHeartbeats = 5
+// longer listed: it is removed after 3, and the list that an entry reads may be some seconds old.
+const survivedHeartbeats = 8
 
 // contentName returns the name of a call's content in log lines.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
@@ -75,6 +75,10 @@
 		Request: j.fingerprint, Upstream: res.incarnation, Broken: broken, RunsUntil: j.deadline.Add(answerGrace),
 		UpstreamEnded: current == nil || incarnationHash(current) != res.incarnation,
 	}
+	if broken && current != nil && current.StartedAtMs == 0 {
+		// The list does not show whether it starts again under its id.
+		ended.UpstreamEnded = true
+	}
 	g.mu.Lock()
 	report, counts := g.sends.Add(now, ended)
 	g.mu.Unlock()
@@ -151,15 +155,15 @@
 	}
 }
 
-// checkEndedSends withdraws the crashes of upstreams that are still listed. It is called when the
-// list of upstreams has just been confirmed.
-func (g *Gateway) checkEndedSends() {
-	now := time.Now()
+// checkEndedSends withdraws the crashes of upstreams that are still listed. It is called after each
+// read of the list of upstreams, with the time at which the read began: after a pause of this
+// process its answer may be old.
+func (g *Gateway) checkEndedSends(begun time.Time) {
 	listedSince := g.removalsDeferredUntil()
 	g.mu.Lock()
-	reports := g.sends.Check(now, listedSince)
+	reports := g.sends.Check(begun, listedSince)
 	g.mu.Unlock()
-	g.publish(now, reports)
+	g.publish(time.Now(), reports)
 }
 
 // crashCount returns the number of crashes that count against a content.
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -448,3 +448,23 @@
 func (e *testEntry) fingerprintOf(method, path, body string) uint64 {
 	return quarantine.HashCall(method, path, "", []byte(body))
 }
+
+// TestListReadBeforePauseWithdrawsNothing checks that a crash is not withdrawn by a read of the list
+// of upstreams that began before the crashed upstream could have been removed.
+func TestListReadBeforePauseWithdrawsNothing(t *testing.T) {
+	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
+	g := newGateway(testSettings(t, "entry-2"), e.env)
+	begun := time.Now()
+	g.mu.Lock()
+	report, _ := g.sends.Add(begun, quarantine.EndedSend{Request: 1, Upstream: 2, Broken: true})
+	g.mu.Unlock()
+	g.publish(begun, []quarantine.CrashReport{report})
+	g.checkEndedSends(begun.Add(time.Second))
+	if n := g.crashCount(1); n != 1 {
+		t.Errorf("%d crashes count after a read of the list that began 1 s after the crash, want 1", n)
+	}
+	g.checkEndedSends(begun.Add(time.Minute))
+	if n := g.crashCount(1); n != 0 {
+		t.Errorf("%d crashes count after a read of the list that began 1 min after the crash, want 0", n)
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -31,8 +31,8 @@
 	// version is the table's version after them.
 	list   func(version int64, rows []platformapi.Row)
 	change func(version int64, changes []platformapi.Change)
-	// confirmed is called after each successful read.
-	confirmed func()
+	// confirmed is called after each successful read, with the time at which the read began.
+	confirmed func(begun time.Time)
 }
 
 // follow reads all rows with the follower's prefix and then their changes, until ctx
@@ -42,6 +42,7 @@
 	version, listed := int64(0), false
 	for ctx.Err() == nil {
 		var err error
+		begun := time.Now()
 		if !listed {
 			version, err = g.listOnce(ctx, f)
 			listed = err == nil
@@ -57,7 +58,7 @@
 			sleep(ctx, feedRetry)
 			continue
 		}
-		f.confirmed()
+		f.confirmed(begun)
 	}
 }
 
@@ -101,7 +102,7 @@
 				}
 			}
 		},
-		confirmed: func() { g.documentConfirmedAt.Store(time.Now().UnixNano()) },
+		confirmed: func(time.Time) { g.documentConfirmedAt.Store(time.Now().UnixNano()) },
 	})
 }
 
@@ -150,9 +151,9 @@
 			}
 			g.updateUpstreams(version, out, false, missing)
 		},
-		confirmed: func() {
+		confirmed: func(begun time.Time) {
 			g.expireMissing(missing)
-			g.checkEndedSends()
+			g.checkEndedSends(begun)
 		},
 	})
 }
--- a/quarantine/sends.go
+++ b/quarantine/sends.go
@@ -79,8 +79,8 @@
 }
 
 // Check returns the reports that withdraw the crashes of upstreams that are still listed, and
-// drops sends whose upstreams can't have run them any more. listedSince is since when the list of
-// upstreams has been followed without a gap, up to now.
+// drops sends whose upstreams can't have run them any more. now is the time of the list of upstreams;
+// listedSince is since when the list has been followed without a gap.
 func (s *EndedSends) Check(now, listedSince time.Time) []CrashReport {
 	var out []CrashReport
 	s.sends = filter(s.sends, func(e *trackedSend) bool {
