gateway: don't ask a quarantined request back after 60 ms

Callers of a refused request were told to return after about 60 ms, though the refusal can't end for seconds; each return was refused again.

Retry-After is about 5 s, the delay of a trial. TestQuarantinedRequestIsNotAskedBackAtOnce failed before.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -52,6 +52,9 @@
 	// retryUpstream is used when no send succeeded or the deadline has passed. It is short,
 	// since other upstreams are usually available.
 	retryUpstream = 60 * time.Millisecond
+	// retryQuarantined is used for a call whose content has crashed too many upstreams. It covers
+	// the time after which it may be found that another request caused that.
+	retryQuarantined = 5 * time.Second
 )
 
 // newIncarnation returns a random id for this incarnation of the entry.
@@ -341,7 +344,11 @@
 		g.fail(w, j, reason, cause)
 		return
 	}
-	g.refuse(w, j, reason, cause, retryUpstream)
+	after := retryUpstream
+	if errors.Is(cause, errQuarantined) {
+		after = retryQuarantined
+	}
+	g.refuse(w, j, reason, cause, after)
 }
 
 // callerGone reports whether the caller has closed its connection and, if so, logs and
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -468,3 +469,15 @@
 		t.Errorf("%d crashes count after a read of the list that began 1 min after the crash, want 0", n)
 	}
 }
+
+// TestQuarantinedRequestIsNotAskedBackAtOnce checks that the Retry-After of a refused request
+// covers the time in which the refusal can't end.
+func TestQuarantinedRequestIsNotAskedBackAtOnce(t *testing.T) {
+	c, e := startCrashingPool(t)
+	c.repeat("/draft/1", "poison", nil, e)
+	r := e.call("POST", "/draft/1", "poison", nil)
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	if r.status != http.StatusServiceUnavailable || err != nil || after < 2 {
+		t.Errorf("%+v, want status 503 and a Retry-After of 2 s or more", r)
+	}
+}
