gateway: store a refused request whoever counts its last crash

Callers' servers: if no entry had observed three crashes of a request itself, none wrote the row, and an entry that restarted sent the request on until it had fetched its peers' records, up to a second later.

Each entry that has observed a crash of the request writes the row, whoever's report decides; an entry that has started asks its peers every 50 ms until one answers.

TestQuarantineIsStoredWhoeverCountsLast failed before (no row within 5 s).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -95,18 +95,9 @@
 // held.
 func (g *Gateway) publish(now time.Time, reports []quarantine.CrashReport) {
 	for _, report := range reports {
-		g.mu.Lock()
-		before := g.crashes.Counted(now, report.Request)
-		changed := g.crashes.Add(now, report)
-		after := g.crashes.Counted(now, report.Request)
-		g.mu.Unlock()
-		if !changed {
+		if !g.applyReport(now, report, true) {
 			continue
 		}
-		if before || after {
-			g.quarantine.update(report.Request)
-		}
-		g.updateQuarantineDigest()
 		g.mesh.queueCrashReport(report)
 		if report.Kind == quarantine.Crash {
 			g.metrics.crashesCounted.Inc(1)
@@ -117,16 +108,35 @@
 
 // receiveCrashReport applies a report of another entry.
 func (g *Gateway) receiveCrashReport(now time.Time, from string, report quarantine.CrashReport) {
-	g.mu.Lock()
-	changed := g.crashes.Add(now, report)
-	g.mu.Unlock()
-	if changed {
-		g.updateQuarantineDigest()
+	if g.applyReport(now, report, false) {
 		g.metrics.crashReportsReceived.Inc(1)
 		g.logReport(now, "crash_report_received", from, report)
 	}
 }
 
+// applyReport applies a report and has the request's row updated if it is or was refused. Only
+// entries that have observed a crash of the request do that. own is set for reports of this entry.
+// applyReport returns false if the report changes nothing.
+func (g *Gateway) applyReport(now time.Time, report quarantine.CrashReport, own bool) bool {
+	g.mu.Lock()
+	before := g.crashes.Counted(now, report.Request)
+	add := g.crashes.Add
+	if own {
+		add = g.crashes.AddOwn
+	}
+	changed := add(now, report)
+	store := g.crashes.Own(report.Request) && (before || g.crashes.Counted(now, report.Request))
+	g.mu.Unlock()
+	if !changed {
+		return false
+	}
+	g.updateQuarantineDigest()
+	if store {
+		g.quarantine.update(report.Request)
+	}
+	return true
+}
+
 // logReport logs a report that has changed what this entry knows of a content.
 func (g *Gateway) logReport(now time.Time, event, from string, report quarantine.CrashReport) {
 	g.mu.Lock()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -445,6 +445,23 @@
 	}
 }
 
+// TestQuarantineIsStoredWhoeverCountsLast checks that a refused request is stored although no entry
+// has observed three crashes itself.
+func TestQuarantineIsStoredWhoeverCountsLast(t *testing.T) {
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
+	now := time.Now()
+	e.publish(now, []quarantine.CrashReport{{Kind: quarantine.Crash, Request: 1, Upstream: 1}})
+	for upstream := range uint64(defaultCrashes) {
+		for _, request := range []uint64{1, 2} { // the entry has observed no crash of request 2
+			e.receiveCrashReport(now, "entry-2", quarantine.CrashReport{Kind: quarantine.Crash, Request: request, Upstream: upstream})
+		}
+	}
+	eventually(t, "the request is stored", func() bool {
+		rows, _, err := p.standin.Table.Snapshot(t.Context(), quarantinePrefix)
+		return err == nil && len(rows) == 1 && rows[0].Key == quarantinePrefix+"1"
+	})
+}
+
 // fingerprintOf returns the fingerprint of a call without a previous turn.
 func (e *testEntry) fingerprintOf(method, path, body string) uint64 {
 	return quarantine.HashCall(method, path, "", []byte(body))
--- a/internal/gateway/crashsync.go
+++ b/internal/gateway/crashsync.go
@@ -12,6 +12,9 @@
 const (
 	// recordsInterval is the least time between two requests for the crash records of peers.
 	recordsInterval = time.Second
+	// firstRecordsInterval is recordsInterval until the first request of an entry that has started
+	// has been answered.
+	firstRecordsInterval = 50 * time.Millisecond
 	// recordsTimeout is the timeout of a request for the crash records of one peer.
 	recordsTimeout = 500 * time.Millisecond
 )
@@ -30,17 +33,17 @@
 // started yet. It returns when ctx ends.
 func (m *mesh) synchroniseRecords(ctx context.Context) {
 	fetched := m.g.cfg.FirstStart
+	for ctx.Err() == nil && !fetched {
+		for _, address := range m.recentPeerAddresses() {
+			fetched = fetched || m.fetchRecords(ctx, address)
+		}
+		sleep(ctx, firstRecordsInterval)
+	}
 	for ctx.Err() == nil {
-		if fetched {
-			select {
-			case <-ctx.Done():
-			case name := <-m.recordsWanted:
-				m.fetchRecords(ctx, m.peerNamed(name))
-			}
-		} else {
-			for _, address := range m.recentPeerAddresses() {
-				fetched = fetched || m.fetchRecords(ctx, address)
-			}
+		select {
+		case <-ctx.Done():
+		case name := <-m.recordsWanted:
+			m.fetchRecords(ctx, m.peerNamed(name))
 		}
 		sleep(ctx, recordsInterval)
 	}
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -85,6 +85,8 @@
 	// does not.
 	crashes map[uint64]bool
 	expires time.Time
+	// own reports whether this counter's owner has observed one of the crashes.
+	own bool
 	// lastCrash is when the latest crash was reported, lastTrial when the latest trial began.
 	lastCrash, lastTrial time.Time
 }
@@ -148,6 +150,19 @@
 	return true
 }
 
+// AddOwn is Add for a report of the counter's owner.
+func (c *CrashCounter) AddOwn(now time.Time, report CrashReport) bool {
+	changed := c.Add(now, report)
+	c.requests[report.Request].own = true
+	return changed
+}
+
+// Own reports whether AddOwn was called for a request.
+func (c *CrashCounter) Own(request uint64) bool {
+	r := c.requests[request]
+	return r != nil && r.own
+}
+
 // ensure returns the record of a request. It creates one if there is none or it has expired.
 func (c *CrashCounter) ensure(now time.Time, request uint64) *crashRecord {
 	r := c.record(now, request)
