soak: a request that crashes upstreams comes again through all entries

The soak's upstreams never ended, so a request that ends them was tried by nothing. One caller now sends such a request for the whole trial, through all entries in turn; the upstream's listener and connections close, and it comes back 0.3 to 1.5 s later under its id or another. Checked: more than 3 s after the third crash it runs 3 times at most, whatever else is disturbed, and other requests on its path are served at the end.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -10,8 +10,7 @@
 
 // link is a loopback proxy in front of one address that injects network faults.
 type link struct {
-	listener net.Listener
-	target   string
+	listenAddress, target string
 
 	// delay is added to each read in either direction, in nanoseconds.
 	delay atomic.Int64
@@ -21,30 +20,48 @@
 	// refuse closes each new connection.
 	refuse atomic.Bool
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
 }
 
 func newLink(t *testing.T, target string) *link {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	k := &link{listenAddress: freePort(t), target: target, conns: map[net.Conn]bool{}}
+	if err := k.listen(); err != nil {
 		t.Fatal(err)
 	}
-	k := &link{listener: l, target: target, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() {
-		l.Close()
-		k.reset()
-	})
-	go k.serve()
+	t.Cleanup(k.shutDown)
 	return k
 }
 
-func (k *link) address() string { return k.listener.Addr().String() }
+func (k *link) address() string { return k.listenAddress }
+
+// listen accepts connections until shutDown.
+func (k *link) listen() error {
+	l, err := net.Listen("tcp", k.listenAddress)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.listener = l
+	k.mu.Unlock()
+	go k.serve(l)
+	return nil
+}
+
+// shutDown refuses new connections and resets the others, as the end of the process behind the link
+// does.
+func (k *link) shutDown() {
+	k.mu.Lock()
+	k.listener.Close()
+	k.mu.Unlock()
+	k.reset()
+}
 
-func (k *link) serve() {
+func (k *link) serve(l net.Listener) {
 	for {
-		c, err := k.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,7 +34,8 @@
 // TestSoak runs each seed: callers under load, random faults, recovery, then the checks.
 // It guards against a request that runs after it was reported as not run, a second run of
 // an unsafe request, a program that exceeds its token budget, a wrong or incomplete answer
-// that looks complete, a retained turn that is lost, and an entry that exits by itself.
+// that looks complete, a retained turn that is lost, a request that crashes upstreams without end,
+// and an entry that exits by itself.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the soak test starts processes")
@@ -61,6 +62,7 @@
 	entries      []*entry
 	llm          []*upstream // of the service "llm", which answers turns
 	app          []*upstream // of the service "app", which answers tool calls
+	crashes      crashes     // of upstreams that ran the crashing request
 	ledger       *callerLedger
 	callers      *callers
 	version      int            // of the configuration document
@@ -76,12 +78,12 @@
 		ledger: &callerLedger{reportedNotRun: map[string]int{}, tokens: map[string]int{}, budgets: map[string]int{}},
 	}
 	for i := range 4 {
-		x.llm = append(x.llm, newUpstream(t, fmt.Sprintf("llm-%d", i), "llm", all))
-		x.app = append(x.app, newUpstream(t, fmt.Sprintf("app-%d", i), "app", all))
+		x.llm = append(x.llm, newUpstream(t, fmt.Sprintf("llm-%d", i), "llm", all, x.store, &x.crashes))
+		x.app = append(x.app, newUpstream(t, fmt.Sprintf("app-%d", i), "app", all, x.store, &x.crashes))
 	}
 	x.publishDocument()
 	for _, u := range append(append([]*upstream(nil), x.llm...), x.app...) {
-		x.store.put(t, "servers//"+u.id, u.row("ready"))
+		x.store.put("servers//"+u.id, u.row("ready"))
 	}
 	for i := range *entries {
 		k := newLink(t, x.store.address())
@@ -98,7 +100,7 @@
 // route with the version in its prefix, so that a request shows whether an entry uses it.
 func (x *trial) publishDocument() {
 	x.version++
-	x.store.put(x.t, "op//config", fmt.Sprintf(`{"version":%d,"routes":[
+	x.store.put("op//config", fmt.Sprintf(`{"version":%d,"routes":[
  {"name":"read","host":"h","prefix":"/read/","route-type":"safe","timeout-ms":1500,"service":"app","attempts":2},
  {"name":"act","host":"h","prefix":"/act/","route-type":"unsafe","timeout-ms":1500,"service":"app","attempts":1},
  {"name":"ask","host":"h","prefix":"/ask/","route-type":"stream","timeout-ms":2000,"service":"llm","attempts":2,"resumable":true},
@@ -130,6 +132,11 @@
 			}
 		}()
 	}
+	load.Add(1)
+	go func() {
+		defer load.Done()
+		x.callers.crashingCaller(x.stopped)
+	}()
 	end := time.Now().Add(*length)
 	for time.Now().Before(end) {
 		x.injectFault()
@@ -272,6 +279,7 @@
 // check compares what the callers received with what the upstreams ran.
 func (x *trial) check() {
 	x.checkRetained()
+	x.checkCrashes()
 	x.callers.runs.mu.Lock()
 	defer x.callers.runs.mu.Unlock()
 	x.ledger.mu.Lock()
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -61,13 +61,17 @@
 func (s *store) address() string { return s.server.Listener.Addr().String() }
 
 // put writes a row whatever its current version is.
-func (s *store) put(t *testing.T, key, value string) {
-	t.Helper()
+func (s *store) put(key, value string) {
+	s.apply(platformapi.Txn{Writes: []platformapi.Write{{Key: key, Value: []byte(value)}}})
+}
+
+// apply makes a transaction without conditions.
+func (s *store) apply(txn platformapi.Txn) {
 	// An injected fault of the store fails these writes too, so they are retried until one
-	// succeeds; one whose answer was lost may be applied as well. Any other error ends put,
-	// whether or not the row was written.
+	// succeeds; one whose answer was lost may be applied as well. Any other error ends apply,
+	// whether or not the rows were written.
 	for {
-		err := s.table.Apply(context.Background(), platformapi.Txn{Writes: []platformapi.Write{{Key: key, Value: []byte(value)}}})
+		err := s.table.Apply(context.Background(), txn)
 		if err == nil || !errors.Is(err, platformapi.ErrNotApplied) && !errors.Is(err, platformapi.ErrUnavailable) {
 			return
 		}
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -41,19 +41,26 @@
 
 // upstream is one engine or tool server behind a proxy.
 type upstream struct {
-	id, service string
-	link        *link
-	server      *httptest.Server
-	runs        *runs
+	service string
+	link    *link
+	store   *store
+	crashes *crashes
+	server  *httptest.Server
+	runs    *runs
 	// extra sends a second answer after some of the answers; broken aborts some answers,
 	// those of tool calls before their first byte; refusing answers each request as not run.
 	extra, broken, refusing atomic.Bool
-	// seq is the sequence number of the upstream's last row.
-	seq int
+
+	mu sync.Mutex
+	// id and born name the incarnation of the upstream; seq is the sequence number of its last row.
+	id        string
+	born, seq int
+	// down is set from the end of the upstream's process to its next start.
+	down bool
 }
 
-func newUpstream(t *testing.T, id, service string, all *runs) *upstream {
-	u := &upstream{id: id, service: service, runs: all}
+func newUpstream(t *testing.T, id, service string, all *runs, s *store, c *crashes) *upstream {
+	u := &upstream{id: id, born: 1, service: service, runs: all, store: s, crashes: c}
 	u.server = httptest.NewServer(u)
 	u.link = newLink(t, u.server.Listener.Addr().String())
 	t.Cleanup(func() {
@@ -63,11 +70,12 @@
 	return u
 }
 
-// row returns the next version of the row of the upstream in the platform's store.
+// row returns the next version of the row of the upstream in the platform's store. u.mu must be held
+// once the upstream serves.
 func (u *upstream) row(state string) string {
 	u.seq++
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":1}`,
-		u.service, u.link.address(), state, u.seq)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
+		u.service, u.link.address(), state, u.seq, u.born)
 }
 
 // eventCount returns the number of events of a turn, 1 to 6, from a hash of its id.
@@ -95,7 +103,10 @@
 	if err != nil {
 		return
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != u.id {
+	u.mu.Lock()
+	own := u.id
+	u.mu.Unlock()
+	if want := r.Header.Get("X-Expect-Instance"); want != own {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -110,6 +121,14 @@
 	}
 	u.runs.add(id, run{r.URL.Path, string(body), from})
 	w.Header().Set("X-Response-Seal", "seal."+id)
+	if isCrashing(string(body)) {
+		if rand.IntN(2) == 0 { // it sends the head of its answer first
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.(http.Flusher).Flush()
+		}
+		u.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if u.service == "llm" {
 		u.stream(w, id, from)
 	} else {
