quarantine: try a request once, however many crashes another shares

Callers' servers: a frequent harmless request that had more crashes than the crashing one, since more of its runs were broken off, made that one count as innocent, so it was sent again each time.

Sharing crashes with a request that has at least as many now earns one trial, never more; a crash after a trial has begun rules out another.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -63,8 +63,8 @@
 // use.
 //
 // An upstream that ends breaks off all calls that run there, so each of these is counted. A
-// request that completes is cleared. Crashes do not count if another, refused request shares
-// them and has caused more. If two requests share all their crashes, each is tried once.
+// request that completes is cleared. A refused request is tried once if others that have as many
+// crashes may have caused its own.
 type CrashCounter struct {
 	// MaxUpstreams is the number of crashed upstreams from which on a request is refused.
 	MaxUpstreams int
@@ -89,6 +89,8 @@
 	own bool
 	// lastCrash is when the latest crash was reported, lastTrial when the latest trial began.
 	lastCrash, lastTrial time.Time
+	// tried reports whether an upstream crashed after a trial had begun.
+	tried bool
 }
 
 // Defaults of CrashCounter.
@@ -137,6 +139,7 @@
 		}
 		r.crashes[report.Upstream] = true
 		r.lastCrash = now
+		r.tried = r.tried || !r.lastTrial.IsZero()
 	case Withdrawn:
 		if counts, known := r.crashes[report.Upstream]; known && !counts {
 			return false
@@ -235,14 +238,10 @@
 // Admit decides whether a request may be sent to an upstream.
 func (c *CrashCounter) Admit(now time.Time, request uint64) Decision {
 	r := c.record(now, request)
-	if r == nil || r.count() < c.MaxUpstreams {
-		return Allowed
-	}
-	explained, shared := c.compare(now, request, r)
 	switch {
-	case r.count()-explained < c.MaxUpstreams:
+	case r == nil || r.count() < c.MaxUpstreams:
 		return Allowed
-	case shared && c.mayTry(now, r):
+	case r.count()-c.shared(now, request, r) < c.MaxUpstreams && c.mayTry(now, r):
 		r.lastTrial = now
 		return AllowedOnce
 	default:
@@ -250,40 +249,28 @@
 	}
 }
 
-// compare returns how many crashes of a record are explained by refused requests with more
-// crashes, and whether a refused request shares all of them.
-func (c *CrashCounter) compare(now time.Time, request uint64, r *crashRecord) (explained int, shared bool) {
+// shared returns how many crashes of a record another request may have caused, one that has at
+// least as many.
+func (c *CrashCounter) shared(now time.Time, request uint64, r *crashRecord) int {
 	own := r.count()
 	byOthers := map[uint64]bool{}
 	for id, other := range c.requests {
-		theirs := other.count()
-		if id == request || now.After(other.expires) || theirs < own {
+		if id == request || now.After(other.expires) || other.count() < own {
 			continue
 		}
-		common := 0
 		for upstream, counts := range r.crashes {
 			if counts && other.crashes[upstream] {
-				common++
-				byOthers[upstream] = byOthers[upstream] || theirs > own
+				byOthers[upstream] = true
 			}
 		}
-		shared = shared || common == own
 	}
-	for _, byMore := range byOthers {
-		if byMore {
-			explained++
-		}
-	}
-	return explained, shared
+	return len(byOthers)
 }
 
 // mayTry reports whether a trial of the request may begin: none has crashed an upstream, and
-// TrialDelay has passed since the latest crash or trial.
+// TrialDelay has passed since the latest crash and the latest trial.
 func (c *CrashCounter) mayTry(now time.Time, r *crashRecord) bool {
-	if r.lastTrial.IsZero() {
-		return now.Sub(r.lastCrash) >= c.TrialDelay
-	}
-	return !r.lastCrash.After(r.lastTrial) && now.Sub(r.lastTrial) >= c.TrialDelay
+	return !r.tried && now.Sub(r.lastCrash) >= c.TrialDelay && now.Sub(r.lastTrial) >= c.TrialDelay
 }
 
 // count returns the number of crashes that count.
@@ -336,7 +323,7 @@
 	if r == nil {
 		return CrashRecord{}, false
 	}
-	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), Tried: !r.lastTrial.IsZero() && r.lastCrash.After(r.lastTrial)}
+	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), Tried: r.tried}
 	for upstream, counts := range r.crashes {
 		if counts {
 			out.Crashes = append(out.Crashes, upstream)
@@ -380,9 +367,8 @@
 			changed = true
 		}
 	}
-	if in.Tried && !r.lastCrash.After(r.lastTrial) {
-		// A crash after a trial rules out further ones.
-		r.lastTrial, r.lastCrash = now.Add(-1), now
+	if in.Tried && !r.tried {
+		r.tried = true
 		changed = true
 	}
 	return changed
