gateway: keep the tokens of a forgotten budget spent

Its account was dropped from memory, the next one had the same name in the budget's row, and took all that the row showed under that name as new tokens whose draw had lost its answer.

Each account has a name of its own in the row, so what earlier ones drew stays drawn. An account that is dropped returns its unused tokens, and is not dropped while tokens are granted provisionally.

--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -132,20 +132,20 @@
 	b.updateOthersLocked(ctx, pb, call.Program)
 	request := pb.account.NextDraw(call.MaxTokens)
 	b.mu.Unlock()
-	block, err := b.drawFromRow(ctx, call.Program, call.Total, request)
+	block, err := b.drawFromRow(ctx, pb.holder, call.Program, call.Total, request)
 	b.mu.Lock()
 	if err != nil {
 		return err
 	}
 	pb.account.ApplyDraw(request, block)
-	go b.owners.announce(context.WithoutCancel(ctx), b.notice(call, pb.account.Granted(), pb.account.Provisional() > 0))
+	go b.owners.announce(context.WithoutCancel(ctx), b.notice(pb, call, pb.account.Granted(), pb.account.Provisional() > 0))
 	return nil
 }
 
-// drawFromRow takes a block of tokens from the program's row and returns its size: usually
-// at least d.Need, or 0 when the row has too few tokens left. The block is smaller when the
-// row already shows more than d.KnownDrawn for this entry.
-func (b *budgets) drawFromRow(ctx context.Context, program string, total int, d ledger.DrawRequest) (block int, err error) {
+// drawFromRow takes a block of tokens from the program's row for an account and returns its size:
+// usually at least d.Need, or 0 when the row has too few tokens left. The block is smaller when the
+// row already shows more than d.KnownDrawn for this account.
+func (b *budgets) drawFromRow(ctx context.Context, holder, program string, total int, d ledger.DrawRequest) (block int, err error) {
 	key := budgetKey(program)
 	// The first draw assumes that there is no row yet, which saves a read. If there is one, the
 	// write fails with a conflict, which carries the row.
@@ -156,13 +156,13 @@
 		}
 	}
 	for range maxRowAttempts {
-		if drawn := row.Drawn[b.holder]; drawn > d.KnownDrawn {
-			// The answer to an earlier draw of this entry was lost, or another entry recorded
-			// the provisional grants of this one.
+		if drawn := row.Drawn[holder]; drawn > d.KnownDrawn {
+			// The answer to an earlier draw of this account was lost, or another entry recorded
+			// its provisional grants.
 			return drawn - d.KnownDrawn, nil
 		}
 		var next ledger.Row
-		if next, block = row.Draw(b.holder, d); block == 0 {
+		if next, block = row.Draw(holder, d); block == 0 {
 			return 0, nil
 		}
 		err = b.commits.apply(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: next.Encode()}})
@@ -216,14 +216,19 @@
 }
 
 // forgetIdle drops the budgets of programs that requested no turn for budgetIdle, unless tokens
-// are being obtained or drawn for them. It also drops the known grants of programs of which no
-// notice arrived for budgetIdle.
+// are being obtained or drawn for them or were granted provisionally, and returns their unused
+// tokens to the rows. It also drops the known grants of programs of which no notice arrived for
+// budgetIdle.
 func (b *budgets) forgetIdle(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for program, pb := range b.programs {
-		if pb.obtaining == nil && pb.pendingDraw == nil && now.Sub(pb.lastUsed) > budgetIdle {
-			delete(b.programs, program)
+		if pb.obtaining != nil || pb.pendingDraw != nil || pb.account.Provisional() > 0 || now.Sub(pb.lastUsed) <= budgetIdle {
+			continue
+		}
+		delete(b.programs, program)
+		if n := pb.account.ReturnFree(); n > 0 {
+			go b.returnForgotten(program, pb.holder, n)
 		}
 	}
 	for program, k := range b.known {
@@ -232,3 +237,14 @@
 		}
 	}
 }
+
+// returnForgotten returns the unused tokens of an account that was dropped. If that fails, they
+// count as spent.
+func (b *budgets) returnForgotten(program, holder string, tokens int) {
+	ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
+	defer cancel()
+	if err := b.returnTokens(ctx, program, holder, tokens); err != nil {
+		b.commits.metrics.blocksLost.Inc(1)
+		b.log.Info("budget_not_returned").Str("program", program).Int("tokens", int64(tokens)).Err(err).End()
+	}
+}
--- a/internal/gateway/budgetprovisional.go
+++ b/internal/gateway/budgetprovisional.go
@@ -62,7 +62,7 @@
 		granted, _ = b.owners.collectGrants(ctx, program)
 		b.mu.Lock()
 	}
-	pb.account.SetOthers(granted, b.holder)
+	pb.account.SetOthers(granted, pb.holder)
 }
 
 // grantProvisionallyLocked grants tokens before the row records them. It does so only when
@@ -84,7 +84,7 @@
 		sleep(ctx, ledger.BurstDelay)
 		b.mu.Lock()
 	}
-	pb.account.SetOthers(granted, b.holder)
+	pb.account.SetOthers(granted, pb.holder)
 	// needed returns the number of tokens to grant provisionally, or false when none may be.
 	needed := func() (int, bool) {
 		return pb.account.ProvisionalGrant(call.MaxTokens, ledger.GrantConditions{
@@ -96,7 +96,7 @@
 	if !ok {
 		return false
 	}
-	notice := b.notice(call, pb.account.Granted()+need, true)
+	notice := b.notice(pb, call, pb.account.Granted()+need, true)
 	b.mu.Unlock()
 	received := b.owners.announce(ctx, notice)
 	b.mu.Lock()
@@ -114,10 +114,10 @@
 	return pb.account.Free() >= call.MaxTokens
 }
 
-// notice returns a notice that this incarnation was granted a number of tokens of the call's
+// notice returns a notice that the account was granted a number of tokens of the call's
 // program in total. provisional reports whether a part of them is not recorded in the row.
-func (b *budgets) notice(call reserveCall, granted int, provisional bool) grantNotice {
-	return grantNotice{Program: call.Program, Holder: b.holder, Granted: granted, Total: call.Total, Provisional: provisional}
+func (b *budgets) notice(pb *programBudget, call reserveCall, granted int, provisional bool) grantNotice {
+	return grantNotice{Program: call.Program, Holder: pb.holder, Granted: granted, Total: call.Total, Provisional: provisional}
 }
 
 // applyNotice stores in memory the grants that another entry announced.
@@ -157,7 +157,7 @@
 		granted.Merge(k.granted)
 	}
 	if pb := b.programs[program]; pb != nil && pb.account.Granted() > 0 {
-		granted[b.holder] = pb.account.Granted()
+		granted[pb.holder] = pb.account.Granted()
 	}
 	return granted
 }
@@ -175,7 +175,7 @@
 	}
 	for program, pb := range b.programs {
 		if n := pb.account.Granted(); n > 0 {
-			out = append(out, b.notice(reserveCall{Program: program, Total: pb.account.Total()}, n, pb.account.Provisional() > 0))
+			out = append(out, b.notice(pb, reserveCall{Program: program, Total: pb.account.Total()}, n, pb.account.Provisional() > 0))
 		}
 	}
 	return out
--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -138,19 +138,23 @@
 // returnUnused returns drawn and unused tokens to their rows when this entry shuts down.
 func (b *budgets) returnUnused(ctx context.Context) {
 	b.mu.Lock()
-	unused := map[string]int{}
+	type unusedTokens struct {
+		holder string
+		tokens int
+	}
+	unused := map[string]unusedTokens{}
 	for program, pb := range b.programs {
 		if n := pb.account.ReturnFree(); n > 0 {
-			unused[program] = n
+			unused[program] = unusedTokens{pb.holder, n}
 		}
 	}
 	b.mu.Unlock()
 	var wait sync.WaitGroup
-	for program, tokens := range unused {
+	for program, u := range unused {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			if err := b.returnTokens(ctx, program, tokens); err != nil {
+			if err := b.returnTokens(ctx, program, u.holder, u.tokens); err != nil {
 				b.commits.metrics.blocksLost.Inc(1)
 			}
 		}()
@@ -158,8 +162,9 @@
 	wait.Wait()
 }
 
-// returnTokens returns tokens to the program's row and announces what this entry retains.
-func (b *budgets) returnTokens(ctx context.Context, program string, tokens int) error {
+// returnTokens returns tokens of an account to the program's row and announces what the account
+// retains.
+func (b *budgets) returnTokens(ctx context.Context, program, holder string, tokens int) error {
 	key := budgetKey(program)
 	for range maxRowAttempts {
 		// The total is used only for a row that does not exist.
@@ -167,10 +172,10 @@
 		if err != nil || version == platformapi.Absent {
 			return err
 		}
-		next := row.Return(b.holder, tokens)
+		next := row.Return(holder, tokens)
 		err = b.commits.apply(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: next.Encode()}})
 		if err == nil {
-			b.owners.announce(ctx, grantNotice{Program: program, Holder: b.holder, Granted: next.Drawn[b.holder], Returned: true})
+			b.owners.announce(ctx, grantNotice{Program: program, Holder: holder, Granted: next.Drawn[holder], Returned: true})
 			return nil
 		}
 		// A write with an unknown outcome is not repeated: tokens returned twice could be
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -137,7 +138,8 @@
 	owners  budgetOwners
 	expiry  *expiry
 	log     *reqlog.Logger
-	// incarnation identifies this incarnation of the entry; holder is its name in budget rows.
+	// incarnation identifies this incarnation of the entry; holder is the first part of the names
+	// of its accounts in budget rows.
 	holder      string
 	incarnation string
 	// keyUnreachable reports whether the row of a key is known to be unreachable.
@@ -154,6 +156,8 @@
 	// mu guards the fields below. Methods whose names end in Locked must be called with it held.
 	mu       sync.Mutex
 	programs map[string]*programBudget
+	// accounts counts the accounts so far.
+	accounts int
 	// known holds the grants that other entries announced for programs that this entry may
 	// own next.
 	known map[string]*knownGrants
@@ -162,6 +166,9 @@
 // programBudget is the state of one program's budget at this entry.
 type programBudget struct {
 	account *ledger.Account
+	// holder is the name of the account in the budget's row. Another account of the same program
+	// has another name: it must not take for its own what this one drew and spent.
+	holder string
 	// open maps the id of each open reservation to its tokens. settled contains the ids of
 	// settled reservations. A reservation may be settled before it is granted, because the
 	// entry that requested it may have given up.
@@ -322,8 +329,9 @@
 func (b *budgets) programLocked(call reserveCall) *programBudget {
 	pb := b.programs[call.Program]
 	if pb == nil {
+		b.accounts++
 		pb = &programBudget{
-			account: ledger.NewAccount(call.Total), open: map[string]int{}, settled: map[string]bool{},
+			account: ledger.NewAccount(call.Total), holder: b.holder + "/" + strconv.Itoa(b.accounts), open: map[string]int{}, settled: map[string]bool{},
 			upstreamOf: map[string]string{}, storedBy: map[string]string{},
 		}
 		b.programs[call.Program] = pb
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -337,7 +337,7 @@
 	}
 	a := ledger.NewAccount(1716)
 	a.SetOthers(b.grantsFor("p"), b.holder)
-	if block, err := b.drawFromRow(t.Context(), "p", 1716, a.NextDraw(572)); err != nil || block != 0 {
+	if block, err := b.drawFromRow(t.Context(), b.holder, "p", 1716, a.NextDraw(572)); err != nil || block != 0 {
 		t.Fatalf("drew %d though all 1716 tokens are granted, error %v", block, err)
 	}
 }
@@ -417,3 +417,43 @@
 		return true
 	})
 }
+
+// spendTurns sends turns of 50 tokens of a program with a budget of 200 through the entry, calls
+// between after each, and returns how many were answered.
+func spendTurns(e *testEntry, program string, turns int, between func()) int {
+	answered := 0
+	for range turns {
+		if r := e.call("POST", "/ask/1", "x", turnHeader(program, 200, 50)); r.status == http.StatusOK {
+			answered++
+		}
+		between()
+	}
+	return answered
+}
+
+// TestForgottenBudgetStaysSpent checks that tokens spent by an account that was dropped for being idle
+// are not granted again by its successor, and that those which it had not used are.
+func TestForgottenBudgetStaysSpent(t *testing.T) {
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false)) // 5 events of 10 tokens each
+	eventually(t, "the entry owns budgets", e.mesh.canOwnBudgets)
+	remaining := func() int {
+		row, err := p.standin.Table.Get(t.Context(), budgetKey("p"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		budget, _, err := decodeBudget(row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return budget.Remaining()
+	}
+	spent := 0
+	answered := spendTurns(e, "p", 12, func() {
+		spent = min(200, spent+50)
+		e.budgets.forgetIdle(time.Now().Add(budgetIdle + time.Second))
+		eventually(t, "unused tokens are returned", func() bool { return remaining() == 200-spent })
+	})
+	if answered != 4 {
+		t.Errorf("%d turns of 50 tokens ran on a budget of 200, want 4", answered)
+	}
+}
