gateway: don't draw a budget anew after its row was deleted

Callers: a program that ran for over 17 minutes could spend beyond its budget (rule BUDGET): its row is deleted then, and the account took a missing row for one from which nothing had been drawn.

An account that has drawn puts that into the row it creates anew; grants of other accounts that it knows of are left aside as before.

TestBudgetOutlivesItsRow failed before (12 turns of 50 tokens ran on a budget of 200, want 4).

--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -156,6 +156,10 @@
 		}
 	}
 	for range maxRowAttempts {
+		if version == platformapi.Absent && d.KnownDrawn > 0 {
+			// The row was deleted while the program still ran.
+			row.Drawn = map[string]int{holder: d.KnownDrawn}
+		}
 		if drawn := row.Drawn[holder]; drawn > d.KnownDrawn {
 			// The answer to an earlier draw of this account was lost, or another entry recorded
 			// its provisional grants.
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -457,3 +457,13 @@
 		t.Errorf("%d turns of 50 tokens ran on a budget of 200, want 4", answered)
 	}
 }
+
+// TestBudgetOutlivesItsRow checks that an account does not draw tokens again that it drew before its
+// row was deleted.
+func TestBudgetOutlivesItsRow(t *testing.T) {
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
+	eventually(t, "the entry owns budgets", e.mesh.canOwnBudgets)
+	if n := spendTurns(e, "p", 12, func() { p.removeRow(budgetKey("p")) }); n != 4 {
+		t.Errorf("%d turns of 50 tokens ran on a budget of 200, want 4", n)
+	}
+}
