forward: survive a call that fails while its long body is written

Callers: an entry's process could end, with all its calls, when a call with a body above 48 KiB failed at once: the goroutine that writes the body read the connection from the answer, whose Close had cleared it.

The goroutine holds the connection and the channel itself. TestLongBodyAfterDeadline panicked before; the race detector is silent now.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -285,3 +285,19 @@
 		t.Errorf("%d connections are open, the limit is 2", p.OpenConns(address))
 	}
 }
+
+// TestLongBodyAfterDeadline checks that a call with a long body whose deadline has passed fails, and
+// that the process survives it: the body may still be written when the call has ended.
+func TestLongBodyAfterDeadline(t *testing.T) {
+	address, _ := startUpstream(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = io.Copy(io.Discard, br) })
+	p := NewPool(time.Second)
+	for range 200 {
+		_, err := p.Send(t.Context(), &Request{
+			Address: address, ID: "1", Method: "POST", Head: []byte("POST / HTTP/1.1\r\n\r\n"), Body: make([]byte, 2*maxInlineBody),
+			Deadline: time.Now().Add(-time.Second),
+		})
+		if !errors.Is(err, ErrLost) {
+			t.Fatalf("%v, want an error marked with ErrLost", err)
+		}
+	}
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -133,11 +133,12 @@
 		_, err := buffers.WriteTo(a.conn.Conn)
 		return errors.Wrap(err, "write")
 	}
-	a.written = make(chan error, 1)
+	written, c := make(chan error, 1), a.conn.Conn // Close may clear a.conn before the goroutine runs
+	a.written = written
 	go func() {
 		buffers := net.Buffers{r.Head, r.Body}
-		_, err := buffers.WriteTo(a.conn.Conn)
-		a.written <- err
+		_, err := buffers.WriteTo(c)
+		written <- err
 	}()
 	return nil
 }
