--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -33,7 +34,10 @@
 		return err
 	}
 	known := parseKnown(string(list))
-	unknown := unlisted(out, string(log), known)
+	unknown, err := unlisted(out, string(log), known)
+	if err != nil {
+		return fmt.Errorf("%s: %w", logPath, err)
+	}
 	if len(unknown) > 0 {
 		return fmt.Errorf("failures not in %s: %s", listPath, strings.Join(unknown, ", "))
 	}
@@ -61,17 +65,25 @@
 	failedPackage = regexp.MustCompile(`^FAIL\s+(\S+)`)
 )
 
+// maxLineBytes is the length in bytes of the longest line that is read. A line of test output may
+// exceed the default of 64 KiB.
+const maxLineBytes = 1 << 24
+
+// errCutOff reports a log that ends before its last line, in which go test states its result.
+var errCutOff = errors.New("the log is cut off")
+
 // unlisted returns the failed tests that are not in known and prints those that are to out.
 // A package that failed without a failed test, for example by a build error, or that
-// panicked is always unlisted.
-func unlisted(out io.Writer, log string, known map[string]bool) []string {
+// panicked is always unlisted. log must be that of a run that has failed, whose last line is FAIL.
+func unlisted(out io.Writer, log string, known map[string]bool) ([]string, error) {
 	// go test prints the package only after its failed tests, so these are pending until then.
 	var unknown, pending []string
 	lines := bufio.NewScanner(strings.NewReader(log))
-	lines.Buffer(nil, 1<<24) // bytes; a line of test output may exceed the default of 64 KiB
-	panicked := false
+	lines.Buffer(nil, maxLineBytes)
+	panicked, last := false, ""
 	for lines.Scan() {
 		line := lines.Text()
+		last = line
 		if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
 			panicked = true
 		}
@@ -96,5 +108,11 @@
 		}
 		pending, panicked = nil, false
 	}
-	return unknown
+	if err := lines.Err(); err != nil {
+		return nil, err
+	}
+	if last != "FAIL" {
+		return nil, errCutOff
+	}
+	return unknown, nil
 }
--- a/internal/tools/knownred/main_test.go
+++ b/internal/tools/knownred/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 )
 
@@ -20,8 +21,23 @@
 		{"panic in a known test", "--- FAIL: TestKnown (0.1s)\npanic: x\nFAIL\texample.org/a\t0.1s\n", 1},
 	} {
 		var out bytes.Buffer
-		if got := unlisted(&out, c.log, known); len(got) != c.want {
-			t.Errorf("%s: unlisted = %v, want %d of them", c.name, got, c.want)
+		if got, err := unlisted(&out, c.log+"FAIL\n", known); err != nil || len(got) != c.want {
+			t.Errorf("%s: unlisted = %v, error %v, want %d of them", c.name, got, err, c.want)
+		}
+	}
+}
+
+// TestLogCutOff guards against a failure that passes CI since the log ends before it is stated, or
+// since the rest of the log follows a line that is too long to read.
+func TestLogCutOff(t *testing.T) {
+	for name, log := range map[string]string{
+		"empty":                    "",
+		"before the package":       "--- FAIL: TestOther (0.1s)\n",
+		"before the next failures": "FAIL\texample.org/a\t0.1s\n",
+		"after a long line":        strings.Repeat("x", maxLineBytes+1) + "\n--- FAIL: TestOther (0.1s)\nFAIL\texample.org/a\t0.1s\nFAIL\n",
+	} {
+		if got, err := unlisted(&bytes.Buffer{}, log, nil); err == nil {
+			t.Errorf("%s: unlisted = %v, want an error", name, got)
 		}
 	}
 }
