gateway: set the socket for digests before the tasks that use it

A data race: serve set mesh.packetConn after sendDigests had started; a call to another entry in that moment would have met nil.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -119,9 +119,6 @@
 			m.g.mu.Unlock()
 		}
 		sleep(ctx, interval)
-		if m.packetConn == nil {
-			continue
-		}
 		packet := m.digest()
 		for _, to := range m.digestTargets() {
 			if _, err := m.packetConn.WriteTo(packet, to); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 		return err
 	}
 	g.env.Events.Emit(eventlog.GatewayStarted, eventlog.Fields{Step: "start", Detail: "callers " + g.cfg.ListenCallers + ", life " + g.incarnation})
+	g.mesh.packetConn = listeners.digests // read by the tasks below
 	// Background tasks outlive ctx, since calls in progress still need them during a graceful
 	// shutdown.
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -244,7 +245,6 @@
 	}
 	s.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
 	s.mesh = &http.Server{Handler: g.mesh.handler(), ReadHeaderTimeout: internalHeaderTimeout}
-	g.mesh.packetConn = l.digests
 	go g.serveOn(s.callers, s.listener)
 	go g.serveOn(s.ready, l.ready)
 	go g.serveOn(s.mesh, l.mesh)
