gateway, quarantine: report a trial once, bound the log of reports

Each of the three datagrams with the report of a trial counted and was logged as another trial. Reports below the limit of crashes are Info lines now, so the rate limit of the log applies to them: each broken answer leaves one at every entry.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -140,9 +140,13 @@
 // logReport logs a report that has changed what this entry knows of a content.
 func (g *Gateway) logReport(now time.Time, event, from string, report quarantine.CrashReport) {
 	g.mu.Lock()
-	crashes := g.crashes.Count(now, report.Request)
+	crashes, refused := g.crashes.Count(now, report.Request), g.crashes.Counted(now, report.Request)
 	g.mu.Unlock()
-	g.env.Requests.Warn(event).Str("from", from).Str("kind", report.Kind.String()).Str("content", contentName(report.Request)).
+	ln := g.env.Requests.Info
+	if refused {
+		ln = g.env.Requests.Warn
+	}
+	ln(event).Str("from", from).Str("kind", report.Kind.String()).Str("content", contentName(report.Request)).
 		Str("incarnation", contentName(report.Upstream)).Int("crashes", int64(crashes)).End()
 }
 
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -146,6 +146,9 @@
 		}
 		r.crashes[report.Upstream] = false
 	case Trial:
+		if now.Sub(r.lastTrial) < c.TrialDelay {
+			return false // the report was received before
+		}
 		r.lastTrial = now
 	default:
 		return false
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -70,6 +70,9 @@
 	if got := c.Admit(now, poison); got != AllowedOnce {
 		t.Fatalf("%v, want a trial of the first request", got)
 	}
+	if c.Add(now.Add(time.Second), CrashReport{Kind: Trial, Request: poison}) {
+		t.Fatal("a repeated report of a trial counts as another one")
+	}
 	if got := c.Admit(now.Add(time.Second), poison); got != Refused {
 		t.Fatalf("%v while the trial runs, want the request refused", got)
 	}
