quarantine, gateway: try each refused request again, ever more rarely

Callers: a harmless request that met three upstreams which ended for other reasons was refused for ten minutes, unless another request shared its crashes.

Each refused request is tried 5 s after its latest crash, after a failed trial a minute later, one send at a time. So a crashing request ends at most two more upstreams within its ten minutes. Since its caller may come again through another entry as soon as the trial has failed, a trial and a second crash are reported at once, not with the next digest.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -21,6 +21,10 @@
 // longer listed: it is removed after 3, and the list that an entry reads may be some seconds old.
 const survivedHeartbeats = 8
 
+// urgentCrashes is the number of crashes of a request from which on a report does not wait for the
+// next digest: the caller may come again at once, through another entry.
+const urgentCrashes = 2
+
 // contentName returns the name of a call's content in log lines.
 func contentName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
@@ -101,6 +105,9 @@
 		g.mesh.queueCrashReport(report)
 		if report.Kind == quarantine.Crash {
 			g.metrics.crashesCounted.Inc(1)
+			if g.crashCount(report.Request) >= urgentCrashes {
+				g.mesh.sendDigestNow()
+			}
 		}
 		g.logReport(now, "crash_report", string(g.cfg.Node), report)
 	}
@@ -188,7 +195,7 @@
 }
 
 // admitContent reports whether the call may be sent: its content has not crashed too many
-// upstreams, or is tried once more.
+// upstreams, or is tried once more now.
 func (g *Gateway) admitContent(j *job) bool {
 	now := time.Now()
 	g.mu.Lock()
@@ -199,7 +206,9 @@
 		g.metrics.quarantined.Inc(1)
 		return false
 	case quarantine.AllowedOnce:
+		// The caller may come again through another entry as soon as the trial has failed.
 		g.mesh.queueCrashReport(quarantine.CrashReport{Kind: quarantine.Trial, Request: j.fingerprint})
+		g.mesh.sendDigestNow()
 		g.env.Requests.Warn("content_tried").Str("request", j.call.ID).Str("content", contentName(j.fingerprint)).Int("crashes", int64(g.crashCount(j.fingerprint))).End()
 	}
 	return true
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -118,7 +118,7 @@
 			m.g.balancer.SetPeerTTL(m.scaledTimeout(responsiveTimeout))
 			m.g.mu.Unlock()
 		}
-		sleep(ctx, interval)
+		m.awaitDigest(ctx, interval)
 		packet := m.digest()
 		for _, to := range m.digestTargets() {
 			if _, err := m.packetConn.WriteTo(packet, to); err != nil {
@@ -128,6 +128,26 @@
 	}
 }
 
+// awaitDigest waits until the next digest is due: for the interval, or until a crash report is
+// urgent.
+func (m *mesh) awaitDigest(ctx context.Context, interval time.Duration) {
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-m.urgent:
+	}
+}
+
+// sendDigestNow has the next digest sent at once.
+func (m *mesh) sendDigestNow() {
+	select {
+	case m.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // sendsFullDigests reports whether every digest has to carry this entry's name and addresses
 // at the moment.
 func (m *mesh) sendsFullDigests(now time.Time) bool {
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -84,6 +84,8 @@
 
 	// quarantineDigest is the digest of the requests that this entry refuses.
 	quarantineDigest atomic.Uint64
+	// urgent receives a value when a crash report must not wait for the next digest.
+	urgent chan struct{}
 	// recordsWanted receives the names of peers whose quarantineDigest differs.
 	recordsWanted chan string
 
@@ -102,7 +104,7 @@
 }
 
 func newMesh(g *Gateway) *mesh {
-	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient(), lastPeerChange: time.Now(), recordsWanted: make(chan string, 1)}
+	m := &mesh{g: g, peers: map[string]*peer{}, client: newMeshClient(), lastPeerChange: time.Now(), recordsWanted: make(chan string, 1), urgent: make(chan struct{}, 1)}
 	m.calls = newPeerCalls(m)
 	return m
 }
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -16,7 +16,7 @@
 	// Withdrawn states that the upstream's end, if any, was not caused by the request. It takes
 	// precedence over Crash.
 	Withdrawn
-	// Trial states that a request whose crashes another request shares is sent once more.
+	// Trial states that a refused request is sent once more.
 	Trial
 )
 
@@ -62,15 +62,16 @@
 // MaxUpstreams different upstreams have crashed. CrashCounter is not safe for concurrent
 // use.
 //
-// An upstream that ends breaks off all calls that run there, so each of these is counted. A
-// request that completes is cleared. A refused request is tried once if others that have as many
-// crashes may have caused its own.
+// An upstream that ends breaks off all calls that run there, whatever the cause, so a harmless
+// request may meet MaxUpstreams crashes too. A refused request is therefore tried again, one send
+// at a time and ever more rarely. A request that completes is cleared.
 type CrashCounter struct {
 	// MaxUpstreams is the number of crashed upstreams from which on a request is refused.
 	MaxUpstreams int
 	// ReportTTL is how long a request's crashes count after its latest report.
 	ReportTTL time.Duration
-	// TrialDelay is the least time from the latest crash to a trial, and between two trials.
+	// TrialDelay is the least time from the latest crash or trial to the first trial of a request.
+	// After each trial that crashed an upstream it is trialBackoff times as long.
 	TrialDelay time.Duration
 	// MaxRequests is the maximum number of requests that are tracked.
 	MaxRequests int
@@ -89,8 +90,10 @@
 	own bool
 	// lastCrash is when the latest crash was reported, lastTrial when the latest trial began.
 	lastCrash, lastTrial time.Time
-	// tried reports whether an upstream crashed after a trial had begun.
-	tried bool
+	// failedTrials counts the trials after which an upstream crashed.
+	failedTrials int
+	// trialPending is set from the beginning of a trial to the next crash.
+	trialPending bool
 }
 
 // Defaults of CrashCounter.
@@ -102,6 +105,10 @@
 	defaultReportTTL = 10 * time.Minute
 	// defaultTrialDelay is the time in which a crashed upstream usually starts again.
 	defaultTrialDelay = 5 * time.Second
+	// trialBackoff allows two trials within defaultReportTTL.
+	trialBackoff = 12
+	// maxFailedTrials bounds the count of failed trials; the delay is beyond any TTL by then.
+	maxFailedTrials = 4
 	// defaultMaxRequests limits the memory of a CrashCounter to a few hundred KB.
 	defaultMaxRequests = 4096
 )
@@ -139,7 +146,10 @@
 		}
 		r.crashes[report.Upstream] = true
 		r.lastCrash = now
-		r.tried = r.tried || !r.lastTrial.IsZero()
+		if r.trialPending {
+			r.trialPending = false
+			r.failedTrials = min(r.failedTrials+1, maxFailedTrials)
+		}
 	case Withdrawn:
 		if counts, known := r.crashes[report.Upstream]; known && !counts {
 			return false
@@ -149,7 +159,7 @@
 		if now.Sub(r.lastTrial) < c.TrialDelay {
 			return false // the report was received before
 		}
-		r.lastTrial = now
+		r.beginTrial(now)
 	default:
 		return false
 	}
@@ -244,37 +254,24 @@
 	switch {
 	case r == nil || r.count() < c.MaxUpstreams:
 		return Allowed
-	case r.count()-c.shared(now, request, r) < c.MaxUpstreams && c.mayTry(now, r):
-		r.lastTrial = now
+	case c.mayTry(now, r):
+		r.beginTrial(now)
 		return AllowedOnce
 	default:
 		return Refused
 	}
 }
 
-// shared returns how many crashes of a record another request may have caused, one that has at
-// least as many.
-func (c *CrashCounter) shared(now time.Time, request uint64, r *crashRecord) int {
-	own := r.count()
-	byOthers := map[uint64]bool{}
-	for id, other := range c.requests {
-		if id == request || now.After(other.expires) || other.count() < own {
-			continue
-		}
-		for upstream, counts := range r.crashes {
-			if counts && other.crashes[upstream] {
-				byOthers[upstream] = true
-			}
-		}
+// mayTry reports whether a trial of the request may begin.
+func (c *CrashCounter) mayTry(now time.Time, r *crashRecord) bool {
+	delay := c.TrialDelay
+	for range r.failedTrials {
+		delay *= trialBackoff
 	}
-	return len(byOthers)
+	return now.Sub(r.lastCrash) >= delay && now.Sub(r.lastTrial) >= delay
 }
 
-// mayTry reports whether a trial of the request may begin: none has crashed an upstream, and
-// TrialDelay has passed since the latest crash and the latest trial.
-func (c *CrashCounter) mayTry(now time.Time, r *crashRecord) bool {
-	return !r.tried && now.Sub(r.lastCrash) >= c.TrialDelay && now.Sub(r.lastTrial) >= c.TrialDelay
-}
+func (r *crashRecord) beginTrial(now time.Time) { r.lastTrial, r.trialPending = now, true }
 
 // count returns the number of crashes that count.
 func (r *crashRecord) count() int {
@@ -303,8 +300,8 @@
 	// crashes were withdrawn.
 	Crashes   []uint64 `json:"crashes,omitempty"`
 	Withdrawn []uint64 `json:"withdrawn,omitempty"`
-	// Tried reports whether a trial of the request has crashed an upstream.
-	Tried bool `json:"tried,omitempty"`
+	// FailedTrials counts the trials of the request that have crashed an upstream.
+	FailedTrials int `json:"failed_trials,omitempty"`
 	// TTL is the remaining lifetime of the record.
 	TTL time.Duration `json:"lasts"`
 }
@@ -326,7 +323,7 @@
 	if r == nil {
 		return CrashRecord{}, false
 	}
-	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), Tried: r.tried}
+	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), FailedTrials: r.failedTrials}
 	for upstream, counts := range r.crashes {
 		if counts {
 			out.Crashes = append(out.Crashes, upstream)
@@ -370,8 +367,8 @@
 			changed = true
 		}
 	}
-	if in.Tried && !r.tried {
-		r.tried = true
+	if in.FailedTrials > r.failedTrials {
+		r.failedTrials = min(in.FailedTrials, maxFailedTrials)
 		changed = true
 	}
 	return changed
