program: keep a History as it was handed out

A conversation that was read while its machine went on could show messages of later turns: compress overwrote the last short frame, which a History handed out earlier shares.

The frame is dropped with the slice's capacity cut, so the next one goes to another array. TestHistoryDoesNotGrow failed before (3 messages instead of 2).

--- a/program/checkpoint.go
+++ b/program/checkpoint.go
@@ -264,8 +264,8 @@
 	return s
 }
 
-// History is the conversation at one moment. It shares memory with the machine's history and is
-// valid until the machine next compresses its history.
+// History is the conversation at one moment. It shares memory with the machine's history, which
+// does not change what a History holds.
 type History struct{ view history }
 
 // History returns the conversation as it is now.
--- a/program/history.go
+++ b/program/history.go
@@ -115,7 +115,7 @@
 	if n := len(h.frames); n > 0 && h.frames[n-1].plainBytes < frameBytes {
 		if ms, err := h.frames[n-1].decode(nil); err == nil {
 			rest = append(ms, rest...)
-			h.frames = h.frames[:n-1]
+			h.frames = h.frames[: n-1 : n-1] // a History may share the last frame
 		}
 	}
 	for len(rest) > 0 {
