quarantine: notice a trial that another entry has missed

Callers' servers: an entry that had lost the reports of a failed trial (cut off, or started in that second) refused the same requests as the others, so the hashes that entries compare were the same, and it tried the request too.

The hash covers the number of crashes and of failed trials. TestLostTrialReportIsNoticed failed before.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -374,16 +375,19 @@
 	return changed
 }
 
-// Digest returns a hash of the requests that have caused MaxUpstreams crashes. Entries compare
-// it to detect that one of them has missed reports.
+// Digest returns a hash of the requests that have caused MaxUpstreams crashes, with the number of
+// their crashes and failed trials. Entries compare it to detect that one of them has missed reports.
 func (c *CrashCounter) Digest(now time.Time) uint64 {
 	digest := uint64(0)
 	for request := range c.requests {
-		if c.Counted(now, request) {
-			var b [8]byte
-			binary.BigEndian.PutUint64(b[:], request)
-			digest ^= xxhash.Sum64(b[:])
+		r := c.record(now, request)
+		if r == nil || r.count() < c.MaxUpstreams {
+			continue
 		}
+		var b [10]byte // the request, its crashes up to 255, its failed trials
+		binary.BigEndian.PutUint64(b[:], request)
+		b[8], b[9] = byte(min(r.count(), math.MaxUint8)), byte(r.failedTrials)
+		digest ^= xxhash.Sum64(b[:])
 	}
 	return digest
 }
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -248,3 +248,25 @@
 		t.Fatalf("%v after 50 requests with one crash each, want the request with 3 refused", got)
 	}
 }
+
+// TestLostTrialReportIsNoticed checks that entries which refuse the same requests notice that one of
+// them has missed a trial, or its crash: it would try the request too.
+func TestLostTrialReportIsNoticed(t *testing.T) {
+	a, b := NewCrashCounter(), NewCrashCounter()
+	now := time.Unix(100, 0)
+	report(a, now, 1, 1, 2, 3)
+	report(b, now, 1, 1, 2, 3)
+	now = now.Add(a.TrialDelay)
+	a.Admit(now, 1)
+	report(a, now, 1, 4)
+	if a.Digest(now) == b.Digest(now) {
+		t.Fatal("the digests are the same")
+	}
+	b.Import(now, a.Export(now))
+	if a.Digest(now) != b.Digest(now) {
+		t.Fatal("the digests differ after the exchange")
+	}
+	if got := b.Admit(now.Add(2*b.TrialDelay), 1); got != Refused {
+		t.Errorf("%v after a trial that failed elsewhere, want the request refused for longer", got)
+	}
+}
