gateway: read the refused requests before serving callers

Callers' servers: an entry that had just restarted sent a refused request, since it had read the document and the upstreams but not yet the refused requests; the table was slow.

The first document now waits for the refused requests, from the table or a peer, 2 s at most; not when the whole system starts for the first time. TestRestartedEntryReadsQuarantineFirst failed before (502 and one more crash).

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 )
 
@@ -462,6 +464,43 @@
 	})
 }
 
+// slowRowsTable is a table that fails the first reads of the refused requests.
+type slowRowsTable struct {
+	platformapi.Watcher
+	failures atomic.Int64
+}
+
+func (s *slowRowsTable) Snapshot(ctx context.Context, prefix string) ([]platformapi.Row, int64, error) {
+	if prefix == quarantinePrefix && s.failures.Add(-1) >= 0 {
+		return nil, 0, platformapi.ErrUnavailable
+	}
+	return s.Watcher.Snapshot(ctx, prefix)
+}
+
+// TestRestartedEntryReadsQuarantineFirst checks that an entry which starts again serves no caller
+// before it knows the refused requests.
+func TestRestartedEntryReadsQuarantineFirst(t *testing.T) {
+	c, e := startCrashingPool(t)
+	c.repeat("/draft/1", "poison", nil, e)
+	before := c.crashed()
+	eventually(t, "the refused request is stored", func() bool {
+		rows, _, err := c.p.standin.Table.Snapshot(t.Context(), quarantinePrefix)
+		return err == nil && len(rows) == 1
+	})
+	e.stop()
+	cfg := testSettings(t, "entry-1")
+	cfg.FirstStart = false
+	table := &slowRowsTable{Watcher: c.p.standin.Table}
+	table.failures.Store(2)
+	next, err := startEntryWith(t, cfg, table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := next.call("POST", "/draft/1", "poison", nil); r.status != http.StatusServiceUnavailable || c.crashed() != before {
+		t.Errorf("%+v and %d further crashes, want status 503 and none", r, c.crashed()-before)
+	}
+}
+
 // fingerprintOf returns the fingerprint of a call without a previous turn.
 func (e *testEntry) fingerprintOf(method, path, body string) uint64 {
 	return quarantine.HashCall(method, path, "", []byte(body))
--- a/internal/gateway/crashsync.go
+++ b/internal/gateway/crashsync.go
@@ -94,6 +94,7 @@
 	changed := g.crashes.Import(now, records)
 	g.mu.Unlock()
 	g.updateQuarantineDigest()
+	g.quarantine.markKnown()
 	if changed > 0 {
 		g.env.Requests.Warn("crash_records_merged").Str("from", from).Int("records", int64(len(records))).Int("changed", int64(changed)).End()
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -86,8 +86,10 @@
 	return version, nil
 }
 
-// followDocument follows the operator's document until ctx ends.
+// followDocument follows the operator's document until ctx ends. The first document makes the
+// entry ready, so the requests that must be refused are read before.
 func (g *Gateway) followDocument(ctx context.Context) {
+	g.quarantine.awaitKnown(ctx)
 	g.follow(ctx, follower{
 		prefix: platform.DocumentPrefix,
 		list: func(_ int64, rows []platformapi.Row) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -238,7 +238,13 @@
 // error.
 func startEntryOnce(t *testing.T, node string, direct platformapi.Watcher) (*testEntry, error) {
 	t.Helper()
-	cfg := testSettings(t, node)
+	return startEntryWith(t, testSettings(t, node), direct)
+}
+
+// startEntryWith is startEntryOnce with other settings.
+func startEntryWith(t *testing.T, cfg *settings.Gateway, direct platformapi.Watcher) (*testEntry, error) {
+	t.Helper()
+	node := string(cfg.Node)
 	log := &syncBuffer{}
 	requestLog := reqlog.New(log, node)
 	logCtx, stopLogging := context.WithCancel(context.Background())
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -20,6 +20,9 @@
 	quarantinePrefix = "quarantine//"
 	// quarantineRetry is the wait after a read or write of these rows that failed.
 	quarantineRetry = 300 * time.Millisecond
+	// maxRecordsWait is the time that an entry which has started waits for the refused requests
+	// before it serves callers without them.
+	maxRecordsWait = 2 * time.Second
 )
 
 // quarantineRow is the value of a row: the record of a request that is refused, or was tried.
@@ -35,6 +38,9 @@
 	g *Gateway
 	// wake receives a value when a request was added to changed.
 	wake chan struct{}
+	// known is closed once the refused requests are known, from the table or a peer.
+	known     chan struct{}
+	markKnown func()
 
 	mu sync.Mutex
 	// changed holds the requests whose rows have to be written or deleted.
@@ -42,7 +48,25 @@
 }
 
 func newQuarantineStore(g *Gateway) *quarantineStore {
-	return &quarantineStore{g: g, wake: make(chan struct{}, 1), changed: map[uint64]bool{}}
+	s := &quarantineStore{g: g, wake: make(chan struct{}, 1), known: make(chan struct{}), changed: map[uint64]bool{}}
+	s.markKnown = sync.OnceFunc(func() { close(s.known) })
+	return s
+}
+
+// awaitKnown waits until the refused requests are known, for maxRecordsWait or until ctx ends.
+// Nothing is refused when the whole system starts for the first time.
+func (s *quarantineStore) awaitKnown(ctx context.Context) {
+	if s.g.cfg.FirstStart {
+		return
+	}
+	t := time.NewTimer(maxRecordsWait)
+	defer t.Stop()
+	select {
+	case <-s.known:
+	case <-ctx.Done():
+	case <-t.C:
+		s.g.env.Requests.Warn("quarantine_not_read").Ms("after_ms", maxRecordsWait).End()
+	}
 }
 
 // update has the row of a request written, or deleted if the request is not refused any more.
