--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -32,6 +32,8 @@
 	crash answerFunc
 	// answer answers all other requests.
 	answer answerFunc
+	// fails reports whether an upstream ends whatever it runs; nil when none does.
+	fails func() bool
 
 	mu      sync.Mutex
 	started int64
@@ -81,7 +83,7 @@
 	c.runs[string(body)]++
 	c.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	if !strings.HasPrefix(string(body), "poison") {
+	if !strings.HasPrefix(string(body), "poison") && (c.fails == nil || !c.fails()) {
 		c.answer(w, r)
 		return
 	}
@@ -256,6 +258,23 @@
 	c.checkCrashes()
 }
 
+// TestHarmlessRequestOutlivesFailingUpstreams checks that a request during whose runs three upstreams
+// ended for other reasons is answered soon after the upstreams stay up.
+func TestHarmlessRequestOutlivesFailingUpstreams(t *testing.T) {
+	c, e := startCrashingPool(t)
+	e.mu.Lock()
+	e.crashes.TrialDelay = 300 * time.Millisecond
+	e.mu.Unlock()
+	failing := func() bool { return c.crashed() < defaultCrashes }
+	c.fails = failing
+	eventually(t, "the request is refused", func() bool {
+		return e.call("POST", "/draft/1", "harmless", nil).status == http.StatusServiceUnavailable && !failing()
+	})
+	eventually(t, "the request is answered", func() bool {
+		return e.call("POST", "/draft/1", "harmless", nil).status == http.StatusOK
+	})
+}
+
 // TestBrokenAnswersQuarantineNothing checks that a request whose answers break off at upstreams
 // that do not end is refused no longer than it takes to see that they are still listed.
 func TestBrokenAnswersQuarantineNothing(t *testing.T) {
