gateway: log on what ground a refused request is tried or not

content_tried and the refusals of a quarantined request now carry the number of trials and the ages of the latest crash and trial that this entry knows, and the read of the stored records at a start has a line. Without them the logs could not tell whether two trials came from two entries that each knew of none, or from one that was due. No decision changes.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
+	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/routing"
@@ -209,7 +210,16 @@
 		// The caller may come again through another entry as soon as the trial has failed.
 		g.mesh.queueCrashReport(quarantine.CrashReport{Kind: quarantine.Trial, Request: j.fingerprint})
 		g.mesh.sendDigestNow()
-		g.env.Requests.Warn("content_tried").Str("request", j.call.ID).Str("content", contentName(j.fingerprint)).Int("crashes", int64(g.crashCount(j.fingerprint))).End()
+		g.logTrialState(g.env.Requests.Warn("content_tried").Str("request", j.call.ID), j.fingerprint).End()
 	}
 	return true
 }
+
+// logTrialState adds to a line what the decision on a refused content rests on.
+func (g *Gateway) logTrialState(ln *reqlog.Line, fingerprint uint64) *reqlog.Line {
+	g.mu.Lock()
+	s := g.crashes.TrialState(time.Now(), fingerprint)
+	g.mu.Unlock()
+	return ln.Str("content", contentName(fingerprint)).Int("crashes", int64(s.Crashes)).Int("trials", int64(s.Trials)).
+		Ms("crash_age_ms", s.SinceCrash).Ms("trial_age_ms", s.SinceTrial)
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -28,7 +28,7 @@
 		ln.Int("load_percent", int64(100*j.load))
 	}
 	if reason == reasonQuarantined {
-		ln.Str("content", contentName(j.fingerprint)).Int("crashes", int64(g.crashCount(j.fingerprint)))
+		g.logTrialState(ln, j.fingerprint)
 	}
 	if j.notSent > 0 {
 		ln.Int("not_sent", int64(j.notSent))
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -120,6 +120,7 @@
 		}
 		records = append(records, row.CrashRecord)
 	}
+	s.g.env.Requests.Info("quarantine_read").Int("records", int64(len(records))).Int("expired", int64(len(expired))).End()
 	s.g.importRecords("table", records)
 	if len(expired) > 0 {
 		if err := s.g.commits.apply(ctx, nil, expired[:min(len(expired), sweepRows)]); err != nil {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -294,6 +294,31 @@
 	return 0
 }
 
+// TrialState is what the decision on a refused request rests on.
+type TrialState struct {
+	// Crashes is the number of crashes that count, Trials that of the trials that have failed.
+	Crashes, Trials int
+	// SinceCrash and SinceTrial are the times since the latest crash and the latest trial were
+	// learned of; 0 when there was none.
+	SinceCrash, SinceTrial time.Duration
+}
+
+// TrialState returns the state of a request's trials.
+func (c *CrashCounter) TrialState(now time.Time, request uint64) TrialState {
+	r := c.record(now, request)
+	if r == nil {
+		return TrialState{}
+	}
+	s := TrialState{Crashes: r.count(), Trials: r.failedTrials}
+	if !r.lastCrash.IsZero() {
+		s.SinceCrash = now.Sub(r.lastCrash)
+	}
+	if !r.lastTrial.IsZero() {
+		s.SinceTrial = now.Sub(r.lastTrial)
+	}
+	return s
+}
+
 // CrashRecord is what is known of one request, as entries exchange and store it.
 type CrashRecord struct {
 	Request uint64 `json:"request"`
