gateway: reproduce repeated trials of a crashing request

- 16 entries are asked for the request in the same moment when its trial is due: 8 more upstreams ended, 3 are allowed over all entries and trials.
- 6 entries that start one after the other grant a trial and end: 6 trials.
- an entry that reaches the table but no other entry still sends the request 3 s after the others refuse it.

--- /dev/null
+++ b/internal/gateway/trials_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/relay"
+)
+
+// maxLateRetries is the number of times that a refused request may still reach upstreams, over all
+// entries and trials.
+const maxLateRetries = 3
+
+// setTrialDelay sets the delay of the first trial of a request at entries.
+func setTrialDelay(d time.Duration, entries ...*testEntry) {
+	for _, e := range entries {
+		e.mu.Lock()
+		e.crashes.TrialDelay = d
+		e.mu.Unlock()
+	}
+}
+
+// callAtOnce sends a request through all entries in the same moment.
+func callAtOnce(entries []*testEntry, path, body string) {
+	var wg sync.WaitGroup
+	for _, e := range entries {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			e.call("POST", path, body, nil)
+		}()
+	}
+	wg.Wait()
+}
+
+// TestDueTrialIsGrantedOnceOverAllEntries sends a request that has crashed three upstreams through
+// 16 entries in the same moment, again and again: a trial that is due must not be sent by each.
+func TestDueTrialIsGrantedOnceOverAllEntries(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	pool := newCrashingPool(t, p, "llm", 24, answerEvents(0, 1, false))
+	var entries []*testEntry
+	for i := range 16 {
+		entries = append(entries, startEntry(t, fmt.Sprintf("entry-%d", i), p.standin.Table))
+	}
+	setTrialDelay(500*time.Millisecond, entries...)
+	for _, e := range entries {
+		eventually(t, "the entries list each other", func() bool { return e.mesh.size() == len(entries) })
+	}
+	for range defaultCrashes {
+		entries[0].call("POST", "/draft/1", "poison", nil)
+	}
+	fingerprint := entries[0].fingerprintOf("POST", "/draft/1", "poison")
+	for _, e := range entries {
+		eventually(t, "all entries refuse the request", func() bool { return e.crashCount(fingerprint) >= defaultCrashes })
+	}
+	before := pool.crashed()
+	for range 8 {
+		<-time.After(600 * time.Millisecond)
+		callAtOnce(entries, "/draft/1", "poison")
+	}
+	if late := pool.crashed() - before; late > maxLateRetries {
+		t.Errorf("the request crashed %d more upstreams, want %d at most", late, maxLateRetries)
+	}
+}
+
+// TestTrialOutlivesItsEntry lets entries that start one after the other grant a trial of a refused
+// request and end before they could tell anyone what became of it.
+func TestTrialOutlivesItsEntry(t *testing.T) {
+	c, e := startCrashingPool(t)
+	c.repeat("/draft/1", "poison", nil, e)
+	eventually(t, "the refused request is stored", func() bool { return len(quarantineRows(t, c.p)) == 1 })
+	e.stop()
+	granted := 0
+	for i := range 6 {
+		cfg := testSettings(t, fmt.Sprintf("entry-%d", i+2))
+		cfg.FirstStart = false
+		next, err := startEntryWith(t, cfg, c.p.standin.Table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		setTrialDelay(50*time.Millisecond, next)
+		<-time.After(100 * time.Millisecond)
+		if next.admitPoison() {
+			granted++
+		}
+		next.stop()
+	}
+	if granted > maxLateRetries {
+		t.Errorf("%d trials were granted, want %d at most", granted, maxLateRetries)
+	}
+}
+
+// admitPoison decides on a request with the body poison, as send does.
+func (e *testEntry) admitPoison() bool {
+	return e.admitContent(&job{call: &relay.Call{ID: newID()}, fingerprint: e.fingerprintOf("POST", "/draft/1", "poison")})
+}
+
+// quarantineRows returns the stored records of refused requests.
+func quarantineRows(t *testing.T, p *testPlatform) []platformapi.Row {
+	rows, _, err := p.standin.Table.Snapshot(t.Context(), quarantinePrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
+// loneTable is a table that hides the entries from each other.
+type loneTable struct{ platformapi.Watcher }
+
+func (l loneTable) Snapshot(ctx context.Context, prefix string) ([]platformapi.Row, int64, error) {
+	rows, version, err := l.Watcher.Snapshot(ctx, prefix)
+	if prefix == entriesPrefix {
+		rows = nil
+	}
+	return rows, version, err
+}
+
+func (l loneTable) Apply(ctx context.Context, txn platformapi.Txn) error {
+	if len(txn.Writes) == 1 && strings.HasPrefix(txn.Writes[0].Key, entriesPrefix) {
+		return nil
+	}
+	return l.Watcher.Apply(ctx, txn)
+}
+
+// TestEntryWithoutPeersLearnsOfRefusal checks that an entry which reaches the table but no other
+// entry refuses a request within 3 s after the others have.
+func TestEntryWithoutPeersLearnsOfRefusal(t *testing.T) {
+	c, e := startCrashingPool(t)
+	lone := startEntry(t, "entry-2", loneTable{c.p.standin.Table})
+	c.repeat("/draft/1", "poison", nil, e)
+	before := c.crashed()
+	<-time.After(3 * time.Second)
+	if r := lone.call("POST", "/draft/1", "poison", nil); r.status != http.StatusServiceUnavailable || c.crashed() != before {
+		t.Errorf("%+v and %d further crashes, want status 503 and none", r, c.crashed()-before)
+	}
+}
