quarantine, gateway: claim each trial of a refused request in the table

Callers saw: a request under which three upstreams had ended was sent again by every entry that it reached when its trial fell due; 13 more upstreams ended with 16 entries, and what ran beside it there broke off.

Cause: each entry granted itself the trial, by a delay that all of them count from the same crash, and told the others afterwards. A trial stood in no stored record before it had failed, so an entry that ended after it, or whose datagrams were lost, left no trace of it. Class: a permission for the whole system that each process grants itself from its own memory.

Change: trials have numbers. An entry that finds one due stores its number in the request's row, on condition of the row's version, before it sends the request; whoever loses, or can't reach the table, refuses it as not run. The row is merged, never overwritten by one entry's view. There are two trials in all, the second a minute after the first. A trial that an upstream has not run goes on at another upstream, so a claim is not spent on a busy one. A request that completes has had no trials. Earlier builds read and write the same rows and reports.

Why it works: the table accepts each number once, and a claim outlives the entry.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -93,6 +93,8 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
+	// trial is set when the call is a trial of a content that is refused otherwise.
+	trial bool
 	// tried are the upstreams that were chosen so far.
 	tried []string
 	// pick is the upstream that was chosen last.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -122,10 +122,11 @@
 	}
 }
 
-// applyReport applies a report and has the request's row updated if it is or was refused. Only
-// entries that have observed a crash of the request do that. own is set for reports of this entry.
-// applyReport returns false if the report changes nothing.
+// applyReport applies a report and has the request's row updated if it is or was refused, or has a
+// row already. Only entries that have observed a crash of the request do that. own is set for reports
+// of this entry. applyReport returns false if the report changes nothing.
 func (g *Gateway) applyReport(now time.Time, report quarantine.CrashReport, own bool) bool {
+	stored := g.quarantine.hasRow(report.Request)
 	g.mu.Lock()
 	before := g.crashes.Counted(now, report.Request)
 	add := g.crashes.Add
@@ -133,7 +134,7 @@
 		add = g.crashes.AddOwn
 	}
 	changed := add(now, report)
-	store := g.crashes.Own(report.Request) && (before || g.crashes.Counted(now, report.Request))
+	store := g.crashes.Own(report.Request) && (stored || before || g.crashes.Counted(now, report.Request))
 	g.mu.Unlock()
 	if !changed {
 		return false
@@ -196,23 +197,22 @@
 }
 
 // admitContent reports whether the call may be sent: its content has not crashed too many
-// upstreams, or is tried once more now.
-func (g *Gateway) admitContent(j *job) bool {
-	now := time.Now()
+// upstreams, or this call is its trial. The trial lasts until the call may have run.
+func (g *Gateway) admitContent(ctx context.Context, j *job) bool {
+	if j.trial && !j.mayHaveRun {
+		return true
+	}
 	g.mu.Lock()
-	decision := g.crashes.Admit(now, j.fingerprint)
+	decision := g.crashes.Admit(time.Now(), j.fingerprint)
 	g.mu.Unlock()
-	switch decision {
-	case quarantine.Refused:
+	if decision == quarantine.Allowed {
+		return true
+	}
+	j.trial = decision == quarantine.TrialDue && g.quarantine.claimTrial(ctx, j)
+	if !j.trial {
 		g.metrics.quarantined.Inc(1)
-		return false
-	case quarantine.AllowedOnce:
-		// The caller may come again through another entry as soon as the trial has failed.
-		g.mesh.queueCrashReport(quarantine.CrashReport{Kind: quarantine.Trial, Request: j.fingerprint})
-		g.mesh.sendDigestNow()
-		g.logTrialState(g.env.Requests.Warn("content_tried").Str("request", j.call.ID), j.fingerprint).End()
 	}
-	return true
+	return j.trial
 }
 
 // logTrialState adds to a line what the decision on a refused content rests on.
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -40,6 +40,8 @@
 	// reportRepeats is the number of digests that carry a crash report, since a datagram may be
 	// lost.
 	reportRepeats = 3
+	// maxTrialNumber is the largest number of a trial that is accepted.
+	maxTrialNumber = 1 << 16
 	// maxReportBytes is the part of a digest in bytes that crash reports may use. Other items may
 	// use what they leave.
 	maxReportBytes = 500
@@ -179,7 +181,7 @@
 //	'f' upstream, failed and successful calls since they were last reported
 //	'x' hashes of the request and of the upstream of a crash report
 //	'o' the same of a crash report that is withdrawn
-//	't' hash of a request that is tried once more, and 0
+//	't' hash of a request that is tried once more, and the number of the trial; 0 from earlier builds
 //	'q' hash of all refused requests
 //	'c' upstream, ID and tokens of a prompt part that it has cached
 //
@@ -234,7 +236,11 @@
 			break
 		}
 		b = append(b, itemsOfReports[r.Kind])
-		b = binary.AppendUvarint(binary.AppendUvarint(b, r.Request), r.Upstream)
+		detail := r.Upstream
+		if r.Kind == quarantine.Trial {
+			detail = uint64(max(0, r.Trial))
+		}
+		b = binary.AppendUvarint(binary.AppendUvarint(b, r.Request), detail)
 		sent++
 		if r.repeats--; r.repeats > 0 {
 			again = append(again, r)
@@ -362,9 +368,13 @@
 // appendReport reads a crash report and appends it unless it is malformed.
 func (p *packetReader) appendReport(reports []quarantine.CrashReport, kind quarantine.ReportKind) []quarantine.CrashReport {
 	r := quarantine.CrashReport{Kind: kind, Request: p.uvarint(), Upstream: p.uvarint()}
-	if p.malformed {
+	if p.malformed || kind == quarantine.Trial && r.Upstream > maxTrialNumber {
+		p.malformed = true
 		return reports
 	}
+	if kind == quarantine.Trial {
+		r.Trial, r.Upstream = int(r.Upstream), 0
+	}
 	return append(reports, r)
 }
 
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,7 +34,7 @@
 }
 
 // quarantineStore keeps the records of refused requests in the table, so that they outlive all
-// entries.
+// entries. Trials are claimed in it.
 type quarantineStore struct {
 	g *Gateway
 	// wake receives a value when a request was added to changed.
@@ -43,16 +44,35 @@
 	markKnown func()
 
 	mu sync.Mutex
-	// changed holds the requests whose rows have to be written or deleted.
-	changed map[uint64]bool
+	// changed holds the requests whose rows have to be written or deleted, rows those that are known
+	// to have a row.
+	changed, rows map[uint64]bool
 }
 
 func newQuarantineStore(g *Gateway) *quarantineStore {
-	s := &quarantineStore{g: g, wake: make(chan struct{}, 1), known: make(chan struct{}), changed: map[uint64]bool{}}
+	s := &quarantineStore{g: g, wake: make(chan struct{}, 1), known: make(chan struct{}), changed: map[uint64]bool{}, rows: map[uint64]bool{}}
 	s.markKnown = sync.OnceFunc(func() { close(s.known) })
 	return s
 }
 
+// hasRow reports whether the request is known to have a row.
+func (s *quarantineStore) hasRow(request uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[request]
+}
+
+// setRow records whether a request has a row.
+func (s *quarantineStore) setRow(request uint64, present bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if present {
+		s.rows[request] = true
+	} else {
+		delete(s.rows, request)
+	}
+}
+
 // awaitKnown waits until the refused requests are known, for maxRecordsWait or until ctx ends.
 // Nothing is refused when the whole system starts for the first time.
 func (s *quarantineStore) awaitKnown(ctx context.Context) {
@@ -97,37 +117,50 @@
 	}
 }
 
-// load adds the stored records to those of this entry, and deletes the rows that have expired.
+// load adds the stored records to those of this entry.
 func (s *quarantineStore) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	rows, _, err := s.g.table.Snapshot(ctx, quarantinePrefix)
-	if err != nil {
-		return err
+	if err == nil {
+		s.importRows(ctx, rows, true)
 	}
-	now := time.Now()
+	return err
+}
+
+// importRows adds stored records to those of this entry. With listed set they are all there are, and
+// the expired ones are deleted.
+func (s *quarantineStore) importRows(ctx context.Context, rows []platformapi.Row, listed bool) {
 	var records []quarantine.CrashRecord
 	var expired []platformapi.Write
 	for _, r := range rows {
-		var row quarantineRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
+		record, err := decodeQuarantineRow(r)
+		switch {
+		case err != nil:
 			s.g.env.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "quarantine", Detail: r.Key, Count: r.Version, Err: err})
-			continue
-		}
-		if row.TTL = time.UnixMilli(row.ExpiresAtMs).Sub(now); row.TTL <= 0 {
+		case record.TTL <= 0:
 			expired = append(expired, platformapi.Write{Key: r.Key, Delete: true})
-			continue
+		default:
+			s.setRow(record.Request, true)
+			records = append(records, record)
 		}
-		records = append(records, row.CrashRecord)
 	}
-	s.g.env.Requests.Info("quarantine_read").Int("records", int64(len(records))).Int("expired", int64(len(expired))).End()
+	if listed {
+		s.g.env.Requests.Info("quarantine_read").Int("records", int64(len(records))).Int("expired", int64(len(expired))).End()
+	}
 	s.g.importRecords("table", records)
-	if len(expired) > 0 {
-		if err := s.g.commits.apply(ctx, nil, expired[:min(len(expired), sweepRows)]); err != nil {
-			s.g.metrics.rowsNotExpired.Inc(int64(len(expired)))
-		}
+	if listed && len(expired) > 0 {
+		s.deleteExpired(ctx, expired)
+	}
+}
+
+// deleteExpired deletes rows that have expired.
+func (s *quarantineStore) deleteExpired(ctx context.Context, expired []platformapi.Write) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if err := s.g.commits.apply(ctx, nil, expired[:min(len(expired), sweepRows)]); err != nil {
+		s.g.metrics.rowsNotExpired.Inc(int64(len(expired)))
 	}
-	return nil
 }
 
 // writeChanged writes or deletes the rows of all changed requests. It reports whether none is left.
@@ -152,28 +185,88 @@
 	return done
 }
 
-// writeRow writes the row of a request that is refused, and deletes that of any other.
+// writeRow merges the record of a request with its row, or deletes the row of a request without
+// crashes that count.
 func (s *quarantineStore) writeRow(ctx context.Context, request uint64) error {
-	now := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	stored, version, err := s.readRow(ctx, request)
+	if err != nil {
+		return err
+	}
 	s.g.mu.Lock()
-	record, known := s.g.crashes.ExportOne(now, request)
-	refused := s.g.crashes.Counted(now, request)
+	record, _ := s.g.crashes.ExportOne(time.Now(), request)
 	s.g.mu.Unlock()
-	w := platformapi.Write{Key: quarantinePrefix + strconv.FormatUint(request, 16), Delete: true}
-	if known && refused {
-		value, err := json.Marshal(quarantineRow{CrashRecord: record, ExpiresAtMs: now.Add(record.TTL).UnixMilli()})
-		if err != nil {
-			return errors.Wrap(err, "encode quarantined request")
+	switch {
+	case len(record.Crashes) == 0 && version == platformapi.Absent:
+		return nil
+	case len(record.Crashes) == 0:
+		err := s.apply(ctx, platformapi.Write{Key: quarantineKey(request), Delete: true}, version)
+		if err == nil {
+			s.setRow(request, false)
 		}
-		w.Value, w.Delete = value, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	if err := s.g.commits.apply(ctx, nil, []platformapi.Write{w}); err != nil {
 		return err
+	case version != platformapi.Absent && stored.Covers(record):
+		return nil
+	}
+	return s.putRow(ctx, record, version)
+}
+
+// readRow returns the stored record of a request with the row's version, and adds it to the records
+// of this entry. The version is platformapi.Absent if there is none.
+func (s *quarantineStore) readRow(ctx context.Context, request uint64) (quarantine.CrashRecord, int64, error) {
+	row, err := s.g.table.Get(ctx, quarantineKey(request))
+	if errors.Is(err, platformapi.ErrNotFound) {
+		return quarantine.CrashRecord{}, platformapi.Absent, nil
+	}
+	if err != nil {
+		return quarantine.CrashRecord{}, 0, err
+	}
+	record, err := decodeQuarantineRow(row)
+	if err != nil {
+		s.g.env.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "quarantine", Detail: row.Key, Count: row.Version, Err: err})
+		return quarantine.CrashRecord{}, row.Version, nil // is written anew
+	}
+	s.g.importRecords("table", []quarantine.CrashRecord{record})
+	return record, row.Version, nil
+}
+
+// putRow stores a record on condition that its row still has the version.
+func (s *quarantineStore) putRow(ctx context.Context, record quarantine.CrashRecord, version int64) error {
+	value, err := json.Marshal(quarantineRow{CrashRecord: record, ExpiresAtMs: time.Now().Add(record.TTL).UnixMilli()})
+	if err != nil {
+		return errors.Wrap(err, "encode quarantined request")
 	}
-	if !w.Delete {
-		s.g.expiry.add(w.Key, record.TTL)
+	key := quarantineKey(record.Request)
+	if err := s.apply(ctx, platformapi.Write{Key: key, Value: value}, version); err != nil {
+		return err
 	}
+	s.setRow(record.Request, true)
+	s.g.expiry.add(key, record.TTL)
 	return nil
 }
+
+// apply writes a row on condition that it still has the version.
+func (s *quarantineStore) apply(ctx context.Context, w platformapi.Write, version int64) error {
+	return s.g.commits.apply(ctx, []platformapi.Condition{{Key: w.Key, Version: version}}, []platformapi.Write{w})
+}
+
+// quarantineKey returns the key of a request's row.
+func quarantineKey(request uint64) string {
+	return quarantinePrefix + strconv.FormatUint(request, 16)
+}
+
+// requestOfKey returns the request of a row.
+func requestOfKey(key string) (uint64, error) {
+	return strconv.ParseUint(strings.TrimPrefix(key, quarantinePrefix), 16, 64)
+}
+
+// decodeQuarantineRow returns the record of a row. Its TTL is negative if it has expired.
+func decodeQuarantineRow(r platformapi.Row) (quarantine.CrashRecord, error) {
+	var row quarantineRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return quarantine.CrashRecord{}, err
+	}
+	row.TTL = time.Until(time.UnixMilli(row.ExpiresAtMs))
+	return row.CrashRecord, nil
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -58,7 +58,7 @@
 	if ctx.Err() != nil {
 		return nil, errCallerGone
 	}
-	if !g.admitContent(j) {
+	if !g.admitContent(ctx, j) {
 		return nil, errQuarantined
 	}
 	u, conns, ok := g.choose(j)
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
 )
 
@@ -47,7 +48,7 @@
 	pool := newCrashingPool(t, p, "llm", 24, answerEvents(0, 1, false))
 	var entries []*testEntry
 	for i := range 16 {
-		entries = append(entries, startEntry(t, fmt.Sprintf("entry-%d", i), p.standin.Table))
+		entries = append(entries, startEntry(t, fmt.Sprintf("entry-%d", i), slowReadsTable{p.standin.Table}))
 	}
 	setTrialDelay(500*time.Millisecond, entries...)
 	for _, e := range entries {
@@ -70,6 +71,15 @@
 	}
 }
 
+// slowReadsTable is a table whose answers to reads of a row are on their way for a while.
+type slowReadsTable struct{ platformapi.Watcher }
+
+func (s slowReadsTable) Get(ctx context.Context, key string) (platformapi.Row, error) {
+	row, err := s.Watcher.Get(ctx, key)
+	<-time.After(30 * time.Millisecond)
+	return row, err
+}
+
 // TestTrialOutlivesItsEntry lets entries that start one after the other grant a trial of a refused
 // request and end before they could tell anyone what became of it.
 func TestTrialOutlivesItsEntry(t *testing.T) {
@@ -99,7 +109,7 @@
 
 // admitPoison decides on a request with the body poison, as send does.
 func (e *testEntry) admitPoison() bool {
-	return e.admitContent(&job{call: &relay.Call{ID: newID()}, fingerprint: e.fingerprintOf("POST", "/draft/1", "poison")})
+	return e.admitContent(e.t.Context(), &job{call: &relay.Call{ID: newID()}, fingerprint: e.fingerprintOf("POST", "/draft/1", "poison")})
 }
 
 // quarantineRows returns the stored records of refused requests.
@@ -141,3 +151,98 @@
 		t.Errorf("%+v and %d further crashes, want status 503 and none", r, c.crashed()-before)
 	}
 }
+
+// startRefusing starts an entry that refuses a request with the body harmless on the path, and whose
+// trial is due.
+func startRefusing(t *testing.T, path string, table platformapi.Watcher, p *testPlatform) *testEntry {
+	t.Helper()
+	e := startEntry(t, "entry-1", table)
+	setTrialDelay(50*time.Millisecond, e)
+	var reports []quarantine.CrashReport
+	for upstream := range uint64(defaultCrashes) {
+		reports = append(reports, quarantine.CrashReport{Kind: quarantine.Crash, Request: e.fingerprintOf("POST", path, "harmless"), Upstream: upstream})
+	}
+	e.publish(time.Now(), reports)
+	eventually(t, "the refused request is stored", func() bool { return len(quarantineRows(t, p)) == 1 })
+	<-time.After(60 * time.Millisecond)
+	return e
+}
+
+// TestTrialMovesOnUntilItRuns checks that the trial of a harmless request goes on at another upstream if
+// the first one says that it has not run it, and that its row is removed once it has completed.
+func TestTrialMovesOnUntilItRuns(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	first := true
+	var mu sync.Mutex
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		busy := first
+		first = false
+		mu.Unlock()
+		if busy {
+			answerNotRun(w, r)
+			return
+		}
+		answerEvents(0, 1, false)(w, r)
+	}
+	for i := range 2 {
+		p.registerUpstream(newScriptedUpstream(t, fmt.Sprintf("llm-%d", i+1), answer), "llm", "ready", 1)
+	}
+	e := startRefusing(t, "/ask/1", p.standin.Table, p)
+	if r := e.call("POST", "/ask/1", "harmless", nil); r.status != http.StatusOK {
+		t.Errorf("%+v, want the trial to be answered by the second upstream", r)
+	}
+	eventually(t, "the row is deleted", func() bool { return len(quarantineRows(t, p)) == 0 })
+}
+
+// TestTrialNeedsTheTable checks that a trial is not sent while it can't be claimed, and is once it
+// can be.
+func TestTrialNeedsTheTable(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	llm := newScriptedUpstream(t, "llm-1", answerEvents(0, 1, false))
+	p.registerUpstream(llm, "llm", "ready", 1)
+	table := &switchTable{}
+	table.set(p.standin.Table)
+	e := startRefusing(t, "/ask/1", table, p)
+	table.set(refusingTable{})
+	if r := e.call("POST", "/ask/1", "harmless", nil); r.status != http.StatusServiceUnavailable || len(llm.requests()) > 0 {
+		t.Errorf("%+v and %d sends without the table, want status 503 and none", r, len(llm.requests()))
+	}
+	table.set(p.standin.Table)
+	eventually(t, "the request is answered", func() bool {
+		return e.call("POST", "/ask/1", "harmless", nil).status == http.StatusOK
+	})
+}
+
+// blindTable is a table that reports no changes of the refused requests.
+type blindTable struct{ platformapi.Watcher }
+
+func (b blindTable) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platformapi.Change, int64, error) {
+	if prefix == quarantinePrefix {
+		sleep(ctx, wait)
+		return nil, after, ctx.Err()
+	}
+	return b.Watcher.Changes(ctx, prefix, after, wait)
+}
+
+// TestTrialKnownOnlyToTheTableIsNotRepeated checks that an entry which has not heard of a trial finds
+// it in the table when it claims one itself.
+func TestTrialKnownOnlyToTheTableIsNotRepeated(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	llm := newScriptedUpstream(t, "llm-1", answerEvents(0, 1, false))
+	p.registerUpstream(llm, "llm", "ready", 1)
+	e := startRefusing(t, "/ask/1", blindTable{p.standin.Table}, p)
+	fingerprint := e.fingerprintOf("POST", "/ask/1", "harmless")
+	e.mu.Lock()
+	record, _ := e.crashes.TrialClaim(time.Now(), fingerprint)
+	e.mu.Unlock()
+	if err := e.quarantine.putRow(t.Context(), record, quarantineRows(t, p)[0].Version); err != nil {
+		t.Fatal(err)
+	}
+	if r := e.call("POST", "/ask/1", "harmless", nil); r.status != http.StatusServiceUnavailable || len(llm.requests()) > 0 {
+		t.Errorf("%+v and %d sends, want status 503 and none", r, len(llm.requests()))
+	}
+}
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,9 @@
 	// and start. Each start counts as another upstream. Upstream is 0 in a report of a trial.
 	Request  uint64 `json:"request"`
 	Upstream uint64 `json:"upstream,omitempty"`
+	// Trial is the number of the trial, from 1, in a report of one; 0 if its sender does not number
+	// trials.
+	Trial int `json:"trial,omitempty"`
 }
 
 // Decision is the answer of CrashCounter.Admit.
@@ -50,9 +54,9 @@
 const (
 	// Allowed means that nothing speaks against sending the request.
 	Allowed Decision = iota + 1
-	// AllowedOnce means that the request may be sent once; the other entries are to be told by a report
-	// of a Trial.
-	AllowedOnce
+	// TrialDue means that the request is refused unless its next trial is claimed for this send, in a
+	// place that all entries share. The driver must end the claim by BeginTrial or DropClaim.
+	TrialDue
 	// Refused means that the request must not be sent.
 	Refused
 )
@@ -64,16 +68,21 @@
 // use.
 //
 // An upstream that ends breaks off all calls that run there, whatever the cause, so a harmless
-// request may meet MaxUpstreams crashes too. A refused request is therefore tried again, one send
-// at a time and ever more rarely. A request that completes is cleared.
+// request may meet MaxUpstreams crashes too. A refused request is therefore tried again, MaxTrials
+// times at most and ever more rarely. A request that completes is cleared.
+//
+// Trials are numbered. All entries see a trial fall due at about the same time, so an entry may send
+// one only after it has claimed its number in the table, which accepts each number once.
 type CrashCounter struct {
 	// MaxUpstreams is the number of crashed upstreams from which on a request is refused.
 	MaxUpstreams int
 	// ReportTTL is how long a request's crashes count after its latest report.
 	ReportTTL time.Duration
 	// TrialDelay is the least time from the latest crash or trial to the first trial of a request.
-	// After each trial that crashed an upstream it is trialBackoff times as long.
+	// After each trial it is trialBackoff times as long.
 	TrialDelay time.Duration
+	// MaxTrials is the maximum number of trials of a request, over all entries.
+	MaxTrials int
 	// MaxRequests is the maximum number of requests that are tracked.
 	MaxRequests int
 
@@ -91,10 +100,12 @@
 	own bool
 	// lastCrash is when the latest crash was reported, lastTrial when the latest trial began.
 	lastCrash, lastTrial time.Time
-	// failedTrials counts the trials after which an upstream crashed.
-	failedTrials int
-	// trialPending is set from the beginning of a trial to the next crash.
-	trialPending bool
+	// trials is the number of trials that were claimed, by any entry.
+	trials int
+	// claiming is set while this counter's owner claims a trial. After a claim that failed, none
+	// begins before claimAfter.
+	claiming   bool
+	claimAfter time.Time
 }
 
 // Defaults of CrashCounter.
@@ -106,10 +117,13 @@
 	defaultReportTTL = 10 * time.Minute
 	// defaultTrialDelay is the time in which a crashed upstream usually starts again.
 	defaultTrialDelay = 5 * time.Second
-	// trialBackoff allows two trials within defaultReportTTL.
+	// defaultMaxTrials leaves room for one send by an entry that learns of a refusal late: a
+	// request may reach upstreams three times more after it was to be refused.
+	defaultMaxTrials = 2
+	// trialBackoff puts the second trial a minute after the first.
 	trialBackoff = 12
-	// maxFailedTrials bounds the count of failed trials; the delay is beyond any TTL by then.
-	maxFailedTrials = 4
+	// claimRetryDelay is the time from a claim that failed to the next one of the same entry.
+	claimRetryDelay = time.Second
 	// defaultMaxRequests limits the memory of a CrashCounter to a few hundred KB.
 	defaultMaxRequests = 4096
 )
@@ -119,7 +133,7 @@
 func NewCrashCounter() *CrashCounter {
 	return &CrashCounter{
 		MaxUpstreams: defaultMaxUpstreams, ReportTTL: defaultReportTTL, TrialDelay: defaultTrialDelay,
-		MaxRequests: defaultMaxRequests, requests: map[uint64]*crashRecord{},
+		MaxTrials: defaultMaxTrials, MaxRequests: defaultMaxRequests, requests: map[uint64]*crashRecord{},
 	}
 }
 
@@ -147,26 +161,30 @@
 		}
 		r.crashes[report.Upstream] = true
 		r.lastCrash = now
-		if r.trialPending {
-			r.trialPending = false
-			r.failedTrials = min(r.failedTrials+1, maxFailedTrials)
-		}
 	case Withdrawn:
 		if counts, known := r.crashes[report.Upstream]; known && !counts {
 			return false
 		}
-		r.crashes[report.Upstream] = false
+		r.withdraw(report.Upstream)
 	case Trial:
-		if now.Sub(r.lastTrial) < c.TrialDelay {
-			return false // the report was received before
-		}
-		r.beginTrial(now)
+		return c.addTrial(now, r, report.Trial)
 	default:
 		return false
 	}
 	return true
 }
 
+// addTrial records that another entry has claimed a trial. It returns false if that is known.
+func (c *CrashCounter) addTrial(now time.Time, r *crashRecord, number int) bool {
+	if number == 0 { // earlier builds repeat the report of a trial within TrialDelay
+		if now.Sub(r.lastTrial) < c.TrialDelay {
+			return false
+		}
+		number = r.trials + 1
+	}
+	return r.setTrials(now, number)
+}
+
 // AddOwn is Add for a report of the counter's owner.
 func (c *CrashCounter) AddOwn(now time.Time, report CrashReport) bool {
 	changed := c.Add(now, report)
@@ -210,7 +228,7 @@
 	var out []CrashReport
 	for upstream, counts := range r.crashes {
 		if counts {
-			r.crashes[upstream] = false
+			r.withdraw(upstream)
 			out = append(out, CrashReport{Kind: Withdrawn, Request: request, Upstream: upstream})
 		}
 	}
@@ -255,24 +273,66 @@
 	switch {
 	case r == nil || r.count() < c.MaxUpstreams:
 		return Allowed
-	case c.mayTry(now, r):
-		r.beginTrial(now)
-		return AllowedOnce
+	case c.trialDue(now, r):
+		r.claiming = true
+		return TrialDue
 	default:
 		return Refused
 	}
 }
 
-// mayTry reports whether a trial of the request may begin.
-func (c *CrashCounter) mayTry(now time.Time, r *crashRecord) bool {
+// trialDue reports whether a trial of the request may be claimed.
+func (c *CrashCounter) trialDue(now time.Time, r *crashRecord) bool {
+	if r.trials >= c.MaxTrials || r.claiming || now.Before(r.claimAfter) {
+		return false
+	}
 	delay := c.TrialDelay
-	for range r.failedTrials {
+	for range r.trials {
 		delay *= trialBackoff
 	}
 	return now.Sub(r.lastCrash) >= delay && now.Sub(r.lastTrial) >= delay
 }
 
-func (r *crashRecord) beginTrial(now time.Time) { r.lastTrial, r.trialPending = now, true }
+// TrialClaim returns the record to store for the claim of a request's next trial. It returns false
+// if the record has expired.
+func (c *CrashCounter) TrialClaim(now time.Time, request uint64) (CrashRecord, bool) {
+	record, known := c.ExportOne(now, request)
+	record.Trials++
+	return record, known
+}
+
+// BeginTrial records that the owner has claimed a trial, and returns the report for the other entries.
+func (c *CrashCounter) BeginTrial(now time.Time, request uint64, number int) CrashReport {
+	r := c.ensure(now, request)
+	r.claiming = false
+	r.setTrials(now, number)
+	return CrashReport{Kind: Trial, Request: request, Trial: number}
+}
+
+// DropClaim records that the owner could not claim the trial that Admit found due.
+func (c *CrashCounter) DropClaim(now time.Time, request uint64) {
+	if r := c.record(now, request); r != nil {
+		r.claiming, r.claimAfter = false, now.Add(claimRetryDelay)
+	}
+}
+
+// setTrials raises the number of trials. It returns false if it is not lower already.
+func (r *crashRecord) setTrials(now time.Time, number int) bool {
+	if number <= r.trials {
+		return false
+	}
+	r.trials, r.lastTrial = number, now
+	return true
+}
+
+// withdraw stops counting the crash of an upstream. A request without any has had no trial either:
+// it has shown itself harmless.
+func (r *crashRecord) withdraw(upstream uint64) {
+	r.crashes[upstream] = false
+	if r.count() == 0 {
+		r.trials = 0
+	}
+}
 
 // count returns the number of crashes that count.
 func (r *crashRecord) count() int {
@@ -296,7 +356,7 @@
 
 // TrialState is what the decision on a refused request rests on.
 type TrialState struct {
-	// Crashes is the number of crashes that count, Trials that of the trials that have failed.
+	// Crashes is the number of crashes that count, Trials that of the trials that were claimed.
 	Crashes, Trials int
 	// SinceCrash and SinceTrial are the times since the latest crash and the latest trial were
 	// learned of; 0 when there was none.
@@ -309,7 +369,7 @@
 	if r == nil {
 		return TrialState{}
 	}
-	s := TrialState{Crashes: r.count(), Trials: r.failedTrials}
+	s := TrialState{Crashes: r.count(), Trials: r.trials}
 	if !r.lastCrash.IsZero() {
 		s.SinceCrash = now.Sub(r.lastCrash)
 	}
@@ -326,8 +386,9 @@
 	// crashes were withdrawn.
 	Crashes   []uint64 `json:"crashes,omitempty"`
 	Withdrawn []uint64 `json:"withdrawn,omitempty"`
-	// FailedTrials counts the trials of the request that have crashed an upstream.
-	FailedTrials int `json:"failed_trials,omitempty"`
+	// Trials is the number of trials that were claimed. Earlier builds store under this name those
+	// that have crashed an upstream.
+	Trials int `json:"failed_trials,omitempty"`
 	// TTL is the remaining lifetime of the record.
 	TTL time.Duration `json:"lasts"`
 }
@@ -349,7 +410,7 @@
 	if r == nil {
 		return CrashRecord{}, false
 	}
-	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), FailedTrials: r.failedTrials}
+	out := CrashRecord{Request: request, TTL: r.expires.Sub(now), Trials: r.trials}
 	for upstream, counts := range r.crashes {
 		if counts {
 			out.Crashes = append(out.Crashes, upstream)
@@ -382,7 +443,7 @@
 	changed := false
 	for _, upstream := range in.Withdrawn {
 		if counts, known := r.crashes[upstream]; counts || !known {
-			r.crashes[upstream] = false
+			r.withdraw(upstream)
 			changed = true
 		}
 	}
@@ -393,15 +454,34 @@
 			changed = true
 		}
 	}
-	if in.FailedTrials > r.failedTrials {
-		r.failedTrials = min(in.FailedTrials, maxFailedTrials)
+	// Without a crash that counts, in comes from an entry that has not seen the request complete.
+	if r.count() > 0 && r.setTrials(now, in.Trials) {
 		changed = true
 	}
 	return changed
 }
 
+// Covers reports whether the record holds all that another one of the same request does, and lasts
+// nearly as long.
+func (in CrashRecord) Covers(other CrashRecord) bool {
+	for _, upstream := range other.Crashes {
+		if !slices.Contains(in.Crashes, upstream) && !slices.Contains(in.Withdrawn, upstream) {
+			return false
+		}
+	}
+	for _, upstream := range other.Withdrawn {
+		if !slices.Contains(in.Withdrawn, upstream) {
+			return false
+		}
+	}
+	return in.Trials >= other.Trials && in.TTL >= other.TTL-ttlSlack
+}
+
+// ttlSlack is the part of a record's lifetime for which its row is not written again.
+const ttlSlack = 30 * time.Second
+
 // Digest returns a hash of the requests that have caused MaxUpstreams crashes, with the number of
-// their crashes and failed trials. Entries compare it to detect that one of them has missed reports.
+// their crashes and trials. Entries compare it to detect that one of them has missed reports.
 func (c *CrashCounter) Digest(now time.Time) uint64 {
 	digest := uint64(0)
 	for request := range c.requests {
@@ -409,9 +489,9 @@
 		if r == nil || r.count() < c.MaxUpstreams {
 			continue
 		}
-		var b [10]byte // the request, its crashes up to 255, its failed trials
+		var b [10]byte // the request, its crashes and trials, both up to 255
 		binary.BigEndian.PutUint64(b[:], request)
-		b[8], b[9] = byte(min(r.count(), math.MaxUint8)), byte(r.failedTrials)
+		b[8], b[9] = byte(min(r.count(), math.MaxUint8)), byte(min(r.trials, math.MaxUint8))
 		digest ^= xxhash.Sum64(b[:])
 	}
 	return digest
--- a/quarantine/crashes_random_test.go
+++ b/quarantine/crashes_random_test.go
@@ -24,8 +24,8 @@
 	started   uint64
 	// stored holds the records in the platform's table.
 	stored map[uint64]CrashRecord
-	// crashes counts the upstreams that the crashing request has ended.
-	crashes int
+	// crashes counts the upstreams that the crashing request has ended, trials its trials.
+	crashes, trials int
 }
 
 const (
@@ -69,12 +69,42 @@
 				other.counter.Add(x.now, r)
 			}
 		}
-		if record, known := e.counter.ExportOne(x.now, r.Request); known && e.counter.Counted(x.now, r.Request) {
-			x.stored[r.Request] = record
+		if e.counter.Counted(x.now, r.Request) {
+			x.store(e, r.Request)
 		}
 	}
 }
 
+// store merges the record of a request with the stored one.
+func (x *crashCluster) store(e *crashEntry, request uint64) {
+	e.counter.Import(x.now, x.storedRecords(request))
+	if record, known := e.counter.ExportOne(x.now, request); known {
+		x.stored[request] = record
+	}
+}
+
+// storedRecords returns the stored record of a request, if there is one.
+func (x *crashCluster) storedRecords(request uint64) []CrashRecord {
+	if r, stored := x.stored[request]; stored {
+		return []CrashRecord{r}
+	}
+	return nil
+}
+
+// claim claims the next trial of a request in the table, unless it fails or another entry has
+// claimed that trial.
+func (x *crashCluster) claim(e *crashEntry, request uint64, fails bool) bool {
+	known := e.counter.TrialState(x.now, request).Trials
+	e.counter.Import(x.now, x.storedRecords(request))
+	claim, ok := e.counter.TrialClaim(x.now, request)
+	if fails || !ok || claim.Trials != known+1 {
+		e.counter.DropClaim(x.now, request)
+		return false
+	}
+	x.stored[request] = claim
+	return true
+}
+
 // endUpstream ends the upstream with the index, which every entry sees in the list, and starts
 // another. Requests that ran there break off.
 func (x *crashCluster) endUpstream(u int, lost bool) {
@@ -92,8 +122,14 @@
 	switch e.counter.Admit(x.now, request) {
 	case Refused:
 		return false
-	case AllowedOnce:
-		x.publish(e, lost, CrashReport{Kind: Trial, Request: request})
+	case TrialDue:
+		if !x.claim(e, request, lost && e.cut) {
+			return false
+		}
+		if request == crashingRequest {
+			x.trials++
+		}
+		x.publish(e, lost, e.counter.BeginTrial(x.now, request, x.stored[request].Trials))
 	}
 	id := x.upstreams[u]
 	if !breaks && request != crashingRequest {
@@ -115,6 +151,9 @@
 	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(500 * time.Millisecond) {
 		for _, e := range x.entries {
 			x.publish(e, false, e.sends.Check(x.now, time.Time{})...)
+			for request := range x.stored {
+				e.counter.Import(x.now, x.storedRecords(request))
+			}
 		}
 		for _, e := range x.entries {
 			for _, other := range x.entries {
@@ -169,6 +208,9 @@
 		if n := x.crashes - before; n > defaultMaxUpstreams+trials {
 			rt.Fatalf("the crashing request ended %d more upstreams, want %d at most", n, defaultMaxUpstreams+trials)
 		}
+		if x.trials > trials {
+			rt.Fatalf("the crashing request was tried %d times, want %d at most", x.trials, trials)
+		}
 		for request := uint64(1); request <= 4; request++ {
 			served := false
 			for i := 0; i < 200 && !served; i++ {
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -13,12 +13,12 @@
 	now := time.Unix(100, 0)
 	call := HashCall("POST", "/a/1", "", []byte("body"))
 	for i, upstream := range []uint64{1, 1, 2} {
-		c.Add(now, CrashReport{Crash, call, upstream})
+		c.Add(now, CrashReport{Kind: Crash, Request: call, Upstream: upstream})
 		if c.Admit(now, call) == Refused {
 			t.Fatalf("refused after %d reports of crashes at 2 upstreams or fewer", i+1)
 		}
 	}
-	if !c.Add(now, CrashReport{Crash, call, 3}) || c.Admit(now, call) != Refused {
+	if !c.Add(now, CrashReport{Kind: Crash, Request: call, Upstream: 3}) || c.Admit(now, call) != Refused {
 		t.Fatal("not refused after crashes at 3 upstreams")
 	}
 	if c.Admit(now, HashCall("POST", "/a/1", "", []byte("other"))) != Allowed {
@@ -36,7 +36,7 @@
 	c.MaxRequests = 10
 	now := time.Unix(100, 0)
 	for i := range uint64(50) {
-		c.Add(now.Add(time.Duration(i)*time.Second), CrashReport{Crash, i, 1})
+		c.Add(now.Add(time.Duration(i)*time.Second), CrashReport{Kind: Crash, Request: i, Upstream: 1})
 	}
 	if len(c.requests) > c.MaxRequests {
 		t.Fatalf("%d requests are tracked, want at most %d", len(c.requests), c.MaxRequests)
@@ -49,7 +49,7 @@
 // report applies crashes of the upstreams to a request.
 func report(c *CrashCounter, now time.Time, request uint64, upstreams ...uint64) {
 	for _, u := range upstreams {
-		c.Add(now, CrashReport{Crash, request, u})
+		c.Add(now, CrashReport{Kind: Crash, Request: request, Upstream: u})
 	}
 }
 
@@ -67,10 +67,11 @@
 		}
 	}
 	now = now.Add(c.TrialDelay)
-	if got := c.Admit(now, poison); got != AllowedOnce {
+	if got := c.Admit(now, poison); got != TrialDue {
 		t.Fatalf("%v, want a trial of the first request", got)
 	}
-	if c.Add(now.Add(time.Second), CrashReport{Kind: Trial, Request: poison}) {
+	trial := c.BeginTrial(now, poison, 1)
+	if c.Add(now.Add(time.Second), trial) || c.Add(now.Add(time.Second), CrashReport{Kind: Trial, Request: poison}) {
 		t.Fatal("a repeated report of a trial counts as another one")
 	}
 	if got := c.Admit(now.Add(time.Second), poison); got != Refused {
@@ -81,7 +82,7 @@
 	if got := c.Admit(now.Add(trialBackoff*c.TrialDelay-1), poison); got != Refused {
 		t.Fatalf("%v after a trial that crashed an upstream, want the request refused for longer", got)
 	}
-	if got := c.Admit(now, neighbour); got != AllowedOnce {
+	if got := c.Admit(now, neighbour); got != TrialDue {
 		t.Fatalf("%v, want a trial of the neighbour", got)
 	}
 }
@@ -95,7 +96,11 @@
 	sent := 0
 	for upstream := uint64(1); upstream < 50; upstream++ {
 		report(c, now, popular, upstream)
-		if c.Admit(now, poison) != Refused {
+		decision := c.Admit(now, poison)
+		if decision == TrialDue {
+			c.BeginTrial(now, poison, c.TrialState(now, poison).Trials+1)
+		}
+		if decision != Refused {
 			sent++
 			report(c, now, poison, upstream)
 		}
@@ -116,9 +121,10 @@
 		t.Fatalf("%v before the trial delay, want the request refused", got)
 	}
 	now = now.Add(c.TrialDelay)
-	if got := c.Admit(now, 1); got != AllowedOnce {
+	if got := c.Admit(now, 1); got != TrialDue {
 		t.Fatalf("%v, want a trial", got)
 	}
+	c.BeginTrial(now, 1, 1)
 	c.Completed(now, 1)
 	if got := c.Admit(now, 1); got != Allowed {
 		t.Fatalf("%v after a trial that completed, want the request allowed", got)
@@ -128,7 +134,7 @@
 // TestWithdrawnCrashStaysWithdrawn checks that reports may arrive in any order.
 func TestWithdrawnCrashStaysWithdrawn(t *testing.T) {
 	now := time.Unix(100, 0)
-	reports := []CrashReport{{Crash, 1, 1}, {Withdrawn, 1, 1}, {Crash, 1, 2}}
+	reports := []CrashReport{{Kind: Crash, Request: 1, Upstream: 1}, {Kind: Withdrawn, Request: 1, Upstream: 1}, {Kind: Crash, Request: 1, Upstream: 2}}
 	for range 3 {
 		reports = append(reports[1:], reports[0])
 		c := NewCrashCounter()
@@ -206,7 +212,7 @@
 	report(a, now, 1, 1, 2, 3)
 	report(b, now, 1, 3, 4)
 	report(a, now, 2, 1, 2, 3, 4)
-	b.Add(now, CrashReport{Withdrawn, 1, 1})
+	b.Add(now, CrashReport{Kind: Withdrawn, Request: 1, Upstream: 1})
 	now = now.Add(a.TrialDelay)
 	a.Add(now, CrashReport{Kind: Trial, Request: 2})
 	report(a, now.Add(time.Second), 2, 5)
@@ -257,8 +263,7 @@
 	report(a, now, 1, 1, 2, 3)
 	report(b, now, 1, 1, 2, 3)
 	now = now.Add(a.TrialDelay)
-	a.Admit(now, 1)
-	report(a, now, 1, 4)
+	a.BeginTrial(now, 1, 1)
 	if a.Digest(now) == b.Digest(now) {
 		t.Fatal("the digests are the same")
 	}
@@ -270,3 +275,48 @@
 		t.Errorf("%v after a trial that failed elsewhere, want the request refused for longer", got)
 	}
 }
+
+// TestTrialIsClaimedOnceAtATime checks that an entry claims one trial at a time, that a failed claim
+// is repeated after a pause, and that no more than MaxTrials trials begin.
+func TestTrialIsClaimedOnceAtATime(t *testing.T) {
+	c := NewCrashCounter()
+	c.TrialDelay = time.Second
+	now := time.Unix(100, 0)
+	report(c, now, 1, 1, 2, 3)
+	want := func(after time.Duration, want Decision) {
+		t.Helper()
+		now = now.Add(after)
+		if got := c.Admit(now, 1); got != want {
+			t.Fatalf("%v, want %v", got, want)
+		}
+	}
+	want(c.TrialDelay, TrialDue)
+	want(10*time.Second, Refused) // the first claim has not ended
+	c.DropClaim(now, 1)
+	want(claimRetryDelay-1, Refused)
+	want(1, TrialDue)
+	c.BeginTrial(now, 1, 1)
+	want(trialBackoff*c.TrialDelay-1, Refused)
+	want(1, TrialDue)
+	c.BeginTrial(now, 1, 2)
+	want(c.ReportTTL/2, Refused)
+}
+
+// TestCompletedRequestHasNoTrials checks that a request which was cleared starts with its first trial
+// again, at entries that learn of it by records too.
+func TestCompletedRequestHasNoTrials(t *testing.T) {
+	a, b := NewCrashCounter(), NewCrashCounter()
+	now := time.Unix(100, 0)
+	report(a, now, 1, 1, 2, 3)
+	a.BeginTrial(now, 1, 1)
+	b.Import(now, a.Export(now))
+	a.Completed(now, 1)
+	b.Import(now, a.Export(now))
+	a.Import(now, b.Export(now))
+	for _, c := range []*CrashCounter{a, b} {
+		report(c, now, 1, 4, 5, 6)
+		if got := c.Admit(now.Add(c.TrialDelay), 1); got != TrialDue {
+			t.Errorf("%v, want a trial", got)
+		}
+	}
+}
