gateway: follow the refused requests in the table

Callers saw: an entry that reached the table but no other entry went on sending a request that the others refused, until it had seen three crashes itself.

Cause: the rows of refused requests were read once, at the start; afterwards only datagrams between entries told of them. Class: knowledge that is in force at the platform but not followed there.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -34,7 +34,7 @@
 }
 
 // quarantineStore keeps the records of refused requests in the table, so that they outlive all
-// entries. Trials are claimed in it.
+// entries and reach an entry that is cut off from the others. Trials are claimed in it.
 type quarantineStore struct {
 	g *Gateway
 	// wake receives a value when a request was added to changed.
@@ -100,11 +100,8 @@
 	}
 }
 
-// run reads the stored records and then writes changed ones until ctx ends.
+// run writes the rows of changed requests until ctx ends.
 func (s *quarantineStore) run(ctx context.Context) {
-	for ctx.Err() == nil && s.load(ctx) != nil {
-		sleep(ctx, quarantineRetry)
-	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -117,15 +114,33 @@
 	}
 }
 
-// load adds the stored records to those of this entry.
-func (s *quarantineStore) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	rows, _, err := s.g.table.Snapshot(ctx, quarantinePrefix)
-	if err == nil {
-		s.importRows(ctx, rows, true)
+// follow keeps the records of this entry up to date with the table until ctx ends.
+func (s *quarantineStore) follow(ctx context.Context) {
+	s.g.follow(ctx, follower{
+		prefix: quarantinePrefix,
+		list: func(_ int64, rows []platformapi.Row) {
+			s.importRows(ctx, rows, true)
+		},
+		change: func(_ int64, changes []platformapi.Change) {
+			rows := make([]platformapi.Row, 0, len(changes))
+			for _, c := range changes {
+				if c.Deleted {
+					s.forgetRow(c.Key)
+					continue
+				}
+				rows = append(rows, c.Row)
+			}
+			s.importRows(ctx, rows, false)
+		},
+		confirmed: func(time.Time) {},
+	})
+}
+
+// forgetRow records that the row with the key was deleted.
+func (s *quarantineStore) forgetRow(key string) {
+	if request, err := requestOfKey(key); err == nil {
+		s.setRow(request, false)
 	}
-	return err
 }
 
 // importRows adds stored records to those of this entry. With listed set they are all there are, and
