gateway: store crashes below the limit while a peer is silent

Callers saw: entries that don't reach each other each let a crashing request through until they had counted three crashes alone, so it ended up to three upstreams for each of them.

Cause: crashes below the limit were exchanged by datagram only.

Change: an entry that observes a crash stores it at once while one of its peers is silent; entries that follow the rows then count it too. A withdrawn crash is withdrawn in its row.

Measured: TestCrashesAreStoredWhileAPeerIsSilent fails without the change.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -123,10 +123,11 @@
 }
 
 // applyReport applies a report and has the request's row updated if it is or was refused, or has a
-// row already. Only entries that have observed a crash of the request do that. own is set for reports
-// of this entry. applyReport returns false if the report changes nothing.
+// row already. Only entries that have observed a crash of the request do that. While a peer is
+// silent, they store requests with fewer crashes too, since that peer can't be told. own is set for
+// reports of this entry. applyReport returns false if the report changes nothing.
 func (g *Gateway) applyReport(now time.Time, report quarantine.CrashReport, own bool) bool {
-	stored := g.quarantine.hasRow(report.Request)
+	stored := g.quarantine.hasRow(report.Request) || own && g.mesh.peerSilent(now)
 	g.mu.Lock()
 	before := g.crashes.Counted(now, report.Request)
 	add := g.crashes.Add
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -114,6 +114,18 @@
 	return now.Sub(p.lastDigest) < m.scaledTimeout(responsiveTimeout)
 }
 
+// peerSilent reports whether a listed peer that is not leaving no longer counts as responsive.
+func (m *mesh) peerSilent(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !p.leaving && !m.responsive(p, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // scaledTimeout returns minimum, or maxMissedDigests digest intervals if that is longer.
 func (m *mesh) scaledTimeout(minimum time.Duration) time.Duration {
 	return max(minimum, time.Duration(maxMissedDigests*float64(m.interval.Load())))
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -216,6 +216,19 @@
 	})
 }
 
+// TestCrashesAreStoredWhileAPeerIsSilent checks that a crash below the limit reaches entries that no
+// datagram reaches, through the table.
+func TestCrashesAreStoredWhileAPeerIsSilent(t *testing.T) {
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
+	lone := startEntry(t, "entry-2", loneTable{p.standin.Table})
+	e.mesh.addPeer(peer{Node: "entry-3", UDPAddress: freeAddress(t)}) // sends nothing
+	now := time.Now()
+	e.publish(now, []quarantine.CrashReport{{Kind: quarantine.Crash, Request: 1, Upstream: 1}})
+	eventually(t, "the other entry counts the crash", func() bool { return lone.crashCount(1) == 1 })
+	e.publish(now, []quarantine.CrashReport{{Kind: quarantine.Withdrawn, Request: 1, Upstream: 1}})
+	eventually(t, "the row is deleted", func() bool { return len(quarantineRows(t, p)) == 0 })
+}
+
 // blindTable is a table that reports no changes of the refused requests.
 type blindTable struct{ platformapi.Watcher }
 
