limits, platform, gateway: read and log the limits that upstreams name

An upstream in need names in its answers the requests per second that it accepts from all machines together.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	turns   *turnStore
 	// quarantine stores the requests that must not be sent.
 	quarantine *quarantineStore
+	limits     *upstreamLimits
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
@@ -122,6 +123,7 @@
 	g.expiry = &expiry{commits: g.commits}
 	g.budgets = newBudgets(g.table, g.commits, g.mesh, g.expiry, env.Requests, g.holder(), g.incarnation)
 	g.quarantine = newQuarantineStore(g)
+	g.limits = newUpstreamLimits(g)
 	g.turns = newTurnStore(g.table, g.commits, g.mesh, g.expiry, cfg)
 	return g
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,9 @@
 	// crashReportsReceived those that other entries reported, crashReportsDropped reports that were
 	// not sent for lack of room, and quarantined calls that were not sent because of their content.
 	crashesCounted, crashReportsReceived, crashReportsDropped, quarantined tally.Counter
+	// limitChanges counts beginnings, changes and ends of upstreams' limits, limitsMalformed answers
+	// that name a limit which can't be read.
+	limitChanges, limitsMalformed tally.Counter
 	// latency is the time from the start of a request to its complete answer, for answered
 	// requests only; firstEvent that to the first event of a stream; commitLatency the duration
 	// of a transaction of the committer.
@@ -51,6 +54,7 @@
 		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"),
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
+		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets),
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -81,6 +81,10 @@
 		req.Deadline = earlier(req.Deadline, res.sentAt.Add(limit))
 	}
 	res.answer, res.err = g.pool.Send(ctx, &req)
+	// With status 421 another upstream answers.
+	if res.err == nil && res.answer.Status != http.StatusMisdirectedRequest {
+		g.limits.observeAnswer(j, res, res.answer)
+	}
 	switch {
 	case errors.Is(res.err, forward.ErrNotSent):
 		res.notSent = true
