--- a/limits/known.go
+++ b/limits/known.go
@@ -93,9 +93,9 @@
 }
 
 // Retain drops the statements of upstreams for which keep returns false.
-func (k *Known) Retain(keep func(upstream uint64) bool) {
-	for upstream := range k.statements {
-		if !keep(upstream) {
+func (k *Known) Retain(keep func(upstream uint64, s Statement) bool) {
+	for upstream, s := range k.statements {
+		if !keep(upstream, s) {
 			delete(k.statements, upstream)
 		}
 	}
--- a/limits/known_test.go
+++ b/limits/known_test.go
@@ -36,7 +36,7 @@
 	if _, ok := k.Limit(2); ok {
 		t.Fatal("another upstream is limited")
 	}
-	k.Retain(func(uint64) bool { return false })
+	k.Retain(func(uint64, Statement) bool { return false })
 	if _, ok := k.Limit(1); ok {
 		t.Fatal("an upstream that has gone is limited")
 	}
