routing: leave out upstreams that accept no call for now

A limited upstream has few calls in flight, so it looked idle to the balancer and to the admission of new programs. Upstreams can now be held until a time: calls that can't wait leave them out, a limited one counts the places that its limit fills, and while all are held the load refuses new programs. RetryAfter tells refused callers to return one after the other at the rate that the upstreams accept. Choose also returns by how much the next upstream costs more, which is how long a call may wait for a better one. Without limits all choices are as before.

TestHeldUpstreamIsLeftOut, TestLoadWhileAllUpstreamsAreHeld.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/buckthornroute/buckthornroute/limits"
 )
 
 // BalancerConfig configures a Balancer; zero fields take the defaults.
@@ -73,6 +75,10 @@
 	Repeatable bool
 	// MaxConnIdle is the longest idle time of a connection on which the call may be sent.
 	MaxConnIdle time.Duration
+	// Predicted is the predicted time to the end of the answer at the chosen upstream.
+	Predicted time.Duration
+	// Patience is how long the call may wait for an upstream that is held, see Hold.
+	Patience time.Duration
 	// Bytes is the approximate number of bytes of the call and its answer on the network.
 	Bytes int
 }
@@ -95,6 +101,9 @@
 	FailureRate float64
 	// OldestDigestAge is the age of the oldest digest counted in InFlight.
 	OldestDigestAge time.Duration
+	// Margin is how much more the next best upstream costs. Alternative reports whether there is one.
+	Margin      time.Duration
+	Alternative bool
 }
 
 // peerCalls is the number of calls that another entry reported at an upstream.
@@ -122,6 +131,12 @@
 	// lastFailed reports whether the last recorded outcome, of this or another entry, was a
 	// failure.
 	lastFailed bool
+	// limited reports whether the upstream accepts only limit calls per second from all entries.
+	limited bool
+	limit   float64
+	// heldUntil is the time before which no further call may be sent to a limited upstream, as far
+	// as known.
+	heldUntil time.Time
 	// lastSuccess is when the last successful call of this entry ended, which left an open
 	// connection.
 	lastSuccess time.Time
@@ -176,7 +191,10 @@
 	stats     map[string]*upstreamStats
 	latencies map[string]*LatencyModel
 	affinity  *prefixAffinity
-	rng       *rand.Rand
+	// returns is when the next caller should return that is refused since all upstreams of a service
+	// are held.
+	returns map[string]time.Time
+	rng     *rand.Rand
 	// preferred is the reused result buffer of affinity.appendPreferred.
 	preferred []bool
 }
@@ -189,6 +207,7 @@
 		stats:     map[string]*upstreamStats{},
 		latencies: map[string]*LatencyModel{},
 		affinity:  newPrefixAffinity(),
+		returns:   map[string]time.Time{},
 		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
 	}
 }
@@ -276,6 +295,9 @@
 func (b *Balancer) Started(u Upstream, call *CallInfo) {
 	s := b.statsOf(u.ID, u.CacheTokens)
 	s.own++
+	if call.Predicted > 0 {
+		b.LatencyModel(u.Service).observeFinish(ms(call.Predicted))
+	}
 	if len(call.Prompt) > 0 {
 		s.cache.add(call.Prompt)
 	}
@@ -357,6 +379,7 @@
 	s := b.statsOf(id, 0)
 	s.cache = newPrefixSet(s.cache.limit)
 	s.slowness, s.failureRate = 1, 0
+	s.limited, s.heldUntil = false, time.Time{}
 }
 
 // slownessWeight is the weight of one model call in an upstream's slowness; a plain call has
@@ -406,18 +429,101 @@
 	}
 }
 
+// heldLoad is the time for which all upstreams are held that adds 1 to the load.
+const heldLoad = 250 * time.Millisecond
+
 // Load returns the number of calls in flight at the upstreams divided by the number of
-// their slots.
+// their slots. A limited upstream has no more slots than its limit fills. While all are held, the load
+// is above 1 by the time until the first of them is free.
 func (b *Balancer) Load(now time.Time, upstreams []Upstream) float64 {
-	calls, slots := 0, 0
+	calls, places := 0, 0.0
+	free, leastHeld := len(upstreams) == 0, time.Duration(math.MaxInt64)
 	for i := range upstreams {
-		slots += max(1, upstreams[i].Slots)
-		if s := b.stats[upstreams[i].ID]; s != nil {
-			n, _ := b.inFlight(now, s)
-			calls += n
+		u := &upstreams[i]
+		s := b.stats[u.ID]
+		if s == nil {
+			places += max(1, float64(u.Slots))
+			free = true
+			continue
 		}
+		n, _ := b.inFlight(now, s)
+		calls += n
+		places += b.places(u, s)
+		held := s.heldUntil.Sub(now)
+		free = free || held <= 0
+		leastHeld = min(leastHeld, held)
+	}
+	load := float64(calls) / max(1, places)
+	if free {
+		return load
+	}
+	return max(load, 1+float64(leastHeld)/float64(heldLoad))
+}
+
+// places returns the number of calls that an upstream can run at once.
+func (b *Balancer) places(u *Upstream, s *upstreamStats) float64 {
+	if !s.limited {
+		return max(1, float64(u.Slots))
+	}
+	return limits.Places(u.Slots, s.limit, fromMs(b.LatencyModel(u.Service).finish))
+}
+
+// SetLimit records the number of calls per second that a limited upstream accepts from all entries.
+func (b *Balancer) SetLimit(id string, perSecond float64) {
+	s := b.statsOf(id, 0)
+	s.limited, s.limit = true, perSecond
+}
+
+// RemoveLimit records that an upstream is not limited any more.
+func (b *Balancer) RemoveLimit(id string) {
+	s := b.statsOf(id, 0)
+	s.limited, s.heldUntil = false, time.Time{}
+}
+
+// Hold records that no further call may be sent to a limited upstream before a time.
+func (b *Balancer) Hold(id string, until time.Time) { b.statsOf(id, 0).heldUntil = until }
+
+// RetryAfter returns the time after which the caller of a call should return that no upstream accepts
+// now. Callers that get one of these times return one after the other, at this entry's part of what
+// the held upstreams accept from all entries. Those in tried are left out. It returns false when none
+// is held.
+func (b *Balancer) RetryAfter(now time.Time, upstreams []Upstream, tried []string, entries int) (time.Duration, bool) {
+	first, perSecond, service := time.Time{}, 0.0, ""
+	for i := range upstreams {
+		s := b.stats[upstreams[i].ID]
+		if s == nil || !now.Before(s.heldUntil) || contains(tried, upstreams[i].ID) {
+			continue
+		}
+		if first.IsZero() || s.heldUntil.Before(first) {
+			first = s.heldUntil
+		}
+		perSecond += s.limit
+		service = upstreams[i].Service
+	}
+	if first.IsZero() {
+		return 0, false
+	}
+	at := b.returns[service]
+	if at.Before(first) {
+		at = first
+	}
+	at = earlierOf(at, now.Add(maxRetryAfter))
+	gap := maxRetryAfter
+	if rate := perSecond / float64(max(1, entries)); rate > 0 {
+		gap = min(gap, time.Duration(float64(time.Second)/rate))
+	}
+	b.returns[service] = at.Add(gap)
+	return at.Sub(now), true
+}
+
+// maxRetryAfter bounds the time after which a caller is told to return.
+const maxRetryAfter = 5 * time.Second
+
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return float64(calls) / float64(max(1, slots))
+	return b
 }
 
 // RandomFloat returns a random number in [0, 1).
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -6,10 +6,10 @@
 )
 
 // Choose returns the upstream of least estimated cost for the call. Upstreams in tried
-// are left out. It returns false when no upstream is left.
+// are left out, and those that are held for longer than the call's patience. It returns false when no upstream is left.
 func (b *Balancer) Choose(now time.Time, upstreams []Upstream, call *CallInfo, tried []string) (Pick, bool) {
 	best, found := Pick{}, false
-	bestCost := math.Inf(1)
+	bestCost, nextCost := math.Inf(1), math.Inf(1)
 	if len(call.Prompt) > 0 {
 		b.affinity.observe(now, call.Prompt[0])
 		b.preferred = b.affinity.appendPreferred(b.preferred[:0], call.Prompt[0], upstreams)
@@ -20,9 +20,13 @@
 			continue
 		}
 		stats := b.statsOf(u.ID, u.CacheTokens)
+		held := max(0, stats.heldUntil.Sub(now))
+		if held > call.Patience {
+			continue
+		}
 		n, age := b.inFlight(now, stats)
 		e := b.cost(u, stats, call, n)
-		cost := e.cost
+		cost := e.cost + ms(held)
 		// The first part would have to be cached at an upstream that is not preferred for it.
 		if e.cached == 0 && len(call.Prompt) > 0 && !b.preferred[i] && !b.cfg.NoPrefixAffinity {
 			cost += nonPreferredWeight * b.LatencyModel(u.Service).prefill(call.Prompt[0].Tokens)
@@ -33,14 +37,19 @@
 		if now.Sub(stats.lastSuccess) > call.MaxConnIdle {
 			cost += newConnCost
 		}
-		if cost < bestCost {
-			bestCost, found = cost, true
+		if cost >= bestCost {
+			nextCost = min(nextCost, cost)
+		} else {
+			nextCost, bestCost, found = bestCost, cost, true
 			best = Pick{
 				ID: u.ID, InFlight: n, Own: stats.own, Slots: u.Slots, Cached: e.cached, OldestDigestAge: age, FailureRate: stats.currentFailureRate(now),
 				Finish: fromMs(e.finish), FirstEvent: fromMs(e.first),
 			}
 		}
 	}
+	if best.Alternative = !math.IsInf(nextCost, 1); best.Alternative {
+		best.Margin = fromMs(nextCost - bestCost)
+	}
 	return best, found
 }
 
--- a/routing/latency.go
+++ b/routing/latency.go
@@ -10,6 +10,8 @@
 	token float64
 	// call is the time of a plain call.
 	call float64
+	// finish is the time of a call from its start to its end, as predicted when it was sent.
+	finish float64
 	// tokensPerMs is the prefill rate.
 	tokensPerMs float64
 }
@@ -21,6 +23,8 @@
 	defaultTokenMs     = 1.2
 	defaultCallMs      = 60
 	defaultTokensPerMs = 350
+	// defaultFinishMs is the initial time of a whole call; it follows the predictions.
+	defaultFinishMs = 300
 	// stepGrowth is the relative increase of a decode step for each further call in the
 	// batch.
 	stepGrowth = 0.0135
@@ -29,7 +33,7 @@
 )
 
 func newLatencyModel() *LatencyModel {
-	return &LatencyModel{token: defaultTokenMs, call: defaultCallMs, tokensPerMs: defaultTokensPerMs}
+	return &LatencyModel{token: defaultTokenMs, call: defaultCallMs, finish: defaultFinishMs, tokensPerMs: defaultTokensPerMs}
 }
 
 // batchFactor returns the ratio of a step's time in a batch of n calls to that of a call
@@ -71,3 +75,8 @@
 	v := math.Min(took, m.call*4)
 	m.call += observationWeight * (v - m.call)
 }
+
+// observeFinish updates the time of a whole call with the prediction for a call that is sent.
+func (m *LatencyModel) observeFinish(predicted float64) {
+	m.finish += observationWeight * (predicted - m.finish)
+}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -335,3 +335,60 @@
 		t.Errorf("the conversation stays at its engine %d of 20 times, want at least 18", stayed)
 	}
 }
+
+// TestHeldUpstreamIsLeftOut checks that a limited upstream which accepts no call now is left out unless
+// the call can wait for it, and that it does not count as idle.
+func TestHeldUpstreamIsLeftOut(t *testing.T) {
+	b := NewBalancer(BalancerConfig{Seed: 1})
+	now := time.Unix(100, 0)
+	upstreams := []Upstream{{ID: "limited", Service: "llm", Slots: 10}, {ID: "other", Service: "llm", Slots: 10}}
+	info := &CallInfo{Tokens: 100, Generate: 100}
+	b.SetLimit("limited", 4)
+	b.Hold("limited", now.Add(300*time.Millisecond))
+	for range 20 {
+		pick, _ := b.Choose(now, upstreams, info, nil)
+		if pick.ID != "other" || pick.Alternative {
+			t.Fatalf("%+v, want the other upstream, without an alternative", pick)
+		}
+		b.Started(upstreams[1], info)
+	}
+	if load := b.Load(now, upstreams); load < 1.7 { // 20 calls, 10 slots and 1.2 of the limited one
+		t.Errorf("load %.2f, want the slots of the limited upstream to count by its limit", load)
+	}
+	if _, ok := b.Choose(now, upstreams, info, []string{"other"}); ok {
+		t.Error("a held upstream was chosen")
+	}
+	patient := *info
+	patient.Patience = 300 * time.Millisecond
+	if pick, ok := b.Choose(now, upstreams, &patient, []string{"other"}); !ok || pick.ID != "limited" {
+		t.Errorf("%+v, want the held upstream for a call that waits", pick)
+	}
+	b.Hold("other", now.Add(500*time.Millisecond))
+	for _, want := range []time.Duration{300, 800, 1300} { // two entries share 4 calls per second
+		if after, held := b.RetryAfter(now, upstreams, nil, 2); !held || after != want*time.Millisecond {
+			t.Errorf("%v, %v, want callers to return one after the other, this one after %d ms", after, held, want)
+		}
+	}
+	b.RemoveLimit("limited")
+	if pick, ok := b.Choose(now, upstreams, info, nil); !ok || pick.ID != "limited" {
+		t.Errorf("%+v, want the upstream whose limit has ended", pick)
+	}
+}
+
+// TestLoadWhileAllUpstreamsAreHeld checks that the load refuses new programs when no upstream accepts a
+// call soon, although few calls are in flight.
+func TestLoadWhileAllUpstreamsAreHeld(t *testing.T) {
+	b := NewBalancer(BalancerConfig{Seed: 1})
+	now := time.Unix(100, 0)
+	upstreams := []Upstream{{ID: "a", Service: "llm", Slots: 10}, {ID: "b", Service: "llm", Slots: 10}}
+	for i, u := range upstreams {
+		b.SetLimit(u.ID, 1)
+		b.Hold(u.ID, now.Add(time.Duration(i+1)*250*time.Millisecond))
+	}
+	if load := b.Load(now, upstreams); load != 2 {
+		t.Errorf("load %.2f, want 2 when the first upstream is free in 250 ms", load)
+	}
+	if load := b.Load(now.Add(250*time.Millisecond), upstreams); load != 0 {
+		t.Errorf("load %.2f, want 0 when one is free", load)
+	}
+}
