gateway: keep to the limits of upstreams over all entries

Cause: nothing read the limit, and there was no place where the sends of all entries meet. Class: a bound for the whole system on which each process decides alone.

Change: each limited upstream has one entry that grants the sends to it, by rendezvous over the responsive entries that can. Every send to it, first, retry or continuation, waits for a permit, asked for by one datagram; it waits no longer than the next best upstream would cost, and up to half a second if there is no other. Calls that no upstream accepts are refused at once with a Retry-After that is when one does. Limits are exchanged in digests, after the items that earlier builds know.

Why it works: one schedule for each upstream, at the rate of its limit, and bounds for the time in which entries don't agree who has it (docs/design/platform.md).

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -93,6 +93,16 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
+	// started is set for a call of a program that has started.
+	started bool
+	// permitsDenied counts the limited upstreams that did not accept the call. permitWait is how long
+	// it waited for the permit of the entry permitFrom, limit the limit of that upstream.
+	permitsDenied int
+	permitWait    time.Duration
+	permitFrom    string
+	limit         float64
+	// limitedFor is the time until an upstream accepts a further call, if none does now.
+	limitedFor time.Duration
 	// trial is set when the call is a trial of a content that is refused otherwise.
 	trial bool
 	// tried are the upstreams that were chosen so far.
@@ -289,8 +299,12 @@
 // refuse answers with 503 that the call has not run and will not, and that the caller
 // should send it again after a time.
 func (g *Gateway) refuse(w http.ResponseWriter, j *job, reason string, cause error, after time.Duration) {
+	g.refuseAfter(w, j, reason, cause, g.jitter(after))
+}
+
+// refuseAfter is refuse with the exact time after which the caller should send the call again.
+func (g *Gateway) refuseAfter(w http.ResponseWriter, j *job, reason string, cause error, after time.Duration) {
 	g.metrics.refused.Inc(1)
-	after = g.jitter(after)
 	g.logOutcome(j, "refused", http.StatusServiceUnavailable, reason, cause, after)
 	platform.SetRetryAfter(w.Header(), after)
 	g.respondEmpty(w, j, http.StatusServiceUnavailable)
@@ -346,11 +360,14 @@
 		g.fail(w, j, reason, cause)
 		return
 	}
-	after := retryUpstream
-	if errors.Is(cause, errQuarantined) {
-		after = retryQuarantined
+	switch {
+	case errors.Is(cause, errLimited):
+		g.refuseAfter(w, j, reason, cause, max(j.limitedFor, retryUpstream))
+	case errors.Is(cause, errQuarantined):
+		g.refuse(w, j, reason, cause, retryQuarantined)
+	default:
+		g.refuse(w, j, reason, cause, retryUpstream)
 	}
-	g.refuse(w, j, reason, cause, after)
 }
 
 // callerGone reports whether the caller has closed its connection and, if so, logs and
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/limits"
 )
 
 const (
@@ -55,6 +57,8 @@
 	callGrantsFor = 'k'
 	// callTurnStoredBy asks which entry stored a turn and has it in memory.
 	callTurnStoredBy = 'w'
+	// callPermit asks for a permit to send a call to a limited upstream.
+	callPermit = 'p'
 )
 
 // peerCalls makes short calls to other entries and answers theirs. In this file a call is one
@@ -206,6 +210,14 @@
 			return false
 		}
 		reply(callAnswer{text: c.m.g.budgets.storedBy(program, turn)})
+	case callPermit:
+		upstream := p.uvarint()
+		s, maxWait := p.statement(time.Now()), time.Duration(p.uvarint())*time.Millisecond
+		if p.malformed {
+			return false
+		}
+		question := incarnation + "/" + strconv.FormatUint(id, 10)
+		reply(c.m.g.limits.answerPermit(question, incarnation, upstream, s, min(maxWait, limits.Horizon)))
 	default:
 		return false
 	}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/limits"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
@@ -45,6 +46,8 @@
 	// maxReportBytes is the part of a digest in bytes that crash reports may use. Other items may
 	// use what they leave.
 	maxReportBytes = 500
+	// maxLimitBytes is the part of a digest in bytes that is kept free for limits of upstreams.
+	maxLimitBytes = 200
 )
 
 // Flags of a digest. The values are part of the wire format.
@@ -59,6 +62,9 @@
 	flagSynchronised
 	// flagLeaving is set if the entry is shutting down.
 	flagLeaving
+	// flagGrantsSends is set if the entry may grant the sends to limited upstreams. Earlier builds
+	// can't.
+	flagGrantsSends
 )
 
 // Kinds of packets. The kind is the first byte of a packet.
@@ -184,6 +190,7 @@
 //	't' hash of a request that is tried once more, and the number of the trial; 0 from earlier builds
 //	'q' hash of all refused requests
 //	'c' upstream, ID and tokens of a prompt part that it has cached
+//	'm' hash of an upstream's incarnation, its limit, and how old that statement is
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -195,7 +202,7 @@
 	m.newlyCached = nil
 	reports := m.takeReportsLocked()
 	m.mu.Unlock()
-	limit := maxPacketSize - len(reports)
+	limit := maxPacketSize - maxLimitBytes - len(reports)
 	b := m.appendDigestHeader(make([]byte, 0, maxPacketSize), seq)
 	m.g.mu.Lock()
 	m.g.balancer.EachInFlight(func(id string, calls int) {
@@ -218,7 +225,21 @@
 			b = binary.AppendUvarint(b, uint64(c.parts[0].Tokens))
 		}
 	}
-	return append(b, reports...)
+	return m.appendStatements(append(b, reports...), seq)
+}
+
+// appendStatements appends the limits of upstreams that fit. They come last, since earlier builds stop
+// reading there.
+func (m *mesh) appendStatements(b []byte, seq uint64) []byte {
+	now := time.Now()
+	m.g.limits.takeStatements(seq, func(incarnation uint64, s limits.Statement) bool {
+		if len(b)+maxDigestItem > maxPacketSize {
+			return false
+		}
+		b = appendStatement(binary.AppendUvarint(append(b, 'm'), incarnation), now, s)
+		return true
+	})
+	return b
 }
 
 // itemsOfReports maps the kinds of crash reports to those of digest items.
@@ -258,7 +279,7 @@
 		flags |= flagTableReachable
 	}
 	if m.canOwnBudgets() {
-		flags |= flagCanOwnBudgets
+		flags |= flagCanOwnBudgets | flagGrantsSends
 	}
 	if m.synchronised.Load() {
 		flags |= flagSynchronised
@@ -438,7 +459,7 @@
 	silent := !known.lastDigest.IsZero() && now.Sub(known.lastDigest) > m.scaledTimeout(peerTimeout)
 	known.seq, known.lastDigest = seq, now
 	known.tableReachable, known.canOwnBudgets, known.synchronised = flags&flagTableReachable != 0, flags&flagCanOwnBudgets != 0, flags&flagSynchronised != 0
-	known.leaving = flags&flagLeaving != 0
+	known.leaving, known.grantsSends = flags&flagLeaving != 0, flags&flagGrantsSends != 0
 	m.mu.Unlock()
 	if silent {
 		m.g.env.Events.Emit(eventlog.GatewayPeerRecovered, eventlog.Fields{Step: "mesh", Peer: from.Node})
@@ -450,15 +471,19 @@
 // Items of unknown upstreams are ignored. It reports whether all items are well-formed.
 func (m *mesh) applyItems(from string, p *packetReader) bool {
 	now := time.Now()
-	reports, wellFormed := m.applyLocked(now, from, p)
+	reports, statements, wellFormed := m.applyLocked(now, from, p)
 	for _, report := range reports {
 		m.g.receiveCrashReport(now, from, report)
 	}
+	for incarnation, s := range statements {
+		m.g.limits.receiveStatement(from, incarnation, s)
+	}
 	return wellFormed
 }
 
-// applyLocked does the work of applyItems, but for crash reports, which it returns.
-func (m *mesh) applyLocked(now time.Time, from string, p *packetReader) (reports []quarantine.CrashReport, wellFormed bool) {
+// applyLocked does the work of applyItems, but for crash reports and statements about limits, which it
+// returns.
+func (m *mesh) applyLocked(now time.Time, from string, p *packetReader) (reports []quarantine.CrashReport, statements map[uint64]limits.Statement, wellFormed bool) {
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
 	m.g.balancer.ClearPeerCalls(from)
@@ -490,9 +515,17 @@
 			if digest := p.uvarint(); !p.malformed && digest != m.quarantineDigest.Load() {
 				m.requestRecords(from)
 			}
+		case 'm':
+			incarnation, s := p.uvarint(), p.statement(now)
+			if !p.malformed {
+				if statements == nil {
+					statements = map[uint64]limits.Statement{}
+				}
+				statements[incarnation] = s
+			}
 		default:
-			return reports, false
+			return reports, statements, false
 		}
 	}
-	return reports, !p.malformed
+	return reports, statements, !p.malformed
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -262,7 +262,7 @@
 	g.fleet.Store(newFleet(next, services))
 	g.balancer.Retain(func(id string) bool { return next.Get(id) != nil })
 	g.mu.Unlock()
-	g.limits.retain(g.fleet.Load())
+	g.limits.retain(time.Now(), g.fleet.Load())
 	g.publish(time.Now(), reports)
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"encoding/binary"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -9,17 +11,38 @@
 	"github.com/buckthornroute/buckthornroute/limits"
 )
 
-// upstreamLimits holds what this entry knows of the limits that upstreams name. It is safe for
-// concurrent use.
+// limitRepeats is the number of digests that carry a changed limit, since a datagram may be lost.
+const limitRepeats = 3
+
+// repeatLimitsEvery is the number of digests of which one carries the limits of the upstreams whose
+// sends this entry grants. Entries that have just started learn of them by it.
+const repeatLimitsEvery = 4
+
+// unlistedLimitRetention is how long the limit of an upstream that is not listed is remembered. It
+// covers an outage of the table.
+const unlistedLimitRetention = time.Minute
+
+// upstreamLimits holds what this entry knows of the limits that upstreams name, and schedules the
+// sends to those upstreams that it grants to all entries. It is safe for concurrent use.
 type upstreamLimits struct {
 	g *Gateway
 
 	mu    sync.Mutex
 	known *limits.Known
+	// grants schedules the sends that this entry grants, shares the share of the limit that it
+	// grants, for upstreams that it grants sends to.
+	grants *limits.Grants
+	shares map[uint64]float64
+	// answered holds the latest answers to other entries, in case they ask again.
+	answered permitAnswers
+	// repeats is the number of digests that are still to carry the statement of an upstream.
+	repeats map[uint64]int
 }
 
 func newUpstreamLimits(g *Gateway) *upstreamLimits {
-	return &upstreamLimits{g: g, known: limits.NewKnown()}
+	return &upstreamLimits{
+		g: g, known: limits.NewKnown(), grants: limits.NewGrants(), shares: map[uint64]float64{}, repeats: map[uint64]int{},
+	}
 }
 
 // observeAnswer applies what the head of an answer says about its upstream's limit. An answer of
@@ -36,26 +59,140 @@
 	if limit.Named {
 		s.At = time.Now()
 	}
-	l.observe(res.incarnation, res.upstream, s, "answer to "+j.call.ID)
+	if l.observe(res.incarnation, res.upstream, s, "answer to "+j.call.ID) != limits.Unchanged {
+		l.mu.Lock()
+		l.repeats[res.incarnation] = limitRepeats
+		l.mu.Unlock()
+	}
 }
 
 // observe applies a statement about the limit of an upstream and logs what it changes. from says where
 // the statement comes from.
 func (l *upstreamLimits) observe(incarnation uint64, upstream string, s limits.Statement, from string) limits.Change {
+	if l.g.fleet.Load().byIncarnation[incarnation] != upstream {
+		return limits.Unchanged // it has ended, and another one may run under its id
+	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	change := l.known.Observe(incarnation, s)
-	l.mu.Unlock()
-	if change != limits.Unchanged {
-		l.g.metrics.limitChanges.Inc(1)
-		l.g.env.Requests.Warn("upstream_limit").Str("upstream", upstream).Str("change", change.String()).
-			Str("per_second", strconv.FormatFloat(s.PerSecond, 'g', 4, 64)).Str("from", from).Ms("age_ms", time.Since(s.At)).End()
+	if change == limits.Unchanged {
+		return change
 	}
+	l.g.mu.Lock()
+	if s.Limited {
+		l.g.balancer.SetLimit(upstream, s.PerSecond)
+	} else {
+		l.g.balancer.RemoveLimit(upstream)
+	}
+	l.g.mu.Unlock()
+	l.g.metrics.limitChanges.Inc(1)
+	l.g.env.Requests.Warn("upstream_limit").Str("upstream", upstream).Str("change", change.String()).
+		Str("per_second", formatRate(s.PerSecond)).Str("from", from).Ms("age_ms", time.Since(s.At)).End()
 	return change
 }
 
-// retain drops the limits of upstreams that are not listed any more.
-func (l *upstreamLimits) retain(f *fleet) {
+// formatRate returns a rate as text for log lines.
+func formatRate(perSecond float64) string { return strconv.FormatFloat(perSecond, 'g', 4, 64) }
+
+// statement returns the limit of an upstream. ok is false if it has none.
+func (l *upstreamLimits) statement(incarnation uint64) (s limits.Statement, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.Limit(incarnation)
+}
+
+// retain drops what is known of upstreams that are not listed, once that is old: an upstream may be
+// listed again after an outage of the table. g.mu must not be held.
+func (l *upstreamLimits) retain(now time.Time, f *fleet) {
+	listed := func(incarnation uint64) bool { return f.byIncarnation[incarnation] != "" }
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known.Retain(func(incarnation uint64, s limits.Statement) bool {
+		return listed(incarnation) || now.Sub(s.At) < unlistedLimitRetention
+	})
+	l.grants.Retain(listed)
+	for incarnation := range l.shares {
+		if !listed(incarnation) {
+			delete(l.shares, incarnation)
+		}
+	}
+	for incarnation := range l.repeats {
+		if !listed(incarnation) {
+			delete(l.repeats, incarnation)
+		}
+	}
+	l.g.mu.Lock()
+	defer l.g.mu.Unlock()
+	l.known.Each(func(incarnation uint64, s limits.Statement) {
+		if listed(incarnation) {
+			l.g.balancer.SetLimit(f.byIncarnation[incarnation], s.PerSecond)
+		}
+	})
+}
+
+// takeStatements calls f for the statements that the next digest is to carry: those that changed in
+// answers to this entry, and in some digests those of the upstreams whose sends it grants.
+func (l *upstreamLimits) takeStatements(seq uint64, f func(incarnation uint64, s limits.Statement) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.known.Retain(func(incarnation uint64) bool { return f.byIncarnation[incarnation] != "" })
+	for incarnation, repeats := range l.repeats {
+		s, known := l.known.Statement(incarnation)
+		if known && !f(incarnation, s) {
+			continue
+		}
+		if l.repeats[incarnation] = repeats - 1; repeats <= 1 {
+			delete(l.repeats, incarnation)
+		}
+	}
+	if seq%repeatLimitsEvery != 0 {
+		return
+	}
+	for incarnation := range l.shares {
+		if s, limited := l.known.Limit(incarnation); limited && l.repeats[incarnation] == 0 {
+			f(incarnation, s)
+		}
+	}
+}
+
+const (
+	// milli is the unit of encoded limits: a thousandth of a request per second.
+	milli = 1000
+	// maxEncodedLimit is the highest limit that entries exchange, in requests per second. A higher one
+	// is in effect none.
+	maxEncodedLimit = 1e6
+	// maxStatementAge bounds the age of an exchanged statement.
+	maxStatementAge = time.Hour
+)
+
+// appendStatement appends a statement: its limit plus one, or 0 for none, and its age in ms.
+func appendStatement(b []byte, now time.Time, s limits.Statement) []byte {
+	value := uint64(0)
+	if s.Limited {
+		value = 1 + uint64(math.Round(milli*min(s.PerSecond, maxEncodedLimit)))
+	}
+	age := min(max(0, now.Sub(s.At)), maxStatementAge)
+	return binary.AppendUvarint(binary.AppendUvarint(b, value), uint64(age.Milliseconds()))
+}
+
+// statement reads a statement.
+func (p *packetReader) statement(now time.Time) limits.Statement {
+	value, age := p.uvarint(), p.uvarint()
+	if value > 1+milli*maxEncodedLimit || age > uint64(maxStatementAge.Milliseconds()) {
+		p.malformed = true
+	}
+	if p.malformed {
+		return limits.Statement{}
+	}
+	s := limits.Statement{Limited: value > 0, At: now.Add(-time.Duration(age) * time.Millisecond)}
+	if s.Limited {
+		s.PerSecond = float64(value-1) / milli
+	}
+	return s
+}
+
+// receiveStatement applies a statement that another entry has sent.
+func (l *upstreamLimits) receiveStatement(from string, incarnation uint64, s limits.Statement) {
+	if upstream := l.g.fleet.Load().byIncarnation[incarnation]; upstream != "" {
+		l.observe(incarnation, upstream, s, from)
+	}
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/limits"
 )
 
 const (
@@ -216,3 +218,178 @@
 	stop()
 	limited.checkLimit(t)
 }
+
+// TestCallsReturnWhenTheirUpstreamsAccept checks that calls are refused at once while all upstreams have
+// used up their limits, with a Retry-After that is true: callers that keep to it are served at the
+// rate of the limit.
+func TestCallsReturnWhenTheirUpstreamsAccept(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	limited := newLimitedUpstream(t, "llm-1", "4", answerEvents(0, 1, false))
+	p.registerUpstream(limited.scriptedUpstream, "llm", "ready", 1)
+	entries := startEntries(t, p.standin.Table, 2)
+	entries[0].call("POST", "/draft/1", "first", nil)
+	<-time.After(time.Second)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	served, early := 0, 0
+	for i := range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for try := range 6 {
+				began := time.Now()
+				r := entries[i%2].call("POST", "/draft/1", fmt.Sprint("body-", i), nil)
+				mu.Lock()
+				if r.status == http.StatusOK {
+					served++
+					mu.Unlock()
+					return
+				}
+				if took := time.Since(began); took > 400*time.Millisecond {
+					t.Errorf("a refusal took %v, want it at once", took)
+				}
+				if try > 0 {
+					early++
+				}
+				mu.Unlock()
+				after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+				if err != nil {
+					t.Errorf("%+v, want a Retry-After", r)
+					return
+				}
+				<-time.After(time.Duration(after * float64(time.Second)))
+			}
+		}()
+	}
+	wg.Wait()
+	if served < 12 {
+		t.Errorf("%d of 12 calls were served, want all", served)
+	}
+	if early > 12 {
+		t.Errorf("%d calls were refused again after their Retry-After, want one each at most", early)
+	}
+	limited.checkLimit(t)
+}
+
+// TestLimitEndsWithItsAnswers checks that an upstream gets calls as before once its answers name no
+// limit any more, also if its limit was 0.
+func TestLimitEndsWithItsAnswers(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	limited := newLimitedUpstream(t, "llm-1", "0", answerEvents(0, 1, false))
+	p.registerUpstream(limited.scriptedUpstream, "llm", "ready", 1)
+	p.registerUpstream(newScriptedUpstream(t, "llm-2", func(w http.ResponseWriter, r *http.Request) {
+		<-time.After(150 * time.Millisecond) // so that the limited upstream would be faster
+		answerEvents(0, 1, false)(w, r)
+	}), "llm", "ready", 1)
+	entries := startEntries(t, p.standin.Table, 2)
+	stop := load(entries, 40, "/ask/1", nil)
+	<-time.After(limitNotice + limitWindow)
+	limited.checkLimit(t)
+	limited.setLimit("")
+	before := len(limited.requests())
+	<-time.After(6 * time.Second) // one call in 2 s reaches it until then
+	stop()
+	if n := len(limited.requests()) - before; n < 15 {
+		t.Errorf("the upstream got %d calls after its limit had ended, want 15 or more", n)
+	}
+}
+
+// TestLimitEndsWithItsProcess checks that a limit does not hold for an upstream that has started again
+// under the same id.
+func TestLimitEndsWithItsProcess(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	u := newScriptedUpstream(t, "llm-1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Server-Limit", "0")
+		answerEvents(0, 1, false)(w, r)
+	}, answerEvents(0, 1, false))
+	row := func(born int) string {
+		return fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,"seq":1,"born":%d}`,
+			strings.TrimPrefix(u.server.URL, "http://"), born)
+	}
+	p.write("servers//llm-1", row(1))
+	e := startEntry(t, "entry-1", p.standin.Table)
+	e.call("POST", "/draft/1", "first", nil)
+	for range 2 { // the permit for the time before the limit was known
+		e.call("POST", "/draft/1", "second", nil)
+	}
+	if r := e.call("POST", "/draft/1", "third", nil); r.status != http.StatusServiceUnavailable {
+		t.Fatalf("%+v, want the limit of 0 to hold", r)
+	}
+	p.write("servers//llm-1", row(2))
+	eventually(t, "the upstream is listed again", func() bool { return e.fleet.Load().registry.Get("llm-1").StartedAtMs == 2 })
+	for range 5 {
+		if r := e.call("POST", "/draft/1", "fourth", nil); r.status != http.StatusOK {
+			t.Fatalf("%+v, want the call to be sent", r)
+		}
+	}
+}
+
+// TestEntryStartedLaterKnowsLimits checks that an entry which starts while an upstream is limited keeps
+// to the limit before it has received an answer itself.
+func TestEntryStartedLaterKnowsLimits(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	limited := newLimitedUpstream(t, "llm-1", "3", answerEvents(0, 1, false))
+	p.registerUpstream(limited.scriptedUpstream, "llm", "ready", 1)
+	first := startEntry(t, "entry-1", p.standin.Table)
+	first.call("POST", "/draft/1", "first", nil)
+	first.call("POST", "/draft/1", "second", nil) // its permit makes the entry repeat the limit
+	later := startEntry(t, "entry-2", p.standin.Table)
+	incarnation := incarnationHash(later.fleet.Load().registry.Get("llm-1"))
+	eventually(t, "the other entry knows the limit", func() bool {
+		s, known := later.limits.statement(incarnation)
+		return known && s.PerSecond == 3
+	})
+}
+
+// TestRepeatedPermitQuestionTakesOnePermit checks that a question which is sent again because its
+// answer was lost gets the same answer, and that entries of earlier builds are not asked.
+func TestRepeatedPermitQuestionTakesOnePermit(t *testing.T) {
+	p := newTestPlatform(t)
+	p.writeDocument(1)
+	p.registerUpstream(newScriptedUpstream(t, "llm-1", answerEvents(0, 1, false)), "llm", "ready", 1)
+	e := startEntry(t, "entry-1", p.standin.Table)
+	eventually(t, "the entry grants sends", func() bool { return e.mesh.canOwnBudgets() })
+	incarnation := incarnationHash(e.fleet.Load().registry.Get("llm-1"))
+	s := limits.Statement{Limited: true, PerSecond: 1, At: time.Now()}
+	ask := func(question string) uint64 {
+		return e.limits.answerPermit(question, "entry-2", incarnation, s, limits.Horizon).value & (1<<permitBits - 1)
+	}
+	if a, b, c := ask("1"), ask("1"), ask("2"); a != permitGranted || b != permitGranted || c != permitDenied {
+		t.Errorf("answers %d, %d and %d, want a permit, the same again, and none", a, b, c)
+	}
+	for i := range 20 {
+		e.mesh.addPeer(peer{Node: fmt.Sprint("old-", i), UDPAddress: "127.0.0.1:9", Incarnation: fmt.Sprint(i)})
+		e.mesh.accept(peer{Node: fmt.Sprint("old-", i), Incarnation: fmt.Sprint(i)}, 1, flagTableReachable|flagCanOwnBudgets)
+	}
+	if p, eligible := e.mesh.grantor(time.Now(), incarnation); p != nil || !eligible {
+		t.Errorf("%+v grants the sends, want this entry", p)
+	}
+}
+
+// TestShareBesideSilentGrantor checks that an entry grants a part of a limit only while one that ranks
+// before it is silent, and all of it once that has been silent for long.
+func TestShareBesideSilentGrantor(t *testing.T) {
+	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
+	for i := range 20 {
+		e.mesh.addPeer(peer{Node: fmt.Sprint("peer-", i), UDPAddress: "127.0.0.1:9", Incarnation: fmt.Sprint(i)})
+		e.mesh.accept(peer{Node: fmt.Sprint("peer-", i), Incarnation: fmt.Sprint(i)}, 1, flagGrantsSends)
+	}
+	now := time.Now()
+	if p, _ := e.mesh.grantor(now, 1); p == nil {
+		t.Fatal("this entry ranks first of 21")
+	}
+	for after, want := range map[time.Duration]float64{2 * time.Second: limits.ShareBesideAnother, silentGrantorWindow + time.Second: 1} {
+		if p, _ := e.mesh.grantor(now.Add(after), 1); p != nil {
+			t.Errorf("after %v of silence: %q grants the sends, want this entry", after, p.Node)
+		}
+		if got := e.mesh.grantShare(now.Add(after), 1); got != want {
+			t.Errorf("after %v of silence: share %v, want %v", after, got, want)
+		}
+	}
+}
--- a/internal/gateway/mesh.go
+++ b/internal/gateway/mesh.go
@@ -52,6 +52,8 @@
 	tableReachable bool
 	// canOwnBudgets reports whether it may own the budgets of programs.
 	canOwnBudgets bool
+	// grantsSends reports whether it may grant the sends to limited upstreams.
+	grantsSends bool
 	// synchronised reports whether it knows the grants that it has to know: it has received those
 	// that its peers knew when it started, or all entries started for the first time. A grant is
 	// the number of tokens of a program's budget that an incarnation of an entry may hand out to
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -21,6 +21,9 @@
 			Int("own", int64(j.pick.Own)).Ms("peers_age_ms", j.pick.OldestDigestAge).Int("cached", int64(j.pick.Cached)).
 			Int("prompt", int64(j.info.Tokens)).Ms("predicted_ms", j.pick.Finish)
 	}
+	if j.permitsDenied > 0 || j.permitFrom != "" {
+		ln.Int("permits_denied", int64(j.permitsDenied)).Ms("permit_wait_ms", j.permitWait).Str("permit_from", j.permitFrom).Str("limit_per_second", formatRate(j.limit))
+	}
 	if j.pick.FailureRate > 0.01 { // a lower rate would be logged as 0
 		ln.Int("failing_percent", int64(100*j.pick.FailureRate))
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,6 +25,7 @@
 
 // servePlain serves a call whose answer is not a stream.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
+	j.started = j.call.Program != ""
 	j.info = routing.CallInfo{Object: j.call.AffinityKey, Domain: string(g.cfg.FailureDomain), Bytes: plainBytes + len(j.body)}
 	for {
 		res, err := g.send(ctx, j, nil)
@@ -71,10 +72,14 @@
 
 // noSendReason returns the logged reason why a call was not sent.
 func noSendReason(err error) string {
-	if errors.Is(err, errQuarantined) {
+	switch {
+	case errors.Is(err, errQuarantined):
 		return reasonQuarantined
+	case errors.Is(err, errLimited):
+		return "upstreams_limited"
+	default:
+		return "no_upstream"
 	}
-	return "no_upstream"
 }
 
 // failureReason returns the logged reason why the result of a send is not used.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,7 +52,7 @@
 
 // send chooses an upstream and sends the call there. A stream continues after the event
 // lastEvent, or starts from its beginning when that is nil. When no upstream was chosen, the
-// result is nil and the error is errCallerGone, errQuarantined or errNoUpstream. The failure of
+// result is nil and the error is errCallerGone, errQuarantined, errNoUpstream or errLimited. The failure of
 // a send is in the result. The result must be passed to finish.
 func (g *Gateway) send(ctx context.Context, j *job, lastEvent *int64) (*sendResult, error) {
 	if ctx.Err() != nil {
@@ -61,9 +61,9 @@
 	if !g.admitContent(ctx, j) {
 		return nil, errQuarantined
 	}
-	u, conns, ok := g.choose(j)
-	if !ok {
-		return nil, errNoUpstream
+	u, conns, err := g.choosePermitted(ctx, j)
+	if err != nil {
+		return nil, err
 	}
 	// The call puts its prompt into the upstream's cache, which the other entries should know.
 	if j.pick.Cached == 0 {
@@ -186,6 +186,7 @@
 	u := f.registry.Get(pick.ID)
 	for i := range upstreams {
 		if upstreams[i].ID == pick.ID {
+			j.info.Predicted = pick.Finish
 			g.balancer.Started(upstreams[i], &j.info)
 			break
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,6 +72,7 @@
 	j.info = g.callInfo(j)
 	if reserved != nil {
 		j.info.LastUpstream = reserved.lastUpstream
+		j.started = reserved.stage == programStarted
 		if after, ok := g.admit(j, reserved.stage); !ok {
 			g.refuse(w, j, "engines_full", nil, after)
 			return
