gateway: send no calls to an upstream that says that it leaves

Callers' requests reached an upstream more than two seconds after its answers had said that it leaves, above all while the table was down and its row still showed it as ready.

Cause: that an upstream leaves was read from the table only.

Change: the mark in an answer takes the incarnation out of the choice at once, for good, whatever its row says; the other entries are told in their digests. Answers with status 421 come from another upstream and mark none. A broken answer of such an upstream is withdrawn when it has gone, as one of an announced end.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -191,6 +191,7 @@
 //	'q' hash of all refused requests
 //	'c' upstream, ID and tokens of a prompt part that it has cached
 //	'm' hash of an upstream's incarnation, its limit, and how old that statement is
+//	'e' hash of the incarnation of an upstream that leaves
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -228,8 +229,8 @@
 	return m.appendStatements(append(b, reports...), seq)
 }
 
-// appendStatements appends the limits of upstreams that fit. They come last, since earlier builds stop
-// reading there.
+// appendStatements appends what upstreams have said of their limits, and that they leave, as far as it
+// fits. It comes last, since earlier builds stop reading there.
 func (m *mesh) appendStatements(b []byte, seq uint64) []byte {
 	now := time.Now()
 	m.g.limits.takeStatements(seq, func(incarnation uint64, s limits.Statement) bool {
@@ -239,6 +240,13 @@
 		b = appendStatement(binary.AppendUvarint(append(b, 'm'), incarnation), now, s)
 		return true
 	})
+	m.g.leaving.takeAnnounced(func(incarnation uint64) bool {
+		if len(b)+maxDigestItem > maxPacketSize {
+			return false
+		}
+		b = binary.AppendUvarint(append(b, 'e'), incarnation)
+		return true
+	})
 	return b
 }
 
@@ -471,19 +479,28 @@
 // Items of unknown upstreams are ignored. It reports whether all items are well-formed.
 func (m *mesh) applyItems(from string, p *packetReader) bool {
 	now := time.Now()
-	reports, statements, wellFormed := m.applyLocked(now, from, p)
+	reports, said, wellFormed := m.applyLocked(now, from, p)
 	for _, report := range reports {
 		m.g.receiveCrashReport(now, from, report)
 	}
-	for incarnation, s := range statements {
+	for incarnation, s := range said.limits {
 		m.g.limits.receiveStatement(from, incarnation, s)
 	}
+	for _, incarnation := range said.leaving {
+		m.g.upstreamLeaves(incarnation, from, false)
+	}
 	return wellFormed
 }
 
-// applyLocked does the work of applyItems, but for crash reports and statements about limits, which it
+// upstreamStatements is what upstreams have said of themselves, by the hash of their incarnation.
+type upstreamStatements struct {
+	limits  map[uint64]limits.Statement
+	leaving []uint64
+}
+
+// applyLocked does the work of applyItems, but for crash reports and statements of upstreams, which it
 // returns.
-func (m *mesh) applyLocked(now time.Time, from string, p *packetReader) (reports []quarantine.CrashReport, statements map[uint64]limits.Statement, wellFormed bool) {
+func (m *mesh) applyLocked(now time.Time, from string, p *packetReader) (reports []quarantine.CrashReport, said upstreamStatements, wellFormed bool) {
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
 	m.g.balancer.ClearPeerCalls(from)
@@ -518,14 +535,18 @@
 		case 'm':
 			incarnation, s := p.uvarint(), p.statement(now)
 			if !p.malformed {
-				if statements == nil {
-					statements = map[uint64]limits.Statement{}
+				if said.limits == nil {
+					said.limits = map[uint64]limits.Statement{}
 				}
-				statements[incarnation] = s
+				said.limits[incarnation] = s
+			}
+		case 'e':
+			if incarnation := p.uvarint(); !p.malformed {
+				said.leaving = append(said.leaving, incarnation)
 			}
 		default:
-			return reports, statements, false
+			return reports, said, false
 		}
 	}
-	return reports, statements, !p.malformed
+	return reports, said, !p.malformed
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -126,7 +126,7 @@
 		return
 	}
 	g.routes.Store(relay.NewRouteTable(doc))
-	g.fleet.Store(newFleet(g.fleet.Load().registry, doc.Services))
+	g.storeFleet(g.fleet.Load().registry)
 	g.env.Requests.Warn("document_in_force").Int("version", int64(doc.Version)).Int("row_version", r.Version).
 		Int("routes", int64(len(doc.Routes))).End()
 }
@@ -255,11 +255,7 @@
 	for _, c := range changes {
 		reports = append(reports, g.handleUpstreamChange(version, old.Get(c.ID), next.Get(c.ID), c.ID)...)
 	}
-	var services map[string]relay.Service
-	if t := g.routes.Load(); t != nil {
-		services = t.Document().Services
-	}
-	g.fleet.Store(newFleet(next, services))
+	g.storeFleet(next)
 	g.balancer.Retain(func(id string) bool { return next.Get(id) != nil })
 	g.mu.Unlock()
 	g.limits.retain(time.Now(), g.fleet.Load())
@@ -288,7 +284,8 @@
 	if old == nil {
 		return nil
 	}
-	return g.sends.UpstreamEnded(time.Now(), incarnationHash(old), old.Draining)
+	incarnation := incarnationHash(old)
+	return g.sends.UpstreamEnded(time.Now(), incarnation, old.Draining || g.leaving.has(incarnation))
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	// quarantine stores the requests that must not be sent.
 	quarantine *quarantineStore
 	limits     *upstreamLimits
+	leaving    *leavingUpstreams
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
@@ -116,7 +117,8 @@
 		balancer:    routing.NewBalancer(routing.BalancerConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
 	}
 	g.pool.OnDial = func() { g.metrics.connections.Inc(1) }
-	g.fleet.Store(newFleet(relay.NewRegistry(), nil))
+	g.leaving = newLeavingUpstreams()
+	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
 	g.table = newTableClient(env.Table, g.mesh, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// permitsGranted and permitsDenied count the answers to this entry's questions for sends to limited
 	// upstreams, permitsFailed those without an answer.
 	permitsGranted, permitsDenied, permitsFailed tally.Counter
+	// upstreamsLeaving counts upstreams that said in an answer that they leave.
+	upstreamsLeaving tally.Counter
 	// latency is the time from the start of a request to its complete answer, for answered
 	// requests only; firstEvent that to the first event of a stream; commitLatency the duration
 	// of a transaction of the committer.
@@ -58,7 +60,8 @@
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
-		permitsGranted: s.Counter("permits_granted"), permitsDenied: s.Counter("permits_denied"), permitsFailed: s.Counter("permits_failed"),
+		upstreamsLeaving: s.Counter("upstreams_leaving"),
+		permitsGranted:   s.Counter("permits_granted"), permitsDenied: s.Counter("permits_denied"), permitsFailed: s.Counter("permits_failed"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets),
 	}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -145,8 +145,7 @@
 	if ctx.Err() != nil {
 		return false, errCallerGone
 	}
-	current := g.fleet.Load().registry.Get(u.ID)
-	return current != nil && !current.Draining && incarnationHash(current) == incarnationHash(u) && j.left() > 0, nil
+	return g.usable(u) && j.left() > 0, nil
 }
 
 // ask asks the entry that grants the sends to an upstream for one within maxWait. It also returns the
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -84,6 +84,9 @@
 	// With status 421 another upstream answers.
 	if res.err == nil && res.answer.Status != http.StatusMisdirectedRequest {
 		g.limits.observeAnswer(j, res, res.answer)
+		if res.answer.Head.Leaving {
+			g.upstreamLeaves(res.incarnation, "answer to "+j.call.ID, true)
+		}
 	}
 	switch {
 	case errors.Is(res.err, forward.ErrNotSent):
