forward: bound the head of an answer

Callers saw: an upstream in trouble that sent a status line, a header, headers, informational responses or junk without end took 150 to 850 MiB of an entry's memory in a second, which ends the process and breaks off all its calls.

Cause: the limit of a head was that of net/http's parser, which has none for responses.

The connection is closed, the call fails as malformed, other calls go on.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -60,8 +60,9 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	// br reads from Conn.
+	// br reads from head, and head from Conn.
 	br      *bufio.Reader
+	head    *headReader
 	address string
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
@@ -133,7 +134,8 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.OnDial()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address}, nil
+	head := &headReader{r: nc, left: noLimit}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
 }
 
 // uncount subtracts a closed connection or a failed dial from the count of its address.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,8 +31,7 @@
 	// maxSkipped is the maximum number of answers to other calls that are skipped before the
 	// call fails.
 	maxSkipped = 2
-	// maxSkippedBytes is how much of the body of a skipped answer is read. The rest of a longer
-	// body is read as the next head, which normally fails the call.
+	// maxSkippedBytes is the maximum size in bytes of the body of a skipped answer.
 	maxSkippedBytes = 256 << 10
 	// maxInlineBody is the size in bytes up to which a body is written before the answer is
 	// read. It fits the TCP send window, so the write does not wait for the upstream.
@@ -146,22 +145,28 @@
 // readHead reads answers up to the one for the request and stores the head of that.
 func (a *Answer) readHead(r *Request) error {
 	method := &http.Request{Method: r.Method} // tells ReadResponse whether the answer has a body
-	for skipped := 0; ; {
+	a.conn.head.left = maxHeadBytes
+	for skipped, informational := 0, 0; ; {
 		resp, err := http.ReadResponse(a.conn.br, method) //nolint:bodyclose // the body goes to the answer, whose Close ends the connection
 		if err != nil {
 			return errors.Wrap(err, "read head")
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an informational response; the answer follows
+		if resp.StatusCode < http.StatusOK { // an informational response; the answer follows
+			if informational++; informational > maxInformational {
+				return errors.Wrapf(ErrMalformed, "more than %d informational responses", maxInformational)
+			}
+			continue
 		}
+		a.conn.head.left = noLimit
 		head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 		if head.RequestID != r.ID && head.RequestID != "" {
 			if skipped++; skipped > maxSkipped || resp.Close {
 				return errors.Wrap(ErrMalformed, "answers to other calls")
 			}
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
-				return errors.Wrap(err, "skip answer to another call")
+			if err := skipBody(resp.Body); err != nil {
+				return err
 			}
+			a.conn.head.left = maxHeadBytes
 			continue
 		}
 		a.Status, a.Header, a.Head, a.Length = resp.StatusCode, resp.Header, head, resp.ContentLength
@@ -170,6 +175,18 @@
 	}
 }
 
+// skipBody reads the body of an answer to another call.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "skip answer to another call")
+	}
+	if n > maxSkippedBytes {
+		return errors.Wrapf(ErrMalformed, "an answer to another call is longer than %d bytes", maxSkippedBytes)
+	}
+	return nil
+}
+
 // Read reads the body. It returns io.EOF at the end of a complete body and an error marked with
 // ErrLost when the body breaks off.
 func (a *Answer) Read(b []byte) (int, error) {
