gateway: bound an event and the output of a stored turn

Callers saw: an event of endless short lines took 150 to 280 MiB in a second, and endless events of a turn that is stored as much: the entry's process ended.

Cause: the size of an event was checked only while one long line was read, and the output of a turn not at all.

Change: an event has 64 KiB at most, however its lines are, and the stored output of a turn 1 MiB; beyond that the answer is malformed, and its connection is closed.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -15,9 +15,8 @@
 	// eventBuffer is the size of the read buffer in bytes: most events fit, longer ones
 	// take several reads.
 	eventBuffer = 2 << 10
-	// maxEvent is the size limit of an event in bytes. It is checked only while a line that
-	// does not fit the read buffer is read, so an event of short lines may be larger.
-	maxEvent = 1 << 20
+	// maxEvent is the maximum size of an event in bytes. Several hundred streams may each hold one.
+	maxEvent = 64 << 10
 )
 
 // event is one server-sent event of a stream.
@@ -50,13 +49,13 @@
 		begin := len(r.buf)
 		for {
 			piece, err := r.br.ReadSlice('\n')
+			if len(r.buf)+len(piece) > maxEvent {
+				return nil, errors.Wrapf(forward.ErrMalformed, "an event is longer than %d bytes", maxEvent)
+			}
 			r.buf = append(r.buf, piece...)
 			if err == nil {
 				break
 			}
-			if len(r.buf) > maxEvent {
-				return nil, errors.Wrapf(forward.ErrMalformed, "an event is longer than %d bytes", maxEvent)
-			}
 			if errors.Is(err, bufio.ErrBufferFull) {
 				continue
 			}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,8 @@
 	// bytesPerToken is the approximate number of bytes of a generated token in an answer,
 	// including its share of the event around it.
 	bytesPerToken = 7
+	// maxTurnOutput is the maximum size in bytes of the output of a turn that is stored.
+	maxTurnOutput = 1 << 20
 	// storeMargin is the time that is left for sending the end of the answer when the wait
 	// for the turn to be stored is given up: the last bytes take some ms to reach the
 	// caller.
@@ -305,6 +307,9 @@
 	s.j.events++
 	s.tokens += s.g.tokensPerEvent(s.j.service)
 	if s.j.route.Retained {
+		if len(s.output)+len(e.data) > maxTurnOutput {
+			return errors.Wrapf(forward.ErrMalformed, "the output of the turn is longer than %d bytes", maxTurnOutput)
+		}
 		s.output = append(append(s.output, e.data...), '\n')
 	}
 	return nil
