gateway: bound the memory of buffered answers

Callers saw: answers without end on routes without streams were buffered up to 16 MiB each; a few at once ended the entry's process.

Cause: the bound was for one answer, whatever the others took.

Change: what answers above 64 KiB take is reserved from an eighth of the process's memory and released with the call; without room the call fails. send_unanswered carries the error, so that one line says why an answer was cut off.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -93,6 +93,8 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
+	// answerMemory is the memory in bytes that is reserved for the answer.
+	answerMemory int64
 	// started is set for a call of a program that has started.
 	started bool
 	// permitsDenied counts the limited upstreams that did not accept the call. permitWait is how long
@@ -145,6 +147,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{request: r, start: time.Now()}
+	defer func() { g.answers.release(j.answerMemory) }()
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
 	var err error
 	if j.call, err = platform.DecodeCall(r.Header); err != nil {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -67,7 +67,7 @@
 	}
 	ln("send_unanswered").Str("request", j.call.ID).Str("program", j.call.Program).Str("content", contentName(j.fingerprint)).
 		Str("upstream", res.upstream).Str("end", end).Int("events", int64(j.events)).Ms("after_ms", time.Since(res.sentAt)).
-		Str("counted", strconv.FormatBool(counted)).Int("crashes", int64(g.crashCount(j.fingerprint))).End()
+		Str("counted", strconv.FormatBool(counted)).Int("crashes", int64(g.crashCount(j.fingerprint))).Err(res.err).End()
 }
 
 // recordEnd records a send that may have crashed its upstream, or may do so until the call's
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -39,6 +39,7 @@
 		{"event of short lines", "/draft/1", endless(stream, "id: 0\n", "data: x\n")},
 		{"event of one line", "/draft/1", endless(stream, "id: 0\ndata: ", "x")},
 		{"events of a stored turn", "/draft/1", endless(stream, "", "data: "+strings.Repeat("x", 1<<10)+"\n\n")},
+		{"body of an answer", "/read/1", endless(nil, "", "x")},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			_, e, _, _ := startEntryWithUpstreams(t, c.answer, c.answer)
@@ -64,6 +65,9 @@
 					t.Errorf("another call: %+v", r)
 				}
 			}
+			if used := e.answers.used.Load(); used != 0 {
+				t.Errorf("%d bytes are still reserved", used)
+			}
 		})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	quarantine *quarantineStore
 	limits     *upstreamLimits
 	leaving    *leavingUpstreams
+	answers    *answerMemory
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
@@ -118,6 +119,7 @@
 	}
 	g.pool.OnDial = func() { g.metrics.connections.Inc(1) }
 	g.leaving = newLeavingUpstreams()
+	g.answers = newAnswerMemory(cfg.MemoryMB)
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
 	g.table = newTableClient(env.Table, g.mesh, g.emitTableEvent)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,10 +14,6 @@
 	"github.com/buckthornroute/buckthornroute/routing"
 )
 
-// maxPlainAnswer bounds, in bytes, an answer that is buffered before it is sent to the
-// caller.
-const maxPlainAnswer = 16 << 20
-
 // plainBytes is the approximate number of bytes that a call on a route without streams
 // transfers in addition to the body of the request: both heads and the body of the answer.
 const plainBytes = 2 << 10
@@ -36,7 +31,7 @@
 			g.refuseOrFail(w, j, noSendReason(err), err)
 			return
 		}
-		body, err := g.readPlain(res)
+		body, err := g.readPlain(j, res)
 		if err == nil && !g.shouldRetry(j, res) {
 			g.finishPlain(j, res)
 			g.deliver(w, j, res.answer, body)
@@ -104,38 +99,14 @@
 
 // readPlain reads the complete body of the answer to a send. It returns an error when there is
 // no usable answer, when the upstream has not run the call, or when the body can't be read.
-func (g *Gateway) readPlain(res *sendResult) ([]byte, error) {
+func (g *Gateway) readPlain(j *job, res *sendResult) ([]byte, error) {
 	if res.err != nil {
 		return nil, res.err
 	}
 	if res.notRun {
 		return nil, errors.Newf("the upstream has not run the call, status %d", res.answer.Status)
 	}
-	return readAnswer(res.answer)
-}
-
-// readAnswer reads the complete body of an answer. It returns an error when the body is longer
-// than maxPlainAnswer.
-func readAnswer(a *forward.Answer) ([]byte, error) {
-	if a.Length >= 0 && a.Length <= maxPlainAnswer {
-		body := make([]byte, a.Length)
-		if _, err := io.ReadFull(a, body); err != nil {
-			return nil, errors.Wrap(err, "read answer")
-		}
-		// One more read reaches the end of the answer, so that the connection can be reused.
-		if n, err := a.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
-			return nil, errors.Wrap(forward.ErrMalformed, "bytes after the answer")
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(a, maxPlainAnswer))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	if !a.BodyComplete() {
-		return nil, errors.Wrapf(forward.ErrMalformed, "the answer is longer than %d bytes", maxPlainAnswer)
-	}
-	return body, nil
+	return g.readAnswer(j, res.answer)
 }
 
 // finishPlain finishes a send whose answer is delivered. It reports the duration to the balancer
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -232,7 +232,7 @@
 
 // deliverPlain sends the caller an answer that is no stream, such as an error.
 func (s *stream) deliverPlain(ctx context.Context, res *sendResult) {
-	body, err := readAnswer(res.answer)
+	body, err := s.g.readAnswer(s.j, res.answer)
 	if err != nil {
 		res.err = err
 		s.g.finish(res, routing.OutcomeFailure)
