--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -52,6 +52,7 @@
 	ids     atomic.Int64 // request and program ids given so far
 	prefix  string       // of each id
 	client  *http.Client
+	via     sync.Map // from request ids to the entries that they were sent to
 }
 
 func newCallers(entries []*entry, l *callerLedger, r *runs, prefix string) *callers {
@@ -74,6 +75,7 @@
 // send sends a request once, to one entry, and checks its seal. A complete 402, 429 or
 // 503 promises that the request did not run.
 func (c *callers) send(at *entry, method, path, id, body string, header map[string]string) answer {
+	c.via.Store(id, at)
 	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.callers+path, strings.NewReader(body))
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -80,6 +80,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.down = false
+	u.limiter.restarted()
 	before := "servers//" + u.id
 	u.born++
 	u.seq = 0
@@ -98,8 +99,11 @@
 	s.apply(platformapi.Txn{Writes: []platformapi.Write{{Key: key, Delete: true}}})
 }
 
-// crashingCaller sends the same crashing request again and again, through all entries in turn,
-// until done is closed.
+// burstEvery is the number of crashing requests of which one comes through all entries at once.
+const burstEvery = 4
+
+// crashingCaller sends the same crashing request again and again, through all entries in turn or at
+// once, until done is closed.
 func (c *callers) crashingCaller(done <-chan struct{}) {
 	for i := 0; ; i++ {
 		select {
@@ -107,8 +111,19 @@
 			return
 		case <-time.After(time.Duration(30+rand.IntN(120)) * time.Millisecond):
 		}
-		id := c.nextID()
-		c.send(c.entries[i%len(c.entries)], "POST", statelessRoute, id, crashingInput, nil)
+		if i%burstEvery != 0 {
+			c.send(c.entries[i%len(c.entries)], "POST", statelessRoute, c.nextID(), crashingInput, nil)
+			continue
+		}
+		var all sync.WaitGroup
+		for _, e := range c.entries {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				c.send(e, "POST", statelessRoute, c.nextID(), crashingInput, nil)
+			}()
+		}
+		all.Wait()
 	}
 }
 
--- a/internal/soak/entry_test.go
+++ b/internal/soak/entry_test.go
@@ -32,6 +32,27 @@
 	exitExpected   bool
 	incarnations   int   // starts so far
 	unexpectedExit error // the last exit that the test had not asked for
+	// disturbances are the times of its starts and signals.
+	disturbances []time.Time
+}
+
+// disturbed records that the process is started or signalled.
+func (e *entry) disturbed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.disturbances = append(e.disturbances, time.Now())
+}
+
+// disturbedAt reports whether the process was started or signalled less than limitNotice before.
+func (e *entry) disturbedAt(at time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range e.disturbances {
+		if !d.After(at) && at.Sub(d) < limitNotice {
+			return true
+		}
+	}
+	return false
 }
 
 // shutdownGrace is the shutdown_grace of each entry.
@@ -119,6 +140,7 @@
 // start starts the process unless it runs. Only the first start of an entry sets
 // first_start.
 func (e *entry) start(t *testing.T) {
+	e.disturbed()
 	t.Helper()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -158,6 +180,7 @@
 
 // signal sends a signal; exits reports whether the process is expected to exit by it.
 func (e *entry) signal(s syscall.Signal, exits bool) {
+	e.disturbed()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cmd == nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,7 +35,7 @@
 // It guards against a request that runs after it was reported as not run, a second run of
 // an unsafe request, a program that exceeds its token budget, a wrong or incomplete answer
 // that looks complete, a retained turn that is lost, a request that crashes upstreams without end,
-// and an entry that exits by itself.
+// an upstream that gets more than its limit, and an entry that exits by itself.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the soak test starts processes")
@@ -137,6 +137,7 @@
 		defer load.Done()
 		x.callers.crashingCaller(x.stopped)
 	}()
+	x.limitSome()
 	end := time.Now().Add(*length)
 	for time.Now().Before(end) {
 		x.injectFault()
@@ -280,6 +281,7 @@
 func (x *trial) check() {
 	x.checkRetained()
 	x.checkCrashes()
+	x.checkLimits()
 	x.callers.runs.mu.Lock()
 	defer x.callers.runs.mu.Unlock()
 	x.ledger.mu.Lock()
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -47,6 +47,7 @@
 	crashes *crashes
 	server  *httptest.Server
 	runs    *runs
+	limiter limiter
 	// extra sends a second answer after some of the answers; broken aborts some answers,
 	// those of tool calls before their first byte; refusing answers each request as not run.
 	extra, broken, refusing atomic.Bool
@@ -110,6 +111,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	u.limiter.name(w, id)
 	if u.refusing.Load() {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
