quarantine: a third trial for harmless requests

Callers saw: a harmless request whose upstreams ended five times for other reasons, twice of them in its trials, was refused for ten minutes.

Cause: two trials in all, and none after.

Change: three trials, the second and third a minute after the one before: the number of times that a request may reach upstreams after it was to be refused.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -69,7 +69,7 @@
 //
 // An upstream that ends breaks off all calls that run there, whatever the cause, so a harmless
 // request may meet MaxUpstreams crashes too. A refused request is therefore tried again, MaxTrials
-// times at most and ever more rarely. A request that completes is cleared.
+// times at most. A request that completes is cleared.
 //
 // Trials are numbered. All entries see a trial fall due at about the same time, so an entry may send
 // one only after it has claimed its number in the table, which accepts each number once.
@@ -79,7 +79,7 @@
 	// ReportTTL is how long a request's crashes count after its latest report.
 	ReportTTL time.Duration
 	// TrialDelay is the least time from the latest crash or trial to the first trial of a request.
-	// After each trial it is trialBackoff times as long.
+	// It is trialBackoff times as long before each further trial.
 	TrialDelay time.Duration
 	// MaxTrials is the maximum number of trials of a request, over all entries.
 	MaxTrials int
@@ -117,10 +117,10 @@
 	defaultReportTTL = 10 * time.Minute
 	// defaultTrialDelay is the time in which a crashed upstream usually starts again.
 	defaultTrialDelay = 5 * time.Second
-	// defaultMaxTrials leaves room for one send by an entry that learns of a refusal late: a
-	// request may reach upstreams three times more after it was to be refused.
-	defaultMaxTrials = 2
-	// trialBackoff puts the second trial a minute after the first.
+	// defaultMaxTrials is the number of times that a request may reach upstreams after it was to be
+	// refused.
+	defaultMaxTrials = 3
+	// trialBackoff puts a minute between two trials.
 	trialBackoff = 12
 	// claimRetryDelay is the time from a claim that failed to the next one of the same entry.
 	claimRetryDelay = time.Second
@@ -287,7 +287,7 @@
 		return false
 	}
 	delay := c.TrialDelay
-	for range r.trials {
+	if r.trials > 0 {
 		delay *= trialBackoff
 	}
 	return now.Sub(r.lastCrash) >= delay && now.Sub(r.lastTrial) >= delay
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -299,6 +299,8 @@
 	want(trialBackoff*c.TrialDelay-1, Refused)
 	want(1, TrialDue)
 	c.BeginTrial(now, 1, 2)
+	want(trialBackoff*c.TrialDelay, TrialDue)
+	c.BeginTrial(now, 1, 3)
 	want(c.ReportTTL/2, Refused)
 }
 
