gateway: a grantor keeps to limits of upstreams that it does not list yet

Cause, from the log of a second play: an entry that had started in the outage registered when it ended, 1.6 s before it had read the list of upstreams. It ranked first for some limited upstreams, so the others asked it; it ignored the limit in their questions, as it did not know the upstream, and granted every send: 19 in 1.5 s at a limit of 1.

Change: the limit in a question counts whether or not the upstream is listed. A schedule lasts as long as the limit is known, not as the upstream is listed, and a new one begins no earlier than the time between two sends, so that changes of the grantor add up to no more.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"strconv"
 	"sync"
@@ -110,17 +111,13 @@
 	l.known.Retain(func(incarnation uint64, s limits.Statement) bool {
 		return listed(incarnation) || now.Sub(s.At) < unlistedLimitRetention
 	})
-	l.grants.Retain(listed)
-	for incarnation := range l.shares {
-		if !listed(incarnation) {
-			delete(l.shares, incarnation)
-		}
-	}
-	for incarnation := range l.repeats {
-		if !listed(incarnation) {
-			delete(l.repeats, incarnation)
-		}
+	known := func(incarnation uint64) bool {
+		_, known := l.known.Statement(incarnation)
+		return known
 	}
+	l.grants.Retain(known)
+	maps.DeleteFunc(l.shares, func(incarnation uint64, _ float64) bool { return !known(incarnation) })
+	maps.DeleteFunc(l.repeats, func(incarnation uint64, _ int) bool { return !known(incarnation) })
 	l.g.mu.Lock()
 	defer l.g.mu.Unlock()
 	l.known.Each(func(incarnation uint64, s limits.Statement) {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -251,6 +251,9 @@
 		return v
 	}
 	l.receiveStatement(from, incarnation, s)
+	l.mu.Lock()
+	l.known.Observe(incarnation, s) // also if the upstream is not listed here yet
+	l.mu.Unlock()
 	grant, here := l.grant(time.Now(), incarnation, maxWait)
 	switch {
 	case !here:
--- a/limits/grants.go
+++ b/limits/grants.go
@@ -48,8 +48,9 @@
 // NewGrants returns a Grants without schedules.
 func NewGrants() *Grants { return &Grants{schedules: map[uint64]*schedule{}} }
 
-// Reserve grants a send within maxWait, if one is free by then, at a share of the limit. The first one for an upstream is free
-// after Horizon: another entry may have granted the time before that.
+// Reserve grants a send within maxWait, if one is free by then, at a share of the limit. The first one
+// for an upstream is not free before Horizon, nor before the time between two sends: another entry may
+// have granted a send within that.
 func (g *Grants) Reserve(now time.Time, upstream uint64, perSecond, share float64, maxWait time.Duration) Grant {
 	interval := time.Duration(float64(time.Second) / (share * max(perSecond, minPerSecond)))
 	s := g.schedules[upstream]
@@ -57,7 +58,7 @@
 		if len(g.schedules) >= maxSchedules {
 			return Grant{Retry: maxRetry}
 		}
-		s = &schedule{next: now.Add(Horizon)}
+		s = &schedule{next: now.Add(max(Horizon, interval)), interval: interval}
 		g.schedules[upstream] = s
 	}
 	if s.interval != interval { // the queue was made for another limit
