routing: a call that a limited upstream does not accept caches nothing there

Each question for a permit counted the call's prompt as cached at the upstream, sent or not, so the ones that accept least drew later calls with the same prompt. It now counts from the permit on.

TestUnsentPromptIsNotCached.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -145,7 +145,13 @@
 	if ctx.Err() != nil {
 		return false, errCallerGone
 	}
-	return g.usable(u) && j.left() > 0, nil
+	if !g.usable(u) || j.left() <= 0 {
+		return false, nil
+	}
+	g.mu.Lock()
+	g.balancer.Permitted(u.ID, &j.info)
+	g.mu.Unlock()
+	return true, nil
 }
 
 // ask asks the entry that grants the sends to an upstream for one within maxWait. It also returns the
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -290,19 +290,27 @@
 	}
 }
 
-// Started records that a call is sent to an upstream and counts its prompt as cached there.
-// Ended must be called when the call ends.
+// Started records that a call is to be sent to an upstream and counts its prompt as cached there; that
+// of a call to a limited upstream counts only from Permitted on. Ended must be called when the call
+// ends.
 func (b *Balancer) Started(u Upstream, call *CallInfo) {
 	s := b.statsOf(u.ID, u.CacheTokens)
 	s.own++
 	if call.Predicted > 0 {
 		b.LatencyModel(u.Service).observeFinish(ms(call.Predicted))
 	}
-	if len(call.Prompt) > 0 {
+	if len(call.Prompt) > 0 && !s.limited {
 		s.cache.add(call.Prompt)
 	}
 }
 
+// Permitted records that a call which was started is sent to a limited upstream.
+func (b *Balancer) Permitted(id string, call *CallInfo) {
+	if len(call.Prompt) > 0 {
+		b.statsOf(id, 0).cache.add(call.Prompt)
+	}
+}
+
 // Outcome classifies a finished call by what it shows about its upstream.
 type Outcome uint8
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -375,6 +375,26 @@
 	}
 }
 
+// TestUnsentPromptIsNotCached checks that the prompt of a call which a limited upstream did not accept
+// draws no later calls there.
+func TestUnsentPromptIsNotCached(t *testing.T) {
+	b := NewBalancer(BalancerConfig{Seed: 1})
+	now := time.Unix(100, 0)
+	upstreams := []Upstream{{ID: "limited", Service: "llm", Slots: 10, CacheTokens: 1 << 20}}
+	info := &CallInfo{Tokens: 100, Generate: 100, Prompt: []PromptPart{{ID: 1, Tokens: 100}}}
+	b.SetLimit("limited", 4)
+	b.Started(upstreams[0], info)
+	b.Ended(now, "limited", OutcomeInconclusive)
+	if pick, _ := b.Choose(now, upstreams, info, nil); pick.Cached != 0 {
+		t.Errorf("%d tokens count as cached after a call that was not sent, want none", pick.Cached)
+	}
+	b.Started(upstreams[0], info)
+	b.Permitted("limited", info)
+	if pick, _ := b.Choose(now, upstreams, info, nil); pick.Cached != 100 {
+		t.Errorf("%d tokens count as cached after a call that was sent, want 100", pick.Cached)
+	}
+}
+
 // TestLoadWhileAllUpstreamsAreHeld checks that the load refuses new programs when no upstream accepts a
 // call soon, although few calls are in flight.
 func TestLoadWhileAllUpstreamsAreHeld(t *testing.T) {
