cmd/buckthorn-entry: keep SIGHUP in hand during a shutdown

Cause: the settings' watcher stops handling SIGHUP when the shutdown begins, which restores the default action: the next SIGHUP ends the process.

Change: the signal stays handled until the process ends.

--- a/cmd/buckthorn-entry/gateway.go
+++ b/cmd/buckthorn-entry/gateway.go
@@ -78,13 +78,14 @@
 // process ignore SIGPIPE.
 func watchSettings(ctx context.Context, path string, events *eventlog.Logger) <-chan *settings.Gateway {
 	signals := make(chan os.Signal, 1)
+	// It stays notified after ctx has ended: by default SIGHUP would end the process in the middle of
+	// its graceful shutdown.
 	signal.Notify(signals, syscall.SIGHUP)
 	// A closed standard output must not end the process: Go exits on SIGPIPE only for writes
 	// to file descriptors 1 and 2. Writes to other closed connections return an error.
 	signal.Ignore(syscall.SIGPIPE)
 	out := make(chan *settings.Gateway)
 	go func() {
-		defer signal.Stop(signals)
 		tick := time.NewTicker(settingsPollInterval)
 		defer tick.Stop()
 		modified := modTime(path)
