routing: learn what a prompt costs an engine, and what of it is cached

Cause: the prefill rate was a constant, 350 tokens a ms, that of the first sites' engines. Those of the net loft sites read 38. Prompts then count a ninth of what they take: calls leave the engines that have their conversation cached for ones with a smaller batch, engines compute prompts instead of generating, and the batches grow until programs are late for 25 s after a burst. Found beside it: the last part of a conversation's prompt keeps its ID while it grows, and counted as cached with its new length. Change: a regression over the times to first events fits the rate, robust against outliers, leaning towards the default while there are few calls. Of a grown part only the earlier length counts as cached; at the conversation's last upstream all but the mean growth of a turn. The request line has first_ms and predicted_first_ms. The replay knows engines and turns of other kinds, and programs that start after a burst.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -118,8 +118,10 @@
 	// to the owner of the program's budget. That entry is asked for the chain first.
 	// previousStoredBy is empty when it is unknown or when this entry has the turn in memory.
 	previousStoredBy string
-	// events counts the events sent to the caller.
-	events int
+	// events counts the events sent to the caller. firstEvent is the time from the send to its first
+	// event.
+	events     int
+	firstEvent time.Duration
 	// storeTime is how long the turn took to store.
 	storeTime time.Duration
 	// load is the load of the service's upstreams when it was decided whether the program may
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -19,7 +19,7 @@
 	if j.pick.ID != "" {
 		ln.Str("upstream", j.pick.ID).Int("sends", int64(j.sends)).Int("in_flight", int64(j.pick.InFlight)).
 			Int("own", int64(j.pick.Own)).Ms("peers_age_ms", j.pick.OldestDigestAge).Int("cached", int64(j.pick.Cached)).
-			Int("prompt", int64(j.info.Tokens)).Ms("predicted_ms", j.pick.Finish)
+			Int("prompt", int64(j.info.Tokens)).Ms("predicted_ms", j.pick.Finish).Ms("predicted_first_ms", j.pick.FirstEvent)
 	}
 	if j.permitsDenied > 0 || j.permitFrom != "" {
 		ln.Int("permits_denied", int64(j.permitsDenied)).Ms("permit_wait_ms", j.permitWait).Str("permit_from", j.permitFrom).Str("limit_per_second", formatRate(j.limit))
@@ -37,7 +37,7 @@
 		ln.Int("not_sent", int64(j.notSent))
 	}
 	if j.events > 0 {
-		ln.Int("events", int64(j.events))
+		ln.Int("events", int64(j.events)).Ms("first_ms", j.firstEvent)
 	}
 	ln.Str("chain_kept_by", j.previousStoredBy)
 	if j.turnReads > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -262,7 +262,7 @@
 		}
 		return false, nil
 	}
-	meter := decodeMeter{g: s.g, j: s.j, upstream: res.upstream}
+	meter := decodeMeter{g: s.g, j: s.j, upstream: res.upstream, sentAt: res.sentAt}
 	defer meter.report()
 	events := newEventReader(a)
 	gap := s.j.gapLimit()
@@ -401,6 +401,8 @@
 	g        *Gateway
 	j        *job
 	upstream string
+	// sentAt is when the call was sent.
+	sentAt time.Time
 	// first and last are when the first and the latest event were sent to the caller; events
 	// counts them.
 	first  time.Time
@@ -413,6 +415,7 @@
 	m.last = time.Now()
 	if m.events == 0 {
 		m.first = m.last
+		m.j.firstEvent = m.first.Sub(m.sentAt)
 	}
 	m.events++
 }
@@ -420,8 +423,14 @@
 // minMeasuredEvents is the least number of events from which a speed is measured.
 const minMeasuredEvents = 3
 
-// report passes the measured speed on to the balancer.
+// report passes the measured speeds on to the balancer.
 func (m *decodeMeter) report() {
+	if m.events == 0 {
+		return
+	}
+	m.g.mu.Lock()
+	m.g.balancer.ObserveFirstEvent(m.j.service, &m.j.info, &m.j.pick, m.j.firstEvent)
+	m.g.mu.Unlock()
 	if m.events < minMeasuredEvents {
 		return
 	}
--- a/internal/loadreplay/replay.go
+++ b/internal/loadreplay/replay.go
@@ -6,6 +6,7 @@
 package loadreplay
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -23,6 +24,13 @@
 	Slots int
 	// CacheTokens is the size of an engine's prompt cache in tokens.
 	CacheTokens int64
+	// TokensPerMs is the prefill speed of an engine, SetupMs the additional time that each call
+	// takes, and TokenMs the decode step of a call without others in the batch. Zero stands for
+	// the values of tcod-portal-grown.
+	TokensPerMs, SetupMs, TokenMs float64
+	// TurnTokens is the mean length of an answer, InputTokens that of a turn's own input; zero
+	// stands for the values of tcod-portal-grown.
+	TurnTokens, InputTokens int
 	// SharedParts is the number of shared first parts of prompts, SharedPartTokens the length
 	// of each.
 	SharedParts      int
@@ -55,12 +63,24 @@
 	NoPreferredUpstreams, NoConversationAffinity, NoAdmission, NoFailures bool
 }
 
+func (c Config) withDefaults() Config {
+	c.TokensPerMs = cmp.Or(c.TokensPerMs, defaultTokensPerMs)
+	c.SetupMs = cmp.Or(c.SetupMs, defaultSetupMs)
+	c.TokenMs = cmp.Or(c.TokenMs, defaultTokenMs)
+	c.TurnTokens = cmp.Or(c.TurnTokens, defaultTurnTokens)
+	c.InputTokens = cmp.Or(c.InputTokens, defaultInputTokens)
+	return c
+}
+
 // Report holds the results of a run.
 type Report struct {
 	Programs, InTime, Late, Refused, Failed int
 	// Urgent is the number of programs of the more urgent kind; UrgentInTime and UrgentLate
 	// count those of them that ended in time and late.
 	Urgent, UrgentInTime, UrgentLate int
+	// AfterBurst counts the programs that start later than recoveryTime after the burst, and
+	// AfterBurstInTime those of them that ended in time.
+	AfterBurst, AfterBurstInTime int
 	// TokensComputed is the number of prompt tokens that engines computed. SharedRecomputed is
 	// the number of them that belong to shared first parts which some engine had computed before.
 	TokensComputed, SharedRecomputed int64
@@ -82,17 +102,14 @@
 const (
 	// tick is the step of virtual time.
 	tick = 4 * time.Millisecond
-	// tokensPerMs is the prefill speed of an engine and setupMs the additional time that each
-	// call takes. tokenMs is the decode step of a call without others in the batch, and
-	// slotSlope the share by which each further call lengthens it. All are those of the engines
-	// of tcod-portal-grown.
-	tokensPerMs = 336
-	setupMs     = 8.7
-	tokenMs     = 1.14
-	slotSlope   = 0.0135
-	// turnTokens is the mean length of an answer, inputTokens that of a turn's own input.
-	turnTokens  = 260
-	inputTokens = 1200
+	// The defaults of Config. They, and slotSlope, the share by which each further call lengthens
+	// a decode step, are those of the engines and turns of tcod-portal-grown.
+	defaultTokensPerMs = 336
+	defaultSetupMs     = 8.7
+	defaultTokenMs     = 1.14
+	slotSlope          = 0.0135
+	defaultTurnTokens  = 260
+	defaultInputTokens = 1200
 	// meanTurns is the mean number of turns of a program, thinkTime the time between two turns.
 	meanTurns = 5
 	thinkTime = 60 * time.Millisecond
@@ -102,6 +119,10 @@
 	roamShare = 0.1
 	// tokenBytes is the number of bytes of a prompt's or an answer's token on the network.
 	tokenBytes = 1
+	// networkMs is the time of a turn on the network.
+	networkMs = 12
+	// recoveryTime is the time after a burst within which new programs must be in time again.
+	recoveryTime = 5 * time.Second
 	// maxOpenRetries is the number of times that a refused program retries before it gives up.
 	maxOpenRetries = 4
 )
@@ -137,6 +158,13 @@
 	decode  float64
 	// fails is set for a call that fails at the end of its prefill.
 	fails bool
+	// info and pick are those of the decision; sentAt and firstAt are when the call was sent and
+	// when its prefill ended.
+	info            routing.CallInfo
+	pick            routing.Pick
+	sentAt, firstAt time.Duration
+	// tokens is the length of the answer.
+	tokens int
 }
 
 // engine is a simulated engine. failing is set when it fails part of its calls.
@@ -190,6 +218,7 @@
 // newWorld returns the state at the start of a run. The IDs of parts that belong to one
 // program start above those of the shared parts.
 func newWorld(cfg Config) *world {
+	cfg = cfg.withDefaults()
 	w := &world{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 11)), start: time.Unix(1000, 0),
 		seen: map[uint64]bool{}, admit: admission.DefaultNewProgramPolicy(), nextPart: 1 << 32,
@@ -206,6 +235,12 @@
 	return w
 }
 
+// idlePrefill returns the time that an idle engine takes before the first token of a turn of which only
+// its own input is not cached.
+func (w *world) idlePrefill() time.Duration {
+	return time.Duration((w.cfg.SetupMs + float64(w.cfg.InputTokens)/w.cfg.TokensPerMs + networkMs) * float64(time.Millisecond))
+}
+
 // domainOf returns the failure domain of the ith entry or engine; empty without domains.
 func (w *world) domainOf(i int) string {
 	if w.cfg.Domains < 2 {
@@ -234,9 +269,8 @@
 		part := uint64(float64(w.cfg.SharedParts) * math.Pow(w.rng.Float64(), 1.8))
 		p := &program{
 			startedAt: w.now, nextAt: w.now, turnsLeft: turns, domain: w.report.Programs % max(1, w.cfg.Domains),
-			prompt: []routing.PromptPart{{ID: part, Tokens: w.cfg.SharedPartTokens}},
-			// Each turn counts 24 ms for its prefill.
-			idleDuration: time.Duration(turns) * (thinkTime + time.Duration(turnTokens*tokenMs*float64(time.Millisecond)) + 24*time.Millisecond),
+			prompt:       []routing.PromptPart{{ID: part, Tokens: w.cfg.SharedPartTokens}},
+			idleDuration: time.Duration(turns) * (thinkTime + time.Duration(float64(w.cfg.TurnTokens)*w.cfg.TokenMs*float64(time.Millisecond)) + w.idlePrefill()),
 		}
 		if w.cfg.Urgent > 0 && w.rng.Float64() < w.cfg.Urgent {
 			p.urgent = true
@@ -244,6 +278,9 @@
 		}
 		w.live = append(w.live, p)
 		w.report.Programs++
+		if w.afterBurst(p) {
+			w.report.AfterBurst++
+		}
 	}
 }
 
@@ -294,13 +331,13 @@
 		}
 	}
 	w.nextPart++
-	own := routing.PromptPart{ID: w.nextPart, Tokens: inputTokens/2 + w.rng.IntN(inputTokens)}
+	own := routing.PromptPart{ID: w.nextPart, Tokens: w.cfg.InputTokens/2 + w.rng.IntN(w.cfg.InputTokens)}
 	prompt := append(append([]routing.PromptPart(nil), p.prompt...), own)
-	info := routing.CallInfo{Prompt: prompt, Generate: turnTokens, Domain: w.domainOf(entry)}
+	info := routing.CallInfo{Prompt: prompt, Generate: w.cfg.TurnTokens, Domain: w.domainOf(entry)}
 	for _, part := range prompt {
 		info.Tokens += part.Tokens
 	}
-	info.Bytes = tokenBytes * (info.Tokens + turnTokens)
+	info.Bytes = tokenBytes * (info.Tokens + w.cfg.TurnTokens)
 	if w.cfg.NoDomains {
 		info.Domain = ""
 	}
@@ -316,7 +353,8 @@
 			if w.upstreams[i].Domain != w.domainOf(entry) {
 				w.report.CrossBytes += int64(info.Bytes)
 			}
-			w.startCall(p, &call{p: p, entry: entry, upstream: i, decode: turnTokens * (0.4 + 1.2*w.rng.Float64())}, prompt)
+			decode := float64(w.cfg.TurnTokens) * (0.4 + 1.2*w.rng.Float64())
+			w.startCall(p, &call{p: p, entry: entry, upstream: i, decode: decode, tokens: int(decode), info: info, pick: pick, sentAt: w.now}, prompt)
 			break
 		}
 	}
@@ -342,7 +380,7 @@
 	}
 	w.report.TokensComputed += int64(total - cached)
 	e.cache.Add(prompt)
-	c.prefill = setupMs + float64(total-cached)/tokensPerMs
+	c.prefill = w.cfg.SetupMs + float64(total-cached)/w.cfg.TokensPerMs
 	c.fails = e.failing && w.rng.Float64() < w.cfg.FailureShare
 	w.report.Calls++
 	if e.failing {
@@ -365,9 +403,12 @@
 			left -= use
 			if c.prefill <= 0 {
 				decoding++
+				if c.firstAt == 0 {
+					c.firstAt = w.now + tick
+				}
 			}
 		}
-		step := tokenMs * (1 + slotSlope*float64(max(0, decoding-1)))
+		step := w.cfg.TokenMs * (1 + slotSlope*float64(max(0, decoding-1)))
 		for _, c := range batch {
 			if c.prefill <= 0 {
 				c.decode -= left / step
@@ -392,12 +433,22 @@
 		if w.cfg.NoFailures {
 			outcome = routing.OutcomeInconclusive
 		}
+		w.observe(c)
 		w.balancers[c.entry].Ended(w.clock(), w.upstreams[c.upstream].ID, outcome)
 		w.endTurn(c)
 	}
 	e.calls = remaining
 }
 
+// observe passes the times of a call on to the balancer of its entry.
+func (w *world) observe(c *call) {
+	b, id := w.balancers[c.entry], w.upstreams[c.upstream].ID
+	b.ObserveFirstEvent("s", &c.info, &c.pick, c.firstAt-c.sentAt)
+	if !c.fails {
+		b.ObserveDecode("s", id, c.tokens, w.now+tick-c.firstAt, c.pick.InFlight+1)
+	}
+}
+
 // endTurn schedules the next turn of the call's program, or ends the program after its last
 // turn or its third failed attempt.
 func (w *world) endTurn(c *call) {
@@ -418,12 +469,15 @@
 	}
 	w.drop(p)
 	limit := time.Duration(w.cfg.TimeLimitFactor*float64(p.idleDuration)) + 200*time.Millisecond
-	w.count(p.urgent, w.now-p.startedAt <= limit)
+	w.count(p, w.now-p.startedAt <= limit)
 }
 
 // count adds a program that completed all of its turns to the report.
-func (w *world) count(urgent, inTime bool) {
+func (w *world) count(p *program, inTime bool) {
 	r := &w.report
+	if inTime && w.afterBurst(p) {
+		r.AfterBurstInTime++
+	}
 	switch {
 	case inTime:
 		r.InTime++
@@ -431,13 +485,18 @@
 		r.Late++
 	}
 	switch {
-	case urgent && inTime:
+	case p.urgent && inTime:
 		r.UrgentInTime++
-	case urgent:
+	case p.urgent:
 		r.UrgentLate++
 	}
 }
 
+// afterBurst reports whether the program starts later than recoveryTime after the burst.
+func (w *world) afterBurst(p *program) bool {
+	return w.cfg.BurstX > 0 && p.startedAt > w.cfg.BurstTo+recoveryTime
+}
+
 // drop removes a program that has ended from the live programs.
 func (w *world) drop(p *program) {
 	for i, other := range w.live {
--- a/internal/loadreplay/replay_test.go
+++ b/internal/loadreplay/replay_test.go
@@ -76,6 +76,36 @@
 	}
 }
 
+// loftLoad returns the load of chbak-loft: engines that take ten times as long for a prompt as those
+// of scaledLoad, so that a call which is sent to an engine without its prompt stalls a batch of two
+// dozen.
+func loftLoad(seed uint64) Config {
+	return Config{
+		Seed: seed, Entries: 8, Engines: 18, Slots: 24, CacheTokens: 181_795, SharedParts: 16, SharedPartTokens: 2_560,
+		TokensPerMs: 38.1, SetupMs: 2.7, TokenMs: 4.43, TurnTokens: 34, InputTokens: 1_000,
+		ProgramsPerSecond: 32, Length: 22 * time.Second, TimeLimitFactor: 2.5,
+	}
+}
+
+// TestBurstOnEnginesWithSlowPrefill guards against entries that take prompts for cheap: calls then leave
+// the engines that have cached their conversation, all engines compute prompts most of the time, and
+// programs stay late long after a burst of three times the usual. At least 85% of the worth must be
+// earned, and programs that start 5 s after the burst must be in time.
+func TestBurstOnEnginesWithSlowPrefill(t *testing.T) {
+	for _, seed := range seeds {
+		cfg := loftLoad(seed)
+		cfg.BurstX, cfg.BurstFrom, cfg.BurstTo, cfg.Urgent = 3, 4*time.Second, 8*time.Second, 0.27
+		r := Run(cfg)
+		t.Logf("seed %d: worth %.3f, %+v", seed, r.Worth(0.1, urgentWorth), r)
+		if worth := r.Worth(0.1, urgentWorth); worth < 0.85 {
+			t.Errorf("seed %d: worth %.3f, want at least 0.85", seed, worth)
+		}
+		if late := r.AfterBurst - r.AfterBurstInTime; late > r.AfterBurst/20 {
+			t.Errorf("seed %d: %d of %d programs that start 5 s after the burst are not in time", seed, late, r.AfterBurst)
+		}
+	}
+}
+
 // TestEnginesThatFailPartOfTheirCalls guards against further calls to engines that fail many:
 // 3 of 10 engines fail half of their calls and must be avoided.
 func TestEnginesThatFailPartOfTheirCalls(t *testing.T) {
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -299,6 +299,9 @@
 	if call.Predicted > 0 {
 		b.LatencyModel(u.Service).observeFinish(ms(call.Predicted))
 	}
+	if grown, ok := s.cache.growth(call.Prompt); ok {
+		b.LatencyModel(u.Service).observeGrowth(grown)
+	}
 	if len(call.Prompt) > 0 && !s.limited {
 		s.cache.add(call.Prompt)
 	}
@@ -409,6 +412,20 @@
 	s.slowness = clamp(s.slowness+slownessWeight*(ratio-s.slowness), minSlowness, maxSlowness)
 }
 
+// ObserveFirstEvent records the time to the first event of a call that was sent with the estimates of
+// pick. Calls of whose prompt nothing is known to be cached are left out, since another entry may
+// have had it cached there, and so are those to slow upstreams.
+func (b *Balancer) ObserveFirstEvent(service string, call *CallInfo, pick *Pick, took time.Duration) {
+	if pick.Cached <= 0 || pick.Cached >= call.Tokens || b.statsOf(pick.ID, 0).slowness > maxMeasuredSlowness {
+		return
+	}
+	b.LatencyModel(service).observePrefill(call.Tokens-pick.Cached, ms(took))
+}
+
+// maxMeasuredSlowness is the slowness above which an upstream's calls don't count for the prefill
+// rate of its service.
+const maxMeasuredSlowness = 1.5
+
 // ObserveCall records the duration of a plain call at an upstream.
 func (b *Balancer) ObserveCall(service, id string, elapsed time.Duration) {
 	m := b.LatencyModel(service)
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -103,7 +103,7 @@
 	slots := max(1, u.Slots)
 	var e estimate
 	if call.Generate > 0 {
-		e.cached = call.cachedAt(u.ID, stats)
+		e.cached = call.cachedAt(u.ID, stats, model.growth)
 		prefill := model.prefill(max(0, call.Tokens-e.cached)) * stats.slowness
 		step := model.step(min(n+1, slots)) * stats.slowness
 		decode := float64(call.Generate) * step
@@ -139,14 +139,16 @@
 
 // cachedAt returns the estimated number of prompt tokens that are cached at an upstream. At
 // LastUpstream all parts but the last count as cached: they were in the prompt of the
-// conversation's last turn there, or in that of the conversation from which it started.
-func (c *CallInfo) cachedAt(id string, stats *upstreamStats) int {
+// conversation's last turn there, or in that of the conversation from which it started. Of the
+// last part, all counts but the mean growth of a turn.
+func (c *CallInfo) cachedAt(id string, stats *upstreamStats, growth float64) int {
 	cached := stats.cache.cached(c.Prompt)
 	if id != c.LastUpstream || len(c.Prompt) == 0 {
 		return cached
 	}
-	before := 0
-	for _, p := range c.Prompt[:len(c.Prompt)-1] {
+	last := len(c.Prompt) - 1
+	before := max(0, c.Prompt[last].Tokens-int(growth))
+	for _, p := range c.Prompt[:last] {
 		before += p.Tokens
 	}
 	return max(cached, before)
--- a/routing/latency.go
+++ b/routing/latency.go
@@ -4,7 +4,7 @@
 
 // LatencyModel predicts the latencies of the upstreams of one service, in milliseconds.
 // It starts from defaults. The times of a decode step and a plain call are moving averages
-// of observed calls; the prefill rate is fixed.
+// of observed calls; the prefill rate is fitted to them.
 type LatencyModel struct {
 	// token is the time of one decode step of a call that runs alone.
 	token float64
@@ -12,17 +12,22 @@
 	call float64
 	// finish is the time of a call from its start to its end, as predicted when it was sent.
 	finish float64
-	// tokensPerMs is the prefill rate.
-	tokensPerMs float64
+	// prefillMs is the time of one prompt token that is not cached, as fitted by prefillFit.
+	prefillMs  float64
+	prefillFit prefillFit
+	// growth is the mean number of tokens by which the prompt of a conversation grows in a turn.
+	growth float64
 }
 
 const (
 	// defaultTokenMs, defaultCallMs and defaultTokensPerMs are in the middle of the ranges of
-	// the engines of both deployments that the gateway serves. The first two are initial values,
-	// which follow the observations within some tens of calls.
+	// the engines of the deployments that the gateway serves. They are initial values, which
+	// follow the observations within some tens of calls.
 	defaultTokenMs     = 1.2
 	defaultCallMs      = 60
 	defaultTokensPerMs = 350
+	// defaultGrowth is the initial mean growth of a conversation's prompt in a turn, in tokens.
+	defaultGrowth = 1000
 	// defaultFinishMs is the initial time of a whole call; it follows the predictions.
 	defaultFinishMs = 300
 	// stepGrowth is the relative increase of a decode step for each further call in the
@@ -33,7 +38,7 @@
 )
 
 func newLatencyModel() *LatencyModel {
-	return &LatencyModel{token: defaultTokenMs, call: defaultCallMs, finish: defaultFinishMs, tokensPerMs: defaultTokensPerMs}
+	return &LatencyModel{token: defaultTokenMs, call: defaultCallMs, finish: defaultFinishMs, prefillMs: 1. / defaultTokensPerMs, growth: defaultGrowth}
 }
 
 // batchFactor returns the ratio of a step's time in a batch of n calls to that of a call
@@ -44,7 +49,7 @@
 func (m *LatencyModel) step(n int) float64 { return m.token * m.batchFactor(n) }
 
 // prefill returns the time to prefill tokens.
-func (m *LatencyModel) prefill(tokens int) float64 { return float64(tokens) / m.tokensPerMs }
+func (m *LatencyModel) prefill(tokens int) float64 { return float64(tokens) * m.prefillMs }
 
 // wait returns the predicted wait for a slot at an upstream with n calls in flight, each
 // of which takes decode.
@@ -69,6 +74,19 @@
 	m.token += observationWeight * (v - m.token)
 }
 
+// observePrefill updates the prefill rate with the time to the first event of a call with a number
+// of uncached prompt tokens.
+func (m *LatencyModel) observePrefill(uncached int, took float64) {
+	const prior = 1. / defaultTokensPerMs
+	m.prefillFit.observe(float64(uncached), took, prior)
+	m.prefillMs = m.prefillFit.msPerToken(prior)
+}
+
+// observeGrowth updates the mean growth of a conversation's prompt in a turn.
+func (m *LatencyModel) observeGrowth(tokens int) {
+	m.growth += observationWeight * (float64(tokens) - m.growth)
+}
+
 // observeCall updates the time of a plain call. An observation counts as at most 4 times the
 // present value.
 func (m *LatencyModel) observeCall(took float64) {
--- a/routing/prefixset.go
+++ b/routing/prefixset.go
@@ -17,18 +17,39 @@
 }
 
 // cached returns the number of tokens in the leading parts of the prompt that are cached.
-// A part counts only if all parts before it are cached.
+// A part counts only if all parts before it are cached. The last part of a conversation's prompt
+// keeps its ID while it grows, so that of a part which has grown only the earlier length counts.
 func (s *prefixSet) cached(prompt []PromptPart) int {
 	tokens := 0
 	for _, p := range prompt {
-		if _, ok := s.byID[p.ID]; !ok {
+		e, ok := s.byID[p.ID]
+		if !ok {
+			break
+		}
+		known := e.Value.(PromptPart).Tokens
+		tokens += min(known, p.Tokens)
+		if known < p.Tokens {
 			break
 		}
-		tokens += p.Tokens
 	}
 	return tokens
 }
 
+// growth returns by how many tokens the last part of the prompt has grown since it was added. It
+// returns false if the part is unknown or has not grown.
+func (s *prefixSet) growth(prompt []PromptPart) (int, bool) {
+	if len(prompt) == 0 {
+		return 0, false
+	}
+	last := prompt[len(prompt)-1]
+	e, ok := s.byID[last.ID]
+	if !ok {
+		return 0, false
+	}
+	grown := last.Tokens - e.Value.(PromptPart).Tokens
+	return grown, grown > 0
+}
+
 // add marks the parts of a prompt as used most recently. It adds them in reverse order, so
 // that a part is evicted only after the parts that follow it, as in an engine.
 func (s *prefixSet) add(prompt []PromptPart) {
