ledger: in a minority, grant the tokens of one turn ahead of the row

All three entries that rank first for the program were behind the cut, heard of each other, and so granted 1,026 tokens ahead of the row; entries on the other side could not reach them and drew all of the row. Change: while half or fewer of the entries heard of within the last minute are responsive, no more than the most of one turn is granted ahead, which is the allowance of the rule. The larger side grants as before. Result: TestCutOffOwnerGrantsOneTurn fails without the change and passes with it.

--- a/internal/gateway/budgetprovisional.go
+++ b/internal/gateway/budgetprovisional.go
@@ -88,7 +88,7 @@
 	// needed returns the number of tokens to grant provisionally, or false when none may be.
 	needed := func() (int, bool) {
 		return pb.account.ProvisionalGrant(call.MaxTokens, ledger.GrantConditions{
-			ExclusiveOwner: view == viewExclusive, OpenTurns: len(pb.open), Runaway: pb.runaway.Runaway(),
+			ExclusiveOwner: view == viewExclusive, Minority: b.owners.inMinority(), OpenTurns: len(pb.open), Runaway: pb.runaway.Runaway(),
 			CannotComplete: call.Durable && b.tableUnreachable(),
 		})
 	}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -60,6 +60,8 @@
 	// collectGrants returns the grants of the program that this entry and its peers know, and
 	// how complete they are.
 	collectGrants(ctx context.Context, program string) (granted ledger.Grants, view grantView)
+	// inMinority reports whether most entries may be behind a partition.
+	inMinority() bool
 	// announce sends a notice to the entries that rank first for its program. It reports
 	// whether at least one of them has received the notice.
 	announce(ctx context.Context, n grantNotice) bool
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/standin"
 	"github.com/buckthornroute/buckthornroute/ledger"
+	"github.com/buckthornroute/buckthornroute/routing"
 	"github.com/buckthornroute/buckthornroute/structs"
 )
 
@@ -231,6 +234,58 @@
 	}
 }
 
+// TestCutOffOwnerGrantsOneTurn: three entries lose the table and the sight of three others, which may still
+// reach it and draw the whole budget. The three that rank first for the program hear of each other,
+// and must grant no more than the tokens of one turn before the row records them.
+func TestCutOffOwnerGrantsOneTurn(t *testing.T) {
+	p, e, _, l := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
+	entries := []*testEntry{e, startEntry(t, "entry-2", p.standin.Table), startEntry(t, "entry-3", p.standin.Table)}
+	eventually(t, "the entries know each other", func() bool {
+		for _, e := range entries {
+			if e.mesh.size() != len(entries) || !e.mesh.canOwnBudgets() {
+				return false
+			}
+		}
+		return true
+	})
+	// A program for which the entries that are not heard of rank last.
+	program, missing := "", []string{"entry-7", "entry-8", "entry-9"}
+	for i := 0; program == ""; i++ {
+		name, last := "p"+strconv.Itoa(i), true
+		for _, e := range entries {
+			for _, m := range missing {
+				last = last && routing.Rendezvous(name, m) < routing.Rendezvous(name, string(e.cfg.Node))
+			}
+		}
+		if last {
+			program = name
+		}
+	}
+	for _, e := range entries {
+		e.mesh.mu.Lock()
+		for _, m := range missing {
+			e.mesh.peers[m] = &peer{
+				Node: m, Incarnation: "x", UDPAddress: "127.0.0.1:9", udpAddr: netip.MustParseAddrPort("127.0.0.1:9"),
+				synchronised: true, canOwnBudgets: true, lastDigest: time.Now().Add(-5 * time.Second), listedAt: time.Now().Add(-time.Hour),
+			}
+		}
+		e.mesh.mu.Unlock()
+	}
+	p.injectFault(standin.Fault{Kind: standin.FaultDown})
+	for _, e := range entries {
+		eventually(t, "the table counts as unreachable", e.table.unreachable)
+	}
+	if r := e.call("POST", "/ask/1", "x", turnHeader(program, 1000, 50)); r.status != http.StatusOK {
+		t.Fatalf("first turn: %+v", r)
+	}
+	if r := e.call("POST", "/ask/1", "x", turnHeader(program, 1000, 50)); r.status != http.StatusServiceUnavailable {
+		t.Errorf("second turn, want status 503 since others may draw the budget: %+v", r)
+	}
+	if n := len(l.requests()); n != 1 {
+		t.Errorf("%d turns ran, want 1", n)
+	}
+}
+
 // TestSlowTableDelaysNoFirstTurn: the table takes 250 ms for an answer. A program's first
 // turn must not wait for it, and the grant must be recorded afterwards.
 func TestSlowTableDelaysNoFirstTurn(t *testing.T) {
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -255,6 +255,26 @@
 	return granted, view
 }
 
+// inMinority implements budgetOwners: of the entries that sent a digest within recentOwnerWindow and are
+// not leaving, this one included, only half or fewer are responsive. When the table is unreachable
+// for all of them, the others may be behind a partition and reach it.
+func (m *mesh) inMinority() bool {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	responsive, all := 1, 1
+	for _, p := range m.peers {
+		if p.leaving || now.Sub(p.lastDigest) >= recentOwnerWindow {
+			continue
+		}
+		all++
+		if m.responsive(p, now) {
+			responsive++
+		}
+	}
+	return all > 1 && 2*responsive <= all
+}
+
 // encodeGrants encodes grants as a string, the form in which callAnswer carries them.
 func encodeGrants(g ledger.Grants) string {
 	var b []byte
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -130,6 +130,9 @@
 	// ExclusiveOwner reports whether no other entry can grant tokens provisionally for the
 	// program.
 	ExclusiveOwner bool
+	// Minority reports whether most of the entries may be behind a partition, where they may reach
+	// the row that the owner does not reach and draw all of it.
+	Minority bool
 	// OpenTurns is the number of the program's turns in progress.
 	OpenTurns int
 	// Runaway reports whether the program sent a burst of turns; see RunawayDetector.
@@ -143,10 +146,11 @@
 // maxTokens. It reports false when nothing may be granted provisionally for it. SetOthers
 // must have been called with the current grants of the other incarnations.
 //
-// When all entries that know of provisional grants fail, the tokens can be granted again.
-// This does no harm when it concerns the tokens of one turn, or a program that would not use
-// them a second time. A program that is a runaway, has turns in progress or will send this turn
-// again may do so, and is therefore granted at most the tokens of one turn.
+// When all entries that know of provisional grants fail, or others draw from the row meanwhile, the
+// tokens can be granted again. This does no harm when it concerns the tokens of one turn, or a
+// program that would not use them a second time. A program that is a runaway, has turns in progress
+// or will send this turn again may do so, and is therefore granted at most the tokens of one turn;
+// so is any program while the owner is in a minority, where it may not see what the program does.
 func (a *Account) ProvisionalGrant(maxTokens int, c GrantConditions) (int, bool) {
 	need := max(0, maxTokens-a.Free())
 	// limit bounds the provisional grants of this incarnation, those of earlier turns included.
@@ -154,7 +158,7 @@
 	if !c.ExclusiveOwner {
 		limit = min(limit, max(maxTokens, a.total/provisionalDivisor))
 	}
-	if c.Runaway || c.CannotComplete || c.OpenTurns > 0 {
+	if c.Minority || c.Runaway || c.CannotComplete || c.OpenTurns > 0 {
 		limit = min(limit, maxTokens)
 	}
 	return need, !a.exhausted && a.provisional+need <= limit
