routing: entries tell each other of slow upstreams, and operators

Cause: each entry found slow engines for itself, by its own calls. Among 84 entries one sends an engine a call every few seconds, so each took many late calls to notice; no line said which engine was slow ("we cannot see which engine has slowed until people complain"). Change: entries report calls that took 1.8 times the prediction, and all calls at upstreams known to be slow, in their digests. Slowness decays, so that an upstream which gets no calls for it gets some again, and prompt parts move to the next engine in rank, the same at all entries.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -46,6 +46,9 @@
 	// maxReportBytes is the part of a digest in bytes that crash reports may use. Other items may
 	// use what they leave.
 	maxReportBytes = 500
+	// maxSpeedPercent and maxSpeedCalls bound what another entry may report of an upstream's calls.
+	maxSpeedPercent = 10_000
+	maxSpeedCalls   = 1 << 10
 	// maxLimitBytes is the part of a digest in bytes that is kept free for limits of upstreams.
 	maxLimitBytes = 200
 )
@@ -128,6 +131,7 @@
 		}
 		m.awaitDigest(ctx, interval)
 		packet := m.digest()
+		m.g.reportSpeedChanges(time.Now())
 		for _, to := range m.digestTargets() {
 			if _, err := m.packetConn.WriteTo(packet, to); err != nil {
 				m.g.metrics.digestErrors.Inc(1)
@@ -192,6 +196,7 @@
 //	'c' upstream, ID and tokens of a prompt part that it has cached
 //	'm' hash of an upstream's incarnation, its limit, and how old that statement is
 //	'e' hash of the incarnation of an upstream that leaves
+//	's' upstream, mean time of calls out of the ordinary in percent of the predicted one, their number
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -226,7 +231,23 @@
 			b = binary.AppendUvarint(b, uint64(c.parts[0].Tokens))
 		}
 	}
-	return m.appendStatements(append(b, reports...), seq)
+	return m.appendSpeeds(m.appendStatements(append(b, reports...), seq))
+}
+
+// appendSpeeds appends what calls took at upstreams that are slow or may be, as far as it fits. It comes
+// last, since earlier builds stop reading there.
+func (m *mesh) appendSpeeds(b []byte) []byte {
+	m.g.mu.Lock()
+	defer m.g.mu.Unlock()
+	m.g.balancer.TakeUnreportedSpeeds(func(id string, ratio float64, calls int) bool {
+		if len(b)+maxDigestItem > maxPacketSize {
+			return false
+		}
+		b = appendUpstream(append(b, 's'), id)
+		b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(100*ratio)), uint64(calls))
+		return true
+	})
+	return b
 }
 
 // appendStatements appends what upstreams have said of their limits, and that they leave, as far as it
@@ -540,6 +561,11 @@
 				}
 				said.limits[incarnation] = s
 			}
+		case 's':
+			id, percent, calls := names[p.upstream()], p.uvarint(), p.uvarint()
+			if !p.malformed && id != "" {
+				m.g.balancer.AddPeerSpeeds(now, id, float64(min(percent, maxSpeedPercent))/100, int(min(calls, maxSpeedCalls)))
+			}
 		case 'e':
 			if incarnation := p.uvarint(); !p.malformed {
 				said.leaving = append(said.leaving, incarnation)
--- a/internal/gateway/digest_test.go
+++ b/internal/gateway/digest_test.go
@@ -73,3 +73,24 @@
 		t.Error("with 8 entries an owner that missed 10 digests counts as responsive")
 	}
 }
+
+// TestSlowUpstreamIsKnownToAllEntries sends the digest of an entry that has seen three slow calls to
+// another entry, which must then take the upstream for slow as well.
+func TestSlowUpstreamIsKnownToAllEntries(t *testing.T) {
+	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
+	other := startEntry(t, "entry-2", p.standin.Table)
+	eventually(t, "the entries list each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	upstream := e.fleet.Load().byService["llm"][0]
+	slowness := func(g *testEntry) float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		pick, _ := g.balancer.Choose(time.Now(), []routing.Upstream{upstream}, &routing.CallInfo{}, nil)
+		return pick.Slowness
+	}
+	other.mu.Lock()
+	for range 3 {
+		other.balancer.ObserveDecode(time.Now(), "llm", upstream.ID, routing.Decode{Tokens: 10, BatchSize: 1, Elapsed: 100 * time.Millisecond, Undisturbed: 10 * time.Millisecond})
+	}
+	other.mu.Unlock()
+	eventually(t, "the other entry's slow calls count", func() bool { return slowness(e) > 1.5 })
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,11 @@
 	permitsGranted, permitsDenied, permitsFailed tally.Counter
 	// upstreamsLeaving counts upstreams that said in an answer that they leave.
 	upstreamsLeaving tally.Counter
+	// upstreamsSlow counts upstreams that turned slow. slowness returns the gauge of what calls take at
+	// an upstream as a multiple of what they take at others, as of the last change; only upstreams that
+	// were slow have one.
+	upstreamsSlow tally.Counter
+	slowness      func(upstream string) tally.Gauge
 	// latency is the time from the start of a request to its complete answer, for answered
 	// requests only; firstEvent that to the first event of a stream; commitLatency the duration
 	// of a transaction of the committer.
@@ -60,8 +65,11 @@
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
-		upstreamsLeaving: s.Counter("upstreams_leaving"),
-		permitsGranted:   s.Counter("permits_granted"), permitsDenied: s.Counter("permits_denied"), permitsFailed: s.Counter("permits_failed"),
+		upstreamsLeaving: s.Counter("upstreams_leaving"), upstreamsSlow: s.Counter("upstreams_slow"),
+		slowness: func(id string) tally.Gauge {
+			return s.Tagged(map[string]string{"upstream": id}).Gauge("upstream_slowness")
+		},
+		permitsGranted: s.Counter("permits_granted"), permitsDenied: s.Counter("permits_denied"), permitsFailed: s.Counter("permits_failed"),
 		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets),
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -27,6 +27,9 @@
 	if j.pick.FailureRate > 0.01 { // a lower rate would be logged as 0
 		ln.Int("failing_percent", int64(100*j.pick.FailureRate))
 	}
+	if j.pick.Slowness > 1.2 {
+		ln.Int("slowness_percent", int64(100*j.pick.Slowness))
+	}
 	if j.load > 0 {
 		ln.Int("load_percent", int64(100*j.load))
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -117,7 +117,7 @@
 	g.completed(j)
 	if res.answer.Status < http.StatusBadRequest {
 		g.mu.Lock()
-		g.balancer.ObserveCall(j.service, res.upstream, took)
+		g.balancer.ObserveCall(time.Now(), j.service, res.upstream, took)
 		g.mu.Unlock()
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -403,40 +404,58 @@
 	upstream string
 	// sentAt is when the call was sent.
 	sentAt time.Time
-	// first and last are when the first and the latest event were sent to the caller; events
-	// counts them.
-	first  time.Time
-	last   time.Time
+	// first and last are when the first and the latest event were sent to the caller; gaps are the
+	// times between events, of the first maxMeasuredGaps.
+	first time.Time
+	last  time.Time
+	gaps  []time.Duration
+	// events counts the events.
 	events int
 }
 
 // event counts an event.
 func (m *decodeMeter) event() {
-	m.last = time.Now()
+	now := time.Now()
 	if m.events == 0 {
-		m.first = m.last
-		m.j.firstEvent = m.first.Sub(m.sentAt)
+		m.first = now
+		m.j.firstEvent = now.Sub(m.sentAt)
+	} else if len(m.gaps) < maxMeasuredGaps {
+		m.gaps = append(m.gaps, now.Sub(m.last))
 	}
+	m.last = now
 	m.events++
 }
 
-// minMeasuredEvents is the least number of events from which a speed is measured.
-const minMeasuredEvents = 3
+const (
+	// minMeasuredEvents is the least number of events from which a speed is measured.
+	minMeasuredEvents = 3
+	// minUndisturbedEvents is the least number of events from which the undisturbed speed is measured.
+	minUndisturbedEvents = 5
+	// maxMeasuredGaps bounds the memory of a meter.
+	maxMeasuredGaps = 64
+)
 
 // report passes the measured speeds on to the balancer.
 func (m *decodeMeter) report() {
 	if m.events == 0 {
 		return
 	}
-	m.g.mu.Lock()
-	m.g.balancer.ObserveFirstEvent(m.j.service, &m.j.info, &m.j.pick, m.j.firstEvent)
-	m.g.mu.Unlock()
-	if m.events < minMeasuredEvents {
-		return
-	}
+	perEvent := m.g.tokensPerEvent(m.j.service)
 	// The time starts at the first event, so its tokens do not count.
-	tokens := (m.events - 1) * m.g.tokensPerEvent(m.j.service)
+	d := routing.Decode{Tokens: (m.events - 1) * perEvent, BatchSize: m.j.pick.InFlight + 1, Elapsed: m.last.Sub(m.first)}
+	if m.events >= minUndisturbedEvents {
+		d.Undisturbed = lowerQuartile(m.gaps) / time.Duration(perEvent)
+	}
 	m.g.mu.Lock()
-	m.g.balancer.ObserveDecode(m.j.service, m.upstream, tokens, m.last.Sub(m.first), m.j.pick.InFlight+1)
-	m.g.mu.Unlock()
+	defer m.g.mu.Unlock()
+	m.g.balancer.ObserveFirstEvent(m.last, m.j.service, &m.j.info, &m.j.pick, m.j.firstEvent)
+	if m.events >= minMeasuredEvents {
+		m.g.balancer.ObserveDecode(m.last, m.j.service, m.upstream, d)
+	}
+}
+
+// lowerQuartile returns the value that a quarter of the values are below. It sorts them.
+func lowerQuartile(values []time.Duration) time.Duration {
+	slices.Sort(values)
+	return values[len(values)/4]
 }
--- a/internal/loadreplay/replay.go
+++ b/internal/loadreplay/replay.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/admission"
@@ -55,12 +56,16 @@
 	// calls at random.
 	FailingEngines int
 	FailureShare   float64
+	// SlowEngines is the number of engines that take SlowX times as long from SlowFrom to SlowTo.
+	SlowEngines      int
+	SlowX            float64
+	SlowFrom, SlowTo time.Duration
 
 	// NoPreferredUpstreams disables the preference for some engines per shared first prompt
 	// part, NoConversationAffinity the preference for the engine of a conversation's last
 	// turn, NoAdmission the admission control of new programs, and NoFailures the recording
-	// of outcomes.
-	NoPreferredUpstreams, NoConversationAffinity, NoAdmission, NoFailures bool
+	// of outcomes. NoSpeedReports disables the reports of slow calls between the entries.
+	NoPreferredUpstreams, NoConversationAffinity, NoAdmission, NoFailures, NoSpeedReports bool
 }
 
 func (c Config) withDefaults() Config {
@@ -86,6 +91,10 @@
 	TokensComputed, SharedRecomputed int64
 	// FailingEngineCalls is the number of calls sent to failing engines, Calls of those sent to any.
 	FailingEngineCalls, Calls int
+	// SlowEngineCalls is the number of calls sent to slow engines once they could be known to be slow,
+	// slowNotice after they turned slow, and AllEngineCalls of those sent to any meanwhile.
+	// RecoveredCalls and RecoveredAllCalls are the same from slowRecovery after they were quick again.
+	SlowEngineCalls, AllEngineCalls, RecoveredCalls, RecoveredAllCalls int
 	// AllBytes is the number of bytes of all calls and answers on the network, CrossBytes of
 	// those between failure domains.
 	CrossBytes, AllBytes int64
@@ -123,6 +132,10 @@
 	networkMs = 12
 	// recoveryTime is the time after a burst within which new programs must be in time again.
 	recoveryTime = 5 * time.Second
+	// slowNotice is the time within which engines that turn slow must be known to be, slowRecovery that
+	// after which they are used again when they are quick again.
+	slowNotice   = 2 * time.Second
+	slowRecovery = 8 * time.Second
 	// maxOpenRetries is the number of times that a refused program retries before it gives up.
 	maxOpenRetries = 4
 )
@@ -163,15 +176,17 @@
 	info            routing.CallInfo
 	pick            routing.Pick
 	sentAt, firstAt time.Duration
-	// tokens is the length of the answer.
-	tokens int
+	// tokens is the length of the answer, quickest the least time of a token in ms, in a tick without a
+	// prefill.
+	tokens   int
+	quickest float64
 }
 
-// engine is a simulated engine. failing is set when it fails part of its calls.
+// engine is a simulated engine. failing is set when it fails part of its calls, slows when it turns slow.
 type engine struct {
-	calls   []*call
-	cache   *routing.PrefixCache
-	failing bool
+	calls          []*call
+	cache          *routing.PrefixCache
+	failing, slows bool
 }
 
 // world is the state of a simulation.
@@ -227,7 +242,7 @@
 		id := "engine-" + string(rune('a'+i/26)) + string(rune('a'+i%26))
 		w.upstreams = append(w.upstreams, routing.Upstream{ID: id, Service: "s", Slots: cfg.Slots, CacheTokens: cfg.CacheTokens, Hash: routing.HashID(id)})
 		w.upstreams[i].Domain = w.domainOf(i)
-		w.engines = append(w.engines, &engine{cache: routing.NewPrefixCache(cfg.CacheTokens), failing: i < cfg.FailingEngines})
+		w.engines = append(w.engines, &engine{cache: routing.NewPrefixCache(cfg.CacheTokens), failing: i < cfg.FailingEngines, slows: i < cfg.SlowEngines})
 	}
 	for i := range cfg.Entries {
 		w.balancers = append(w.balancers, routing.NewBalancer(routing.BalancerConfig{Seed: cfg.Seed + uint64(i), NoPrefixAffinity: cfg.NoPreferredUpstreams}))
@@ -386,15 +401,38 @@
 	if e.failing {
 		w.report.FailingEngineCalls++
 	}
+	w.countSlow(e)
 	p.running, p.prompt = true, prompt
 	e.calls = append(e.calls, c)
 }
 
+// slow reports whether the slow engines are slow now.
+func (w *world) slow() bool { return w.now >= w.cfg.SlowFrom && w.now < w.cfg.SlowTo }
+
+// countSlow counts a call to the engine in the report.
+func (w *world) countSlow(e *engine) {
+	r, calls := &w.report, 0
+	if e.slows {
+		calls = 1
+	}
+	switch {
+	case w.slow() && w.now >= w.cfg.SlowFrom+slowNotice:
+		r.AllEngineCalls++
+		r.SlowEngineCalls += calls
+	case w.now >= w.cfg.SlowTo+slowRecovery:
+		r.RecoveredAllCalls++
+		r.RecoveredCalls += calls
+	}
+}
+
 // advanceEngines advances each engine by one tick. Prefills run one after another; in the
 // rest of the tick, the calls whose prefill has ended decode together.
 func (w *world) advanceEngines() {
 	for _, e := range w.engines {
 		left := float64(tick) / float64(time.Millisecond)
+		if e.slows && w.slow() {
+			left /= w.cfg.SlowX
+		}
 		batch := e.calls[:min(len(e.calls), w.cfg.Slots)]
 		decoding := 0
 		for _, c := range batch {
@@ -412,6 +450,11 @@
 		for _, c := range batch {
 			if c.prefill <= 0 {
 				c.decode -= left / step
+				if left > 0 {
+					if perToken := float64(tick) / float64(time.Millisecond) / (left / step); c.quickest == 0 || perToken < c.quickest {
+						c.quickest = perToken
+					}
+				}
 			}
 		}
 		w.endCalls(e)
@@ -443,9 +486,11 @@
 // observe passes the times of a call on to the balancer of its entry.
 func (w *world) observe(c *call) {
 	b, id := w.balancers[c.entry], w.upstreams[c.upstream].ID
-	b.ObserveFirstEvent("s", &c.info, &c.pick, c.firstAt-c.sentAt)
+	b.ObserveFirstEvent(w.clock(), "s", &c.info, &c.pick, c.firstAt-c.sentAt)
 	if !c.fails {
-		b.ObserveDecode("s", id, c.tokens, w.now+tick-c.firstAt, c.pick.InFlight+1)
+		b.ObserveDecode(w.clock(), "s", id, routing.Decode{
+			Tokens: c.tokens, BatchSize: c.pick.InFlight + 1, Elapsed: w.now + tick - c.firstAt, Undisturbed: time.Duration(c.quickest * float64(time.Millisecond)),
+		})
 	}
 }
 
@@ -516,11 +561,24 @@
 		id                string
 		failed, succeeded int
 	}
+	type speeds struct {
+		id    string
+		ratio float64
+		calls int
+	}
 	for i, from := range w.balancers {
-		name := "entry-" + string(rune('a'+i))
+		name := "entry-" + strconv.Itoa(i)
 		own := map[string]int{}
 		from.EachInFlight(func(id string, calls int) { own[id] = calls })
 		var reported []outcomes
+		var reportedSpeeds []speeds
+		from.TakeUnreportedSpeeds(func(id string, ratio float64, calls int) bool {
+			reportedSpeeds = append(reportedSpeeds, speeds{id, ratio, calls})
+			return true
+		})
+		if w.cfg.NoSpeedReports {
+			reportedSpeeds = nil
+		}
 		from.TakeUnreportedOutcomes(now, func(id string, failed, succeeded int) { reported = append(reported, outcomes{id, failed, succeeded}) })
 		for j, to := range w.balancers {
 			if i == j {
@@ -533,6 +591,9 @@
 			for _, e := range reported {
 				to.AddPeerOutcomes(now, e.id, e.failed, e.succeeded)
 			}
+			for _, e := range reportedSpeeds {
+				to.AddPeerSpeeds(now, e.id, e.ratio, e.calls)
+			}
 		}
 	}
 }
--- a/internal/loadreplay/replay_test.go
+++ b/internal/loadreplay/replay_test.go
@@ -142,6 +142,35 @@
 	}
 }
 
+// TestEnginesThatTurnSlow guards against engines that stay in full use after they have turned slow: 4 of
+// 20 take 4 times as long for 6 s, and each of 40 entries calls an engine every few seconds only. Two
+// seconds later they must get less than half of the calls that their number would give them, and
+// 8 s after they are quick again at least half.
+func TestEnginesThatTurnSlow(t *testing.T) {
+	for _, seed := range seeds {
+		cfg := scaledLoad(seed)
+		cfg.Entries, cfg.Engines, cfg.ProgramsPerSecond, cfg.Length = 40, 20, 60, 21*time.Second
+		cfg.SlowEngines, cfg.SlowX, cfg.SlowFrom, cfg.SlowTo = 4, 4, 3*time.Second, 9*time.Second
+		with := Run(cfg)
+		cfg.NoSpeedReports = true
+		without := Run(cfg)
+		share := func(calls, all int) float64 { return float64(calls) / float64(all) / (4. / 20) }
+		slow, recovered := share(with.SlowEngineCalls, with.AllEngineCalls), share(with.RecoveredCalls, with.RecoveredAllCalls)
+		t.Logf("seed %d: slow engines get %.2f of an even share of the calls, %.2f when entries report nothing; %.2f and %.2f once they are quick again; worth %.3f and %.3f",
+			seed, slow, share(without.SlowEngineCalls, without.AllEngineCalls), recovered, share(without.RecoveredCalls, without.RecoveredAllCalls),
+			with.Worth(lateShare, urgentWorth), without.Worth(lateShare, urgentWorth))
+		if slow > 0.5 {
+			t.Errorf("seed %d: slow engines get %.2f of an even share of the calls", seed, slow)
+		}
+		if recovered < 0.5 {
+			t.Errorf("seed %d: engines that are quick again get %.2f of an even share of the calls", seed, recovered)
+		}
+		if early := share(without.SlowEngineCalls, without.AllEngineCalls); slow > early/2 {
+			t.Errorf("seed %d: reports of slow calls save less than half of the calls to slow engines", seed)
+		}
+	}
+}
+
 // TestCallsStayInTheirDomain guards against needless traffic between failure domains, which
 // costs money: callers and engines are spread over 3 of them.
 func TestCallsStayInTheirDomain(t *testing.T) {
--- a/routing/affinity.go
+++ b/routing/affinity.go
@@ -99,22 +99,21 @@
 
 // appendPreferred appends to out, for each upstream, whether it is preferred for the part.
 // Preferred upstreams are spread evenly over the failure domains, so that few calls have
-// to leave their own domain to reach one. The part must have been observed.
-func (a *prefixAffinity) appendPreferred(out []bool, p PromptPart, upstreams []Upstream) []bool {
+// to leave their own domain to reach one. Those for which avoid returns true leave their place to the
+// next in rank, so that all entries move a part to the same upstreams. The part must have been observed.
+func (a *prefixAffinity) appendPreferred(out []bool, p PromptPart, upstreams []Upstream, avoid func(id string) bool) []bool {
 	a.ranks = a.ranks[:0]
 	for i := range upstreams {
 		out = append(out, false)
+		if avoid(upstreams[i].ID) {
+			continue
+		}
 		a.ranks = append(a.ranks, upstreamRank{weight: affinityWeight(p.ID, upstreams[i].Hash), index: i})
 	}
 	slices.SortFunc(a.ranks, func(a, b upstreamRank) int { return cmp.Compare(b.weight, a.weight) })
 	a.rankWithinDomains(upstreams)
 	n := max(a.preferredCount(p, upstreams), min(len(a.domains), len(upstreams)))
-	if n >= len(upstreams) {
-		for i := range out {
-			out[i] = true
-		}
-		return out
-	}
+	n = min(n, len(a.ranks))
 	// Take the highest-ranked upstream of each domain first, then the second of each, and so on.
 	slices.SortFunc(a.ranks, func(a, b upstreamRank) int {
 		return cmp.Or(cmp.Compare(a.domainRank, b.domainRank), cmp.Compare(b.weight, a.weight))
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -99,6 +99,8 @@
 	FirstEvent time.Duration
 	// FailureRate is the estimated probability that a call fails there.
 	FailureRate float64
+	// Slowness is what calls take there as a multiple of what they take at other upstreams.
+	Slowness float64
 	// OldestDigestAge is the age of the oldest digest counted in InFlight.
 	OldestDigestAge time.Duration
 	// Margin is how much more the next best upstream costs. Alternative reports whether there is one.
@@ -120,10 +122,8 @@
 	// peers holds the calls in flight of the other entries, by the name of the entry.
 	peers map[string]peerCalls
 	// cache estimates the prompt parts that the upstream has cached.
-	cache *prefixSet
-	// slowness is the moving average of the ratio of the observed to the predicted time of
-	// a generated token or a plain call.
-	slowness float64
+	cache    *prefixSet
+	slowness slowness
 	// failureRate is the estimated probability that a call fails, as of failureRateAt. It
 	// decays with time, so that calls are sent to a failed upstream again.
 	failureRate   float64
@@ -217,7 +217,7 @@
 func (b *Balancer) statsOf(id string, cacheTokens int64) *upstreamStats {
 	s := b.stats[id]
 	if s == nil {
-		s = &upstreamStats{peers: map[string]peerCalls{}, slowness: 1, cache: newPrefixSet(cacheTokens)}
+		s = &upstreamStats{peers: map[string]peerCalls{}, slowness: slowness{value: 1}, cache: newPrefixSet(cacheTokens)}
 		b.stats[id] = s
 	}
 	if cacheTokens > 0 {
@@ -389,34 +389,45 @@
 func (b *Balancer) ResetUpstream(id string) {
 	s := b.statsOf(id, 0)
 	s.cache = newPrefixSet(s.cache.limit)
-	s.slowness, s.failureRate = 1, 0
+	s.slowness, s.failureRate = slowness{value: 1}, 0
 	s.limited, s.heldUntil = false, time.Time{}
 }
 
-// slownessWeight is the weight of one model call in an upstream's slowness; a plain call has
-// half of it. The slowness thus averages over about 8 model calls, and one long call changes
-// it little.
-const slownessWeight = 0.12
+// Decode is how an upstream generated the tokens of an answer.
+type Decode struct {
+	// Tokens is the number of tokens that were generated in the time Elapsed, in a batch of
+	// BatchSize calls.
+	Tokens, BatchSize int
+	Elapsed           time.Duration
+	// Undisturbed is the time of a token in the quicker part of the answer, in which no other prompt was
+	// computed.
+	Undisturbed time.Duration
+}
 
-// ObserveDecode records that an upstream generated the tokens of a call in the elapsed time,
-// in a batch of batchSize calls.
-func (b *Balancer) ObserveDecode(service, id string, tokens int, elapsed time.Duration, batchSize int) {
-	if tokens <= 0 || elapsed <= 0 {
+// ObserveDecode records how an upstream generated an answer.
+func (b *Balancer) ObserveDecode(now time.Time, service, id string, d Decode) {
+	if d.Tokens <= 0 || d.Elapsed <= 0 {
 		return
 	}
-	m := b.LatencyModel(service)
-	observed := ms(elapsed) / float64(tokens)
-	s := b.statsOf(id, 0)
-	m.observeStep(observed/m.batchFactor(batchSize), s.slowness)
-	ratio := observed / m.step(batchSize)
-	s.slowness = clamp(s.slowness+slownessWeight*(ratio-s.slowness), minSlowness, maxSlowness)
+	m, s := b.LatencyModel(service), b.statsOf(id, 0)
+	slow := s.slowness.now(now)
+	m.observeStep(ms(d.Elapsed)/float64(d.Tokens)/m.batchFactor(d.BatchSize), slow)
+	if d.Undisturbed <= 0 {
+		return
+	}
+	alone := ms(d.Undisturbed) / m.batchFactor(d.BatchSize)
+	ratio := alone / m.undisturbed
+	m.observeUndisturbed(alone, slow)
+	s.slowness.observe(now, ratio, slownessWeight)
+	s.slowness.own++
+	s.slowness.report(ratio)
 }
 
 // ObserveFirstEvent records the time to the first event of a call that was sent with the estimates of
 // pick. Calls of whose prompt nothing is known to be cached are left out, since another entry may
 // have had it cached there, and so are those to slow upstreams.
-func (b *Balancer) ObserveFirstEvent(service string, call *CallInfo, pick *Pick, took time.Duration) {
-	if pick.Cached <= 0 || pick.Cached >= call.Tokens || b.statsOf(pick.ID, 0).slowness > maxMeasuredSlowness {
+func (b *Balancer) ObserveFirstEvent(now time.Time, service string, call *CallInfo, pick *Pick, took time.Duration) {
+	if pick.Cached <= 0 || pick.Cached >= call.Tokens || b.statsOf(pick.ID, 0).slowness.now(now) > maxMeasuredSlowness {
 		return
 	}
 	b.LatencyModel(service).observePrefill(call.Tokens-pick.Cached, ms(took))
@@ -427,20 +438,14 @@
 const maxMeasuredSlowness = 1.5
 
 // ObserveCall records the duration of a plain call at an upstream.
-func (b *Balancer) ObserveCall(service, id string, elapsed time.Duration) {
+func (b *Balancer) ObserveCall(now time.Time, service, id string, elapsed time.Duration) {
 	m := b.LatencyModel(service)
 	m.observeCall(ms(elapsed))
 	s := b.statsOf(id, 0)
 	ratio := ms(elapsed) / m.call
-	s.slowness = clamp(s.slowness+slownessWeight/2*(ratio-s.slowness), minSlowness, maxSlowness)
+	s.slowness.observe(now, ratio, slownessWeight/2)
 }
 
-// Bounds of the slowness of an upstream.
-const (
-	minSlowness = 0.5
-	maxSlowness = 10
-)
-
 func clamp(v, low, high float64) float64 { return math.Max(low, math.Min(high, v)) }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -12,7 +12,9 @@
 	bestCost, nextCost := math.Inf(1), math.Inf(1)
 	if len(call.Prompt) > 0 {
 		b.affinity.observe(now, call.Prompt[0])
-		b.preferred = b.affinity.appendPreferred(b.preferred[:0], call.Prompt[0], upstreams)
+		b.preferred = b.affinity.appendPreferred(b.preferred[:0], call.Prompt[0], upstreams, func(id string) bool {
+			return b.Slowness(now, id) >= slowAbove
+		})
 	}
 	for i := range upstreams {
 		u := &upstreams[i]
@@ -25,7 +27,8 @@
 			continue
 		}
 		n, age := b.inFlight(now, stats)
-		e := b.cost(u, stats, call, n)
+		slow := stats.slowness.now(now)
+		e := b.cost(u, stats, call, n, slow)
 		cost := e.cost + ms(held)
 		// The first part would have to be cached at an upstream that is not preferred for it.
 		if e.cached == 0 && len(call.Prompt) > 0 && !b.preferred[i] && !b.cfg.NoPrefixAffinity {
@@ -43,7 +46,7 @@
 			nextCost, bestCost, found = bestCost, cost, true
 			best = Pick{
 				ID: u.ID, InFlight: n, Own: stats.own, Slots: u.Slots, Cached: e.cached, OldestDigestAge: age, FailureRate: stats.currentFailureRate(now),
-				Finish: fromMs(e.finish), FirstEvent: fromMs(e.first),
+				Finish: fromMs(e.finish), FirstEvent: fromMs(e.first), Slowness: slow,
 			}
 		}
 	}
@@ -97,15 +100,15 @@
 
 func fromMs(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// cost estimates the cost and the times of a call at an upstream with n calls in flight.
-func (b *Balancer) cost(u *Upstream, stats *upstreamStats, call *CallInfo, n int) estimate {
+// cost estimates the cost and the times of a call at an upstream of slowness slow with n calls in flight.
+func (b *Balancer) cost(u *Upstream, stats *upstreamStats, call *CallInfo, n int, slow float64) estimate {
 	model := b.LatencyModel(u.Service)
 	slots := max(1, u.Slots)
 	var e estimate
 	if call.Generate > 0 {
 		e.cached = call.cachedAt(u.ID, stats, model.growth)
-		prefill := model.prefill(max(0, call.Tokens-e.cached)) * stats.slowness
-		step := model.step(min(n+1, slots)) * stats.slowness
+		prefill := model.prefill(max(0, call.Tokens-e.cached)) * slow
+		step := model.step(min(n+1, slots)) * slow
 		decode := float64(call.Generate) * step
 		e.first = prefill + model.wait(n, slots, decode) + step
 		e.finish = e.first + decode
@@ -115,7 +118,7 @@
 		delay := others * (prefill + decode/2*(model.batchFactor(2)-model.batchFactor(1)))
 		e.cost = e.finish + delayWeight*delay
 	} else {
-		plain := model.call * stats.slowness
+		plain := model.call * slow
 		e.finish = plain * (1 + float64(n)*plainSlowdown/float64(slots))
 		if n >= slots { // the call waits for a slot
 			e.finish += plain * float64(n-slots+1) / float64(slots)
--- a/routing/latency.go
+++ b/routing/latency.go
@@ -8,6 +8,8 @@
 type LatencyModel struct {
 	// token is the time of one decode step of a call that runs alone.
 	token float64
+	// undisturbed is the same while no prompt is computed in the batch.
+	undisturbed float64
 	// call is the time of a plain call.
 	call float64
 	// finish is the time of a call from its start to its end, as predicted when it was sent.
@@ -38,7 +40,7 @@
 )
 
 func newLatencyModel() *LatencyModel {
-	return &LatencyModel{token: defaultTokenMs, call: defaultCallMs, finish: defaultFinishMs, prefillMs: 1. / defaultTokensPerMs, growth: defaultGrowth}
+	return &LatencyModel{token: defaultTokenMs, undisturbed: defaultTokenMs, call: defaultCallMs, finish: defaultFinishMs, prefillMs: 1. / defaultTokensPerMs, growth: defaultGrowth}
 }
 
 // batchFactor returns the ratio of a step's time in a batch of n calls to that of a call
@@ -70,8 +72,16 @@
 // at an upstream of the given slowness. An observation counts as at least a quarter of the
 // present value and at most 4 times that value.
 func (m *LatencyModel) observeStep(alone, slowness float64) {
-	v := clamp(alone/math.Max(slowness, minSlowness), m.token/4, m.token*4)
-	m.token += observationWeight * (v - m.token)
+	m.token = followStep(m.token, alone/math.Max(slowness, minSlowness))
+}
+
+// observeUndisturbed does the same for a step while no prompt is computed.
+func (m *LatencyModel) observeUndisturbed(alone, slowness float64) {
+	m.undisturbed = followStep(m.undisturbed, alone/math.Max(slowness, minSlowness))
+}
+
+func followStep(value, observed float64) float64 {
+	return value + observationWeight*(clamp(observed, value/4, value*4)-value)
 }
 
 // observePrefill updates the prefill rate with the time to the first event of a call with a number
--- a/routing/prefill_test.go
+++ b/routing/prefill_test.go
@@ -78,7 +78,7 @@
 	first := CallInfo{Prompt: []PromptPart{{ID: 1, Tokens: 2500}, {ID: 2, Tokens: 1500}}, Tokens: 4000, Generate: 34}
 	for i := range 200 {
 		seen := CallInfo{Tokens: 3000 + 10*(i%100)}
-		b.ObserveFirstEvent("s", &seen, &Pick{ID: "a", Cached: 2500}, time.Duration(float64(seen.Tokens-2500)/38*float64(time.Millisecond)))
+		b.ObserveFirstEvent(now, "s", &seen, &Pick{ID: "a", Cached: 2500}, time.Duration(float64(seen.Tokens-2500)/38*float64(time.Millisecond)))
 	}
 	b.Started(ups[0], &first)
 	for range 6 {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -190,7 +190,7 @@
 	}
 	for part := range uint64(8) {
 		perDomain := map[string]int{}
-		for i, preferred := range affinity.appendPreferred(nil, PromptPart{ID: part, Tokens: 12_600}, upstreams) {
+		for i, preferred := range affinity.appendPreferred(nil, PromptPart{ID: part, Tokens: 12_600}, upstreams, func(string) bool { return false }) {
 			if preferred {
 				perDomain[upstreams[i].Domain]++
 			}
