gateway: a caller that reads slowly makes no upstream slow

Cause: the time between events included the writes to the caller, so that an upstream whose events a slow caller held up looked slow, since reports of slow calls to all entries. Change: the gap before an event ends when it arrives and begins when the one before it was sent.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -280,10 +280,11 @@
 		if e == nil {
 			return true, nil
 		}
+		arrived := time.Now()
 		if err := s.writeEvent(a, e); err != nil {
 			return false, err
 		}
-		meter.event()
+		meter.event(arrived, time.Now())
 	}
 }
 
@@ -404,25 +405,28 @@
 	upstream string
 	// sentAt is when the call was sent.
 	sentAt time.Time
-	// first and last are when the first and the latest event were sent to the caller; gaps are the
-	// times between events, of the first maxMeasuredGaps.
-	first time.Time
-	last  time.Time
-	gaps  []time.Duration
+	// passedOn is when the latest event had been sent to the caller. gaps are the times from then to
+	// the arrival of the next, of the first maxMeasuredGaps, and decode their sum over all events: a
+	// caller that reads slowly makes no upstream slow.
+	passedOn time.Time
+	gaps     []time.Duration
+	decode   time.Duration
 	// events counts the events.
 	events int
 }
 
-// event counts an event.
-func (m *decodeMeter) event() {
-	now := time.Now()
+// event records an event that arrived and was then sent to the caller until passedOn.
+func (m *decodeMeter) event(arrived, passedOn time.Time) {
 	if m.events == 0 {
-		m.first = now
-		m.j.firstEvent = now.Sub(m.sentAt)
-	} else if len(m.gaps) < maxMeasuredGaps {
-		m.gaps = append(m.gaps, now.Sub(m.last))
+		m.j.firstEvent = arrived.Sub(m.sentAt)
+	} else {
+		gap := arrived.Sub(m.passedOn)
+		m.decode += gap
+		if len(m.gaps) < maxMeasuredGaps {
+			m.gaps = append(m.gaps, gap)
+		}
 	}
-	m.last = now
+	m.passedOn = passedOn
 	m.events++
 }
 
@@ -442,15 +446,15 @@
 	}
 	perEvent := m.g.tokensPerEvent(m.j.service)
 	// The time starts at the first event, so its tokens do not count.
-	d := routing.Decode{Tokens: (m.events - 1) * perEvent, BatchSize: m.j.pick.InFlight + 1, Elapsed: m.last.Sub(m.first)}
+	d := routing.Decode{Tokens: (m.events - 1) * perEvent, BatchSize: m.j.pick.InFlight + 1, Elapsed: m.decode}
 	if m.events >= minUndisturbedEvents {
 		d.Undisturbed = lowerQuartile(m.gaps) / time.Duration(perEvent)
 	}
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
-	m.g.balancer.ObserveFirstEvent(m.last, m.j.service, &m.j.info, &m.j.pick, m.j.firstEvent)
+	m.g.balancer.ObserveFirstEvent(m.passedOn, m.j.service, &m.j.info, &m.j.pick, m.j.firstEvent)
 	if m.events >= minMeasuredEvents {
-		m.g.balancer.ObserveDecode(m.last, m.j.service, m.upstream, d)
+		m.g.balancer.ObserveDecode(m.passedOn, m.j.service, m.upstream, d)
 	}
 }
 
