routing: compare upstreams only after ten calls

Change: the first ten calls set the averages, later ones move them; only then are upstreams compared. TestFirstCallsMakeNoUpstreamSlow fails before the change.

--- a/internal/gateway/digest_test.go
+++ b/internal/gateway/digest_test.go
@@ -102,6 +102,7 @@
 	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
 	upstream := e.fleet.Load().byService["llm"][0]
 	e.mu.Lock()
+	usualSpeed(e)
 	for range 3 {
 		e.balancer.ObserveDecode(time.Now(), "llm", upstream.ID, routing.Decode{Tokens: 10, BatchSize: 1, Elapsed: 40 * time.Millisecond, Undisturbed: 4 * time.Millisecond})
 	}
@@ -130,9 +131,18 @@
 		return pick.Slowness
 	}
 	other.mu.Lock()
+	usualSpeed(other)
 	for range 3 {
 		other.balancer.ObserveDecode(time.Now(), "llm", upstream.ID, routing.Decode{Tokens: 10, BatchSize: 1, Elapsed: 100 * time.Millisecond, Undisturbed: 10 * time.Millisecond})
 	}
 	other.mu.Unlock()
 	eventually(t, "the other entry's slow calls count", func() bool { return slowness(e) > 1.5 })
 }
+
+// usualSpeed records calls at another upstream, with which those under test are compared. The entry must be
+// locked.
+func usualSpeed(e *testEntry) {
+	for range 30 {
+		e.balancer.ObserveDecode(time.Now(), "llm", "another", routing.Decode{Tokens: 10, BatchSize: 1, Elapsed: 10 * time.Millisecond, Undisturbed: time.Millisecond})
+	}
+}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -416,8 +416,10 @@
 		return
 	}
 	alone := ms(d.Undisturbed) / m.batchFactor(d.BatchSize)
+	if !m.observeUndisturbed(alone, slow) {
+		return
+	}
 	ratio := alone / m.undisturbed
-	m.observeUndisturbed(alone, slow)
 	s.slowness.observe(now, ratio, slownessWeight)
 	s.slowness.own++
 	s.slowness.report(ratio)
--- a/routing/latency.go
+++ b/routing/latency.go
@@ -10,6 +10,8 @@
 	token float64
 	// undisturbed is the same while no prompt is computed in the batch.
 	undisturbed float64
+	// steps and undisturbedSteps count the observations of the two.
+	steps, undisturbedSteps int
 	// call is the time of a plain call.
 	call float64
 	// finish is the time of a call from its start to its end, as predicted when it was sent.
@@ -35,6 +37,8 @@
 	// stepGrowth is the relative increase of a decode step for each further call in the
 	// batch.
 	stepGrowth = 0.0135
+	// minComparedSteps is the number of observed calls from which upstreams are compared with each other.
+	minComparedSteps = 10
 	// observationWeight is the weight of one observation in the averages.
 	observationWeight = 0.02
 )
@@ -69,18 +73,27 @@
 func (m *LatencyModel) Prefill(tokens int) float64 { return m.prefill(tokens) }
 
 // observeStep updates the decode step from alone, the step time of a call that runs alone
-// at an upstream of the given slowness. An observation counts as at least a quarter of the
-// present value and at most 4 times that value.
+// at an upstream of the given slowness.
 func (m *LatencyModel) observeStep(alone, slowness float64) {
-	m.token = followStep(m.token, alone/math.Max(slowness, minSlowness))
+	m.steps++
+	m.token = followStep(m.token, alone/math.Max(slowness, minSlowness), m.steps)
 }
 
-// observeUndisturbed does the same for a step while no prompt is computed.
-func (m *LatencyModel) observeUndisturbed(alone, slowness float64) {
-	m.undisturbed = followStep(m.undisturbed, alone/math.Max(slowness, minSlowness))
+// observeUndisturbed does the same for a step while no prompt is computed. It reports whether there are
+// enough observations to compare upstreams with each other.
+func (m *LatencyModel) observeUndisturbed(alone, slowness float64) (comparable bool) {
+	m.undisturbedSteps++
+	m.undisturbed = followStep(m.undisturbed, alone/math.Max(slowness, minSlowness), m.undisturbedSteps)
+	return m.undisturbedSteps > minComparedSteps
 }
 
-func followStep(value, observed float64) float64 {
+// followStep returns the moving average after observation number n. The first ones weigh more, so that
+// the default, which may be several times off, is soon forgotten. A later observation counts as at
+// least a quarter of the present value and at most 4 times that value.
+func followStep(value, observed float64, n int) float64 {
+	if n <= minComparedSteps {
+		return value + (observed-value)/float64(n)
+	}
 	return value + observationWeight*(clamp(observed, value/4, value*4)-value)
 }
 
--- a/routing/slowness_test.go
+++ b/routing/slowness_test.go
@@ -30,6 +30,7 @@
 // as quickly as elsewhere in between, don't make an upstream slow.
 func TestStallsAreNoSlowness(t *testing.T) {
 	now, b := time.Unix(1000, 0), NewBalancer(BalancerConfig{Seed: 1})
+	decodeAt(b, now, "quick", defaultTokenMs, 50)
 	per := time.Duration(defaultTokenMs * float64(time.Millisecond))
 	for range 50 {
 		b.ObserveDecode(now, "s", "stalled", Decode{Tokens: 30, BatchSize: 1, Elapsed: 120 * per, Undisturbed: per})
@@ -40,6 +41,23 @@
 	b.TakeUnreportedSpeeds(func(string, float64, int) bool { t.Error("stalled calls are reported as slow"); return true })
 }
 
+// TestFirstCallsMakeNoUpstreamSlow checks that an entry which has just started, at a site whose engines take
+// four times the default for a token, takes none of them for slow and tells no other entry so.
+func TestFirstCallsMakeNoUpstreamSlow(t *testing.T) {
+	now, b := time.Unix(1000, 0), NewBalancer(BalancerConfig{Seed: 1})
+	for i := range 60 {
+		id := []string{"a", "b", "c"}[i%3]
+		decodeAt(b, now, id, 4*defaultTokenMs*(1+0.1*float64(i%2)), 1)
+		if v := b.Slowness(now, id); v > 1.2 {
+			t.Fatalf("slowness %.2f of %s after %d calls that took the same everywhere", v, id, i+1)
+		}
+	}
+	b.TakeUnreportedSpeeds(func(id string, ratio float64, _ int) bool {
+		t.Errorf("%s is reported with %.1f times the expected time", id, ratio)
+		return true
+	})
+}
+
 // TestSpeedChangesAreReportedOnce checks that operators are told of a slow upstream once, with the
 // evidence, and once when it is normal again.
 func TestSpeedChangesAreReportedOnce(t *testing.T) {
