--- a/internal/loadreplay/replay_test.go
+++ b/internal/loadreplay/replay_test.go
@@ -106,6 +106,29 @@
 	}
 }
 
+// TestBurstBeyondCapacity guards against work that is taken on although it can't end in time: with engines of
+// many slots, as those of chbak-loft-grown scaled to a half, a burst that asks for more than they can do
+// never reaches a call a slot, so that nothing is refused and nearly all programs are late. At least
+// 55% of the worth must be earned, and the more urgent kind must not be served less than the other.
+func TestBurstBeyondCapacity(t *testing.T) {
+	for _, seed := range seeds {
+		cfg := loftLoad(seed)
+		cfg.Entries, cfg.Engines, cfg.Slots, cfg.CacheTokens = 16, 25, 64, 155_037
+		cfg.ProgramsPerSecond, cfg.TimeLimitFactor = 41, 2.8
+		cfg.BurstX, cfg.BurstFrom, cfg.BurstTo, cfg.Urgent = 5, 4*time.Second, 10*time.Second, 0.27
+		r := Run(cfg)
+		worth := r.Worth(0.1, urgentWorth)
+		urgent, others := float64(r.UrgentInTime)/float64(r.Urgent), float64(r.InTime-r.UrgentInTime)/float64(r.Programs-r.Urgent)
+		t.Logf("seed %d: worth %.3f, %.2f of the urgent and %.2f of the other programs in time, %d refused", seed, worth, urgent, others, r.Refused)
+		if worth < 0.55 {
+			t.Errorf("seed %d: worth %.3f, want at least 0.55", seed, worth)
+		}
+		if urgent < others {
+			t.Errorf("seed %d: %.2f of the urgent programs are in time and %.2f of the others", seed, urgent, others)
+		}
+	}
+}
+
 // TestEnginesThatFailPartOfTheirCalls guards against further calls to engines that fail many:
 // 3 of 10 engines fail half of their calls and must be avoided.
 func TestEnginesThatFailPartOfTheirCalls(t *testing.T) {
