routing: events that arrive together are no measure of speed

Cause: two events in a packet leave gaps of microseconds, which the quicker part of an answer would consist of; upstreams would then be compared by noise, and one of them reported as slow. Change: an undisturbed time below a tenth of the mean says nothing. Result: TestEventsInPairsMakeNoUpstreamSlow fails before and passes.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -412,7 +412,8 @@
 	m, s := b.LatencyModel(service), b.statsOf(id, 0)
 	slow := s.slowness.now(now)
 	m.observeStep(ms(d.Elapsed)/float64(d.Tokens)/m.batchFactor(d.BatchSize), slow)
-	if d.Undisturbed <= 0 {
+	// Events that arrive together, such as two in a packet, say nothing of the time between them.
+	if d.Undisturbed < d.Elapsed/time.Duration(d.Tokens*maxDisturbance) {
 		return
 	}
 	alone := ms(d.Undisturbed) / m.batchFactor(d.BatchSize)
@@ -425,6 +426,10 @@
 	s.slowness.report(ratio)
 }
 
+// maxDisturbance is the largest ratio of the mean time of a token to the undisturbed one that can be due
+// to prompts which are computed meanwhile.
+const maxDisturbance = 10
+
 // ObserveFirstEvent records the time to the first event of a call that was sent with the estimates of
 // pick. Calls of whose prompt nothing is known to be cached are left out, since another entry may
 // have had it cached there, and so are those to slow upstreams.
--- a/routing/slowness_test.go
+++ b/routing/slowness_test.go
@@ -58,6 +58,20 @@
 	})
 }
 
+// TestEventsInPairsMakeNoUpstreamSlow checks that an engine whose events arrive two at a time, so that a
+// quarter of the gaps are some microseconds of any length, is not compared by them.
+func TestEventsInPairsMakeNoUpstreamSlow(t *testing.T) {
+	now, b := time.Unix(1000, 0), NewBalancer(BalancerConfig{Seed: 1})
+	per := time.Duration(defaultTokenMs * float64(time.Millisecond))
+	for i := range 100 {
+		b.ObserveDecode(now, "s", "paired", Decode{Tokens: 30, BatchSize: 1, Elapsed: 30 * per, Undisturbed: time.Duration(1+i%50) * time.Microsecond})
+	}
+	if v := b.Slowness(now, "paired"); v != 1 {
+		t.Errorf("slowness %.2f", v)
+	}
+	b.TakeUnreportedSpeeds(func(string, float64, int) bool { t.Error("reported as slow"); return true })
+}
+
 // TestSpeedChangesAreReportedOnce checks that operators are told of a slow upstream once, with the
 // evidence, and once when it is normal again.
 func TestSpeedChangesAreReportedOnce(t *testing.T) {
