--- a/relay/document.go
+++ b/relay/document.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/buckthornroute/buckthornroute/organisation"
+)
 
 // RouteKind classifies a route's calls by how they are answered and whether they may be
 // repeated.
@@ -70,6 +74,9 @@
 	Retention time.Duration
 	// Services has at least one service.
 	Services []WeightedService
+	// Public reports whether the route is open to callers without a key, in a document that has
+	// organisations.
+	Public bool
 }
 
 // MayRepeat reports whether a call of the route may run from its start more than once.
@@ -134,11 +141,13 @@
 	IdleTimeout   time.Duration
 }
 
-// Document is the operator's configuration: routes, services and limits. At most one version is
+// Document is the operator's configuration: routes, services, limits and organisations. At most one version is
 // in force at an entry, and the version never decreases.
 type Document struct {
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations are in the document's order. If there are any, callers identify one by a key.
+	Organisations []organisation.Organisation
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/buckthornroute/buckthornroute/organisation"
 )
 
 // TestMatchLongestPrefix: the longest matching prefix must win, and a prefix must end at a slash of
@@ -88,3 +90,29 @@
 		}
 	}
 }
+
+// TestPriorityOfOrganisation: the priority of an organisation must replace that of the route, and
+// priorities that no call has must not count in the rank.
+func TestPriorityOfOrganisation(t *testing.T) {
+	urgent, late := 1, 7
+	doc := &Document{
+		Routes:        []Route{{Host: "h", Prefix: "/a/", Kind: Stream, Priority: 3}, {Host: "h", Prefix: "/b/", Kind: Stream, Priority: 9}},
+		Organisations: []organisation.Organisation{{Name: "u", Priority: &urgent}, {Name: "l", Priority: &late}},
+	}
+	table := NewRouteTable(doc)
+	for i, want := range []int{1, 0} {
+		if p := Priority(&doc.Routes[0], &doc.Organisations[i]); table.Rank(p) != want {
+			t.Errorf("%s: priority %d has rank %d, want %d", doc.Organisations[i].Name, p, table.Rank(p), want)
+		}
+	}
+	doc.Organisations = append(doc.Organisations, organisation.Organisation{Name: "none"})
+	table = NewRouteTable(doc)
+	for _, c := range []struct {
+		o    *organisation.Organisation
+		want int
+	}{{&doc.Organisations[0], 3}, {&doc.Organisations[2], 2}, {nil, 2}, {&doc.Organisations[1], 1}} {
+		if p := Priority(&doc.Routes[0], c.o); table.Rank(p) != c.want {
+			t.Errorf("%v: priority %d has rank %d, want %d", c.o, p, table.Rank(p), c.want)
+		}
+	}
+}
--- a/relay/routetable.go
+++ b/relay/routetable.go
@@ -1,19 +1,37 @@
 package relay
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/buckthornroute/buckthornroute/organisation"
+)
 
 // RouteTable finds the route of a call by host and path. It is immutable.
 type RouteTable struct {
 	doc *Document
 	// byHost maps each host to its routes, by prefix.
-	byHost map[string]map[string]*Route
-	// ranks maps each priority of the stream routes to the number of less urgent ones.
+	byHost        map[string]map[string]*Route
+	organisations *organisation.Table
+	// ranks maps each priority that a call of a stream route can have to the number of less urgent
+	// ones.
 	ranks map[int]int
 }
 
 // NewRouteTable returns the route table of a document.
 func NewRouteTable(doc *Document) *RouteTable {
-	t := &RouteTable{doc: doc, byHost: make(map[string]map[string]*Route), ranks: map[int]int{}}
+	t := &RouteTable{
+		doc: doc, byHost: make(map[string]map[string]*Route), ranks: map[int]int{},
+		organisations: organisation.NewTable(doc.Organisations),
+	}
+	// The priority of a route counts only for calls without that of an organisation.
+	routePriorities := len(doc.Organisations) == 0
+	for i := range doc.Organisations {
+		if p := doc.Organisations[i].Priority; p != nil {
+			t.ranks[*p] = 0
+		} else {
+			routePriorities = true
+		}
+	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		prefixes := t.byHost[r.Host]
@@ -22,7 +40,7 @@
 			t.byHost[r.Host] = prefixes
 		}
 		prefixes[r.Prefix] = r
-		if r.Kind == Stream {
+		if r.Kind == Stream && (routePriorities || r.Public) {
 			t.ranks[r.Priority] = 0
 		}
 	}
@@ -36,9 +54,21 @@
 	return t
 }
 
-// Rank returns the number of distinct priorities of stream routes that are less urgent than that
-// of r, a stream route; 0 for the least urgent.
-func (t *RouteTable) Rank(r *Route) int { return t.ranks[r.Priority] }
+// Priority returns the priority of a call of the route r by a caller of the organisation o, or
+// without one if o is nil: that of the organisation if it has one, otherwise that of the route.
+func Priority(r *Route, o *organisation.Organisation) int {
+	if o != nil && o.Priority != nil {
+		return *o.Priority
+	}
+	return r.Priority
+}
+
+// Rank returns how many of the distinct priorities that calls of stream routes can have are less
+// urgent than the given one; 0 for the least urgent.
+func (t *RouteTable) Rank(priority int) int { return t.ranks[priority] }
+
+// Organisations returns the document's organisations.
+func (t *RouteTable) Organisations() *organisation.Table { return t.organisations }
 
 // Document returns the document that the table was built from.
 func (t *RouteTable) Document() *Document { return t.doc }
