gateway: identify the organisation of a request by its key

Change: authenticate runs after the match of the route and before the body is read: 401 for a missing or unknown key, 503 for an unknown one if the document was not confirmed within 2 s, no check on public routes. A call without a valid key that matches no route gets the same 401, so that strangers learn nothing of the routes; with one it gets 404 as before. The organisation's priority replaces that of the route in admission. Ids of turns, programs and streams carry its scope. A document is prepared outside the mutex that requests take.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
+	"github.com/buckthornroute/buckthornroute/organisation"
 	"github.com/buckthornroute/buckthornroute/platform"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
@@ -36,8 +37,8 @@
 	// writeGrace is how long after a call's deadline the answer may still be written.
 	writeGrace = time.Second
 	// maxDocumentAge is how recently the document must have been confirmed to be the newest
-	// for a call that matches no route to be rejected with 404. Otherwise the call is refused
-	// with 503.
+	// for a call that matches no route to be rejected with 404, or one with an unknown key with 401.
+	// Otherwise the call is refused with 503.
 	maxDocumentAge = 2 * time.Second
 )
 
@@ -75,8 +76,14 @@
 type job struct {
 	call  *relay.Call
 	route *relay.Route
-	// version is the version of the document from which the route was taken.
+	// version is the version of the document from which the route and the organisation were taken.
 	version uint64
+	// org is the caller's organisation; nil when it has none. identified is set when the document
+	// has organisations.
+	org        *organisation.Organisation
+	identified bool
+	// rank is the rank of the call's priority; see relay.RouteTable.
+	rank int
 	// service is the service whose upstreams the call may be sent to.
 	service string
 	request *http.Request
@@ -168,7 +175,7 @@
 	if !g.matchRoute(w, j) || !g.readBody(w, j) {
 		return
 	}
-	j.fingerprint = quarantine.HashCall(r.Method, r.URL.RequestURI(), j.call.Previous, j.body)
+	j.fingerprint = quarantine.HashCall(r.Method, r.URL.RequestURI(), j.org.ScopedID(j.call.Previous), j.body)
 	// The deadline may have passed while the body was read.
 	if j.left() <= 0 {
 		g.refuse(w, j, "deadline", nil, retryUpstream)
@@ -181,8 +188,8 @@
 	g.servePlain(r.Context(), w, j)
 }
 
-// matchRoute finds the call's route and chooses its service. When there is none, it
-// answers the caller and returns false.
+// matchRoute finds the call's route and organisation and chooses its service. When the call has no
+// route or must not run, it answers the caller and returns false.
 func (g *Gateway) matchRoute(w http.ResponseWriter, j *job) bool {
 	t := g.routes.Load()
 	if t == nil {
@@ -191,16 +198,19 @@
 	}
 	j.version = t.Document().Version
 	j.route = t.Match(j.request.Host, j.request.URL.Path)
+	if !g.authenticate(w, j, t) {
+		return false
+	}
 	if j.route == nil {
 		if age := g.documentAge(); age > maxDocumentAge {
-			g.refuse(w, j, "document_old", errors.Newf("last confirmed %s ago", age.Round(time.Millisecond)), retryTable)
+			g.refuse(w, j, reasonDocumentOld, errors.Newf("last confirmed %s ago", ageText(age)), retryTable)
 			return false
 		}
 		g.metrics.notFound.Inc(1)
 		g.reject(w, j, http.StatusNotFound, "no_route", nil)
 		return false
 	}
-	j.service = g.chooseService(j)
+	j.service, j.rank = g.chooseService(j), t.Rank(relay.Priority(j.route, j.org))
 	timeout := j.call.Timeout
 	if timeout <= 0 {
 		timeout = defaultCallTimeout
@@ -219,9 +229,12 @@
 	if at := g.documentConfirmedAt.Load(); at != nil {
 		return time.Since(*at)
 	}
-	return math.MaxInt64
+	return never
 }
 
+// never is the age of a document that was never confirmed.
+const never = time.Duration(math.MaxInt64)
+
 // setWriteDeadline sets the time by which the answer must be written, so that a caller
 // that does not read holds a slot of an upstream for a bounded time only.
 func (g *Gateway) setWriteDeadline(w http.ResponseWriter, j *job, until time.Time) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -122,16 +122,20 @@
 		g.env.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "document", Detail: r.Key, Count: r.Version, Err: err})
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	g.documentMu.Lock()
+	defer g.documentMu.Unlock()
 	old := g.routes.Load()
 	if old != nil && old.Document().Version >= doc.Version {
 		return
 	}
-	g.routes.Store(relay.NewRouteTable(doc))
+	routes := relay.NewRouteTable(doc)
+	g.mu.Lock()
+	g.routes.Store(routes)
 	g.storeFleet(g.fleet.Load().registry)
+	g.mu.Unlock()
 	g.env.Requests.Warn("document_in_force").Int("version", int64(doc.Version)).Int("row_version", r.Version).
-		Int("routes", int64(len(doc.Routes))).End()
+		Int("routes", int64(len(doc.Routes))).Int("organisations", int64(len(doc.Organisations))).End()
+	g.logOrganisations(doc.Version, routes.Organisations())
 }
 
 // followUpstreams follows the rows of the upstreams until ctx ends.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,10 @@
 	// before that.
 	documentConfirmedAt atomic.Pointer[time.Time]
 	draining            atomic.Bool
-	inFlight            atomic.Int64
+	// documentMu serialises the replacement of routes, so that the version never decreases. A document
+	// is prepared under it alone: requests take g.mu but not this one.
+	documentMu sync.Mutex
+	inFlight   atomic.Int64
 
 	newPrograms admission.NewProgramPolicy
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,9 @@
 	// crashReportsReceived those that other entries reported, crashReportsDropped reports that were
 	// not sent for lack of room, and quarantined calls that were not sent because of their content.
 	crashesCounted, crashReportsReceived, crashReportsDropped, quarantined tally.Counter
+	// unauthenticated counts requests rejected since their key is missing or unknown, keysUnconfirmed
+	// those refused since a newer document may have their key.
+	unauthenticated, keysUnconfirmed tally.Counter
 	// limitChanges counts beginnings, changes and ends of upstreams' limits, limitsMalformed answers
 	// that name a limit which can't be read.
 	limitChanges, limitsMalformed tally.Counter
@@ -69,6 +72,7 @@
 		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"),
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
+		unauthenticated: s.Counter("unauthenticated"), keysUnconfirmed: s.Counter("keys_unconfirmed"),
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
 		streamsTakenUp: s.Counter("streams_taken_up"), streamsContinued: s.Counter("streams_continued"),
 		streamsUnknown: s.Counter("streams_version_unknown"), streamsStranded: s.Counter("streams_stranded"),
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -293,7 +293,7 @@
 		g.refuse(s.w, j, "retained_stream", errRetained, retryUpstream)
 		return false
 	}
-	found, known := g.origins.find(ctx, j.call.Resumes, j.service)
+	found, known := g.origins.find(ctx, j.org.ScopedID(j.call.Resumes), j.service)
 	if !known {
 		g.metrics.streamsUnknown.Inc(1)
 		g.refuse(s.w, j, "stream_version_unknown", errUnknownVersion, retryUpstream)
@@ -318,7 +318,7 @@
 	}
 	j.origin.Upstream = routing.HashID(j.pick.ID)
 	if j.route.Resumable && j.origin.Version != "" {
-		s.g.origins.began(j.call.ID, *j.origin)
+		s.g.origins.began(j.org.ScopedID(j.call.ID), *j.origin)
 	}
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -16,6 +16,7 @@
 			ln.Int("after_event", *j.call.LastEvent)
 		}
 	}
+	ln.Str("organisation", j.organisationName())
 	if j.route != nil {
 		ln.Str("route", j.route.Name).Int("document", int64(j.version)).Str("service", j.service).Ms("left_ms", j.left())
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -72,6 +72,7 @@
 	res := &sendResult{upstream: u.ID, incarnation: incarnationHash(u), sentAt: time.Now()}
 	head := platform.AppendRequest(make([]byte, 0, headBytes), j.request, platform.SendOptions{
 		Instance: u.ID, Timeout: j.left(), LastEvent: lastEvent, Priority: -1,
+		Identified: j.identified, Organisation: j.organisationName(),
 	}, len(j.body))
 	req := forward.Request{
 		Address: u.Address, ID: j.call.ID, Method: j.request.Method, Head: head, Body: j.body,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,10 +101,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	if s.g.turns.cached(j.call.Previous) == nil {
-		j.previousStoredBy = s.g.mesh.turnStoredBy(ctx, j.call.Program, j.call.Previous)
+	previous := j.org.ScopedID(j.call.Previous)
+	if s.g.turns.cached(previous) == nil {
+		// The owner of the budget knows the turns of a program by the ids that the caller gave them.
+		j.previousStoredBy = s.g.mesh.turnStoredBy(ctx, j.org.ScopedID(j.call.Program), j.call.Previous)
 	}
-	last, history, reads, err := s.g.turns.readChain(ctx, j.call.Previous, j.previousStoredBy)
+	last, history, reads, err := s.g.turns.readChain(ctx, previous, j.previousStoredBy)
 	j.turnReads = reads
 	switch {
 	case err == nil:
@@ -129,7 +131,7 @@
 		return nil, true
 	}
 	r, err := s.g.budgets.reserve(ctx, reserveCall{
-		Program: j.call.Program, ID: j.call.ID, Total: j.call.TokenBudget, MaxTokens: j.call.MaxTokens, Conversation: j.call.Conversation, Durable: j.route.Retained,
+		Program: j.org.ScopedID(j.call.Program), ID: j.call.ID, Total: j.call.TokenBudget, MaxTokens: j.call.MaxTokens, Conversation: j.call.Conversation, Durable: j.route.Retained,
 	})
 	switch {
 	case err == nil:
@@ -180,7 +182,7 @@
 	g.mu.Lock()
 	j.load = g.balancer.Load(time.Now(), upstreams)
 	g.mu.Unlock()
-	ok, after = g.newPrograms.Admit(j.load, g.routes.Load().Rank(j.route), stage == programRetried)
+	ok, after = g.newPrograms.Admit(j.load, j.rank, stage == programRetried)
 	return after, ok
 }
 
@@ -383,7 +385,7 @@
 	ctx, cancel := context.WithDeadline(ctx, storeDeadline(s.j, s.lastEventAt))
 	defer cancel()
 	err := s.g.turns.store(ctx, &turnlog.Turn{
-		ID: s.j.call.ID, Ancestors: turnlog.NextAncestors(s.previous), Input: s.input, Output: s.output,
+		ID: s.j.org.ScopedID(s.j.call.ID), Ancestors: turnlog.NextAncestors(s.previous), Input: s.input, Output: s.output,
 	}, s.j.route.Retention)
 	if err != nil && errors.Is(err, platformapi.ErrNotApplied) {
 		return errors.Wrap(err, "turn was not written to the table")
