--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/ledger"
@@ -53,10 +54,10 @@
 type budgetOwners interface {
 	// owner returns the peer that owns the program's budget; nil when this entry does, or
 	// when no entry is eligible.
-	owner(program string) *peer
+	owner(program string) *mesh.Peer
 	// reserveAt reserves tokens at the peer p; settleAt ends a reservation there.
-	reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveAnswer, error)
-	settleAt(ctx context.Context, p *peer, s settleCall) error
+	reserveAt(ctx context.Context, p *mesh.Peer, r reserveCall) (reserveAnswer, error)
+	settleAt(ctx context.Context, p *mesh.Peer, s settleCall) error
 	// collectGrants returns the grants of the program that this entry and its peers know, and
 	// how complete they are.
 	collectGrants(ctx context.Context, program string) (granted ledger.Grants, view grantView)
@@ -210,7 +211,7 @@
 type reservation struct {
 	b *budgets
 	// owner is the entry that granted it; nil when this entry did.
-	owner *peer
+	owner *mesh.Peer
 	call  reserveCall
 	// lastUpstream is where the conversation's last turn ran, or else the program's; empty
 	// when that is unknown.
@@ -232,7 +233,7 @@
 	switch {
 	case owner == nil:
 		answer, err = b.grant(ctx, call, true)
-	case errors.Is(err, errPeerUnreachable):
+	case errors.Is(err, mesh.ErrUnreachable):
 		// The owner may still grant this reservation later, and no turn would use it. The
 		// settleCall frees its tokens, or prevents the grant if it arrives first.
 		go b.sendSettle(context.WithoutCancel(ctx), owner, settleCall{Program: call.Program, ID: call.ID})
@@ -240,7 +241,7 @@
 		// owner can determine that the budget is spent.
 		owner = nil // from here on this entry counts as the one that grants the reservation
 		if answer, err = b.grant(ctx, call, false); answer.outcome == reserveSpent {
-			answer.outcome, err = reserveUnknown, errPeerUnreachable
+			answer.outcome, err = reserveUnknown, mesh.ErrUnreachable
 		}
 	}
 	switch answer.outcome {
@@ -273,7 +274,7 @@
 
 // sendSettle sends the end of a reservation to the owner. Until the owner receives it, all
 // reserved tokens of the turn count as used.
-func (b *budgets) sendSettle(ctx context.Context, owner *peer, s settleCall) {
+func (b *budgets) sendSettle(ctx context.Context, owner *mesh.Peer, s settleCall) {
 	for range settleAttempts {
 		attemptCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 		err := b.owners.settleAt(attemptCtx, owner, s)
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/standin"
 	"github.com/buckthornroute/buckthornroute/ledger"
@@ -33,7 +33,7 @@
 	entries := []*testEntry{e, startEntry(t, "entry-2", p.standin.Table), startEntry(t, "entry-3", p.standin.Table)}
 	eventually(t, "the entries know each other", func() bool {
 		for _, e := range entries {
-			if e.mesh.size() != len(entries) {
+			if e.mesh.Size() != len(entries) {
 				return false
 			}
 		}
@@ -74,7 +74,7 @@
 	entries := []*testEntry{e, startEntry(t, "entry-2", p.standin.Table), startEntry(t, "entry-3", p.standin.Table)}
 	eventually(t, "the entries know each other", func() bool {
 		for _, e := range entries {
-			if e.mesh.size() != len(entries) {
+			if e.mesh.Size() != len(entries) {
 				return false
 			}
 		}
@@ -127,9 +127,9 @@
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
 	switching := &switchTable{Watcher: p.standin.Table}
 	other := startEntry(t, "entry-2", switching)
-	eventually(t, "the entries know each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	eventually(t, "the entries know each other", func() bool { return e.mesh.Size() == 2 && other.mesh.Size() == 2 })
 	eventually(t, "the entry knows that the other reaches the table", func() bool {
-		via, _ := other.mesh.tableThroughPeer()
+		via, _ := other.tableThroughPeer()
 		return via != nil
 	})
 	switching.set(refusingTable{p.standin.Table})
@@ -180,7 +180,7 @@
 // must find the draw when it reads the row again, and not draw a second time.
 func TestDrawWhoseAnswerIsLost(t *testing.T) {
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
-	eventually(t, "the entry owns budgets", e.mesh.canOwnBudgets)
+	eventually(t, "the entry owns budgets", e.mesh.CanOwn)
 	p.injectFault(standin.Fault{Kind: standin.FaultLoseAnswer, Match: "/table/apply", Count: 1})
 	if r := e.call("POST", "/ask/1", "x", turnHeader("p", 400, 50)); r.status != http.StatusOK {
 		t.Fatalf("the turn failed: %+v", r)
@@ -202,7 +202,7 @@
 	entries := []*testEntry{e, startEntry(t, "entry-2", p.standin.Table), startEntry(t, "entry-3", p.standin.Table)}
 	eventually(t, "the entries know each other", func() bool {
 		for _, e := range entries {
-			if e.mesh.size() != len(entries) {
+			if e.mesh.Size() != len(entries) {
 				return false
 			}
 		}
@@ -212,13 +212,13 @@
 	var owner *testEntry
 	program := "p"
 	for _, e := range entries {
-		if e.mesh.owner(program) == nil {
+		if e.mesh.Owner(program) == nil {
 			owner = e
 		}
 	}
-	owner.mesh.synchronised.Store(false)
+	owner.budgetPeers.synchronised.Store(false)
 	for _, e := range entries {
-		e.mesh.synchronised.Store(false)
+		e.budgetPeers.synchronised.Store(false)
 	}
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	for _, e := range entries {
@@ -242,7 +242,7 @@
 	entries := []*testEntry{e, startEntry(t, "entry-2", p.standin.Table), startEntry(t, "entry-3", p.standin.Table)}
 	eventually(t, "the entries know each other", func() bool {
 		for _, e := range entries {
-			if e.mesh.size() != len(entries) || !e.mesh.canOwnBudgets() {
+			if e.mesh.Size() != len(entries) || !e.mesh.CanOwn() {
 				return false
 			}
 		}
@@ -262,14 +262,12 @@
 		}
 	}
 	for _, e := range entries {
-		e.mesh.mu.Lock()
 		for _, m := range missing {
-			e.mesh.peers[m] = &peer{
-				Node: m, Incarnation: "x", UDPAddress: "127.0.0.1:9", udpAddr: netip.MustParseAddrPort("127.0.0.1:9"),
-				synchronised: true, canOwnBudgets: true, lastDigest: time.Now().Add(-5 * time.Second), listedAt: time.Now().Add(-time.Hour),
-			}
+			setPeer(t, e.Gateway, mesh.Peer{
+				Node: m, Incarnation: "x", UDPAddress: "127.0.0.1:9", Flags: mesh.FlagSynchronised | mesh.FlagOwner,
+				LastDigest: time.Now().Add(-5 * time.Second), ListedAt: time.Now().Add(-time.Hour),
+			})
 		}
-		e.mesh.mu.Unlock()
 	}
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	for _, e := range entries {
@@ -292,7 +290,7 @@
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
 	other := startEntry(t, "entry-2", p.standin.Table)
 	eventually(t, "the entries know each other", func() bool {
-		return e.mesh.canOwnBudgets() && other.mesh.canOwnBudgets() && e.mesh.size() == 2 && other.mesh.size() == 2
+		return e.mesh.CanOwn() && other.mesh.CanOwn() && e.mesh.Size() == 2 && other.mesh.Size() == 2
 	})
 	p.injectFault(standin.Fault{Kind: standin.FaultSlow, Delay: structs.Duration(250 * time.Millisecond)})
 	n := 0
@@ -300,7 +298,7 @@
 	own := func() string {
 		for {
 			n++
-			if program := fmt.Sprintf("p%d", n); e.mesh.owner(program) == nil {
+			if program := fmt.Sprintf("p%d", n); e.mesh.Owner(program) == nil {
 				return program
 			}
 		}
@@ -334,14 +332,14 @@
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
 	other := startEntry(t, "entry-2", p.standin.Table)
 	eventually(t, "the entries know each other", func() bool {
-		return e.mesh.canOwnBudgets() && other.mesh.canOwnBudgets() && e.mesh.size() == 2 && other.mesh.size() == 2
+		return e.mesh.CanOwn() && other.mesh.CanOwn() && e.mesh.Size() == 2 && other.mesh.Size() == 2
 	})
 	program := "p0"
-	for n := 1; e.mesh.owner(program) != nil; n++ {
+	for n := 1; e.mesh.Owner(program) != nil; n++ {
 		program = fmt.Sprintf("p%d", n)
 	}
 	// The notice stands for that of an owner that crashed before it recorded the grant.
-	if !e.mesh.announce(t.Context(), grantNotice{Program: program, Holder: "crashed/1", Granted: 150, Total: 500, Provisional: true}) {
+	if !e.budgetPeers.announce(t.Context(), grantNotice{Program: program, Holder: "crashed/1", Granted: 150, Total: 500, Provisional: true}) {
 		t.Fatal("no entry received the notice")
 	}
 	eventually(t, "the other entry records the grant", func() bool {
@@ -358,7 +356,7 @@
 // it before the owner granted it. The owner must not grant it, so that its tokens stay free.
 func TestSettledBeforeGranted(t *testing.T) {
 	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
-	eventually(t, "the entry owns budgets", e.mesh.canOwnBudgets)
+	eventually(t, "the entry owns budgets", e.mesh.CanOwn)
 	first := reserveCall{Program: "p", ID: "first", Total: 50, MaxTokens: 50}
 	e.budgets.mu.Lock()
 	e.budgets.programLocked(first)
@@ -404,7 +402,7 @@
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
 	other := startEntry(t, "entry-2", p.standin.Table)
 	eventually(t, "the entries know each other", func() bool {
-		return e.mesh.canOwnBudgets() && other.mesh.canOwnBudgets() && e.mesh.size() == 2 && other.mesh.size() == 2
+		return e.mesh.CanOwn() && other.mesh.CanOwn() && e.mesh.Size() == 2 && other.mesh.Size() == 2
 	})
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	eventually(t, "the table counts as unreachable", func() bool { return e.table.unreachable() && other.table.unreachable() })
@@ -435,7 +433,7 @@
 	p, e, _, l := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
 	other := startEntry(t, "entry-2", p.standin.Table)
 	eventually(t, "the entries know each other", func() bool {
-		return e.mesh.canOwnBudgets() && other.mesh.canOwnBudgets() && e.mesh.size() == 2 && other.mesh.size() == 2
+		return e.mesh.CanOwn() && other.mesh.CanOwn() && e.mesh.Size() == 2 && other.mesh.Size() == 2
 	})
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	eventually(t, "the table counts as unreachable", func() bool { return e.table.unreachable() && other.table.unreachable() })
@@ -490,7 +488,7 @@
 // are not granted again by its successor, and that those which it had not used are.
 func TestForgottenBudgetStaysSpent(t *testing.T) {
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false)) // 5 events of 10 tokens each
-	eventually(t, "the entry owns budgets", e.mesh.canOwnBudgets)
+	eventually(t, "the entry owns budgets", e.mesh.CanOwn)
 	remaining := func() int {
 		row, err := p.standin.Table.Get(t.Context(), budgetKey("p"))
 		if err != nil {
@@ -517,7 +515,7 @@
 // row was deleted.
 func TestBudgetOutlivesItsRow(t *testing.T) {
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
-	eventually(t, "the entry owns budgets", e.mesh.canOwnBudgets)
+	eventually(t, "the entry owns budgets", e.mesh.CanOwn)
 	if n := spendTurns(e, "p", 12, func() { p.removeRow(budgetKey("p")) }); n != 4 {
 		t.Errorf("%d turns of 50 tokens ran on a budget of 200, want 4", n)
 	}
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -370,7 +370,7 @@
 		p.registerUpstream(newScriptedUpstream(t, fmt.Sprintf("app-%d", i+2), dropConnection), "app", "ready", 1)
 	}
 	other := startEntry(t, "entry-2", p.standin.Table)
-	eventually(t, "the entries list each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	eventually(t, "the entries list each other", func() bool { return e.mesh.Size() == 2 && other.mesh.Size() == 2 })
 	eventually(t, "the entry lists all 5 upstreams", func() bool { return len(e.fleet.Load().byService["app"]) == 5 })
 	failures := 0
 	for range 12 {
--- a/internal/gateway/chains_test.go
+++ b/internal/gateway/chains_test.go
@@ -83,7 +83,7 @@
 	e, other := startEntry(t, "entry-1", shared), startEntry(t, "entry-2", shared)
 	eventually(t, "the entries agree on the owners of the programs", func() bool {
 		for _, program := range testPrograms {
-			if (e.mesh.owner(program) == nil) == (other.mesh.owner(program) == nil) {
+			if (e.mesh.Owner(program) == nil) == (other.mesh.Owner(program) == nil) {
 				return false
 			}
 		}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -103,11 +103,11 @@
 		if !g.applyReport(now, report, true) {
 			continue
 		}
-		g.mesh.queueCrashReport(report)
+		g.reports.queue(report)
 		if report.Kind == quarantine.Crash {
 			g.metrics.crashesCounted.Inc(1)
 			if g.crashCount(report.Request) >= urgentCrashes {
-				g.mesh.sendDigestNow()
+				g.mesh.SendDigestNow()
 			}
 		}
 		g.logReport(now, "crash_report", string(g.cfg.Node), report)
@@ -127,7 +127,7 @@
 // silent, they store requests with fewer crashes too, since that peer can't be told. own is set for
 // reports of this entry. applyReport returns false if the report changes nothing.
 func (g *Gateway) applyReport(now time.Time, report quarantine.CrashReport, own bool) bool {
-	stored := g.quarantine.hasRow(report.Request) || own && g.mesh.peerSilent(now)
+	stored := g.quarantine.hasRow(report.Request) || own && g.mesh.AnySilent(now)
 	g.mu.Lock()
 	before := g.crashes.Counted(now, report.Request)
 	add := g.crashes.Add
@@ -171,7 +171,7 @@
 		g.quarantine.update(j.fingerprint)
 	}
 	for _, report := range reports {
-		g.mesh.queueCrashReport(report)
+		g.reports.queue(report)
 	}
 	if len(reports) > 0 {
 		g.updateQuarantineDigest()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 )
@@ -404,7 +405,7 @@
 func TestLostCrashReportsAreRepaired(t *testing.T) {
 	c, e := startCrashingPool(t)
 	other := startEntry(t, "entry-2", c.p.standin.Table)
-	eventually(t, "the entries list each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	eventually(t, "the entries list each other", func() bool { return e.mesh.Size() == 2 && other.mesh.Size() == 2 })
 	now := time.Now()
 	fingerprint := e.fingerprintOf("POST", "/draft/1", "poison")
 	e.mu.Lock()
@@ -424,19 +425,19 @@
 func TestCrashReportsWaitForRoom(t *testing.T) {
 	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
 	receiver := newGateway(testSettings(t, "receiver"), e.env)
-	receiver.mesh.addPeer(e.mesh.selfPeer())
+	setPeer(t, receiver, e.mesh.Self())
 	const reports = 200
 	for i := range uint64(reports) {
-		e.mesh.queueCrashReport(quarantine.CrashReport{Kind: quarantine.Crash, Request: 1<<60 + i, Upstream: 1<<60 + i})
+		e.reports.queue(quarantine.CrashReport{Kind: quarantine.Crash, Request: 1<<60 + i, Upstream: 1<<60 + i})
 	}
 	sends := 0
 	for range 60 {
-		b := e.mesh.digest()
-		if len(b) > maxPacketSize {
-			t.Fatalf("a digest has %d bytes, want at most %d", len(b), maxPacketSize)
+		b := e.mesh.Digest()
+		if len(b) > mesh.MaxPacketSize {
+			t.Fatalf("a digest has %d bytes, want at most %d", len(b), mesh.MaxPacketSize)
 		}
 		if sends++; sends%3 != 0 { // every third datagram is lost
-			receiver.mesh.handlePacket(b, nil)
+			receiver.mesh.HandlePacket(b, nil)
 		}
 	}
 	for i := range uint64(reports) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,7 @@
 // stored in the platform's table.
 //
 // The word call has three uses here: a caller's request that is forwarded to an upstream (job),
-// a datagram by which an entry asks another one (peerCalls), and an operation of the platform's
+// a datagram by which an entry asks another one (package mesh), and an operation of the platform's
 // table (tableClient).
 package gateway
 
@@ -26,6 +26,7 @@
 	"github.com/buckthornroute/buckthornroute/admission"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/forward"
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
@@ -64,7 +65,7 @@
 	drainDelay time.Duration
 
 	table   *tableClient
-	mesh    *mesh
+	mesh    *mesh.Mesh
 	pool    *forward.Pool
 	commits *committer
 	expiry  *expiry
@@ -75,7 +76,12 @@
 	limits     *upstreamLimits
 	leaving    *leavingUpstreams
 	origins    *streamOrigins
-	answers    *answerMemory
+	// budgetPeers, chains, reports and cached exchange the state of their parts with other entries.
+	budgetPeers *budgetPeers
+	chains      turnChains
+	reports     *crashReports
+	cached      *cachedPrompts
+	answers     *answerMemory
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
@@ -124,13 +130,15 @@
 	g.answers = newAnswerMemory(cfg.MemoryMB)
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
-	g.table = newTableClient(env.Table, g.mesh, g.emitTableEvent)
-	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.size)
+	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
+	g.table = newTableClient(env.Table, g, g.emitTableEvent)
+	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
 	g.expiry = &expiry{commits: g.commits}
-	g.budgets = newBudgets(g.table, g.commits, g.mesh, g.expiry, env.Requests, g.holder(), g.incarnation)
+	g.budgets = newBudgets(g.table, g.commits, g.budgetPeers, g.expiry, env.Requests, g.holder(), g.incarnation)
 	g.quarantine = newQuarantineStore(g)
 	g.limits = newUpstreamLimits(g)
-	g.turns = newTurnStore(g.table, g.commits, g.mesh, g.expiry, cfg)
+	g.turns = newTurnStore(g.table, g.commits, g.chains, g.expiry, cfg)
+	g.joinMesh()
 	return g
 }
 
@@ -144,14 +152,14 @@
 		return err
 	}
 	g.env.Events.Emit(eventlog.GatewayStarted, eventlog.Fields{Step: "start", Detail: "callers " + g.cfg.ListenCallers + ", life " + g.incarnation})
-	g.mesh.packetConn = listeners.digests // read by the tasks below
+	g.mesh.SetConn(listeners.digests) // read by the tasks below
 	// Background tasks outlive ctx, since calls in progress still need them during a graceful
 	// shutdown.
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context){
-		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.expiry.run, g.cleanUp,
+		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.expiry.run, g.cleanUp,
 	} {
 		group.Go(func() error {
 			task(taskCtx)
@@ -252,11 +260,11 @@
 		ErrorLog:       nil,
 	}
 	s.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
-	s.mesh = &http.Server{Handler: g.mesh.handler(), ReadHeaderTimeout: internalHeaderTimeout}
+	s.mesh = &http.Server{Handler: g.mesh.Handler(), ReadHeaderTimeout: internalHeaderTimeout}
 	go g.serveOn(s.callers, s.listener)
 	go g.serveOn(s.ready, l.ready)
 	go g.serveOn(s.mesh, l.mesh)
-	go g.mesh.receive()
+	go g.mesh.Receive()
 	return s
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
@@ -291,6 +292,14 @@
 	return e, nil
 }
 
+// setPeer lists another entry at g as given.
+func setPeer(t *testing.T, g *Gateway, p mesh.Peer) {
+	t.Helper()
+	if err := g.mesh.SetPeer(p); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // noScope returns a scope that drops all metrics.
 func noScope() tally.Scope { return tally.NoopScope }
 
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 )
 
 const (
@@ -78,6 +81,29 @@
 	}
 }
 
+// join registers that upstreams leave with the digests.
+func (l *leavingUpstreams) join(g *Gateway) {
+	g.mesh.AddField(mesh.Field{
+		Kind: 'e',
+		Append: func(b []byte, room int) []byte {
+			end := len(b) + room
+			l.takeAnnounced(func(incarnation uint64) bool {
+				if len(b)+maxDigestItem > end {
+					return false
+				}
+				b = binary.AppendUvarint(append(b, 'e'), incarnation)
+				return true
+			})
+			return b
+		},
+		Apply: func(from string, r *mesh.Reader) {
+			if incarnation := r.Uvarint(); !r.Malformed() {
+				g.upstreamLeaves(incarnation, from, false)
+			}
+		},
+	})
+}
+
 // upstreamLeaves stops sending calls to an upstream that said that it leaves. from says who told. own is
 // set if it was an answer to this entry, which then tells the others.
 func (g *Gateway) upstreamLeaves(incarnation uint64, from string, own bool) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	"github.com/buckthornroute/buckthornroute/limits"
 )
 
@@ -38,6 +39,8 @@
 	answered permitAnswers
 	// repeats is the number of digests that are still to carry the statement of an upstream.
 	repeats map[uint64]int
+	// digests is the number of digests that takeStatements was called for.
+	digests uint64
 }
 
 func newUpstreamLimits(g *Gateway) *upstreamLimits {
@@ -127,11 +130,45 @@
 	})
 }
 
+// maxLimitBytes is the part of a digest in bytes that is kept free for limits of upstreams.
+const maxLimitBytes = 200
+
+// join registers what upstreams have said of their limits with the digests, and the question for permits.
+func (l *upstreamLimits) join() {
+	l.g.mesh.AddField(mesh.Field{
+		Kind: 'm', Reserve: maxLimitBytes,
+		Append: func(b []byte, room int) []byte {
+			end, now := len(b)+room, time.Now()
+			l.takeStatements(func(incarnation uint64, s limits.Statement) bool {
+				if len(b)+maxDigestItem > end {
+					return false
+				}
+				b = appendStatement(binary.AppendUvarint(append(b, 'm'), incarnation), now, s)
+				return true
+			})
+			return b
+		},
+		Apply: func(from string, r *mesh.Reader) {
+			if incarnation, s := r.Uvarint(), readStatement(r, time.Now()); !r.Malformed() {
+				l.receiveStatement(from, incarnation, s)
+			}
+		},
+	})
+	l.g.mesh.HandleQuestion(callPermit, func(q mesh.Question) {
+		upstream := q.Uvarint()
+		s, maxWait := readStatement(q.Reader, time.Now()), time.Duration(q.Uvarint())*time.Millisecond
+		if !q.Malformed() {
+			q.Reply(l.answerPermit(q.ID, q.From, upstream, s, min(maxWait, limits.Horizon)))
+		}
+	})
+}
+
 // takeStatements calls f for the statements that the next digest is to carry: those that changed in
 // answers to this entry, and in some digests those of the upstreams whose sends it grants.
-func (l *upstreamLimits) takeStatements(round uint64, f func(incarnation uint64, s limits.Statement) bool) {
+func (l *upstreamLimits) takeStatements(f func(incarnation uint64, s limits.Statement) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.digests++
 	for incarnation, repeats := range l.repeats {
 		s, known := l.known.Statement(incarnation)
 		if known && !f(incarnation, s) {
@@ -141,7 +178,7 @@
 			delete(l.repeats, incarnation)
 		}
 	}
-	if round%repeatLimitsEvery != 0 {
+	if l.digests%repeatLimitsEvery != 0 {
 		return
 	}
 	for incarnation := range l.shares {
@@ -171,13 +208,13 @@
 	return binary.AppendUvarint(binary.AppendUvarint(b, value), uint64(age.Milliseconds()))
 }
 
-// statement reads a statement.
-func (p *packetReader) statement(now time.Time) limits.Statement {
-	value, age := p.uvarint(), p.uvarint()
+// readStatement reads a statement.
+func readStatement(r *mesh.Reader, now time.Time) limits.Statement {
+	value, age := r.Uvarint(), r.Uvarint()
 	if value > 1+milli*maxEncodedLimit || age > uint64(maxStatementAge.Milliseconds()) {
-		p.malformed = true
+		r.Fail()
 	}
-	if p.malformed {
+	if r.Malformed() {
 		return limits.Statement{}
 	}
 	s := limits.Statement{Limited: value > 0, At: now.Add(-time.Duration(age) * time.Millisecond)}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/limits"
 )
@@ -92,7 +93,7 @@
 		entries = append(entries, startEntry(t, fmt.Sprintf("entry-%d", i), table))
 	}
 	for _, e := range entries {
-		eventually(t, "the entries list each other", func() bool { return e.mesh.size() == count })
+		eventually(t, "the entries list each other", func() bool { return e.mesh.Size() == count })
 	}
 	return entries
 }
@@ -347,6 +348,18 @@
 	})
 }
 
+// receiveEmptyDigest has the entry receive a digest with the flags and no items from another one.
+func receiveEmptyDigest(t *testing.T, e *testEntry, from string, flags mesh.Flags) {
+	t.Helper()
+	b := []byte{1, byte(flags)}
+	for _, text := range []string{from, "z", "127.0.0.1:9", "127.0.0.1:9", "life-of-" + from} {
+		b = mesh.AppendText(b, text)
+	}
+	if !e.mesh.HandlePacket(append(b, 1), nil) {
+		t.Fatal("the digest is malformed")
+	}
+}
+
 // TestRepeatedPermitQuestionTakesOnePermit checks that a question which is sent again because its
 // answer was lost gets the same answer, and that entries of earlier builds are not asked.
 func TestRepeatedPermitQuestionTakesOnePermit(t *testing.T) {
@@ -354,20 +367,19 @@
 	p.writeDocument(1)
 	p.registerUpstream(newScriptedUpstream(t, "llm-1", answerEvents(0, 1, false)), "llm", "ready", 1)
 	e := startEntry(t, "entry-1", p.standin.Table)
-	eventually(t, "the entry grants sends", func() bool { return e.mesh.canOwnBudgets() })
+	eventually(t, "the entry grants sends", func() bool { return e.mesh.CanOwn() })
 	incarnation := incarnationHash(e.fleet.Load().registry.Get("llm-1"))
 	s := limits.Statement{Limited: true, PerSecond: 4, At: time.Now()}
 	ask := func(question string) uint64 {
-		return e.limits.answerPermit(question, "entry-2", incarnation, s, limits.Horizon).value & (1<<permitBits - 1)
+		return e.limits.answerPermit(question, "entry-2", incarnation, s, limits.Horizon).Value & (1<<permitBits - 1)
 	}
 	if a, b, c := ask("1"), ask("1"), ask("2"); a != permitGranted || b != permitGranted || c != permitDenied {
 		t.Errorf("answers %d, %d and %d, want a permit, the same again, and none", a, b, c)
 	}
 	for i := range 20 {
-		e.mesh.addPeer(peer{Node: fmt.Sprint("old-", i), UDPAddress: "127.0.0.1:9", Incarnation: fmt.Sprint(i)})
-		e.mesh.accept(peer{Node: fmt.Sprint("old-", i), Incarnation: fmt.Sprint(i)}, 1, flagTableReachable|flagCanOwnBudgets)
+		receiveEmptyDigest(t, e, fmt.Sprint("old-", i), mesh.FlagTableReachable|mesh.FlagOwner)
 	}
-	if p, eligible := e.mesh.grantor(time.Now(), incarnation); p != nil || !eligible {
+	if p, eligible := e.limits.grantor(time.Now(), incarnation); p != nil || !eligible {
 		t.Errorf("%+v grants the sends, want this entry", p)
 	}
 }
@@ -377,18 +389,17 @@
 func TestShareBesideSilentGrantor(t *testing.T) {
 	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
 	for i := range 20 {
-		e.mesh.addPeer(peer{Node: fmt.Sprint("peer-", i), UDPAddress: "127.0.0.1:9", Incarnation: fmt.Sprint(i)})
-		e.mesh.accept(peer{Node: fmt.Sprint("peer-", i), Incarnation: fmt.Sprint(i)}, 1, flagGrantsSends)
+		receiveEmptyDigest(t, e, fmt.Sprint("peer-", i), mesh.FlagGrants)
 	}
 	now := time.Now()
-	if p, _ := e.mesh.grantor(now, 1); p == nil {
+	if p, _ := e.limits.grantor(now, 1); p == nil {
 		t.Fatal("this entry ranks first of 21")
 	}
-	for after, want := range map[time.Duration]float64{2 * time.Second: limits.ShareBesideAnother, silentGrantorWindow + time.Second: 1} {
-		if p, _ := e.mesh.grantor(now.Add(after), 1); p != nil {
+	for after, want := range map[time.Duration]float64{2 * time.Second: limits.ShareBesideAnother, mesh.ShareWindow + time.Second: 1} {
+		if p, _ := e.limits.grantor(now.Add(after), 1); p != nil {
 			t.Errorf("after %v of silence: %q grants the sends, want this entry", after, p.Node)
 		}
-		if got := e.mesh.grantShare(now.Add(after), 1); got != want {
+		if got := e.limits.grantShare(now.Add(after), 1); got != want {
 			t.Errorf("after %v of silence: share %v, want %v", after, got, want)
 		}
 	}
@@ -398,11 +409,11 @@
 // also if it does not list the upstream, as after a start while the table is down.
 func TestGrantorThatDoesNotListTheUpstream(t *testing.T) {
 	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
-	eventually(t, "the entry grants sends", func() bool { return e.mesh.canOwnBudgets() })
+	eventually(t, "the entry grants sends", func() bool { return e.mesh.CanOwn() })
 	s := limits.Statement{Limited: true, PerSecond: 4, At: time.Now()}
 	granted := 0
 	for i := range 20 {
-		if e.limits.answerPermit(fmt.Sprint(i), "entry-2", 12345, s, limits.Horizon).value&(1<<permitBits-1) == permitGranted {
+		if e.limits.answerPermit(fmt.Sprint(i), "entry-2", 12345, s, limits.Horizon).Value&(1<<permitBits-1) == permitGranted {
 			granted++
 		}
 	}
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -11,10 +11,10 @@
 func TestMalformedPacketsEndNoEntry(t *testing.T) {
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
 	other := startEntry(t, "entry-2", p.standin.Table)
-	eventually(t, "the entries list each other", func() bool { return e.mesh.size() == 2 && other.mesh.size() == 2 })
+	eventually(t, "the entries list each other", func() bool { return e.mesh.Size() == 2 && other.mesh.Size() == 2 })
 	from, rng := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}, rand.New(rand.NewPCG(1, 2))
 	for range 5000 {
-		b := other.mesh.digest()
+		b := other.mesh.Digest()
 		switch rng.IntN(3) {
 		case 0:
 			b = b[:1+rng.IntN(len(b)-1)]
@@ -27,9 +27,9 @@
 			}
 			b[0] = byte(1 + rng.IntN(5))
 		}
-		e.mesh.handlePacket(b, from)
+		e.mesh.HandlePacket(b, from)
 	}
-	if !e.mesh.handlePacket(other.mesh.digest(), from) {
+	if !e.mesh.HandlePacket(other.mesh.Digest(), from) {
 		t.Error("a sound digest is not taken after malformed packets")
 	}
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	"github.com/buckthornroute/buckthornroute/platform"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/resume"
@@ -33,6 +33,11 @@
 	rowTimeout = 150 * time.Millisecond
 	// rowDelay is the time within which an entry usually has the row of an upstream that has started.
 	rowDelay = 500 * time.Millisecond
+	// packetStream is the kind of packet that tells where a stream began: its key, the service and version,
+	// and the hash of the upstream's incarnation. It is not answered. Earlier builds ignore it.
+	packetStream = 5
+	// callStreamOrigin is the kind of question that asks where a stream began.
+	callStreamOrigin = 'o'
 	// sourceOnlyVersion is logged as the source of an origin that follows from the upstreams' rows.
 	sourceOnlyVersion = "only_version"
 )
@@ -78,15 +83,15 @@
 	key, now := resume.KeyOf(id), time.Now()
 	o.record(now, key, origin)
 	m := o.g.mesh
-	b := binary.BigEndian.AppendUint64(append(make([]byte, 0, 64), packetStream), uint64(key))
-	b = binary.BigEndian.AppendUint64(appendText(appendText(b, origin.Service), origin.Version), origin.Upstream)
+	b := binary.BigEndian.AppendUint64(make([]byte, 0, 64), uint64(key))
+	b = binary.BigEndian.AppendUint64(mesh.AppendText(mesh.AppendText(b, origin.Service), origin.Version), origin.Upstream)
 	sent := 0
-	for _, p := range m.ranked(id, originReplicas+1, func(p *peer) bool { return m.responsive(p, now) }) {
+	for _, p := range m.Ranked(id, originReplicas+1) {
 		if p == nil || sent == originReplicas {
 			continue
 		}
 		sent++
-		m.sendPacket(b, []net.Addr{net.UDPAddrFromAddrPort(p.udpAddr)})
+		m.Send(p, packetStream, b)
 	}
 }
 
@@ -96,14 +101,23 @@
 	o.origins.Record(now, key, origin)
 }
 
-// receive records what another entry has told. It reports whether the packet is well-formed. An entry
-// whose rows are older may not know yet that the upstream has started again with other software.
-func (o *streamOrigins) receive(b []byte) bool {
-	p := packetReader{b: b}
-	key := resume.Key(p.uint64())
-	origin := resume.Origin{Service: p.text(), Version: p.text(), Upstream: p.uint64()}
-	if p.malformed || origin.Version == "" {
-		return false
+// join registers the packet and the question of streams' origins.
+func (o *streamOrigins) join() {
+	o.g.mesh.HandlePackets(packetStream, o.receive)
+	o.g.mesh.HandleQuestion(callStreamOrigin, func(q mesh.Question) {
+		if key := resume.Key(q.Uint64()); !q.Malformed() {
+			q.Reply(o.answer(key))
+		}
+	})
+}
+
+// receive records what another entry has told, unless the packet is malformed. An entry whose rows are older may not know yet that the upstream has started again with other software.
+func (o *streamOrigins) receive(r *mesh.Reader) {
+	key := resume.Key(r.Uint64())
+	origin := resume.Origin{Service: r.Text(), Version: r.Text(), Upstream: r.Uint64()}
+	if r.Malformed() || origin.Version == "" {
+		r.Fail()
+		return
 	}
 	now, f := time.Now(), o.g.fleet.Load()
 	o.mu.Lock()
@@ -112,7 +126,6 @@
 	if u := f.registry.Get(f.byHash[uint32(origin.Upstream)]); u != nil && u.Version != origin.Version {
 		o.origins.Doubt(origin.Upstream, u.Version, now)
 	}
-	return true
 }
 
 // foundOrigin is where a stream began, with who knew that and how old the knowledge is.
@@ -152,11 +165,11 @@
 // askPeers asks the entries that rank first for the stream, all at once, and returns the first origin that
 // one of them knows.
 func (o *streamOrigins) askPeers(ctx context.Context, resumes string) (foundOrigin, bool) {
-	m, now := o.g.mesh, time.Now()
+	m := o.g.mesh
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	question := binary.BigEndian.AppendUint64(append(make([]byte, 0, 16), callStreamOrigin), uint64(resume.KeyOf(resumes)))
-	peers := m.ranked(resumes, originQuestions+1, func(p *peer) bool { return m.responsive(p, now) })
+	question := binary.BigEndian.AppendUint64(nil, uint64(resume.KeyOf(resumes)))
+	peers := m.Ranked(resumes, originQuestions+1)
 	answers := make(chan foundOrigin, len(peers))
 	asked := 0
 	for _, p := range peers {
@@ -166,9 +179,9 @@
 		asked++
 		go func() {
 			found := foundOrigin{source: p.Node}
-			if v, err := m.calls.askWithTimeout(ctx, p, originTimeout, question); err == nil {
-				r := packetReader{b: []byte(v.text)}
-				found.Service, found.Version, found.age = r.text(), r.text(), time.Duration(v.value)*time.Millisecond
+			if v, err := m.Ask(ctx, p, originTimeout, callStreamOrigin, question); err == nil {
+				r := mesh.NewReader([]byte(v.Text))
+				found.Service, found.Version, found.age = r.Text(), r.Text(), time.Duration(v.Value)*time.Millisecond
 			}
 			answers <- found
 		}()
@@ -183,12 +196,12 @@
 
 // answer answers another entry's question for the origin of a stream. The text is empty if it is not known
 // here.
-func (o *streamOrigins) answer(key resume.Key) callAnswer {
+func (o *streamOrigins) answer(key resume.Key) mesh.Answer {
 	origin, age, known := o.local(key)
 	if !known {
-		return callAnswer{}
+		return mesh.Answer{}
 	}
-	return callAnswer{value: uint64(age / time.Millisecond), text: string(appendText(appendText(nil, origin.Service), origin.Version))}
+	return mesh.Answer{Value: uint64(age / time.Millisecond), Text: string(mesh.AppendText(mesh.AppendText(nil, origin.Service), origin.Version))}
 }
 
 // updateVersions records the versions of the registered upstreams.
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -1,31 +1,175 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/binary"
-	"slices"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/ledger"
-	"github.com/buckthornroute/buckthornroute/routing"
+)
+
+const (
+	// peerCallTimeout is the timeout of a call whose receiver has the answer in memory or draws
+	// tokens from the table for it.
+	peerCallTimeout = 250 * time.Millisecond
+	// peerCallTimeoutDegraded replaces peerCallTimeout for a reservation if a call to the table
+	// failed recently. The owner then asks other entries for their grants before it answers, and
+	// the entry that waits probably can't draw tokens from the table itself either.
+	peerCallTimeoutDegraded = 500 * time.Millisecond
+	// turnStoredByTimeout is the timeout of a callTurnStoredBy call. Without an answer the turn is
+	// read from the table.
+	turnStoredByTimeout = 60 * time.Millisecond
+	// recentOwnerWindow is how long after the last digest of an entry its grants still matter: a
+	// program that has stopped may resume within this time.
+	recentOwnerWindow = time.Minute
+	// grantReplicas is the number of entries, besides the owner, to which each grant is announced.
+	grantReplicas = 2
+	// synchroniseInterval is the wait of an entry that has started before each attempt to fetch the
+	// grants that its peers know: a few digest intervals.
+	synchroniseInterval = 400 * time.Millisecond
+	// grantsTimeout is the timeout of a /grants request to one peer.
+	grantsTimeout = 500 * time.Millisecond
+)
+
+// stageShift is the number of bits by which the program's stage is shifted in the value of an
+// answer; the bits below hold the outcome.
+const stageShift = 4
+
+// Kinds of questions between entries about budgets.
+const (
+	// callReserve reserves tokens for a turn at the owner of the program's budget.
+	callReserve = 'r'
+	// callSettle ends a reservation.
+	callSettle = 's'
+	// callGrantNotice announces a grant for a program.
+	callGrantNotice = 'g'
+	// callGrantsFor asks for the grants of a program that the receiver knows.
+	callGrantsFor = 'k'
+	// callTurnStoredBy asks which entry stored a turn and has it in memory.
+	callTurnStoredBy = 'w'
+)
+
+// budgetPeers asks other entries about budgets and answers them. It implements budgetOwners.
+type budgetPeers struct {
+	g *Gateway
+	// synchronised reports whether this entry knows the grants that it has to know: it has received
+	// those that its peers knew when it started, or all entries started for the first time. A grant is
+	// the number of tokens of a program's budget that an incarnation of an entry may hand out to
+	// turns.
+	synchronised atomic.Bool
+}
+
+var _ budgetOwners = (*budgetPeers)(nil)
+
+// join registers the flag, the questions and the message of budgets.
+func (o *budgetPeers) join() {
+	m := o.g.mesh
+	m.AddFlag(mesh.FlagSynchronised, o.synchronised.Load)
+	m.HandleQuestion(callReserve, func(q mesh.Question) {
+		call := reserveCall{
+			Program: q.Text(), ID: q.Text(), Total: int(q.Uvarint()), MaxTokens: int(q.Uvarint()),
+			Conversation: q.Text(), Durable: q.Bool(),
+		}
+		if !q.Malformed() {
+			o.handleReserve(call, q.Reply)
+		}
+	})
+	m.HandleQuestion(callSettle, func(q mesh.Question) {
+		call := settleCall{
+			Program: q.Text(), ID: q.Text(), Used: int(q.Uvarint()), Conversation: q.Text(), Upstream: q.Text(),
+			Stored: q.Bool(), StoredBy: q.From,
+		}
+		if !q.Malformed() {
+			o.g.budgets.settleLocal(call)
+			q.Reply(mesh.Answer{})
+		}
+	})
+	m.HandleQuestion(callGrantNotice, func(q mesh.Question) {
+		if n := readNotice(q.Reader); !q.Malformed() {
+			o.g.budgets.applyNotice(n)
+			q.Reply(mesh.Answer{})
+		}
+	})
+	m.HandleQuestion(callGrantsFor, func(q mesh.Question) {
+		if program := q.Text(); !q.Malformed() {
+			q.Reply(mesh.Answer{Text: encodeGrants(o.g.budgets.grantsFor(program))})
+		}
+	})
+	m.HandleQuestion(callTurnStoredBy, func(q mesh.Question) {
+		if program, turn := q.Text(), q.Text(); !q.Malformed() {
+			q.Reply(mesh.Answer{Text: o.g.budgets.storedBy(program, turn)})
+		}
+	})
+	m.HandleMessage("/grants", func(w http.ResponseWriter, r *http.Request) {
+		m.WriteAnswer(w, r, o.g.budgets.allGrants())
+	})
+}
+
+// owner implements budgetOwners.
+func (o *budgetPeers) owner(program string) *mesh.Peer { return o.g.mesh.Owner(program) }
+
+// handleReserve reserves tokens for a turn that another entry serves. It answers at once if the
+// tokens at this entry suffice or the reservation is refused. Otherwise it answers after an
+// attempt to draw or grant more tokens; if that fails, the outcome is reserveUnknown.
+func (o *budgetPeers) handleReserve(call reserveCall, reply func(mesh.Answer)) {
+	b := o.g.budgets
+	if a := b.tryGrant(call); a.outcome != 0 {
+		reply(a.encode())
+		return
+	}
+	// More tokens must be obtained. The caller of handleReserve receives all packets and must
+	// not wait for them.
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
+		defer cancel()
+		a, err := b.grant(ctx, call, true)
+		if err != nil {
+			o.g.env.Requests.Warn("budget_not_told").Str("request", call.ID).Str("program", call.Program).Err(err).End()
+		}
+		reply(a.encode())
+	}()
+}
+
+// encode packs the answer to a reservation: the outcome in the low bits of the value and the
+// stage above it.
+func (a reserveAnswer) encode() mesh.Answer {
+	return mesh.Answer{Value: uint64(a.outcome) | uint64(a.stage)<<stageShift, Text: a.lastUpstream}
+}
+
+// decodeReserveAnswer unpacks the answer to a reservation.
+func decodeReserveAnswer(v mesh.Answer) reserveAnswer {
+	return reserveAnswer{
+		outcome: reserveOutcome(v.Value & (1<<stageShift - 1)), lastUpstream: v.Text,
+		stage: programStage(v.Value >> stageShift),
+	}
+}
+
+// Flags of a grantNotice.
+const (
+	// noticeReturned is set if tokens were returned, so that a smaller count replaces a
+	// greater one.
+	noticeReturned = 1 << iota
+	// noticeProvisional is set if a part of the grant is not recorded in the budget's row yet.
+	noticeProvisional
 )
 
 // reserveAt implements budgetOwners. The owner gets more time while the table fails.
-func (m *mesh) reserveAt(ctx context.Context, p *peer, r reserveCall) (reserveAnswer, error) {
-	b := append(make([]byte, 0, 96), callReserve)
-	b = appendText(appendText(b, r.Program), r.ID)
+func (o *budgetPeers) reserveAt(ctx context.Context, p *mesh.Peer, r reserveCall) (reserveAnswer, error) {
+	b := mesh.AppendText(mesh.AppendText(make([]byte, 0, 96), r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.MaxTokens))
-	b = appendBool(appendText(b, r.Conversation), r.Durable)
+	b = mesh.AppendBool(mesh.AppendText(b, r.Conversation), r.Durable)
 	timeout := peerCallTimeout
-	if m.g.table.failedRecently() {
+	if o.g.table.failedRecently() {
 		timeout = peerCallTimeoutDegraded
 	}
-	v, err := m.calls.askWithTimeout(ctx, p, timeout, b)
-	answer := v.reserveAnswer()
+	v, err := o.g.mesh.Ask(ctx, p, timeout, callReserve, b)
+	answer := decodeReserveAnswer(v)
 	if err != nil {
 		return reserveAnswer{outcome: reserveUnknown}, err
 	}
@@ -38,137 +182,45 @@
 // turnStoredBy asks the owner of the program's budget for the incarnation of the entry that has
 // a stored turn in memory. It returns an empty string when the owner has no record of the turn or
 // does not answer.
-func (m *mesh) turnStoredBy(ctx context.Context, program, turn string) string {
+func (o *budgetPeers) turnStoredBy(ctx context.Context, program, turn string) string {
 	if program == "" {
 		return ""
 	}
-	owner := m.owner(program)
+	owner := o.owner(program)
 	if owner == nil {
-		return m.g.budgets.storedBy(program, turn)
+		return o.g.budgets.storedBy(program, turn)
 	}
-	b := appendText(appendText(append(make([]byte, 0, 64), callTurnStoredBy), program), turn)
-	v, err := m.calls.askWithTimeout(ctx, owner, turnStoredByTimeout, b)
+	b := mesh.AppendText(mesh.AppendText(make([]byte, 0, 64), program), turn)
+	v, err := o.g.mesh.Ask(ctx, owner, turnStoredByTimeout, callTurnStoredBy, b)
 	if err != nil {
-		m.g.metrics.chainQueriesFailed.Inc(1)
+		o.g.metrics.chainQueriesFailed.Inc(1)
 		return ""
 	}
-	return v.text
+	return v.Text
 }
 
 // settleAt implements budgetOwners. StoredBy is not encoded: the receiver takes it from the
 // sender's incarnation, which each call carries.
-func (m *mesh) settleAt(ctx context.Context, p *peer, s settleCall) error {
-	b := append(make([]byte, 0, 64), callSettle)
-	b = appendText(appendText(b, s.Program), s.ID)
-	b = appendText(appendText(binary.AppendUvarint(b, uint64(s.Used)), s.Conversation), s.Upstream)
-	_, err := m.calls.ask(ctx, p, appendBool(b, s.Stored))
+func (o *budgetPeers) settleAt(ctx context.Context, p *mesh.Peer, s settleCall) error {
+	b := mesh.AppendText(mesh.AppendText(make([]byte, 0, 64), s.Program), s.ID)
+	b = mesh.AppendText(mesh.AppendText(binary.AppendUvarint(b, uint64(s.Used)), s.Conversation), s.Upstream)
+	_, err := o.g.mesh.Ask(ctx, p, peerCallTimeout, callSettle, mesh.AppendBool(b, s.Stored))
 	return err
 }
 
-func appendBool(b []byte, v bool) []byte {
-	if v {
-		return append(b, 1)
-	}
-	return append(b, 0)
-}
-
-// canOwnBudgets reports whether this entry is eligible as an owner of budgets: it is listed
-// in the table and is not shutting down.
-func (m *mesh) canOwnBudgets() bool { return m.registered.Load() && !m.g.draining.Load() }
-
-// owner implements budgetOwners by rendezvous hashing over the responsive entries that can
-// own budgets.
-func (m *mesh) owner(program string) *peer {
-	now := time.Now()
-	var best *peer
-	var weight uint64
-	if m.canOwnBudgets() {
-		weight = routing.Rendezvous(program, string(m.g.cfg.Node))
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, p := range m.peers {
-		if !p.canOwnBudgets || !m.responsive(p, now) {
-			continue
-		}
-		if w := routing.Rendezvous(program, name); w > weight {
-			best, weight = p, w
-		}
-	}
-	return best
-}
-
-const (
-	// responsiveTimeout is the least time without a digest after which a peer no longer
-	// counts as responsive. It is a few digest intervals, so that a crashed owner delays few
-	// turns.
-	responsiveTimeout = time.Second
-	// maxMissedDigests is the number of digest intervals that a timeout for a peer's digests
-	// lasts at least; see scaledTimeout. It takes effect with many entries, because the interval
-	// grows with their number. With 2.5, one digest may be lost and the next be late.
-	maxMissedDigests = 2.5
-)
-
-// responsive reports whether the last digest of a peer is recent enough to send it calls.
-func (m *mesh) responsive(p *peer, now time.Time) bool {
-	return now.Sub(p.lastDigest) < m.scaledTimeout(responsiveTimeout)
-}
-
-// peerSilent reports whether a listed peer that is not leaving no longer counts as responsive.
-func (m *mesh) peerSilent(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if !p.leaving && !m.responsive(p, now) {
-			return true
-		}
-	}
-	return false
-}
-
-// scaledTimeout returns minimum, or maxMissedDigests digest intervals if that is longer.
-func (m *mesh) scaledTimeout(minimum time.Duration) time.Duration {
-	return max(minimum, time.Duration(maxMissedDigests*float64(m.interval.Load())))
-}
-
-// ranked returns at most count entries in descending order of their rendezvous weight for the
-// program; the first one is the owner if it is eligible. nil stands for this entry, which is
-// always a candidate; include selects the peers that are candidates too.
-func (m *mesh) ranked(program string, count int, include func(*peer) bool) []*peer {
-	type candidate struct {
-		p      *peer
-		weight uint64
-	}
-	all := []candidate{{nil, routing.Rendezvous(program, string(m.g.cfg.Node))}}
-	m.mu.Lock()
-	for name, p := range m.peers {
-		if include(p) {
-			all = append(all, candidate{p, routing.Rendezvous(program, name)})
-		}
-	}
-	m.mu.Unlock()
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
-	out := make([]*peer, 0, count)
-	for _, c := range all[:min(count, len(all))] {
-		out = append(out, c.p)
-	}
-	return out
-}
-
 // announce implements budgetOwners. It sends the notice to the responsive peers that rank
 // first for the program, and waits until one has answered or all calls have failed. Of the
 // grantReplicas+1 entries that rank first, this entry itself is left out.
-func (m *mesh) announce(ctx context.Context, n grantNotice) bool {
-	now := time.Now()
+func (o *budgetPeers) announce(ctx context.Context, n grantNotice) bool {
 	received := make(chan bool, grantReplicas)
 	sent := 0
-	for _, p := range m.ranked(n.Program, grantReplicas+1, func(p *peer) bool { return m.responsive(p, now) }) {
+	for _, p := range o.g.mesh.Ranked(n.Program, grantReplicas+1) {
 		if p == nil {
 			continue
 		}
 		sent++
 		go func() {
-			_, err := m.calls.ask(ctx, p, n.appendTo(append(make([]byte, 0, 48), callGrantNotice)))
+			_, err := o.g.mesh.Ask(ctx, p, peerCallTimeout, callGrantNotice, n.appendTo(make([]byte, 0, 48)))
 			received <- err == nil
 		}()
 	}
@@ -189,14 +241,14 @@
 	if n.Provisional {
 		flags |= noticeProvisional
 	}
-	b = binary.AppendUvarint(appendText(appendText(b, n.Program), n.Holder), uint64(max(0, n.Granted)))
+	b = binary.AppendUvarint(mesh.AppendText(mesh.AppendText(b, n.Program), n.Holder), uint64(max(0, n.Granted)))
 	return binary.AppendUvarint(binary.AppendUvarint(b, uint64(max(0, n.Total))), flags)
 }
 
-// notice decodes a grantNotice.
-func (p *packetReader) notice() grantNotice {
-	n := grantNotice{Program: p.text(), Holder: p.text(), Granted: int(p.uvarint()), Total: int(p.uvarint())}
-	flags := p.uvarint()
+// readNotice decodes a grantNotice.
+func readNotice(r *mesh.Reader) grantNotice {
+	n := grantNotice{Program: r.Text(), Holder: r.Text(), Granted: int(r.Uvarint()), Total: int(r.Uvarint())}
+	flags := r.Uvarint()
 	n.Returned, n.Provisional = flags&noticeReturned != 0, flags&noticeProvisional != 0
 	return n
 }
@@ -206,21 +258,21 @@
 // synchronised ones are asked.
 // The view is exclusive only when each of these entries is synchronised and responsive, or
 // is leaving: then no other entry can consider itself the owner.
-func (m *mesh) collectGrants(ctx context.Context, program string) (ledger.Grants, grantView) {
+func (o *budgetPeers) collectGrants(ctx context.Context, program string) (ledger.Grants, grantView) {
 	now := time.Now()
-	recent := func(p *peer) bool {
-		return now.Sub(p.lastDigest) < recentOwnerWindow || now.Sub(p.listedAt) < recentOwnerWindow
+	recent := func(p *mesh.Peer) bool {
+		return now.Sub(p.LastDigest) < recentOwnerWindow || now.Sub(p.ListedAt) < recentOwnerWindow
 	}
-	granted := m.g.budgets.grantsFor(program)
-	var ask []*peer
+	granted := o.g.budgets.grantsFor(program)
+	var ask []*mesh.Peer
 	view, allKnown := viewIncomplete, true
-	for _, p := range m.ranked(program, grantReplicas+1, recent) {
+	for _, p := range o.g.mesh.RankedAmong(program, grantReplicas+1, recent) {
 		switch {
-		case p == nil && m.synchronised.Load():
+		case p == nil && o.synchronised.Load():
 			view = viewComplete
-		case p != nil && p.synchronised && m.responsive(p, now):
+		case p != nil && p.Has(mesh.FlagSynchronised) && o.g.mesh.Responsive(p, now):
 			ask = append(ask, p)
-		case p != nil && p.leaving: // grants nothing once it is unresponsive
+		case p != nil && p.Has(mesh.FlagLeaving): // grants nothing once it is unresponsive
 		default:
 			allKnown = false
 		}
@@ -229,12 +281,12 @@
 	answers := make(chan ledger.Grants, len(ask))
 	for _, p := range ask {
 		go func() {
-			v, err := m.calls.ask(ctx, p, appendText(append(make([]byte, 0, 48), callGrantsFor), program))
+			v, err := o.g.mesh.Ask(ctx, p, peerCallTimeout, callGrantsFor, mesh.AppendText(nil, program))
 			if err != nil {
 				answers <- nil
 				return
 			}
-			answers <- decodeGrants(v.text)
+			answers <- decodeGrants(v.Text)
 		}()
 	}
 	allAnswered := true
@@ -258,39 +310,24 @@
 // inMinority implements budgetOwners: of the entries that sent a digest within recentOwnerWindow and are
 // not leaving, this one included, only half or fewer are responsive. When the table is unreachable
 // for all of them, the others may be behind a partition and reach it.
-func (m *mesh) inMinority() bool {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	responsive, all := 1, 1
-	for _, p := range m.peers {
-		if p.leaving || now.Sub(p.lastDigest) >= recentOwnerWindow {
-			continue
-		}
-		all++
-		if m.responsive(p, now) {
-			responsive++
-		}
-	}
-	return all > 1 && 2*responsive <= all
-}
+func (o *budgetPeers) inMinority() bool { return o.g.mesh.InMinority(recentOwnerWindow) }
 
-// encodeGrants encodes grants as a string, the form in which callAnswer carries them.
+// encodeGrants encodes grants as a string, the form in which mesh.Answer carries them.
 func encodeGrants(g ledger.Grants) string {
 	var b []byte
 	for holder, n := range g {
-		b = binary.AppendUvarint(appendText(b, holder), uint64(max(0, n)))
+		b = binary.AppendUvarint(mesh.AppendText(b, holder), uint64(max(0, n)))
 	}
 	return string(b)
 }
 
 // decodeGrants decodes what encodeGrants returned. It returns nil when the text is malformed.
 func decodeGrants(text string) ledger.Grants {
-	p := packetReader{b: []byte(text)}
+	r := mesh.NewReader([]byte(text))
 	g := ledger.Grants{}
-	for len(p.b) > 0 {
-		holder, n := p.text(), int(p.uvarint())
-		if p.malformed {
+	for r.More() {
+		holder, n := r.Text(), int(r.Uvarint())
+		if r.Malformed() {
 			return nil
 		}
 		g[holder] = n
@@ -301,39 +338,34 @@
 // synchronise makes this entry a synchronised one, which knows all grants that it should
 // have been notified of. It collects the known grants of the synchronised entries until all
 // of them have answered. With FirstStart set there are no earlier grants to collect.
-func (m *mesh) synchronise(ctx context.Context) {
-	if m.g.cfg.FirstStart {
-		m.synchronised.Store(true)
+func (o *budgetPeers) synchronise(ctx context.Context) {
+	if o.g.cfg.FirstStart {
+		o.synchronised.Store(true)
 		return
 	}
-	for ctx.Err() == nil && !m.synchronised.Load() {
+	for ctx.Err() == nil && !o.synchronised.Load() {
 		sleep(ctx, synchroniseInterval)
-		m.synchronised.Store(m.collectAllGrants(ctx))
+		o.synchronised.Store(o.collectAllGrants(ctx))
 	}
 }
 
 // collectAllGrants asks all synchronised entries for the grants that they know. It
 // reports whether there is at least one such entry and all have answered.
-func (m *mesh) collectAllGrants(ctx context.Context) bool {
+func (o *budgetPeers) collectAllGrants(ctx context.Context) bool {
 	now := time.Now()
-	m.mu.Lock()
-	var from []string
-	for _, p := range m.peers {
-		if p.synchronised && m.responsive(p, now) {
-			from = append(from, p.HTTPAddress)
-		}
-	}
-	m.mu.Unlock()
-	for _, address := range from {
+	from := o.g.mesh.Peers(func(p *mesh.Peer) bool {
+		return p.Has(mesh.FlagSynchronised) && o.g.mesh.Responsive(p, now)
+	})
+	for _, p := range from {
 		var known []grantNotice
 		ctx, cancel := context.WithTimeout(ctx, grantsTimeout)
-		err := m.client.post(ctx, address, "/grants", struct{}{}, &known)
+		err := o.g.mesh.Post(ctx, p.HTTPAddress, "/grants", struct{}{}, &known)
 		cancel()
 		if err != nil {
 			return false
 		}
 		for _, n := range known {
-			m.g.budgets.applyNotice(n)
+			o.g.budgets.applyNotice(n)
 		}
 	}
 	return len(from) > 0
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -8,20 +8,20 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	"github.com/buckthornroute/buckthornroute/limits"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/routing"
 )
 
 const (
+	// callPermit is the kind of question that asks for a permit to send a call to a limited upstream.
+	callPermit = 'p'
 	// permitTimeout bounds the question for a permit; without an answer the call goes elsewhere. The
 	// question is sent again once within it.
 	permitTimeout = 70 * time.Millisecond
 	// permitRetry is how long no permit is asked for after a question without an answer.
 	permitRetry = 200 * time.Millisecond
-	// silentGrantorWindow is how long an entry that has fallen silent may still grant sends to others:
-	// most partitions end within it.
-	silentGrantorWindow = 15 * time.Second
 	// maxPermitQuestions bounds the upstreams for which one call asks, first among those that may
 	// accept it now and then among all.
 	maxPermitQuestions = 4
@@ -86,7 +86,7 @@
 
 // noUpstream returns why no upstream could be chosen, and sets when the caller may return.
 func (g *Gateway) noUpstream(j *job) error {
-	entries := g.mesh.size()
+	entries := g.mesh.Size()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	after, held := g.balancer.RetryAfter(time.Now(), j.candidates(g.fleet.Load()), j.tried, entries)
@@ -165,7 +165,7 @@
 // name of that entry.
 func (l *upstreamLimits) ask(ctx context.Context, u *relay.Upstream, s limits.Statement, maxWait time.Duration) (limits.Grant, string, error) {
 	incarnation, now := incarnationHash(u), time.Now()
-	p, eligible := l.g.mesh.grantor(now, incarnation)
+	p, eligible := l.grantor(now, incarnation)
 	if p == nil {
 		self := string(l.g.cfg.Node)
 		if !eligible {
@@ -174,14 +174,14 @@
 		grant, _ := l.grant(now, incarnation, maxWait)
 		return grant, self, nil
 	}
-	b := binary.AppendUvarint(append(make([]byte, 0, 32), callPermit), incarnation)
+	b := binary.AppendUvarint(make([]byte, 0, 32), incarnation)
 	b = binary.AppendUvarint(appendStatement(b, now, s), uint64(max(0, maxWait).Milliseconds()))
-	v, err := l.g.mesh.calls.askWithTimeout(ctx, p, permitTimeout, b)
+	v, err := l.g.mesh.Ask(ctx, p, permitTimeout, callPermit, b)
 	if err != nil {
 		return limits.Grant{Retry: permitRetry}, p.Node, err
 	}
-	wait := time.Duration(v.value>>permitBits) * time.Millisecond
-	switch v.value & (1<<permitBits - 1) {
+	wait := time.Duration(v.Value>>permitBits) * time.Millisecond
+	switch v.Value & (1<<permitBits - 1) {
 	case permitGranted:
 		return limits.Grant{Granted: true, Wait: min(wait, limits.Horizon)}, p.Node, nil
 	case permitDenied:
@@ -193,10 +193,10 @@
 
 // grant decides on a send to an upstream. It returns false if another entry grants them.
 func (l *upstreamLimits) grant(now time.Time, incarnation uint64, maxWait time.Duration) (limits.Grant, bool) {
-	p, eligible := l.g.mesh.grantor(now, incarnation)
+	p, eligible := l.grantor(now, incarnation)
 	share := 0.0
 	if p == nil && eligible {
-		share = l.g.mesh.grantShare(now, incarnation)
+		share = l.grantShare(now, incarnation)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -224,13 +224,13 @@
 		l.shares[incarnation] = share
 	}
 	l.g.env.Requests.Info("limit_share").Str("upstream", l.g.fleet.Load().byIncarnation[incarnation]).
-		Str("share", strconv.FormatFloat(share, 'g', 2, 64)).Int("entries", int64(l.g.mesh.size())).End()
+		Str("share", strconv.FormatFloat(share, 'g', 2, 64)).Int("entries", int64(l.g.mesh.Size())).End()
 }
 
 // permitAnswers holds the answers to the latest questions for permits, by who asked which one: a
 // question that is sent again must not take a second permit.
 type permitAnswers struct {
-	byQuestion map[string]callAnswer
+	byQuestion map[string]mesh.Answer
 	// order holds the keys of byQuestion, the oldest first.
 	order []string
 }
@@ -238,14 +238,14 @@
 // maxPermitAnswers covers the questions of the time in which one is sent again, in a burst.
 const maxPermitAnswers = 1024
 
-func (a *permitAnswers) get(question string) (callAnswer, bool) {
+func (a *permitAnswers) get(question string) (mesh.Answer, bool) {
 	v, known := a.byQuestion[question]
 	return v, known
 }
 
-func (a *permitAnswers) put(question string, v callAnswer) {
+func (a *permitAnswers) put(question string, v mesh.Answer) {
 	if a.byQuestion == nil {
-		a.byQuestion = map[string]callAnswer{}
+		a.byQuestion = map[string]mesh.Answer{}
 	}
 	if len(a.order) >= maxPermitAnswers {
 		delete(a.byQuestion, a.order[0])
@@ -256,7 +256,7 @@
 }
 
 // answerPermit answers another entry's question for a permit. s is the limit as that entry knows it.
-func (l *upstreamLimits) answerPermit(question, from string, incarnation uint64, s limits.Statement, maxWait time.Duration) callAnswer {
+func (l *upstreamLimits) answerPermit(question, from string, incarnation uint64, s limits.Statement, maxWait time.Duration) mesh.Answer {
 	l.mu.Lock()
 	v, known := l.answered.get(question)
 	l.mu.Unlock()
@@ -270,11 +270,11 @@
 	grant, here := l.grant(time.Now(), incarnation, maxWait)
 	switch {
 	case !here:
-		v.value = permitElsewhere
+		v.Value = permitElsewhere
 	case grant.Granted:
-		v.value = permitGranted | uint64(grant.Wait.Milliseconds())<<permitBits
+		v.Value = permitGranted | uint64(grant.Wait.Milliseconds())<<permitBits
 	default:
-		v.value = permitDenied | uint64(grant.Retry.Milliseconds())<<permitBits
+		v.Value = permitDenied | uint64(grant.Retry.Milliseconds())<<permitBits
 	}
 	l.mu.Lock()
 	l.answered.put(question, v)
@@ -285,39 +285,17 @@
 // grantorKey returns the key by which entries are ranked for an upstream.
 func grantorKey(incarnation uint64) string { return strconv.FormatUint(incarnation, 16) }
 
-// grantor returns the entry that grants the sends to an upstream: of the responsive ones that can, the
-// one of greatest rendezvous weight. nil stands for this entry; it is eligible if it can.
-func (m *mesh) grantor(now time.Time, incarnation uint64) (best *peer, eligible bool) {
-	key := grantorKey(incarnation)
-	weight := uint64(0)
-	if eligible = m.canOwnBudgets(); eligible {
-		weight = routing.Rendezvous(key, string(m.g.cfg.Node))
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, p := range m.peers {
-		if !p.grantsSends || !m.responsive(p, now) {
-			continue
-		}
-		if w := routing.Rendezvous(key, name); w > weight {
-			best, weight = p, w
-		}
-	}
-	return best, eligible
+// grantor returns the entry that grants the sends to an upstream. nil stands for this entry; it is eligible
+// if it can.
+func (l *upstreamLimits) grantor(now time.Time, incarnation uint64) (best *mesh.Peer, eligible bool) {
+	return l.g.mesh.OwnerAmong(mesh.FlagGrants, grantorKey(incarnation), now)
 }
 
 // grantShare returns the share of an upstream's limit that this entry grants, as its grantor. While an
 // entry that ranks before it is silent, that one may still grant sends to others.
-func (m *mesh) grantShare(now time.Time, incarnation uint64) float64 {
-	key := grantorKey(incarnation)
-	own := routing.Rendezvous(key, string(m.g.cfg.Node))
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name, p := range m.peers {
-		silent := p.grantsSends && !p.leaving && !m.responsive(p, now)
-		if silent && now.Sub(p.lastDigest) < silentGrantorWindow && routing.Rendezvous(key, name) > own {
-			return limits.ShareBesideAnother
-		}
+func (l *upstreamLimits) grantShare(now time.Time, incarnation uint64) float64 {
+	if l.g.mesh.SilentBefore(mesh.FlagGrants, grantorKey(incarnation), now) {
+		return limits.ShareBesideAnother
 	}
 	return 1
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,7 +67,7 @@
 	}
 	// The call puts its prompt into the upstream's cache, which the other entries should know.
 	if j.pick.Cached == 0 {
-		g.mesh.queueCachedPrompt(u.ID, j.info.Prompt)
+		g.cached.add(u.ID, j.info.Prompt)
 	}
 	res := &sendResult{upstream: u.ID, incarnation: incarnationHash(u), sentAt: time.Now()}
 	head := platform.AppendRequest(make([]byte, 0, headBytes), j.request, platform.SendOptions{
@@ -207,7 +207,7 @@
 	if limit <= 0 {
 		return 0
 	}
-	return max(minConns, int(connShare*float64(limit))/g.mesh.size())
+	return max(minConns, int(connShare*float64(limit))/g.mesh.Size())
 }
 
 // finish releases the answer of a send and reports its outcome to the balancer.
--- a/internal/gateway/settled.go
+++ b/internal/gateway/settled.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		for service := range t.Document().Services {
-			if !o.g.mesh.canOwnBudgets() || o.g.mesh.owner(service) != nil {
+			if !o.g.mesh.CanOwn() || o.g.mesh.Owner(service) != nil {
 				delete(recorded, service)
 				continue
 			}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -38,7 +38,7 @@
 	g.budgets.returnUnused(ctx)
 	_ = s.ready.Close()
 	_ = s.mesh.Close()
-	_ = g.mesh.packetConn.Close()
+	_ = g.mesh.Close()
 }
 
 // cleanUp removes idle budgets at an interval, until ctx ends.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if s.g.turns.cached(j.call.Previous) == nil {
-		j.previousStoredBy = s.g.mesh.turnStoredBy(ctx, j.call.Program, j.call.Previous)
+		j.previousStoredBy = s.g.budgetPeers.turnStoredBy(ctx, j.call.Program, j.call.Previous)
 	}
 	last, history, reads, err := s.g.turns.readChain(ctx, j.call.Previous, j.previousStoredBy)
 	j.turnReads = reads
--- a/internal/gateway/tableclient.go
+++ b/internal/gateway/tableclient.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 )
 
@@ -155,11 +156,7 @@
 }
 
 // probeKey names a row of the common partition that does not exist.
-const probeKey = entriesPrefix + "-"
-
-// errPeerUnreachable marks a call that failed on the way to the relaying entry, not at the
-// table.
-var errPeerUnreachable = errors.New("peer entry unreachable")
+const probeKey = mesh.EntriesPrefix + "-"
 
 // isTableFailure reports whether err means that the table did not answer this entry or
 // refused it.
@@ -209,7 +206,7 @@
 			break
 		}
 		err = callWithTimeout(ctx, timeout+peerTimeoutMargin, peerTable, f)
-		if !errors.Is(err, errPeerUnreachable) {
+		if !errors.Is(err, mesh.ErrUnreachable) {
 			break
 		}
 		markPeerUnreachable()
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -31,8 +31,8 @@
 	report := s.g.crashes.BeginTrial(now, j.fingerprint, number)
 	s.g.mu.Unlock()
 	s.g.updateQuarantineDigest()
-	s.g.mesh.queueCrashReport(report)
-	s.g.mesh.sendDigestNow()
+	s.g.reports.queue(report)
+	s.g.mesh.SendDigestNow()
 	return true
 }
 
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
@@ -52,7 +53,7 @@
 	}
 	setTrialDelay(500*time.Millisecond, entries...)
 	for _, e := range entries {
-		eventually(t, "the entries list each other", func() bool { return e.mesh.size() == len(entries) })
+		eventually(t, "the entries list each other", func() bool { return e.mesh.Size() == len(entries) })
 	}
 	for range defaultCrashes {
 		entries[0].call("POST", "/draft/1", "poison", nil)
@@ -126,14 +127,14 @@
 
 func (l loneTable) Snapshot(ctx context.Context, prefix string) ([]platformapi.Row, int64, error) {
 	rows, version, err := l.Watcher.Snapshot(ctx, prefix)
-	if prefix == entriesPrefix {
+	if prefix == mesh.EntriesPrefix {
 		rows = nil
 	}
 	return rows, version, err
 }
 
 func (l loneTable) Apply(ctx context.Context, txn platformapi.Txn) error {
-	if len(txn.Writes) == 1 && strings.HasPrefix(txn.Writes[0].Key, entriesPrefix) {
+	if len(txn.Writes) == 1 && strings.HasPrefix(txn.Writes[0].Key, mesh.EntriesPrefix) {
 		return nil
 	}
 	return l.Watcher.Apply(ctx, txn)
@@ -221,7 +222,7 @@
 func TestCrashesAreStoredWhileAPeerIsSilent(t *testing.T) {
 	p, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
 	lone := startEntry(t, "entry-2", loneTable{p.standin.Table})
-	e.mesh.addPeer(peer{Node: "entry-3", UDPAddress: freeAddress(t)}) // sends nothing
+	setPeer(t, e.Gateway, mesh.Peer{Node: "entry-3", UDPAddress: freeAddress(t), ListedAt: time.Now()}) // sends nothing
 	now := time.Now()
 	e.publish(now, []quarantine.CrashReport{{Kind: quarantine.Crash, Request: 1, Upstream: 1}})
 	eventually(t, "the other entry counts the crash", func() bool { return lone.crashCount(1) == 1 })
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
 	"github.com/buckthornroute/buckthornroute/internal/standin"
@@ -39,7 +40,7 @@
 		v.entries = append(v.entries, startEntry(t, fmt.Sprintf("entry-%d", i+1), v.p.standin.Table))
 	}
 	for _, e := range v.entries {
-		eventually(t, "the entries know each other", func() bool { return e.mesh.size() == entries })
+		eventually(t, "the entries know each other", func() bool { return e.mesh.Size() == entries })
 	}
 	return v
 }
@@ -358,8 +359,9 @@
 	e := v.entries[0]
 	for version, want := range map[string]bool{"v1": false, "v2": true} {
 		key := resume.KeyOf(version)
-		b := appendText(appendText(binary.BigEndian.AppendUint64(nil, uint64(key)), "llm"), version)
-		if !e.origins.receive(binary.BigEndian.AppendUint64(b, routing.HashID("llm-1"))) {
+		b := mesh.AppendText(mesh.AppendText(binary.BigEndian.AppendUint64(nil, uint64(key)), "llm"), version)
+		r := mesh.NewReader(binary.BigEndian.AppendUint64(b, routing.HashID("llm-1")))
+		if e.origins.receive(r); r.Malformed() {
 			t.Fatal("the packet is malformed")
 		}
 		if origin, _, known := e.origins.local(key); known != want {
