--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -104,7 +104,7 @@
 	previous := j.org.ScopedID(j.call.Previous)
 	if s.g.turns.cached(previous) == nil {
 		// The owner of the budget knows the turns of a program by the ids that the caller gave them.
-		j.previousStoredBy = s.g.mesh.turnStoredBy(ctx, j.org.ScopedID(j.call.Program), j.call.Previous)
+		j.previousStoredBy = s.g.budgetPeers.turnStoredBy(ctx, j.org.ScopedID(j.call.Program), j.call.Previous)
 	}
 	last, history, reads, err := s.g.turns.readChain(ctx, previous, j.previousStoredBy)
 	j.turnReads = reads
