admission: new programs are refused when the prediction says that they would be late

Cause: calls per slot never reach 1 on engines with many slots, so a burst beyond their capacity was admitted whole and nearly all programs were late.

Each entry learns per route the share of their time that programs need on idle engines, the share of turns in it, and how turns grow with the load, and shares the observations in its digests (item 'p'). A program starts while the load is at most the one at which its route's programs still end in time; less urgent routes stop earlier. The owner of a budget says how long a program has waited. The limit of calls per slot stays above that and decides alone without X-Finish-Ms.

internal/loadreplay gets sustained overloads with engines of unlike speed.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -117,6 +117,8 @@
 	lastUpstream string
 	// stage is the stage of the program, not counting this turn.
 	stage programStage
+	// waited is the time since the program's first request.
+	waited time.Duration
 }
 
 // programStage is how far a program has come: whether a turn of it has run.
@@ -188,6 +190,8 @@
 	// that its immediate repetition is not counted again.
 	lastRequest string
 	requests    int
+	// firstRequestAt is when this entry received the first of them.
+	firstRequestAt time.Time
 	// upstreamOf maps each conversation to the upstream of its last turn; lastUpstream is
 	// that of the program's last turn.
 	upstreamOf   map[string]string
@@ -216,6 +220,8 @@
 	// when that is unknown.
 	lastUpstream string
 	stage        programStage
+	// waited is the time since the program's first request, if its owner knows that; else zero.
+	waited time.Duration
 }
 
 // reserve sets aside the tokens of a turn. It returns errBudgetSpent when the budget has too
@@ -245,7 +251,7 @@
 	}
 	switch answer.outcome {
 	case reserveGranted:
-		return &reservation{b: b, owner: owner, call: call, lastUpstream: answer.lastUpstream, stage: answer.stage}, nil
+		return &reservation{b: b, owner: owner, call: call, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -334,7 +340,7 @@
 		b.accounts++
 		pb = &programBudget{
 			account: ledger.NewAccount(call.Total), holder: b.holder + "/" + strconv.Itoa(b.accounts), open: map[string]int{}, settled: map[string]bool{},
-			upstreamOf: map[string]string{}, storedBy: map[string]string{},
+			upstreamOf: map[string]string{}, storedBy: map[string]string{}, firstRequestAt: time.Now(),
 		}
 		b.programs[call.Program] = pb
 	}
@@ -362,7 +368,7 @@
 
 // tryGrantLocked does the work of tryGrant for the program of pb.
 func (b *budgets) tryGrantLocked(pb *programBudget, call reserveCall) reserveAnswer {
-	answer := reserveAnswer{lastUpstream: pb.upstreamOf[call.Conversation], stage: pb.stage(call.ID)}
+	answer := reserveAnswer{lastUpstream: pb.upstreamOf[call.Conversation], stage: pb.stage(call.ID), waited: time.Since(pb.firstRequestAt)}
 	if answer.lastUpstream == "" {
 		answer.lastUpstream = pb.lastUpstream
 	}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -46,6 +46,10 @@
 // answer; the bits below hold the outcome.
 const stageShift = 4
 
+// waitedShift is the number of bits by which the time since the program's first request, in ms, is
+// shifted. Earlier builds read 8 bits of the stage and ignore those above.
+const waitedShift = stageShift + 8
+
 // Kinds of calls between entries.
 const (
 	// callReserve reserves tokens for a turn at the owner of the program's budget.
@@ -258,14 +262,14 @@
 // encode packs the answer to a reservation: the outcome in the low bits of the value and the
 // stage above it.
 func (a reserveAnswer) encode() callAnswer {
-	return callAnswer{value: uint64(a.outcome) | uint64(a.stage)<<stageShift, text: a.lastUpstream}
+	return callAnswer{value: uint64(a.outcome) | uint64(a.stage)<<stageShift | uint64(max(0, a.waited.Milliseconds()))<<waitedShift, text: a.lastUpstream}
 }
 
 // reserveAnswer unpacks the answer to a reservation.
 func (v callAnswer) reserveAnswer() reserveAnswer {
 	return reserveAnswer{
 		outcome: reserveOutcome(v.value & (1<<stageShift - 1)), lastUpstream: v.text,
-		stage: programStage(v.value >> stageShift),
+		stage: programStage(v.value >> stageShift), waited: time.Duration(min(v.value>>waitedShift, uint64(budgetIdle.Milliseconds()))) * time.Millisecond,
 	}
 }
 
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -140,6 +140,7 @@
 		}
 		m.sendPacket(m.digest(), m.digestTargets(false))
 		m.g.reportSpeedChanges(time.Now())
+		m.g.reportPredictions(time.Now())
 	}
 }
 
@@ -259,6 +260,7 @@
 //	'm' hash of an upstream's incarnation, its limit, and how old that statement is
 //	'e' hash of the incarnation of an upstream that leaves
 //	's' upstream, mean time of calls out of the ordinary in percent of the predicted one, their number
+//	'p' route, observations of its programs, see appendCosts
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -289,7 +291,7 @@
 			b = binary.AppendUvarint(b, uint64(c.parts[0].Tokens))
 		}
 	}
-	return m.appendSpeeds(m.appendStatements(append(b, reports...), rounds))
+	return m.appendCosts(m.appendSpeeds(m.appendStatements(append(b, reports...), rounds)))
 }
 
 // appendSpeeds appends what calls took at upstreams that are slow or may be, as far as it fits. It comes
@@ -637,6 +639,11 @@
 			if !p.malformed && id != "" {
 				m.g.balancer.AddPeerSpeeds(now, id, float64(min(percent, maxSpeedPercent))/100, int(min(calls, maxSpeedCalls)))
 			}
+		case 'p':
+			route, sample := p.costSample()
+			if !p.malformed {
+				m.g.programs.Apply(route, &sample)
+			}
 		case 'e':
 			if incarnation := p.uvarint(); !p.malformed {
 				said.leaving = append(said.leaving, incarnation)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,11 +87,10 @@
 	draining            atomic.Bool
 	inFlight            atomic.Int64
 
-	newPrograms admission.NewProgramPolicy
-
-	// mu guards balancer, crashes and sends.
+	// mu guards balancer, programs, crashes and sends.
 	mu       sync.Mutex
 	balancer *routing.Balancer
+	programs *admission.Programs
 	crashes  *quarantine.CrashCounter
 	sends    *quarantine.EndedSends
 }
@@ -113,7 +112,7 @@
 		started:     time.Now(),
 		drainDelay:  loadBalancerDrainDelay,
 		pool:        forward.NewPool(upstreamDialTimeout),
-		newPrograms: admission.DefaultNewProgramPolicy(),
+		programs:    admission.NewPrograms(admission.DefaultNewProgramPolicy()),
 		crashes:     quarantine.NewCrashCounter(),
 		sends:       quarantine.NewEndedSends(survivedHeartbeats * time.Duration(cfg.UpstreamHeartbeat)),
 		balancer:    routing.NewBalancer(routing.BalancerConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,10 @@
 	// were slow have one.
 	upstreamsSlow tally.Counter
 	slowness      func(upstream string) tally.Gauge
+	// programsAdmitted and programsRefused count decisions about new programs. predictionError is the
+	// time that programs took as a multiple of the predicted one.
+	programsAdmitted, programsRefused tally.Counter
+	predictionError                   tally.Histogram
 	// latency is the time from the start of a request to its complete answer, for answered
 	// requests only; firstEvent that to the first event of a stream; commitLatency the duration
 	// of a transaction of the committer.
@@ -56,6 +60,9 @@
 // latencyBuckets are 14 buckets from 1 ms to about 8 s.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 
+// predictionBuckets are 12 buckets from 0.4 to 2.6 of the predicted time.
+var predictionBuckets = tally.MustMakeLinearValueBuckets(0.4, 0.2, 12)
+
 func newMetrics(s tally.Scope) *metrics {
 	s = s.SubScope("gateway")
 	return &metrics{
@@ -77,7 +84,9 @@
 			return s.Tagged(map[string]string{"upstream": id}).Gauge("upstream_slowness")
 		},
 		permitsGranted: s.Counter("permits_granted"), permitsDenied: s.Counter("permits_denied"), permitsFailed: s.Counter("permits_failed"),
-		latency: s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
+		programsAdmitted: s.Counter("programs_admitted"), programsRefused: s.Counter("programs_refused"),
+		predictionError: s.Histogram("program_prediction_ratio", predictionBuckets),
+		latency:         s.Histogram("latency", latencyBuckets), firstEvent: s.Histogram("first_event", latencyBuckets),
 		commitLatency: s.Histogram("commit", latencyBuckets),
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,7 +79,7 @@
 	if reserved != nil {
 		j.info.LastUpstream = reserved.lastUpstream
 		j.started = reserved.stage == programStarted
-		if after, ok := g.admit(j, reserved.stage); !ok {
+		if after, ok := g.admit(j, reserved); !ok {
 			g.refuse(w, j, "engines_full", nil, after)
 			return
 		}
@@ -170,20 +170,6 @@
 	return info
 }
 
-// admit decides whether a program that has not started yet may start at the present load.
-// If not, after is the wait before its caller should send the turn again.
-func (g *Gateway) admit(j *job, stage programStage) (after time.Duration, ok bool) {
-	if stage == programStarted {
-		return 0, true
-	}
-	upstreams := g.fleet.Load().byService[j.service]
-	g.mu.Lock()
-	j.load = g.balancer.Load(time.Now(), upstreams)
-	g.mu.Unlock()
-	ok, after = g.newPrograms.Admit(j.load, g.routes.Load().Rank(j.route), stage == programRetried)
-	return after, ok
-}
-
 // run sends the call and relays its answer. After a failure it sends the call to further
 // upstreams, as far as the route allows.
 func (s *stream) run(ctx context.Context) {
@@ -365,6 +351,7 @@
 		s.stored = true
 		g.metrics.turnsStored.Inc(1)
 	}
+	g.turnEnded(j)
 	g.metrics.answered.Inc(1)
 	g.metrics.latency.RecordDuration(time.Since(j.start))
 	g.logOutcome(j, "answered", http.StatusOK, "", nil, 0)
--- a/internal/loadreplay/replay.go
+++ b/internal/loadreplay/replay.go
@@ -48,6 +48,17 @@
 	// TimeLimitFactor is the time limit of a program as a multiple of its duration on idle
 	// engines; 200 ms are added to it.
 	TimeLimitFactor float64
+	// UrgentTurns and UrgentTokens are the mean number of turns of a program of the more urgent kind
+	// and the mean length of their answers; zero stands for those of the other kind.
+	UrgentTurns, UrgentTokens int
+	// Recovery is the time after a burst within which new programs must be in time again; 5 s by default.
+	Recovery time.Duration
+	// LeaveAtFinish lets refused programs give up once their time limit has passed.
+	LeaveAtFinish bool
+	// LastingSpeeds gives a quarter of the engines the speed 0.55 and the others 1.2.
+	// DisturbedShare is the share of engines on which work takes 2.5 times as long at a time, for 0.6 s each.
+	LastingSpeeds  bool
+	DisturbedShare float64
 	// Domains is the number of failure domains over which entries and engines are spread; 0
 	// and 1 have no effect. NoDomains hides the domains from the routing decisions.
 	Domains   int
@@ -64,11 +75,13 @@
 	// NoPreferredUpstreams disables the preference for some engines per shared first prompt
 	// part, NoConversationAffinity the preference for the engine of a conversation's last
 	// turn, NoAdmission the admission control of new programs, and NoFailures the recording
-	// of outcomes. NoSpeedReports disables the reports of slow calls between the entries.
-	NoPreferredUpstreams, NoConversationAffinity, NoAdmission, NoFailures, NoSpeedReports bool
+	// of outcomes. NoSpeedReports disables the reports of slow calls between the entries. SlotLimit
+	// replaces the prediction of programs by the limit of calls per slot.
+	NoPreferredUpstreams, NoConversationAffinity, NoAdmission, NoFailures, NoSpeedReports, SlotLimit bool
 }
 
 func (c Config) withDefaults() Config {
+	c.Recovery = cmp.Or(c.Recovery, recoveryTime)
 	c.TokensPerMs = cmp.Or(c.TokensPerMs, defaultTokensPerMs)
 	c.SetupMs = cmp.Or(c.SetupMs, defaultSetupMs)
 	c.TokenMs = cmp.Or(c.TokenMs, defaultTokenMs)
@@ -83,7 +96,7 @@
 	// Urgent is the number of programs of the more urgent kind; UrgentInTime and UrgentLate
 	// count those of them that ended in time and late.
 	Urgent, UrgentInTime, UrgentLate int
-	// AfterBurst counts the programs that start later than recoveryTime after the burst, and
+	// AfterBurst counts the programs that start later than Recovery after the burst, and
 	// AfterBurstInTime those of them that ended in time.
 	AfterBurst, AfterBurstInTime int
 	// TokensComputed is the number of prompt tokens that engines computed. SharedRecomputed is
@@ -98,8 +111,14 @@
 	// AllBytes is the number of bytes of all calls and answers on the network, CrossBytes of
 	// those between failure domains.
 	CrossBytes, AllBytes int64
+	// Goodput and UrgentGoodput count the programs, and those of the more urgent kind, that end in time
+	// in each second of the run.
+	Goodput, UrgentGoodput [maxSeconds]int
 }
 
+// maxSeconds bounds the length of a run in seconds.
+const maxSeconds = 64
+
 // Worth returns the share of the programs that ended in time, in which a late program counts
 // lateShare and a program of the more urgent kind counts urgentWorth times.
 func (r Report) Worth(lateShare, urgentWorth float64) float64 {
@@ -130,7 +149,7 @@
 	tokenBytes = 1
 	// networkMs is the time of a turn on the network.
 	networkMs = 12
-	// recoveryTime is the time after a burst within which new programs must be in time again.
+	// recoveryTime is the default of Config.Recovery.
 	recoveryTime = 5 * time.Second
 	// slowNotice is the time within which engines that turn slow must be known to be, slowRecovery that
 	// after which they are used again when they are quick again.
@@ -144,6 +163,11 @@
 type program struct {
 	// startedAt is when it started, idleDuration its duration on idle engines.
 	startedAt, idleDuration time.Duration
+	// id names it to the entries; finishAt is when it should end.
+	id       string
+	finishAt time.Duration
+	// answerTokens is the mean length of its answers.
+	answerTokens int
 	// domain is the index of the failure domain of its caller.
 	domain    int
 	prompt    []routing.PromptPart
@@ -176,6 +200,8 @@
 	info            routing.CallInfo
 	pick            routing.Pick
 	sentAt, firstAt time.Duration
+	// sentLoad is the load that its entry knew of when the call was sent.
+	sentLoad float64
 	// tokens is the length of the answer, quickest the least time of a token in ms, in a tick without a
 	// prefill.
 	tokens   int
@@ -187,6 +213,9 @@
 	calls          []*call
 	cache          *routing.PrefixCache
 	failing, slows bool
+	// speed is the lasting speed; disturbedUntil is when a transient disturbance ends.
+	speed          float64
+	disturbedUntil time.Duration
 }
 
 // world is the state of a simulation.
@@ -209,7 +238,9 @@
 	seen          map[uint64]bool
 	digestsSentAt time.Duration
 	admit         admission.NewProgramPolicy
-	report        Report
+	// programs holds the admission of each entry.
+	programs []*admission.Programs
+	report   Report
 }
 
 // Run simulates the load to its end. A program that has not ended by then counts as late.
@@ -221,6 +252,7 @@
 			w.arrive()
 		}
 		w.send()
+		w.disturb()
 		w.advanceEngines()
 		if w.now-w.digestsSentAt >= digestInterval {
 			w.exchangeDigests()
@@ -242,9 +274,17 @@
 		id := "engine-" + string(rune('a'+i/26)) + string(rune('a'+i%26))
 		w.upstreams = append(w.upstreams, routing.Upstream{ID: id, Service: "s", Slots: cfg.Slots, CacheTokens: cfg.CacheTokens, Hash: routing.HashID(id)})
 		w.upstreams[i].Domain = w.domainOf(i)
-		w.engines = append(w.engines, &engine{cache: routing.NewPrefixCache(cfg.CacheTokens), failing: i < cfg.FailingEngines, slows: i < cfg.SlowEngines})
+		e := &engine{cache: routing.NewPrefixCache(cfg.CacheTokens), failing: i < cfg.FailingEngines, slows: i < cfg.SlowEngines, speed: 1}
+		if cfg.LastingSpeeds {
+			e.speed = 1.2
+			if i%4 == 0 {
+				e.speed = 0.55
+			}
+		}
+		w.engines = append(w.engines, e)
 	}
 	for i := range cfg.Entries {
+		w.programs = append(w.programs, admission.NewPrograms(w.admit))
 		w.balancers = append(w.balancers, routing.NewBalancer(routing.BalancerConfig{Seed: cfg.Seed + uint64(i), NoPrefixAffinity: cfg.NoPreferredUpstreams}))
 	}
 	return w
@@ -278,16 +318,26 @@
 		if w.rng.Float64() >= expected {
 			continue
 		}
-		// From 2 to 2*meanTurns-2 turns, so that the mean is meanTurns.
-		turns := 2 + w.rng.IntN(2*meanTurns-3)
+		urgent := w.cfg.UrgentTurns > 0 && w.rng.Float64() < w.cfg.Urgent
+		meanOf, answer := meanTurns, w.cfg.TurnTokens
+		if urgent {
+			meanOf, answer = w.cfg.UrgentTurns, cmp.Or(w.cfg.UrgentTokens, answer)
+		}
+		// From 2 to 2*meanOf-2 turns, so that the mean is meanOf.
+		turns := 2 + w.rng.IntN(2*meanOf-3)
 		// Parts of a lower number are shared by more programs.
 		part := uint64(float64(w.cfg.SharedParts) * math.Pow(w.rng.Float64(), 1.8))
 		p := &program{
 			startedAt: w.now, nextAt: w.now, turnsLeft: turns, domain: w.report.Programs % max(1, w.cfg.Domains),
 			prompt:       []routing.PromptPart{{ID: part, Tokens: w.cfg.SharedPartTokens}},
-			idleDuration: time.Duration(turns) * (thinkTime + time.Duration(float64(w.cfg.TurnTokens)*w.cfg.TokenMs*float64(time.Millisecond)) + w.idlePrefill()),
+			idleDuration: time.Duration(turns) * (thinkTime + time.Duration(float64(answer)*w.cfg.TokenMs*float64(time.Millisecond)) + w.idlePrefill()),
+			id:           strconv.Itoa(w.report.Programs), answerTokens: answer,
 		}
-		if w.cfg.Urgent > 0 && w.rng.Float64() < w.cfg.Urgent {
+		p.finishAt = w.now + time.Duration(w.cfg.TimeLimitFactor*float64(p.idleDuration)) + 200*time.Millisecond
+		if w.cfg.UrgentTurns == 0 {
+			urgent = w.cfg.Urgent > 0 && w.rng.Float64() < w.cfg.Urgent
+		}
+		if urgent {
 			p.urgent = true
 			w.report.Urgent++
 		}
@@ -329,30 +379,29 @@
 func (w *world) place(p *program) bool {
 	entry := w.entryOf(p)
 	balancer := w.balancers[entry]
+	load := balancer.Load(w.clock(), w.upstreams)
+	left := p.finishAt - w.now
 	if p.ranAt == "" && !w.cfg.NoAdmission {
-		rank := 0
-		if p.urgent {
-			rank = 1
-		}
-		ok, after := w.admit.Admit(balancer.Load(w.clock(), w.upstreams), rank, p.refusals > 0)
-		if !ok {
+		if ok, after := w.mayStart(p, entry, load, left); !ok {
 			p.refusals++
 			p.nextAt = w.now + after
-			if p.refusals > maxOpenRetries {
+			if p.refusals > maxOpenRetries || w.cfg.LeaveAtFinish && p.nextAt >= p.finishAt {
 				w.report.Refused++
 				return false
 			}
 			return true
 		}
+	} else {
+		w.programs[entry].Cost(kindOf(p)).Turn(p.id, left, load)
 	}
 	w.nextPart++
 	own := routing.PromptPart{ID: w.nextPart, Tokens: w.cfg.InputTokens/2 + w.rng.IntN(w.cfg.InputTokens)}
 	prompt := append(append([]routing.PromptPart(nil), p.prompt...), own)
-	info := routing.CallInfo{Prompt: prompt, Generate: w.cfg.TurnTokens, Domain: w.domainOf(entry)}
+	info := routing.CallInfo{Prompt: prompt, Generate: p.answerTokens, Domain: w.domainOf(entry)}
 	for _, part := range prompt {
 		info.Tokens += part.Tokens
 	}
-	info.Bytes = tokenBytes * (info.Tokens + w.cfg.TurnTokens)
+	info.Bytes = tokenBytes * (info.Tokens + p.answerTokens)
 	if w.cfg.NoDomains {
 		info.Domain = ""
 	}
@@ -368,14 +417,39 @@
 			if w.upstreams[i].Domain != w.domainOf(entry) {
 				w.report.CrossBytes += int64(info.Bytes)
 			}
-			decode := float64(w.cfg.TurnTokens) * (0.4 + 1.2*w.rng.Float64())
-			w.startCall(p, &call{p: p, entry: entry, upstream: i, decode: decode, tokens: int(decode), info: info, pick: pick, sentAt: w.now}, prompt)
+			decode := float64(p.answerTokens) * (0.4 + 1.2*w.rng.Float64())
+			w.startCall(p, &call{p: p, entry: entry, upstream: i, decode: decode, tokens: int(decode), info: info, pick: pick, sentAt: w.now, sentLoad: load}, prompt)
 			break
 		}
 	}
 	return true
 }
 
+// mayStart decides at an entry whether a program may start; if not, after is when it returns.
+func (w *world) mayStart(p *program, entry int, load float64, left time.Duration) (ok bool, after time.Duration) {
+	rank := 0
+	if p.urgent {
+		rank = 1
+	}
+	if w.cfg.SlotLimit {
+		return w.admit.Admit(load, rank, p.refusals > 0)
+	}
+	d := w.programs[entry].Start(w.clock(), admission.ProgramStart{
+		Route: kindOf(p), Program: p.id, Rank: rank, Retried: p.refusals > 0, Left: left, Waited: w.now - p.startedAt, Load: load,
+		Growth: w.balancers[entry].LatencyModel("s").Growth(p.answerTokens) * float64(w.cfg.Slots), TotalSlots: w.cfg.Slots * w.cfg.Engines, Entries: w.cfg.Entries, DigestInterval: digestInterval,
+	})
+	// The jitter is that of the gateway.
+	return d.OK, d.After/2 + time.Duration(w.rng.Float64()*float64(d.After))
+}
+
+// kindOf returns the name of the route of the program.
+func kindOf(p *program) string {
+	if p.urgent {
+		return "urgent"
+	}
+	return "other"
+}
+
 // startCall adds a call to its engine and counts the prompt tokens that the engine has to
 // compute.
 func (w *world) startCall(p *program, c *call, prompt []routing.PromptPart) {
@@ -406,6 +480,19 @@
 	e.calls = append(e.calls, c)
 }
 
+// disturb begins transient disturbances at random, so that a share of the engines is disturbed at a time.
+func (w *world) disturb() {
+	if w.cfg.DisturbedShare <= 0 {
+		return
+	}
+	const length = 600 * time.Millisecond
+	for _, e := range w.engines {
+		if e.disturbedUntil <= w.now && w.rng.Float64() < w.cfg.DisturbedShare/(1-w.cfg.DisturbedShare)*float64(tick)/float64(length) {
+			e.disturbedUntil = w.now + length
+		}
+	}
+}
+
 // slow reports whether the slow engines are slow now.
 func (w *world) slow() bool { return w.now >= w.cfg.SlowFrom && w.now < w.cfg.SlowTo }
 
@@ -430,9 +517,13 @@
 func (w *world) advanceEngines() {
 	for _, e := range w.engines {
 		left := float64(tick) / float64(time.Millisecond)
+		left *= e.speed
 		if e.slows && w.slow() {
 			left /= w.cfg.SlowX
 		}
+		if e.disturbedUntil > w.now {
+			left /= 2.5
+		}
 		batch := e.calls[:min(len(e.calls), w.cfg.Slots)]
 		decoding := 0
 		for _, c := range batch {
@@ -486,6 +577,7 @@
 // observe passes the times of a call on to the balancer of its entry.
 func (w *world) observe(c *call) {
 	b, id := w.balancers[c.entry], w.upstreams[c.upstream].ID
+	w.programs[c.entry].Cost(kindOf(c.p)).TurnEnded(w.clock(), c.p.id, w.now-c.sentAt, (c.sentLoad+b.Load(w.clock(), w.upstreams))/2)
 	b.ObserveFirstEvent(w.clock(), "s", &c.info, &c.pick, c.firstAt-c.sentAt)
 	if !c.fails {
 		b.ObserveDecode(w.clock(), "s", id, routing.Decode{
@@ -513,8 +605,7 @@
 		return
 	}
 	w.drop(p)
-	limit := time.Duration(w.cfg.TimeLimitFactor*float64(p.idleDuration)) + 200*time.Millisecond
-	w.count(p, w.now-p.startedAt <= limit)
+	w.count(p, w.now <= p.finishAt)
 }
 
 // count adds a program that completed all of its turns to the report.
@@ -526,6 +617,12 @@
 	switch {
 	case inTime:
 		r.InTime++
+		if second := int(w.now / time.Second); second < maxSeconds {
+			r.Goodput[second]++
+			if p.urgent {
+				r.UrgentGoodput[second]++
+			}
+		}
 	default:
 		r.Late++
 	}
@@ -537,9 +634,9 @@
 	}
 }
 
-// afterBurst reports whether the program starts later than recoveryTime after the burst.
+// afterBurst reports whether the program starts later than Recovery after the burst.
 func (w *world) afterBurst(p *program) bool {
-	return w.cfg.BurstX > 0 && p.startedAt > w.cfg.BurstTo+recoveryTime
+	return w.cfg.BurstX > 0 && p.startedAt > w.cfg.BurstTo+w.cfg.Recovery
 }
 
 // drop removes a program that has ended from the live programs.
@@ -580,6 +677,12 @@
 			reportedSpeeds = nil
 		}
 		from.TakeUnreportedOutcomes(now, func(id string, failed, succeeded int) { reported = append(reported, outcomes{id, failed, succeeded}) })
+		samples := map[string]admission.CostSample{}
+		w.programs[i].EachCost(func(route string, c *admission.ProgramCost) {
+			if s, ok := c.TakeUnreported(); ok {
+				samples[route] = s
+			}
+		})
 		for j, to := range w.balancers {
 			if i == j {
 				continue
@@ -588,6 +691,9 @@
 			for id, calls := range own {
 				to.SetPeerCalls(now, name, id, calls)
 			}
+			for route, s := range samples {
+				w.programs[j].Cost(route).Apply(&s)
+			}
 			for _, e := range reported {
 				to.AddPeerOutcomes(now, e.id, e.failed, e.succeeded)
 			}
--- a/relay/call.go
+++ b/relay/call.go
@@ -42,7 +42,7 @@
 	// Conversation is the id of the conversation, a sequence of turns of the program.
 	Conversation string
 	// ProgramTimeout is the time left until the whole program should finish; zero when not
-	// given. The package internal/gateway does not read it.
+	// given.
 	ProgramTimeout time.Duration
 	// TokenBudget is the number of tokens that all turns of the program together may
 	// generate; zero when not given.
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -510,6 +510,18 @@
 	return max(load, 1+float64(leastHeld)/float64(heldLoad))
 }
 
+// OldestPeerReport returns the age of the oldest report of another entry that Load counts.
+func (b *Balancer) OldestPeerReport(now time.Time, upstreams []Upstream) time.Duration {
+	oldest := time.Duration(0)
+	for i := range upstreams {
+		if s := b.stats[upstreams[i].ID]; s != nil {
+			_, age := b.inFlight(now, s)
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // places returns the number of calls that an upstream can run at once.
 func (b *Balancer) places(u *Upstream, s *upstreamStats) float64 {
 	if !s.limited {
--- a/routing/latency.go
+++ b/routing/latency.go
@@ -72,6 +72,14 @@
 // Prefill returns the time in milliseconds to prefill tokens that are not cached.
 func (m *LatencyModel) Prefill(tokens int) float64 { return m.prefill(tokens) }
 
+// Growth returns the part by which a turn that generates a number of tokens grows with each further call
+// at its engine: that call lengthens each step, and its prefill stalls all of them.
+func (m *LatencyModel) Growth(generate int) float64 {
+	decode := m.undisturbed * float64(max(1, generate))
+	prefill := m.prefillMs * m.growth
+	return (stepGrowth*decode + prefill) / (decode + prefill)
+}
+
 // observeStep updates the decode step from alone, the step time of a call that runs alone
 // at an upstream of the given slowness.
 func (m *LatencyModel) observeStep(alone, slowness float64) {
