--- a/internal/loadreplay/overload_test.go
+++ b/internal/loadreplay/overload_test.go
@@ -9,11 +9,11 @@
 // overload returns a load of several times the usual from overloadFrom on: engines of many slots of which
 // a quarter is slow for good and 15% at a time for a moment, entries that see each other's calls only in
 // digests, a more urgent kind of shorter programs, and callers that return until their time is up. The
-// usual load takes about two fifths of what the engines can do for programs that must end in time.
+// usual load takes about half of what the engines can do for programs that must end in time.
 func overload(seed uint64, times float64, length time.Duration) Config {
 	cfg := loftLoad(seed)
 	cfg.Entries, cfg.Engines, cfg.Slots, cfg.CacheTokens = 24, 60, 64, 155_037
-	cfg.ProgramsPerSecond, cfg.TimeLimitFactor = 50, 2.2
+	cfg.ProgramsPerSecond, cfg.TimeLimitFactor = 75, 2.2
 	cfg.BurstX, cfg.BurstFrom, cfg.BurstTo = times, overloadFrom, overloadFrom+length
 	cfg.Length = cfg.BurstTo + 9*time.Second
 	cfg.Recovery = 3 * time.Second
