--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -59,6 +59,7 @@
 //	'm' hash of an upstream's incarnation, its limit, and how old that statement is
 //	'e' hash of the incarnation of an upstream that leaves
 //	's' upstream, mean time of calls out of the ordinary in percent of the predicted one, their number
+//	'p' route, observations of its programs; see appendCosts
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -74,6 +75,7 @@
 	g.origins.join()
 	g.budgetPeers.join()
 	g.chains.join()
+	g.addCostField()
 }
 
 // tableThroughPeer implements tablePeers.
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -41,6 +41,10 @@
 // answer; the bits below hold the outcome.
 const stageShift = 4
 
+// waitedShift is the number of bits by which the time since the program's first request, in ms, is
+// shifted. Earlier builds read 8 bits of the stage and ignore those above.
+const waitedShift = stageShift + 8
+
 // Kinds of questions between entries about budgets.
 const (
 	// callReserve reserves tokens for a turn at the owner of the program's budget.
@@ -139,14 +143,14 @@
 // encode packs the answer to a reservation: the outcome in the low bits of the value and the
 // stage above it.
 func (a reserveAnswer) encode() mesh.Answer {
-	return mesh.Answer{Value: uint64(a.outcome) | uint64(a.stage)<<stageShift, Text: a.lastUpstream}
+	return mesh.Answer{Value: uint64(a.outcome) | uint64(a.stage)<<stageShift | uint64(max(0, a.waited.Milliseconds()))<<waitedShift, Text: a.lastUpstream}
 }
 
 // decodeReserveAnswer unpacks the answer to a reservation.
 func decodeReserveAnswer(v mesh.Answer) reserveAnswer {
 	return reserveAnswer{
 		outcome: reserveOutcome(v.Value & (1<<stageShift - 1)), lastUpstream: v.Text,
-		stage: programStage(v.Value >> stageShift),
+		stage: programStage(v.Value >> stageShift), waited: time.Duration(min(v.Value>>waitedShift, uint64(budgetIdle.Milliseconds()))) * time.Millisecond,
 	}
 }
 
--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -89,7 +89,7 @@
 // sendDigests sends digests to the other entries until ctx ends.
 func (m *Mesh) sendDigests(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		interval := digestIntervalFor(m.Size())
+		interval := DigestInterval(m.Size())
 		perInterval := frequentDigestsFor(interval, m.nearSize())
 		// Peers send their digests at about the same interval, so what they report must count for
 		// longer when it grows.
@@ -135,9 +135,9 @@
 	return now.Sub(m.lastPeerChange) < m.scaledTimeout(fullDigestPeriod)
 }
 
-// digestIntervalFor returns the interval between two digests of an entry, for a number of
+// DigestInterval returns the interval between two digests of an entry, for a number of
 // entries.
-func digestIntervalFor(entries int) time.Duration {
+func DigestInterval(entries int) time.Duration {
 	return max(digestInterval, time.Duration(entries)*digestIntervalPerEntry)
 }
 
@@ -146,7 +146,7 @@
 // only. Most calls stay in their domain, so that many entries choose among few upstreams; with digests
 // that are further apart than calls are long, each would know only calls that have ended.
 func frequentDigestsFor(interval time.Duration, near int) int {
-	return max(1, int(interval/digestIntervalFor(near)))
+	return max(1, int(interval/DigestInterval(near)))
 }
 
 // digestTargets returns the UDP addresses of the other entries, or of those of this failure domain only.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -40,7 +40,7 @@
 // and one that has been silent for 4 s must not. With 8 entries the limit is 1 s.
 func TestOwnerTimeoutWithManyEntries(t *testing.T) {
 	m := &Mesh{}
-	m.interval.Store(int64(digestIntervalFor(300)))
+	m.interval.Store(int64(DigestInterval(300)))
 	now := time.Unix(100, 0)
 	if !m.Responsive(&Peer{LastDigest: now.Add(-1500 * time.Millisecond)}, now) {
 		t.Error("with 300 entries an owner that missed one digest counts as unresponsive")
@@ -48,7 +48,7 @@
 	if m.Responsive(&Peer{LastDigest: now.Add(-4 * time.Second)}, now) {
 		t.Error("with 300 entries an owner that missed 3 digests counts as responsive")
 	}
-	m.interval.Store(int64(digestIntervalFor(8)))
+	m.interval.Store(int64(DigestInterval(8)))
 	if m.Responsive(&Peer{LastDigest: now.Add(-1100 * time.Millisecond)}, now) {
 		t.Error("with 8 entries an owner that missed 10 digests counts as responsive")
 	}
@@ -59,7 +59,7 @@
 // domain must be 112 ms apart. Up to 25 entries one interval is enough for both.
 func TestFrequentDigestsStayInTheDomain(t *testing.T) {
 	for _, c := range []struct{ entries, near, digests int }{{8, 3, 1}, {25, 9, 1}, {33, 11, 1}, {84, 17, 3}, {300, 60, 5}, {300, 300, 1}} {
-		if got := frequentDigestsFor(digestIntervalFor(c.entries), c.near); got != c.digests {
+		if got := frequentDigestsFor(DigestInterval(c.entries), c.near); got != c.digests {
 			t.Errorf("%d entries, %d of them in the domain: %d digests an interval, want %d", c.entries, c.near, got, c.digests)
 		}
 	}
