resume, gateway: streams begin at a second version only once the row is withdrawn

Cause: the row of a service named the only version until an entry compared it with the upstreams' versions, up to a second later, and was then deleted without a condition. A stream could begin at a second version before that, and be resumed at the named one after all entries had ended and the second version was rolled back.

Change: package resume decides in Rows at which versions streams may begin and what is read and written. A version is cleared by a read of the row after it was seen; other versions serve meanwhile. Rows are withdrawn instead of deleted, each write depends on the row's version, and a version is named in two steps with a confirmed list of upstreams in between. A stream of unknown origin is resumed only after a fresh read of the row, on a route of one service whose routes have not changed.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -120,6 +120,8 @@
 	origin       *resume.Origin
 	originSource string
 	originAge    time.Duration
+	// withdrawalWait is how long the call waited for a version at which a stream may begin.
+	withdrawalWait time.Duration
 	// turnReads counts the turns of the chain that were neither in memory here nor received
 	// from the entry previousStoredBy.
 	turnReads int
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,6 +11,7 @@
 	"github.com/buckthornroute/buckthornroute/platform"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
+	"github.com/buckthornroute/buckthornroute/resume"
 )
 
 const (
@@ -129,6 +130,7 @@
 		return
 	}
 	g.routes.Store(relay.NewRouteTable(doc))
+	g.origins.setRoutes(doc)
 	g.storeFleet(g.fleet.Load().registry)
 	g.env.Requests.Warn("document_in_force").Int("version", int64(doc.Version)).Int("row_version", r.Version).
 		Int("routes", int64(len(doc.Routes))).End()
@@ -140,25 +142,41 @@
 	// after it, and when they are removed unless they register again. Only this goroutine uses
 	// it.
 	missing := map[string]time.Time{}
-	g.origins.readSettled(ctx)
+	// settled holds the rows of the services until the first list of upstreams, after which they are read,
+	// is in force.
+	var settled map[string]resume.Row
+	first := true
+	apply := func(version int64, changes []relay.RegistryChange, snapshot bool, l resume.Listing) {
+		g.updateUpstreams(version, changes, snapshot, missing, func(next *relay.Registry) { g.origins.listed(next, missing, l, settled) })
+		settled = nil
+	}
 	g.follow(ctx, follower{
 		prefix: platform.UpstreamsPrefix,
 		list: func(version int64, rows []platformapi.Row) {
-			g.updateUpstreams(version, g.decodeUpstreams(rows), true, missing)
+			if first {
+				settled, first = g.origins.readSettled(ctx), false
+			}
+			out := g.decodeUpstreams(rows)
+			apply(version, out, true, listingOf(out, true))
 		},
 		change: func(version int64, changes []platformapi.Change) {
 			out := make([]relay.RegistryChange, 0, len(changes))
+			known, unseen := g.fleet.Load().registry, false
+			registered := map[string]bool{}
 			for _, c := range changes {
 				if c.Deleted {
+					// Of an upstream that was registered and removed only the latter may be seen.
+					unseen = unseen || known.Get(upstreamID(c.Key)) == nil && !registered[c.Key]
 					out = append(out, relay.RegistryChange{ID: upstreamID(c.Key)})
 					continue
 				}
+				registered[c.Key] = true
 				out = append(out, g.decodeUpstream(c.Row))
 			}
-			g.updateUpstreams(version, out, false, missing)
+			apply(version, out, false, listingOf(out, unseen))
 		},
 		confirmed: func(begun time.Time) {
-			g.origins.confirmedAt.Store(&begun)
+			g.origins.confirm(begun)
 			g.expireMissing(missing)
 			g.checkEndedSends(begun)
 		},
@@ -190,7 +208,8 @@
 // updateUpstreams applies changes to the registry; snapshot is set when they list all
 // upstreams. During an outage of the table and for OutageListGrace after it, removals are
 // deferred, so that live upstreams can register again first.
-func (g *Gateway) updateUpstreams(version int64, changes []relay.RegistryChange, snapshot bool, missing map[string]time.Time) {
+// listed is called with the registry that results.
+func (g *Gateway) updateUpstreams(version int64, changes []relay.RegistryChange, snapshot bool, missing map[string]time.Time, listed func(*relay.Registry)) {
 	now := time.Now()
 	old := g.fleet.Load().registry
 	until := g.removalsDeferredUntil()
@@ -207,7 +226,19 @@
 		}
 		applied = append(applied, c)
 	}
-	g.applyUpstreams(version, applied)
+	g.applyUpstreams(version, applied, listed)
+}
+
+// listingOf returns what changes of the upstreams show beside the registry that results: the versions that had
+// an upstream, and whether others may have passed unseen.
+func listingOf(changes []relay.RegistryChange, unseen bool) resume.Listing {
+	l := resume.Listing{Passed: map[string]map[string]bool{}, Interrupted: unseen}
+	for _, c := range changes {
+		if c.Upstream != nil {
+			addVersion(l.Passed, c.Upstream)
+		}
+	}
+	return l
 }
 
 // removalsDeferredUntil returns the time until which removals of upstreams are deferred because of
@@ -247,12 +278,13 @@
 		}
 	}
 	if len(gone) > 0 {
-		g.applyUpstreams(0, gone) // 0: the registry keeps its version
+		// 0: the registry keeps its version. The versions of missing upstreams do not count already.
+		g.applyUpstreams(0, gone, func(*relay.Registry) {})
 	}
 }
 
-// applyUpstreams replaces the registry by one with the changes applied.
-func (g *Gateway) applyUpstreams(version int64, changes []relay.RegistryChange) {
+// applyUpstreams replaces the registry by one with the changes applied, which it passes to listed.
+func (g *Gateway) applyUpstreams(version int64, changes []relay.RegistryChange, listed func(*relay.Registry)) {
 	g.mu.Lock()
 	old := g.fleet.Load().registry
 	next := old.Apply(uint64(version), changes)
@@ -261,7 +293,7 @@
 		reports = append(reports, g.handleUpstreamChange(version, old.Get(c.ID), next.Get(c.ID), c.ID)...)
 	}
 	g.storeFleet(next)
-	g.origins.updateVersions(next)
+	listed(next)
 	g.balancer.Retain(func(id string) bool { return next.Get(id) != nil })
 	g.mu.Unlock()
 	g.limits.retain(time.Now(), g.fleet.Load())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,13 @@
 	// knows at which version they began, and streamsStranded those refused or broken off since no upstream
 	// of that version or service is left.
 	streamsTakenUp, streamsContinued, streamsUnknown, streamsStranded tally.Counter
+	// streamsExcluded counts streams refused since no stream may begin yet at the versions of the upstreams
+	// that are left, streamsNotBegun those broken off before their first event for the same reason.
+	streamsExcluded, streamsNotBegun tally.Counter
+	// softwareRowsRead counts reads of services' rows, softwareRowsWritten rows that name or prepare a version,
+	// softwareRowsWithdrawn withdrawals, softwareRowsNotWritten writes that failed or whose row had changed, and
+	// softwareExcluded versions that a read row does not clear.
+	softwareRowsRead, softwareRowsWritten, softwareRowsWithdrawn, softwareRowsNotWritten, softwareExcluded tally.Counter
 	// upstreamsSlow counts upstreams that turned slow. slowness returns the gauge of what calls take at
 	// an upstream as a multiple of what they take at others, as of the last change; only upstreams that
 	// were slow have one.
@@ -72,6 +79,10 @@
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
 		streamsTakenUp: s.Counter("streams_taken_up"), streamsContinued: s.Counter("streams_continued"),
 		streamsUnknown: s.Counter("streams_version_unknown"), streamsStranded: s.Counter("streams_stranded"),
+		streamsExcluded: s.Counter("streams_excluded"), streamsNotBegun: s.Counter("streams_not_begun"),
+		softwareRowsRead: s.Counter("software_rows_read"), softwareRowsWritten: s.Counter("software_rows_written"),
+		softwareRowsWithdrawn: s.Counter("software_rows_withdrawn"), softwareRowsNotWritten: s.Counter("software_rows_not_written"),
+		softwareExcluded: s.Counter("software_excluded"),
 		upstreamsLeaving: s.Counter("upstreams_leaving"), upstreamsSlow: s.Counter("upstreams_slow"),
 		slowness: func(id string) tally.Gauge {
 			return s.Tagged(map[string]string{"upstream": id}).Gauge("upstream_slowness")
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -61,15 +61,22 @@
 
 	mu      sync.Mutex
 	origins *resume.Origins
-	// versions is nil until the upstreams' rows have been read.
-	versions *resume.Versions
-	// settled holds the versions of services as the table had them when this entry started; see
-	// readSettled.
-	settled map[string]string
+	// rows decides at which versions streams may begin; settled.go drives it.
+	rows *resume.Rows
+	// routes stands, for each service, for the routes that lead streams to it.
+	routes map[string]string
+	// busy holds the services for whose row a call to the table is under way.
+	busy map[string]bool
+	// wake receives a value when an operation on a row may be due.
+	wake chan struct{}
 }
 
 func newStreamOrigins(g *Gateway) *streamOrigins {
-	return &streamOrigins{g: g, origins: resume.NewOrigins()}
+	delay := minTurnDelay + time.Duration(seedOf(string(g.cfg.Node))%uint64(turnDelaySpread))
+	return &streamOrigins{
+		g: g, origins: resume.NewOrigins(), rows: resume.NewRows(g.cfg.FirstStart, delay),
+		busy: map[string]bool{}, wake: make(chan struct{}, 1),
+	}
 }
 
 // began records where the stream of a call began and tells other entries. It does not wait for them: the
@@ -122,24 +129,24 @@
 	age    time.Duration
 }
 
-// find returns where the stream began whose first event the call resumes brought. Of a stream that neither
-// this entry nor its peers know, it is known if the service has had only one version.
-func (o *streamOrigins) find(ctx context.Context, resumes, service string) (foundOrigin, bool) {
-	if resumes != "" {
+// find returns where the stream began that the call takes up. Of a stream that neither this entry nor its
+// peers know, the row of its service tells the version if that is the only one. If the origin can't be told,
+// find returns the reason.
+func (o *streamOrigins) find(ctx context.Context, j *job) (found foundOrigin, refused string, err error) {
+	if resumes := j.call.Resumes; resumes != "" {
 		if origin, age, known := o.local(resume.KeyOf(resumes)); known {
-			return foundOrigin{origin, string(o.g.cfg.Node), age}, true
+			return foundOrigin{origin, string(o.g.cfg.Node), age}, "", nil
 		}
 		if found, known := o.askPeers(ctx, resumes); known {
-			return found, true
+			return found, "", nil
 		}
 	}
-	now := time.Now()
-	confirmed := o.rowsConfirmed()
-	if now.Sub(confirmed) > maxRegistryAge {
-		return foundOrigin{}, false
+	// The stream may have begun at any of the route's services.
+	if len(j.route.Services) != 1 {
+		return foundOrigin{}, refusedAmbiguous, nil
 	}
-	version := o.onlyVersion(now, service)
-	return foundOrigin{resume.Origin{Service: service, Version: version}, sourceOnlyVersion, now.Sub(confirmed)}, version != ""
+	version, refused, err := o.resumeByRow(ctx, j.service)
+	return foundOrigin{resume.Origin{Service: j.service, Version: version}, sourceOnlyVersion, time.Since(o.rowsConfirmed())}, refused, err
 }
 
 // local returns the origin of a stream as this entry knows it, and the age of that knowledge.
@@ -191,29 +198,6 @@
 	return callAnswer{value: uint64(age / time.Millisecond), text: string(appendText(appendText(nil, origin.Service), origin.Version))}
 }
 
-// updateVersions records the versions of the registered upstreams.
-func (o *streamOrigins) updateVersions(r *relay.Registry) {
-	registered := map[string]map[string]bool{}
-	for _, id := range r.IDs() {
-		u := r.Get(id)
-		if registered[u.Service] == nil {
-			registered[u.Service] = map[string]bool{}
-		}
-		registered[u.Service][u.Version] = true
-	}
-	now := time.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.versions == nil {
-		since := now
-		if o.g.cfg.FirstStart { // no stream began earlier
-			since = now.Add(-resume.Retention)
-		}
-		o.versions = resume.NewVersions(since, o.settled)
-	}
-	o.versions.Update(now, registered)
-}
-
 // upstreamReplaced is called when the row of an upstream shows that it has started again with other
 // software. Streams that were recorded since its rows were last confirmed may have begun at either, but
 // for those before its last failure: the end of a process breaks connections. g.mu must be held.
@@ -229,16 +213,22 @@
 		Str("to", current.Version).Int("streams_in_doubt", int64(n)).End()
 }
 
-// candidates returns the upstreams that the call may be sent to, the draining ones left out. A stream that
-// has begun goes on only at the version that began it.
-func (j *job) candidates(f *fleet) []routing.Upstream {
+// candidates returns the upstreams that the call may be sent to, the draining ones left out. A stream
+// begins only at versions at which it may, and goes on only at the version that began it.
+func (g *Gateway) candidates(j *job, f *fleet) []routing.Upstream {
 	all := f.byService[j.service]
-	if j.origin == nil {
+	if j.route.Kind != relay.Stream {
 		return all
 	}
+	var excluded map[string]bool
+	if j.origin == nil {
+		if excluded = g.origins.excluded(time.Now(), j.service); excluded == nil {
+			return all
+		}
+	}
 	out := make([]routing.Upstream, 0, len(all))
 	for i := range all {
-		if all[i].Version == j.origin.Version {
+		if j.origin == nil && !excluded[all[i].Version] || j.origin != nil && all[i].Version == j.origin.Version {
 			out = append(out, all[i])
 		}
 	}
@@ -293,10 +283,12 @@
 		g.refuse(s.w, j, "retained_stream", errRetained, retryUpstream)
 		return false
 	}
-	found, known := g.origins.find(ctx, j.call.Resumes, j.service)
-	if !known {
+	found, refused, err := g.origins.find(ctx, j)
+	if refused != "" {
 		g.metrics.streamsUnknown.Inc(1)
-		g.refuse(s.w, j, "stream_version_unknown", errUnknownVersion, retryUpstream)
+		g.requestLog("stream_not_resumed", j).Str("resumes", j.call.Resumes).Str("route", j.route.Name).Str("service", j.service).Str("why", refused).
+			Ms("rows_age_ms", time.Since(g.origins.rowsConfirmed())).Err(err).End()
+		g.refuse(s.w, j, "stream_version_unknown", errors.Wrap(errUnknownVersion, refused), retryUpstream)
 		return false
 	}
 	j.origin, j.originSource, j.originAge = &found.Origin, found.source, found.age
@@ -323,10 +315,15 @@
 }
 
 // checkSoftware returns an error if the upstream has started again with other software since it was
-// chosen: then it is not known which of the two answers.
+// chosen, since it is not known then which of the two answers, or if no stream may begin at its version any
+// more, such as after this entry was frozen.
 func (s *stream) checkSoftware(res *sendResult) error {
 	if u := s.g.fleet.Load().registry.Get(res.upstream); u != nil && u.Version != s.j.software {
 		return errors.Wrapf(forward.ErrMalformed, "upstream %q was chosen at version %q and is at %q now", u.ID, s.j.software, u.Version)
 	}
+	if s.j.origin == nil && !s.g.origins.mayBegin(time.Now(), s.j.service, s.j.software) {
+		s.g.metrics.streamsNotBegun.Inc(1)
+		return errors.Wrapf(forward.ErrMalformed, "no stream may begin at version %q of %q any more", s.j.software, s.j.service)
+	}
 	return nil
 }
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -89,7 +89,7 @@
 	entries := g.mesh.size()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	after, held := g.balancer.RetryAfter(time.Now(), j.candidates(g.fleet.Load()), j.tried, entries)
+	after, held := g.balancer.RetryAfter(time.Now(), g.candidates(j, g.fleet.Load()), j.tried, entries)
 	switch {
 	case !held && j.origin != nil:
 		g.metrics.streamsStranded.Inc(1)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -74,6 +74,8 @@
 		return "upstreams_limited"
 	case errors.Is(err, errNoVersion):
 		return "no_upstream_of_version"
+	case errors.Is(err, errExcluded):
+		return "versions_excluded"
 	default:
 		return "no_upstream"
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,7 +52,8 @@
 
 // send chooses an upstream and sends the call there. A stream continues after the event
 // lastEvent, or starts from its beginning when that is nil. When no upstream was chosen, the
-// result is nil and the error is errCallerGone, errQuarantined, errNoUpstream, errNoVersion or errLimited. The failure of
+// result is nil and the error is errCallerGone, errQuarantined, errNoUpstream, errNoVersion,
+// errExcluded or errLimited. The failure of
 // a send is in the result. The result must be passed to finish.
 func (g *Gateway) send(ctx context.Context, j *job, lastEvent *int64) (*sendResult, error) {
 	if ctx.Err() != nil {
@@ -62,6 +63,13 @@
 		return nil, errQuarantined
 	}
 	u, conns, err := g.choosePermitted(ctx, j)
+	for errors.Is(err, errNoUpstream) && g.awaitCleared(ctx, j) {
+		u, conns, err = g.choosePermitted(ctx, j)
+	}
+	if errors.Is(err, errNoUpstream) && j.route.Kind == relay.Stream && g.excludedUpstreams(j) > 0 {
+		g.metrics.streamsExcluded.Inc(1)
+		err = errors.Wrapf(errExcluded, "service %q, waited %s", j.service, j.withdrawalWait.Round(time.Millisecond))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -180,7 +188,7 @@
 	f := g.fleet.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	upstreams := j.candidates(f)
+	upstreams := g.candidates(j, f)
 	j.info.MaxConnIdle, j.info.Repeatable = j.maxIdle(), j.route.MayRepeat()
 	pick, ok := g.balancer.Choose(now, upstreams, &j.info, j.tried)
 	if !ok {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -268,6 +268,15 @@
 	}
 }
 
+// settled returns the row of the service.
+func (v *versionedEntries) settled() resume.Row {
+	row, err := v.p.standin.Table.Get(v.t.Context(), settledPrefix+"llm")
+	if err != nil {
+		return resume.Row{}
+	}
+	return resume.DecodeRow(row.Value, row.Version)
+}
+
 // startAgain starts an entry that is not the first of the system.
 func (v *versionedEntries) startAgain(node string) *testEntry {
 	v.t.Helper()
@@ -282,13 +291,7 @@
 	v := startVersionedEntries(t, 2, 1)
 	u := newScriptedUpstream(t, "llm-1", answerEvents(0, 0, true), answerEvents(1, 2, false))
 	v.register(u, "v1")
-	settled := func(want bool) func() bool {
-		return func() bool {
-			_, err := v.p.standin.Table.Get(t.Context(), settledPrefix+"llm")
-			return (err == nil) == want
-		}
-	}
-	eventually(t, "the version is recorded", settled(true))
+	eventually(t, "the version is recorded", func() bool { return v.settled().Named == "v1" })
 	first := newID()
 	v.entries[0].call("POST", "/ask/1", "x", map[string]string{"X-Request-Id": first})
 	for _, e := range v.entries {
@@ -303,7 +306,10 @@
 	})
 	other := newScriptedUpstream(t, "llm-2", answerEvents(1, 2, false))
 	v.register(other, "v2")
-	eventually(t, "the version is not recorded any more", settled(false))
+	eventually(t, "the version is not recorded any more", func() bool {
+		row := v.settled()
+		return row.Version > 0 && row.Named == "" && row.Prepared == ""
+	})
 	v.remove(other)
 	e.stop()
 	if r := v.startAgain("entry-2").takeUp(first); r.status != http.StatusServiceUnavailable {
