gateway, orgquota: take a token of the organisation's quota for each request

The gateway takes a token before admission, checks it just before the send, and gives it back if no upstream ran the call; without one the answer is 429, or 503 if no entry can tell.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornroute/buckthornroute/organisation"
 	"github.com/buckthornroute/buckthornroute/platform"
 	"github.com/buckthornroute/buckthornroute/quarantine"
+	"github.com/buckthornroute/buckthornroute/quota"
 	"github.com/buckthornroute/buckthornroute/relay"
 	"github.com/buckthornroute/buckthornroute/resume"
 	"github.com/buckthornroute/buckthornroute/routing"
@@ -82,6 +83,10 @@
 	// has organisations.
 	org        *organisation.Organisation
 	identified bool
+	// token is the token of the organisation's request quota. reached is set once an upstream may have
+	// run the call, so that the token is used.
+	token   quota.Decision
+	reached bool
 	// rank is the rank of the call's priority; see relay.RouteTable.
 	rank int
 	// service is the service whose upstreams the call may be sent to.
@@ -167,7 +172,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{request: r, start: time.Now()}
-	defer func() { g.answers.release(j.answerMemory) }()
+	defer func() {
+		g.answers.release(j.answerMemory)
+		g.returnToken(j)
+	}()
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
 	var err error
 	if j.call, err = platform.DecodeCall(r.Header); err != nil {
@@ -187,7 +195,9 @@
 		g.serveStream(r.Context(), w, j)
 		return
 	}
-	g.servePlain(r.Context(), w, j)
+	if g.takeToken(r.Context(), w, j, false) {
+		g.servePlain(r.Context(), w, j)
+	}
 }
 
 // matchRoute finds the call's route and organisation and chooses its service. When the call has no
@@ -342,10 +352,15 @@
 
 // refuseAfter is refuse with the exact time after which the caller should send the call again.
 func (g *Gateway) refuseAfter(w http.ResponseWriter, j *job, reason string, cause error, after time.Duration) {
+	g.refuseWith(w, j, http.StatusServiceUnavailable, reason, cause, after)
+}
+
+// refuseWith is refuseAfter with a status, 503 or 429, both of which say that the call has not run.
+func (g *Gateway) refuseWith(w http.ResponseWriter, j *job, status int, reason string, cause error, after time.Duration) {
 	g.metrics.refused.Inc(1)
-	g.logOutcome(j, "refused", http.StatusServiceUnavailable, reason, cause, after)
+	g.logOutcome(j, "refused", status, reason, cause, after)
 	platform.SetRetryAfter(w.Header(), after)
-	g.respondEmpty(w, j, http.StatusServiceUnavailable)
+	g.respondEmpty(w, j, status)
 }
 
 // tableRetry returns the Retry-After of a call that was refused because of the table.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -133,6 +133,7 @@
 	g.mu.Lock()
 	g.routes.Store(routes)
 	g.origins.setRoutes(doc)
+	g.quota.SetLimits(doc.Version, limitsOf(routes.Organisations()))
 	g.storeFleet(g.fleet.Load().registry)
 	g.mu.Unlock()
 	g.env.Requests.Warn("document_in_force").Int("version", int64(doc.Version)).Int("row_version", r.Version).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	"github.com/buckthornroute/buckthornroute/internal/mesh"
+	"github.com/buckthornroute/buckthornroute/internal/orgquota"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
@@ -76,6 +77,7 @@
 	limits     *upstreamLimits
 	leaving    *leavingUpstreams
 	origins    *streamOrigins
+	quota      *orgquota.Service
 	// budgetPeers, chains, reports and cached exchange the state of their parts with other entries.
 	budgetPeers *budgetPeers
 	chains      turnChains
@@ -132,6 +134,7 @@
 	g.answers = newAnswerMemory(cfg.MemoryMB)
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
+	g.quota = orgquota.New(g.mesh, env.Requests, env.Telemetry.Scope, seedOf(g.incarnation)>>1)
 	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
 	g.table = newTableClient(env.Table, g, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
@@ -161,7 +164,7 @@
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context){
-		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.expiry.run, g.cleanUp,
+		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.quota.Run, g.expiry.run, g.cleanUp,
 	} {
 		group.Go(func() error {
 			task(taskCtx)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,9 @@
 	// unauthenticated counts requests rejected since their key is missing or unknown, keysUnconfirmed
 	// those refused since a newer document may have their key.
 	unauthenticated, keysUnconfirmed tally.Counter
+	// overQuota counts requests beyond the quota of their organisation, quotaUnknown those refused since no
+	// entry could tell in time.
+	overQuota, quotaUnknown tally.Counter
 	// limitChanges counts beginnings, changes and ends of upstreams' limits, limitsMalformed answers
 	// that name a limit which can't be read.
 	limitChanges, limitsMalformed tally.Counter
@@ -86,6 +89,7 @@
 		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"),
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
+		overQuota: s.Counter("over_quota"), quotaUnknown: s.Counter("quota_unknown"),
 		unauthenticated: s.Counter("unauthenticated"), keysUnconfirmed: s.Counter("keys_unconfirmed"),
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
 		streamsTakenUp: s.Counter("streams_taken_up"), streamsContinued: s.Counter("streams_continued"),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -76,6 +76,8 @@
 		return "no_upstream_of_version"
 	case errors.Is(err, errExcluded):
 		return "versions_excluded"
+	case errors.Is(err, errQuota):
+		return reasonQuotaUnknown
 	default:
 		return "no_upstream"
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -73,6 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := g.renewToken(ctx, j); err != nil {
+		g.unchoose(u)
+		return nil, err
+	}
 	// The call puts its prompt into the upstream's cache, which the other entries should know.
 	if j.pick.Cached == 0 {
 		g.cached.add(u.ID, j.info.Prompt)
@@ -111,6 +115,7 @@
 		}
 	}
 	j.sends++
+	j.reached = j.reached || !res.notRun
 	return res, nil
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,6 +79,11 @@
 	if reserved != nil {
 		j.info.LastUpstream = reserved.lastUpstream
 		j.started = reserved.stage == programStarted
+	}
+	if !g.takeToken(ctx, w, j, reserved != nil && !j.started) {
+		return
+	}
+	if reserved != nil {
 		if after, ok := g.admit(j, reserved); !ok {
 			g.refuse(w, j, "engines_full", nil, after)
 			return
--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -44,6 +44,8 @@
 	FlagLeaving
 	// FlagGrants is set, as FlagOwner, if the entry may grant shares of limits. Early builds can't.
 	FlagGrants
+	// FlagGrantsTokens is set if the entry may grant the tokens of organisations' request quotas.
+	FlagGrantsTokens
 )
 
 // flagSource reports whether flags are set in this entry's digests.
--- a/internal/mesh/ranking.go
+++ b/internal/mesh/ranking.go
@@ -70,9 +70,16 @@
 	if p, eligible := m.OwnerAmong(flag, key, now); p != nil || !eligible {
 		return 0
 	}
+	responsive, all := m.InTouch(flag, now)
+	return float64(responsive) / float64(all)
+}
+
+// InTouch returns the number of responsive entries with the flag, and the number of those that Share counts
+// in all. This entry is included in both.
+func (m *Mesh) InTouch(flag Flags, now time.Time) (responsive, all int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	responsive, all := 1, 1
+	responsive, all = 1, 1
 	for _, p := range m.peers {
 		listed := p.LastDigest.IsZero() && now.Sub(p.ListedAt) < ShareWindow
 		heard := p.Has(flag) && !p.Has(FlagLeaving) && now.Sub(p.LastDigest) < ShareWindow
@@ -84,7 +91,7 @@
 			responsive++
 		}
 	}
-	return float64(responsive) / float64(all)
+	return responsive, all
 }
 
 // Ranked returns at most n entries in descending order of their rendezvous weight for the key, of
