gateway: entries receive new versions of the document from each other

Cause: an entry that the table does not serve learned of a new version only through the table relayed by a peer, after up to 2 s of a direct poll, and an entry that starts without the table waited for a list of 2 s. An answer that was read before the process was frozen counted as fresh after it.

Change: digests announce the version of the sender's document (item d); an entry that sees a newer one fetches it from that peer (/document), one peer at a time. The time of the last confirmation counts from the read, and a peer confirms the document when a request needs that. A direct poll of a table that does not answer is a short probe.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -198,11 +197,17 @@
 	}
 	j.version = t.Document().Version
 	j.route = t.Match(j.request.Host, j.request.URL.Path)
-	if !g.authenticate(w, j, t) {
+	if ok, superseded := g.authenticate(w, j, t); superseded {
+		return g.matchRoute(w, j)
+	} else if !ok {
 		return false
 	}
 	if j.route == nil {
-		if age := g.documentAge(); age > maxDocumentAge {
+		age, superseded := g.confirmedAge(j.request.Context(), t)
+		if superseded {
+			return g.matchRoute(w, j)
+		}
+		if age > maxDocumentAge {
 			g.refuse(w, j, reasonDocumentOld, errors.Newf("last confirmed %s ago", ageText(age)), retryTable)
 			return false
 		}
@@ -223,18 +228,6 @@
 	return true
 }
 
-// documentAge returns the time since the document was last confirmed to be the newest, on the steady
-// clock.
-func (g *Gateway) documentAge() time.Duration {
-	if at := g.documentConfirmedAt.Load(); at != nil {
-		return time.Since(*at)
-	}
-	return never
-}
-
-// never is the age of a document that was never confirmed.
-const never = time.Duration(math.MaxInt64)
-
 // setWriteDeadline sets the time by which the answer must be written, so that a caller
 // that does not read holds a slot of an upstream for a bounded time only.
 func (g *Gateway) setWriteDeadline(w http.ResponseWriter, j *job, until time.Time) {
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -49,6 +49,8 @@
 	// maxSpeedPercent and maxSpeedCalls bound what another entry may report of an upstream's calls.
 	maxSpeedPercent = 10_000
 	maxSpeedCalls   = 1 << 10
+	// maxDocumentItem is the part of a digest in bytes that is kept free for the version of the document.
+	maxDocumentItem = 11
 	// maxLimitBytes is the part of a digest in bytes that is kept free for limits of upstreams.
 	maxLimitBytes = 200
 )
@@ -259,6 +261,7 @@
 //	'm' hash of an upstream's incarnation, its limit, and how old that statement is
 //	'e' hash of the incarnation of an upstream that leaves
 //	's' upstream, mean time of calls out of the ordinary in percent of the predicted one, their number
+//	'd' version of the operator's document
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -289,7 +292,7 @@
 			b = binary.AppendUvarint(b, uint64(c.parts[0].Tokens))
 		}
 	}
-	return m.appendSpeeds(m.appendStatements(append(b, reports...), rounds))
+	return m.g.documents.appendVersion(m.appendSpeeds(m.appendStatements(append(b, reports...), rounds)))
 }
 
 // appendSpeeds appends what calls took at upstreams that are slow or may be, as far as it fits. It comes
@@ -298,7 +301,7 @@
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
 	m.g.balancer.TakeUnreportedSpeeds(func(id string, ratio float64, calls int) bool {
-		if len(b)+maxDigestItem > maxPacketSize {
+		if len(b)+maxDigestItem > maxPacketSize-maxDocumentItem {
 			return false
 		}
 		b = appendUpstream(append(b, 's'), id)
@@ -313,14 +316,14 @@
 func (m *mesh) appendStatements(b []byte, round uint64) []byte {
 	now := time.Now()
 	m.g.limits.takeStatements(round, func(incarnation uint64, s limits.Statement) bool {
-		if len(b)+maxDigestItem > maxPacketSize {
+		if len(b)+maxDigestItem > maxPacketSize-maxDocumentItem {
 			return false
 		}
 		b = appendStatement(binary.AppendUvarint(append(b, 'm'), incarnation), now, s)
 		return true
 	})
 	m.g.leaving.takeAnnounced(func(incarnation uint64) bool {
-		if len(b)+maxDigestItem > maxPacketSize {
+		if len(b)+maxDigestItem > maxPacketSize-maxDocumentItem {
 			return false
 		}
 		b = binary.AppendUvarint(append(b, 'e'), incarnation)
@@ -581,13 +584,19 @@
 	for _, incarnation := range said.leaving {
 		m.g.upstreamLeaves(incarnation, from, false)
 	}
+	if said.document > 0 {
+		m.g.documents.announced(from, said.document)
+	}
 	return wellFormed
 }
 
-// upstreamStatements is what upstreams have said of themselves, by the hash of their incarnation.
+// upstreamStatements is what upstreams have said of themselves, by the hash of their incarnation, and
+// the version of the sender's document.
 type upstreamStatements struct {
 	limits  map[uint64]limits.Statement
 	leaving []uint64
+	// document is the version of the sender's document; 0 if it has none.
+	document uint64
 }
 
 // applyLocked does the work of applyItems, but for crash reports and statements of upstreams, which it
@@ -641,6 +650,10 @@
 			if incarnation := p.uvarint(); !p.malformed {
 				said.leaving = append(said.leaving, incarnation)
 			}
+		case 'd':
+			if version := p.uvarint(); !p.malformed {
+				said.document = version
+			}
 		default:
 			return reports, said, false
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -33,21 +34,25 @@
 	change func(version int64, changes []platformapi.Change)
 	// confirmed is called after each successful read, with the time at which the read began.
 	confirmed func(begun time.Time)
+	// current, if set, is called instead, with a time for which the local copy is known to have been
+	// up to date. A read with changes is then followed by one that does not wait: the copy would
+	// otherwise count as older by the time that it took to apply them, until the next poll ends.
+	current func(at time.Time)
 }
 
 // follow reads all rows with the follower's prefix and then their changes, until ctx
 // ends. It reads all rows again when the table no longer has the changes since its
 // version.
 func (g *Gateway) follow(ctx context.Context, f follower) {
-	version, listed := int64(0), false
+	version, listed, wait := int64(0), false, feedWait
 	for ctx.Err() == nil {
 		var err error
-		begun := time.Now()
+		begun, polled, changed := time.Now(), listed, false
 		if !listed {
 			version, err = g.listOnce(ctx, f)
 			listed = err == nil
 		} else {
-			version, err = g.changesOnce(ctx, f, version)
+			version, changed, err = g.changesOnce(ctx, f, version, wait)
 			if errors.Is(err, platformapi.ErrHistoryGone) {
 				g.env.Events.Emit(eventlog.GatewayHistoryGone, eventlog.Fields{Step: "follow", Detail: f.prefix, Count: version})
 				listed = false
@@ -58,7 +63,14 @@
 			sleep(ctx, feedRetry)
 			continue
 		}
-		f.confirmed(begun)
+		if f.current == nil {
+			f.confirmed(begun)
+			continue
+		}
+		f.current(currentAt(begun, time.Now(), wait, polled && !changed))
+		if wait = feedWait; !polled || changed {
+			wait = 0
+		}
 	}
 }
 
@@ -74,68 +86,85 @@
 	return version, nil
 }
 
-// changesOnce reads the changes after a version and returns the table's version after them.
-func (g *Gateway) changesOnce(ctx context.Context, f follower, after int64) (int64, error) {
-	changes, version, err := g.table.Changes(ctx, f.prefix, after, feedWait)
+// currentAt returns a time for which the local copy is up to date after a read that took from begun
+// to now. The table holds a poll that finds nothing new for wait; any other read may have been
+// answered as soon as it began. The time between the answer and now does not count, since the process
+// may have been frozen in it: an entry that was would reject keys that were added meanwhile.
+func currentAt(begun, now time.Time, wait time.Duration, unchanged bool) time.Time {
+	if until := begun.Add(wait); unchanged && until.Before(now) {
+		return until
+	} else if unchanged {
+		return now
+	}
+	return begun
+}
+
+// changesOnce reads the changes after a version, for which the table may wait, and returns the table's
+// version after them and whether there are any.
+func (g *Gateway) changesOnce(ctx context.Context, f follower, after int64, wait time.Duration) (version int64, changed bool, err error) {
+	changes, version, err := g.table.Changes(ctx, f.prefix, after, wait)
 	if err != nil {
-		return after, err
+		return after, false, err
 	}
 	if len(changes) > 0 {
 		f.change(version, changes)
 	}
-	return version, nil
+	return version, len(changes) > 0, nil
 }
 
 // followDocument follows the operator's document until ctx ends. The first document makes the
 // entry ready, so the requests that must be refused are read before.
 func (g *Gateway) followDocument(ctx context.Context) {
 	g.quarantine.awaitKnown(ctx)
+	close(g.documents.mayApply)
 	g.follow(ctx, follower{
 		prefix: platform.DocumentPrefix,
 		list: func(_ int64, rows []platformapi.Row) {
 			for _, r := range rows {
-				g.applyDocument(r)
+				g.applyDocument(r, documentFromTable)
 			}
 		},
 		change: func(_ int64, changes []platformapi.Change) {
 			for _, c := range changes {
 				if !c.Deleted {
-					g.applyDocument(c.Row)
+					g.applyDocument(c.Row, documentFromTable)
 				}
 			}
 		},
-		confirmed: func(time.Time) {
-			now := time.Now()
-			g.documentConfirmedAt.Store(&now)
-		},
+		current: g.confirmDocument,
 	})
 }
 
 // applyDocument replaces the document by a newer one. A malformed or older one changes
-// nothing.
-func (g *Gateway) applyDocument(r platformapi.Row) {
+// nothing. from is the peer that sent it, or documentFromTable. It reports whether the row decodes.
+func (g *Gateway) applyDocument(r platformapi.Row, from string) bool {
 	if r.Key != platform.DocumentKey {
-		return
+		return true
+	}
+	g.documentMu.Lock()
+	defer g.documentMu.Unlock()
+	held := g.documents.held.Load()
+	if held != nil && bytes.Equal(held.row.Value, r.Value) {
+		return true // spares the decoding of a row that a peer has sent before, or that is listed again
 	}
 	doc, err := platform.DecodeDocument(r.Value)
 	if err != nil {
-		g.env.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "document", Detail: r.Key, Count: r.Version, Err: err})
-		return
+		g.env.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "document", Peer: from, Detail: r.Key, Count: r.Version, Err: err})
+		return false
 	}
-	g.documentMu.Lock()
-	defer g.documentMu.Unlock()
-	old := g.routes.Load()
-	if old != nil && old.Document().Version >= doc.Version {
-		return
+	if held != nil && held.version >= doc.Version {
+		return true
 	}
 	routes := relay.NewRouteTable(doc)
 	g.mu.Lock()
 	g.routes.Store(routes)
 	g.storeFleet(g.fleet.Load().registry)
 	g.mu.Unlock()
-	g.env.Requests.Warn("document_in_force").Int("version", int64(doc.Version)).Int("row_version", r.Version).
+	g.documents.held.Store(&heldDocument{doc.Version, r})
+	g.env.Requests.Warn("document_in_force").Int("version", int64(doc.Version)).Int("row_version", r.Version).Str("from", from).
 		Int("routes", int64(len(doc.Routes))).Int("organisations", int64(len(doc.Organisations))).End()
 	g.logOrganisations(doc.Version, routes.Organisations())
+	return true
 }
 
 // followUpstreams follows the rows of the upstreams until ctx ends.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,13 +76,14 @@
 	leaving    *leavingUpstreams
 	origins    *streamOrigins
 	answers    *answerMemory
+	documents  *documentSync
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
 	routes atomic.Pointer[relay.RouteTable]
 	fleet  atomic.Pointer[fleet]
-	// documentConfirmedAt is when the document in routes was last confirmed to be the newest; nil
-	// before that.
+	// documentConfirmedAt is a time at which no document newer than that in routes existed; nil
+	// before the first confirmation. Read before routes, it holds for the document that routes has then.
 	documentConfirmedAt atomic.Pointer[time.Time]
 	draining            atomic.Bool
 	// documentMu serialises the replacement of routes, so that the version never decreases. A document
@@ -124,6 +125,7 @@
 	g.pool.OnDial = func() { g.metrics.connections.Inc(1) }
 	g.leaving = newLeavingUpstreams()
 	g.origins = newStreamOrigins(g)
+	g.documents = newDocumentSync(g)
 	g.answers = newAnswerMemory(cfg.MemoryMB)
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
@@ -154,7 +156,7 @@
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context){
-		g.pool.Run, g.table.probe, g.followDocument, g.followUpstreams, g.commits.run, g.mesh.run, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.expiry.run, g.cleanUp,
+		g.pool.Run, g.table.probe, g.followDocument, g.documents.run, g.followUpstreams, g.commits.run, g.mesh.run, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.expiry.run, g.cleanUp,
 	} {
 		group.Go(func() error {
 			task(taskCtx)
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -53,32 +53,35 @@
 // authenticate finds the organisation of the call, if the document has organisations. When the call
 // must not run without one, it answers the caller and returns false. A call without a valid key is
 // answered in the same way whether it matches a route or not, so that strangers do not learn which
-// routes there are.
-func (g *Gateway) authenticate(w http.ResponseWriter, j *job, t *relay.RouteTable) bool {
+// routes there are. superseded reports that nothing was answered since a newer document is in force.
+func (g *Gateway) authenticate(w http.ResponseWriter, j *job, t *relay.RouteTable) (ok, superseded bool) {
 	organisations := t.Organisations()
 	if organisations.Len() == 0 {
-		return true
+		return true, false
 	}
 	j.identified = true
 	var reason string
 	if j.org, reason = organisationOf(organisations, platform.CallerKeys(j.request.Header)); j.org != nil {
-		return true
+		return true, false
+	}
+	var age time.Duration
+	if unauthenticatedStatus(j.route, reason, never) == http.StatusServiceUnavailable { // otherwise the age does not matter
+		age, superseded = g.confirmedAge(j.request.Context(), t)
 	}
-	age := g.documentAge()
 	status := unauthenticatedStatus(j.route, reason, age)
-	if status == 0 {
-		return true
+	if superseded || status == 0 {
+		return !superseded, superseded
 	}
 	g.answerBeforeBody(w, j)
 	cause := errors.Newf("%s; document %d last confirmed %s ago", reason, j.version, ageText(age))
 	if status == http.StatusServiceUnavailable {
 		g.metrics.keysUnconfirmed.Inc(1)
 		g.refuse(w, j, reasonDocumentOld, cause, retryTable)
-		return false
+		return false, false
 	}
 	g.metrics.unauthenticated.Inc(1)
 	g.reject(w, j, status, reason, cause)
-	return false
+	return false, false
 }
 
 // ageText formats an age of the document.
--- a/internal/gateway/meshhttp.go
+++ b/internal/gateway/meshhttp.go
@@ -66,6 +66,7 @@
 	r.Post("/chain", m.serveChain)
 	r.Post("/grants", m.serveGrants)
 	r.Post("/crashes", m.serveRecords)
+	r.Post("/document", m.g.documents.serve)
 	return r
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,9 @@
 	// unauthenticated counts requests rejected since their key is missing or unknown, keysUnconfirmed
 	// those refused since a newer document may have their key.
 	unauthenticated, keysUnconfirmed tally.Counter
+	// documentFetches counts requests for a peer's document, or for the age of its confirmation,
+	// documentFetchesFailed those without a usable answer.
+	documentFetches, documentFetchesFailed tally.Counter
 	// limitChanges counts beginnings, changes and ends of upstreams' limits, limitsMalformed answers
 	// that name a limit which can't be read.
 	limitChanges, limitsMalformed tally.Counter
@@ -73,6 +76,7 @@
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
 		unauthenticated: s.Counter("unauthenticated"), keysUnconfirmed: s.Counter("keys_unconfirmed"),
+		documentFetches: s.Counter("document_fetches"), documentFetchesFailed: s.Counter("document_fetches_failed"),
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
 		streamsTakenUp: s.Counter("streams_taken_up"), streamsContinued: s.Counter("streams_continued"),
 		streamsUnknown: s.Counter("streams_version_unknown"), streamsStranded: s.Counter("streams_stranded"),
--- a/internal/gateway/tableclient.go
+++ b/internal/gateway/tableclient.go
@@ -41,6 +41,9 @@
 	recentFailureWindow = 6 * time.Second
 	// peerChangesWait is how long another entry waits for changes when it relays the call.
 	peerChangesWait = 300 * time.Millisecond
+	// directProbeTimeout is the timeout of a direct poll for changes while the last direct call to the
+	// common partition has failed. It leaves time for peerChangesWait.
+	directProbeTimeout = maxTableTimeout
 	// peerTimeoutMargin is added to the timeout of a call that another entry relays.
 	peerTimeoutMargin = 100 * time.Millisecond
 	// unreachableAfter is how long every call must have failed before the table counts as
@@ -433,9 +436,22 @@
 	return rows, version, err
 }
 
+// changesWait returns how long the table may hold a direct poll for changes, and the timeout of the
+// poll. A table that has not answered this entry is only probed, so that an entry for which it is
+// silent learns of changes through a peer about once a second. A held poll would delay them by more
+// than the 2 s for which a document counts as confirmed.
+func changesWait(wait time.Duration, directUp bool) (hold, timeout time.Duration) {
+	if !directUp {
+		return 0, directProbeTimeout
+	}
+	return wait, wait + maxTableTimeout
+}
+
 // Changes implements platformapi.Watcher.
 func (c *tableClient) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []platformapi.Change, version int64, err error) {
-	err = c.do(ctx, partitionOfKey(prefix), 2*wait, func(ctx context.Context, t platformapi.Watcher) error {
+	directWait, timeout := changesWait(wait, c.directlyReachable())
+	err = c.do(ctx, partitionOfKey(prefix), timeout, func(ctx context.Context, t platformapi.Watcher) error {
+		wait := directWait
 		if t != c.direct {
 			wait = peerChangesWait
 		}
