gateway: an entry that starts while the table is silent lists its rows through a peer

An entry that started while the table was silent for it never listed the upstreams: not ready after 5 s.

--- a/internal/gateway/documentsync_test.go
+++ b/internal/gateway/documentsync_test.go
@@ -165,6 +165,7 @@
 			t.Parallel()
 			p, entries, tables := startCuttableEntries(t, 2)
 			cfg := *entries[0].cfg
+			cfg.FirstStart = false
 			entries[0].stop()
 			eventually(t, "the first incarnation has ended", func() bool { return strings.Contains(entries[0].log.String(), "gateway_stopped") })
 			tables[0].cut(way)
@@ -257,6 +258,45 @@
 	}
 }
 
+// frozenTable withholds the answers to polls for the document, which were read before, until it is
+// told to return one: so an answer appears to a process that was frozen after it had been received.
+type frozenTable struct {
+	platformapi.Watcher
+	frozen  atomic.Bool
+	returns chan struct{}
+}
+
+func (f *frozenTable) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platformapi.Change, int64, error) {
+	changes, version, err := f.Watcher.Changes(ctx, prefix, after, wait)
+	if prefix == platform.DocumentPrefix && f.frozen.Load() {
+		<-f.returns
+	}
+	return changes, version, err
+}
+
+// TestKeyAddedWhileFrozen guards against 401 for a key that was added while the entry was frozen.
+func TestKeyAddedWhileFrozen(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t)
+	p.write("op//config", sharedDocument(1))
+	p.registerUpstream(newScriptedUpstream(t, "app-1", answerSealed(http.StatusOK, "ok")), "app", "ready", 1)
+	table := &frozenTable{Watcher: p.standin.Table, returns: make(chan struct{})}
+	e := startEntry(t, "entry-1", table)
+	t.Cleanup(func() { close(table.returns) })
+	table.frozen.Store(true)
+	<-time.After(feedWait + 100*time.Millisecond) // the poll has found nothing new, and its answer is withheld
+	p.write("op//config", changedKeys(2))
+	<-time.After(maxDocumentAge)
+	table.returns <- struct{}{}
+	<-time.After(50 * time.Millisecond)
+	if got := e.keyStatus("kd"); got != 503 {
+		t.Errorf("status %d for the added key after an answer from before the freeze, want 503", got)
+	}
+	table.frozen.Store(false)
+	table.returns <- struct{}{}
+	eventually(t, "the added key is known", func() bool { return e.keyStatus("kd") == 200 })
+}
+
 // TestPeerConfirms guards against 503 for unknown keys and routes at an entry whose reads of the table
 // fail although a peer knows that the document is the newest, against a question for each request, and
 // against a peer's answer that counts as fresh although the peer's own confirmation is old.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -74,10 +74,10 @@
 	}
 }
 
-// listOnce reads all rows and returns the table's version.
+// listOnce reads all rows and returns the table's version. The table's client bounds the direct read
+// and the one through a peer; one timeout for both would leave none for the peer while the table is
+// silent, and an entry that starts then would never learn of the upstreams.
 func (g *Gateway) listOnce(ctx context.Context, f follower) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	rows, version, err := g.table.Snapshot(ctx, f.prefix)
 	if err != nil {
 		return 0, err
--- a/internal/gateway/tableclient.go
+++ b/internal/gateway/tableclient.go
@@ -41,8 +41,8 @@
 	recentFailureWindow = 6 * time.Second
 	// peerChangesWait is how long another entry waits for changes when it relays the call.
 	peerChangesWait = 300 * time.Millisecond
-	// directProbeTimeout is the timeout of a direct poll for changes while the last direct call to the
-	// common partition has failed. It leaves time for peerChangesWait.
+	// directProbeTimeout is the longest timeout of a direct read while the last direct call to the
+	// common partition has failed and another entry can relay. It leaves time for peerChangesWait.
 	directProbeTimeout = maxTableTimeout
 	// peerTimeoutMargin is added to the timeout of a call that another entry relays.
 	peerTimeoutMargin = 100 * time.Millisecond
@@ -192,8 +192,12 @@
 		timeout = c.timeout()
 	}
 	if c.useDirect(partition, peerTable != nil) {
-		start := time.Now()
-		err = callWithTimeout(ctx, timeout, c.direct, f)
+		start, directTimeout := time.Now(), timeout
+		if peerTable != nil && !c.directlyReachable() {
+			// The table has not answered the last direct call, so this one is a probe.
+			directTimeout = min(timeout, directProbeTimeout)
+		}
+		err = callWithTimeout(ctx, directTimeout, c.direct, f)
 		if ctx.Err() != nil {
 			// The caller cancelled the call, so the outcome says nothing about the table.
 			return err
