--- a/internal/gateway/documentsync_test.go
+++ b/internal/gateway/documentsync_test.go
@@ -119,7 +119,7 @@
 		}
 		<-time.After(10 * time.Millisecond)
 	}
-	t.Logf("in force after %v", time.Since(written).Round(time.Millisecond))
+	t.Logf("%s: in force after %v", t.Name(), time.Since(written).Round(time.Millisecond))
 	if old, added := e.keyStatus("kb"), e.keyStatus("kd"); old != 401 && old != 503 || added != 200 {
 		t.Errorf("status %d for the revoked key and %d for the added one, want 401 or 503, and 200", old, added)
 	}
@@ -174,7 +174,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("ready after %v", time.Since(begun).Round(time.Millisecond))
+			t.Logf("%s: ready after %v", t.Name(), time.Since(begun).Round(time.Millisecond))
 			if took := time.Since(begun); took > 3*time.Second {
 				t.Errorf("ready after %v, want at most 3 s", took)
 			}
