--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -60,6 +60,7 @@
 //	'e' hash of the incarnation of an upstream that leaves
 //	's' upstream, mean time of calls out of the ordinary in percent of the predicted one, their number
 //	'p' route, observations of its programs; see appendCosts
+//	'd' version of the operator's document
 //
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
@@ -76,6 +77,7 @@
 	g.budgetPeers.join()
 	g.chains.join()
 	g.addCostField()
+	g.documents.join()
 }
 
 // tableThroughPeer implements tablePeers.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,9 @@
 	// overQuota counts requests beyond the quota of their organisation, quotaUnknown those refused since no
 	// entry could tell in time.
 	overQuota, quotaUnknown tally.Counter
+	// documentFetches counts requests for a peer's document, or for the age of its confirmation,
+	// documentFetchesFailed those without a usable answer.
+	documentFetches, documentFetchesFailed tally.Counter
 	// limitChanges counts beginnings, changes and ends of upstreams' limits, limitsMalformed answers
 	// that name a limit which can't be read.
 	limitChanges, limitsMalformed tally.Counter
@@ -91,6 +94,7 @@
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
 		overQuota: s.Counter("over_quota"), quotaUnknown: s.Counter("quota_unknown"),
 		unauthenticated: s.Counter("unauthenticated"), keysUnconfirmed: s.Counter("keys_unconfirmed"),
+		documentFetches: s.Counter("document_fetches"), documentFetchesFailed: s.Counter("document_fetches_failed"),
 		limitChanges: s.Counter("limit_changes"), limitsMalformed: s.Counter("limits_malformed"),
 		streamsTakenUp: s.Counter("streams_taken_up"), streamsContinued: s.Counter("streams_continued"),
 		streamsUnknown: s.Counter("streams_version_unknown"), streamsStranded: s.Counter("streams_stranded"),
