--- a/quota/grants.go
+++ b/quota/grants.go
@@ -29,9 +29,9 @@
 type View struct {
 	// Rank is its place among the entries that are ranked for the organisation; 0: it is the grantor.
 	Rank int
-	// Share is the share of the limit that it grants as the grantor.
+	// Share is the share of the limit that it grants as the grantor; see Contacts.
 	Share float64
-	// Stable is since when the entry has heard from the same entries without a gap.
+	// Stable is since when the entry has heard from the same entries without a gap; see Contacts.
 	Stable time.Time
 }
 
@@ -54,10 +54,8 @@
 	level float64
 	// at is up to when it is refilled, since when it exists.
 	at, since time.Time
-	// share is the share of the limit; raised replaces it from raiseAt on.
-	share, raised float64
-	raiseAt       time.Time
-	accounts      map[string]*account
+	share     float64
+	accounts  map[string]*account
 	// orphans are tokens of entries that have forgotten them.
 	orphans []lot
 	// returning is when the next refused caller is to return.
@@ -142,7 +140,8 @@
 			continue
 		}
 		b.advance(now, g.limits[organisation])
-		b.setShare(now, v.Share, g.limits[organisation])
+		b.share = v.Share
+		b.trim(g.limits[organisation])
 	}
 	if now.Sub(g.swept) > answerRetention/10 {
 		g.swept = now
@@ -190,7 +189,8 @@
 		g.buckets[q.Organisation] = b
 	}
 	b.advance(now, l)
-	b.setShare(now, v.Share, l)
+	b.share = v.Share
+	b.trim(l)
 	g.settle(now, b, l, q)
 	a := b.grant(now, l, q)
 	if a.Outcome == OverLimit && now.Sub(b.since) < takeoverReserve {
@@ -338,10 +338,6 @@
 
 // advance refills the bucket and drops what can't be used or credited any more.
 func (b *bucket) advance(now time.Time, l Limit) {
-	if b.raised > b.share && !now.Before(b.raiseAt) {
-		b.refill(b.raiseAt, l)
-		b.share, b.raised = b.raised, 0
-	}
 	for from, acc := range b.accounts {
 		if !now.Before(acc.expires) {
 			delete(b.accounts, from)
@@ -380,16 +376,3 @@
 	}
 	b.level = max(0, min(b.level, b.share*l.capacity()-out))
 }
-
-// setShare lowers the share at once and raises it after RaiseAfter, since another entry may grant the rest.
-func (b *bucket) setShare(now time.Time, share float64, l Limit) {
-	switch {
-	case share <= b.share:
-		b.share, b.raised = share, 0
-		b.trim(l)
-	case b.raised == 0:
-		b.raised, b.raiseAt = share, now.Add(RaiseAfter)
-	default:
-		b.raised = min(b.raised, share)
-	}
-}
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -12,8 +12,8 @@
 	// Handover is the time from which a new grantor does not refill yet, so that the tokens of the
 	// former one have expired and that one has learned of the change.
 	Handover = Lease
-	// RaiseAfter is the time after which a grantor counts further entries in its share. Another one
-	// may count them until it has not heard from them for a second.
+	// RaiseAfter is the time after which an entry that was not in touch before counts in a share. Another grantor
+	// may count it until it has not heard from it for a second.
 	RaiseAfter = 1100 * time.Millisecond
 	// MaxGap is the longest time between two calls of Reassess by a grantor that keeps its buckets. Others
 	// replace a grantor that has been silent for a second; one that was suspended for longer
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -25,8 +25,7 @@
 	holdings    *Holdings
 	heard       map[string]time.Time
 	ready       map[string]bool
-	responsive  string
-	stable      time.Time
+	contacts    *Contacts
 	inbox       []func()
 	// asks is the question under way by organisation: when it was sent and how many ranks were asked.
 	asks map[string]*simAsk
@@ -91,7 +90,7 @@
 	e.grants = NewGrants(s.now, s.r.Uint64()>>1)
 	e.holdings = NewHoldings(fmt.Sprintf("%s/%d", e.name, e.incarnation))
 	e.heard, e.ready, e.asks, e.skip = map[string]time.Time{}, map[string]bool{}, map[string]*simAsk{}, map[string]time.Time{}
-	e.inbox, e.stable, e.responsive = nil, s.now, ""
+	e.inbox, e.contacts = nil, NewContacts(s.now)
 	s.setLimits(e)
 }
 
@@ -165,24 +164,21 @@
 	if rank < 0 {
 		rank = MaxRank
 	}
-	touch := 1
-	for name, at := range e.heard {
-		// An entry that was cut off before it could grant may have a grantor of its own.
-		if s.now.Sub(at) < simSilent && e.ready[name] {
-			touch++
-		}
-	}
-	return View{Rank: rank, Share: float64(touch) / float64(len(s.entries)), Stable: e.stable}
+	return View{Rank: rank, Share: e.contacts.Share(s.now), Stable: e.contacts.Stable()}
 }
 
 // tick runs the periodic work of an entry.
 func (s *sim) tick(e *simEntry) {
-	names := fmt.Sprint(s.ranked(e, ""))
-	gap := s.now.Sub(e.grants.reassessed) > MaxGap
-	if names != e.responsive || gap {
-		e.responsive, e.stable = names, s.now
+	var peers []Peer
+	for _, p := range s.entries {
+		if p != e {
+			peers = append(peers, Peer{p.name, s.now.Sub(e.heard[p.name]) < simSilent && e.ready[p.name]})
+		}
+	}
+	e.contacts.Observe(s.now, peers)
+	if e.grants.Reassess(s.now, func(organisation string) View { return s.view(e, organisation) }) {
+		e.contacts.Gap(s.now)
 	}
-	e.grants.Reassess(s.now, func(organisation string) View { return s.view(e, organisation) })
 	ready := e.grants.Ready(s.now)
 	from := e.name
 	for _, to := range s.entries {
