--- a/quota/bound_test.go
+++ b/quota/bound_test.go
@@ -106,3 +106,19 @@
 	})
 	t.Logf("at most %.2f of the bound", worst)
 }
+
+// TestOneWayLossKeepsToTheBound guards against two grantors of one organisation when datagrams of one direction only
+// are lost between two halves: the half that hears nothing replaces the grantor, which goes on.
+func TestOneWayLossKeepsToTheBound(t *testing.T) {
+	l := Limit{"org", 150, 150}
+	s := newSim(1, 6, l)
+	parts := spread(6)
+	s.serve(7*time.Second, "org", 90, parts)
+	grantor := s.ranked(s.entries[0], "org")[0]
+	half := map[string]bool{grantor: true, s.ranked(s.entries[0], "org")[2]: true, s.ranked(s.entries[0], "org")[4]: true}
+	s.cut = func(a, b *simEntry) bool { return half[a.name] && !half[b.name] }
+	s.serve(12*time.Second, "org", 8*l.PerSecond, parts)
+	if n, _ := busiest(s.used["org"]); float64(n) > l.Bound() {
+		t.Errorf("%d requests within %v, the bound is %.0f", n, Window, l.Bound())
+	}
+}
