--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 	limits     *upstreamLimits
 	leaving    *leavingUpstreams
 	origins    *streamOrigins
-	quota      *orgquota.Service
+	quota      *orgquota.Quota
 	// budgetPeers, chains, reports and cached exchange the state of their parts with other entries.
 	budgetPeers *budgetPeers
 	chains      turnChains
@@ -136,7 +136,7 @@
 	g.answers = newAnswerMemory(cfg.MemoryMB)
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
-	g.quota = orgquota.New(g.mesh, env.Requests, env.Telemetry.Scope, seedOf(g.incarnation)>>1)
+	g.quota = newQuota(g)
 	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
 	g.table = newTableClient(env.Table, g, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
