--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,7 +47,7 @@
 	streamsExcluded, streamsNotBegun tally.Counter
 	// softwareRowsRead counts reads of services' rows, softwareRowsWritten rows that name or prepare a version,
 	// softwareRowsWithdrawn withdrawals, softwareRowsNotWritten writes that failed or whose row had changed, and
-	// softwareExcluded versions that a read row does not clear.
+	// softwareExcluded versions of upstreams that were excluded from streams.
 	softwareRowsRead, softwareRowsWritten, softwareRowsWithdrawn, softwareRowsNotWritten, softwareExcluded tally.Counter
 	// upstreamsSlow counts upstreams that turned slow. slowness returns the gauge of what calls take at
 	// an upstream as a multiple of what they take at others, as of the last change; only upstreams that
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -27,6 +27,9 @@
 	if j.originSource != "" {
 		ln.Str("began_at", j.origin.Version).Str("version_from", j.originSource).Ms("version_age_ms", j.originAge)
 	}
+	if j.withdrawalWait > 0 {
+		ln.Ms("version_wait_ms", j.withdrawalWait)
+	}
 	if j.permitsDenied > 0 || j.permitFrom != "" {
 		ln.Int("permits_denied", int64(j.permitsDenied)).Ms("permit_wait_ms", j.permitWait).Str("permit_from", j.permitFrom).Str("limit_per_second", formatRate(j.limit))
 	}
--- a/internal/gateway/settled.go
+++ b/internal/gateway/settled.go
@@ -180,20 +180,31 @@
 func (o *streamOrigins) recordSettled(ctx context.Context) {
 	timer := time.NewTimer(settledInterval)
 	defer timer.Stop()
+	logged := map[versionOf]bool{} // the excluded versions as of the last look
 	for ctx.Err() == nil {
 		next := settledInterval
 		o.mu.Lock()
 		services := make([]string, 0, len(o.routes))
+		now, pending := time.Now(), map[versionOf]bool{}
 		for service := range o.routes {
 			services = append(services, service)
-			if o.rows.Pending(service) {
-				next = settledPending
+			for _, version := range o.rows.Pending(service) {
+				pending[versionOf{service, version}] = true
 			}
 		}
 		o.mu.Unlock()
 		for _, service := range services {
 			o.operate(ctx, service)
 		}
+		for v := range pending {
+			next = settledPending
+			if !logged[v] {
+				o.g.metrics.softwareExcluded.Inc(1)
+				o.g.env.Requests.Warn("software_excluded").Str("service", v.service).Str("software", v.version).
+					Ms("rows_age_ms", now.Sub(o.rowsConfirmed())).End()
+			}
+		}
+		logged = pending
 		timer.Reset(next)
 		select {
 		case <-ctx.Done():
@@ -203,6 +214,9 @@
 	}
 }
 
+// versionOf is a version of a service.
+type versionOf struct{ service, version string }
+
 // operate starts the operation that is due on the row of a service, if any.
 func (o *streamOrigins) operate(ctx context.Context, service string) {
 	owner := o.g.mesh.canOwnBudgets() && o.g.mesh.owner(service) == nil
@@ -247,17 +261,11 @@
 	o.mu.Lock()
 	now := time.Now()
 	cleared := o.rows.Read(begun, now, service, row)
-	excluded := o.rows.Excluded(now, service)
 	o.mu.Unlock()
 	for _, version := range cleared {
 		o.g.env.Requests.Warn("software_cleared").Str("service", service).Str("software", version).Str("named", row.Named).
 			Int("row_version", row.Version).Ms("rows_age_ms", now.Sub(o.rowsConfirmed())).End()
 	}
-	for version := range excluded {
-		o.g.metrics.softwareExcluded.Inc(1)
-		o.g.env.Requests.Warn("software_excluded").Str("service", service).Str("software", version).Str("named", row.Named).
-			Str("prepared", row.Prepared).Int("row_version", row.Version).Ms("rows_age_ms", now.Sub(o.rowsConfirmed())).End()
-	}
 	return nil
 }
 
--- a/resume/rows.go
+++ b/resume/rows.go
@@ -120,6 +120,8 @@
 			s.seen = nil
 		}
 	}
+	// leaveGrace counts from when a removal is seen, so it must be seen soon.
+	stale := !r.fresh(now)
 	if r.listedAt.IsZero() {
 		r.listedAt = now
 	}
@@ -145,6 +147,9 @@
 		for version := range l.Registered[name] {
 			s.versions[version].leftAt = time.Time{}
 		}
+		for _, p := range s.versions {
+			p.cleared = p.cleared && (!stale || p.leftAt.IsZero())
+		}
 	}
 }
 
@@ -387,14 +392,19 @@
 	return Action{Operation: WriteRow, Row: row, Before: s.row, Version: version}
 }
 
-// Pending reports whether a registered version of a service with streams is not cleared.
-func (r *Rows) Pending(name string) bool {
+// Pending returns the registered versions of a service with streams that are not cleared.
+func (r *Rows) Pending(name string) []string {
 	s := r.services[name]
 	if s == nil || s.routes == "" {
-		return false
+		return nil
 	}
-	_, p := s.uncleared()
-	return p != nil
+	var out []string
+	for version, p := range s.versions {
+		if p.leftAt.IsZero() && !p.cleared {
+			out = append(out, version)
+		}
+	}
+	return out
 }
 
 // uncleared returns the registered version that is not cleared and joined last; nil if there is none.
--- a/resume/rows_random_test.go
+++ b/resume/rows_random_test.go
@@ -45,6 +45,8 @@
 	seen   int // of the log; -1 before the first list
 	frozen time.Time
 	owner  bool
+	// lag is how long its reads of the upstreams take.
+	lag time.Duration
 	// list is when the list under way began, and what it will show; nil if there is none.
 	list *modelList
 	// call is the call for the row that is under way; nil if there is none.
@@ -247,15 +249,22 @@
 	return nil
 }
 
-// run lets all entries that are not frozen work without faults for a time.
-func (m *model) run(d time.Duration) error {
+// run lets all entries that are not frozen work for a time, beside versions that come and go now and then.
+func (m *model) run(r *rand.Rand, d time.Duration) error {
 	for end := m.now.Add(d); m.now.Before(end); {
 		m.pass(500 * time.Millisecond)
+		if r.IntN(60) == 0 {
+			m.register(fmt.Sprint("v", r.IntN(3)), true)
+		} else if r.IntN(20) == 0 {
+			m.register(fmt.Sprint("v", r.IntN(3)), false)
+		}
 		for _, e := range m.entries {
 			if m.now.Before(e.frozen) {
 				continue
 			}
-			m.listEnd(e)
+			if e.list != nil && m.now.Sub(e.list.begun) >= e.lag {
+				m.listEnd(e)
+			}
 			m.listBegin(e)
 			m.callSend(e, answered, 0)
 			m.callEnd(e)
@@ -295,8 +304,9 @@
 		e.frozen = m.now.Add(time.Duration(r.IntN(70)) * time.Second)
 	case n < 15:
 		m.entries[r.IntN(len(m.entries))].owner = r.IntN(2) == 0
+		m.entries[r.IntN(len(m.entries))].lag = time.Duration(r.IntN(2)*r.IntN(24)) * time.Second
 	case n < 18:
-		return m.run(time.Duration(r.IntN(80)) * time.Second)
+		return m.run(r, time.Duration(r.IntN(80))*time.Second)
 	case n < 20:
 		m.pass(time.Duration(r.IntN(30_000)) * time.Millisecond)
 	case n < 23:
