soak: all entries end at once around a release that is rolled back

Cause: the soak's engines had two versions from the start, so the table never named one, and its entries never ended together.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -81,7 +81,10 @@
 	}
 	for i := range 4 {
 		x.llm = append(x.llm, newUpstream(t, fmt.Sprintf("llm-%d", i), "llm", all, x.store, &x.crashes))
-		x.llm[i].version = fmt.Sprintf("v%d", 1+i%softwareVersions)
+		x.llm[i].version = "v1"
+		if !x.rollsBack() {
+			x.llm[i].version = fmt.Sprintf("v%d", 1+i%softwareVersions)
+		}
 		x.app = append(x.app, newUpstream(t, fmt.Sprintf("app-%d", i), "app", all, x.store, &x.crashes))
 	}
 	x.publishDocument()
--- a/internal/soak/software_test.go
+++ b/internal/soak/software_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +20,9 @@
 // engines break streams off, so that callers take them up.
 func (x *trial) changeSoftware(end time.Time) {
 	rng := rand.New(rand.NewPCG(x.seed, 11))
+	if x.rollsBack() {
+		x.rollBack(rng)
+	}
 	for time.Now().Before(end) {
 		pause(time.Duration(200+rng.IntN(1200)) * time.Millisecond)
 		breaking := x.llm[rng.IntN(len(x.llm))]
@@ -39,6 +45,48 @@
 	}
 }
 
+// rollsBack reports whether all engines begin with the same software, of which a release is rolled back.
+func (x *trial) rollsBack() bool { return x.seed%2 == 1 }
+
+// rollBack releases other software on one engine once the table names the only version, ends all entries at
+// once around that, rolls the release back while they are down, and starts them again. A stream that began at
+// the other software must not go on at the first.
+func (x *trial) rollBack(rng *rand.Rand) {
+	const patience = 6 * time.Second
+	named := func() bool {
+		row, err := x.store.table.Get(context.Background(), "software//llm")
+		return err == nil && strings.Contains(string(row.Value), `"named"`)
+	}
+	for until := time.Now().Add(patience); !named() && time.Now().Before(until); {
+		pause(20 * time.Millisecond)
+	}
+	u := x.llm[rng.IntN(len(x.llm))]
+	x.t.Logf("%s release at %s, the only version is named: %v", time.Now().Format("05.000"), u.name(), named())
+	x.replace(u, "v2", rng.IntN(2) == 0)
+	// Engines break answers off around the end, so that callers take the streams up.
+	u.broken.Store(true)
+	pause(time.Duration(rng.IntN(800)) * time.Millisecond)
+	for _, e := range x.entries {
+		e.signal(syscall.SIGKILL, true)
+	}
+	x.replace(u, "v1", rng.IntN(2) == 0)
+	u.broken.Store(false)
+	for _, e := range x.entries {
+		_ = e.end(syscall.SIGKILL) // waits for its end
+		e.start(x.t)
+	}
+	x.t.Logf("%s rolled back, all entries start again", time.Now().Format("05.000"))
+}
+
+// replace starts an engine again with other software.
+func (x *trial) replace(u *upstream, version string, sameID bool) {
+	u.shutDown()
+	u.mu.Lock()
+	u.version = version
+	u.mu.Unlock()
+	u.restart(sameID)
+}
+
 // name returns the present id of the upstream.
 func (u *upstream) name() string {
 	u.mu.Lock()
