resume: the random test lets calls for rows take up to 40 s

Cause: a read that clears a version although it began before the version was seen was not found by the test, since calls were answered within half a second.

Change: each modelled entry has a random time that its calls take.

--- a/resume/rows_random_test.go
+++ b/resume/rows_random_test.go
@@ -45,8 +45,8 @@
 	seen   int // of the log; -1 before the first list
 	frozen time.Time
 	owner  bool
-	// lag is how long its reads of the upstreams take.
-	lag time.Duration
+	// lag is how long its reads of the upstreams take, slow that of calls for the row.
+	lag, slow time.Duration
 	// list is when the list under way began, and what it will show; nil if there is none.
 	list *modelList
 	// call is the call for the row that is under way; nil if there is none.
@@ -267,7 +267,9 @@
 			}
 			m.listBegin(e)
 			m.callSend(e, answered, 0)
-			m.callEnd(e)
+			if e.call != nil && m.now.Sub(e.call.begun) >= e.slow {
+				m.callEnd(e)
+			}
 			m.callBegin(e)
 			m.begin(e)
 			if err := m.resume(e); err != nil {
@@ -305,6 +307,7 @@
 	case n < 15:
 		m.entries[r.IntN(len(m.entries))].owner = r.IntN(2) == 0
 		m.entries[r.IntN(len(m.entries))].lag = time.Duration(r.IntN(2)*r.IntN(24)) * time.Second
+		m.entries[r.IntN(len(m.entries))].slow = time.Duration(r.IntN(2)*r.IntN(40)) * time.Second
 	case n < 18:
 		return m.run(r, time.Duration(r.IntN(80))*time.Second)
 	case n < 20:
