resume: entries that start together all take themselves for the owner of a row; soak waits for a named row

Cause: until entries know each other each owns every row. At the first start one prepared the row, and the one that owned it from then on took that for another entry's change and waited 60 s.

Change: at the first start a row that prepares or names the only version that the entry has seen does not restart the count. The soak waits for the named row and for an engine that has crashed.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -145,6 +145,9 @@
 		x.callers.crashingCaller(x.stopped)
 	}()
 	x.limitSome()
+	if x.rollsBack() {
+		x.await("the only version is named", 10*time.Second, x.named)
+	}
 	end := time.Now().Add(*length)
 	x.pendingUndos.Add(1)
 	go func() {
--- a/internal/soak/software_test.go
+++ b/internal/soak/software_test.go
@@ -48,24 +48,23 @@
 // rollsBack reports whether all engines begin with the same software, of which a release is rolled back.
 func (x *trial) rollsBack() bool { return x.seed%2 == 1 }
 
-// rollBack releases other software on one engine once the table names the only version, ends all entries at
+// named reports whether the table names the only version of the engines.
+func (x *trial) named() bool {
+	row, err := x.store.table.Get(context.Background(), "software//llm")
+	return err == nil && strings.Contains(string(row.Value), `"named"`)
+}
+
+// rollBack releases other software on one engine soon after the table named the only version, ends all entries at
 // once around that, rolls the release back while they are down, and starts them again. A stream that began at
 // the other software must not go on at the first.
 func (x *trial) rollBack(rng *rand.Rand) {
-	const patience = 6 * time.Second
-	named := func() bool {
-		row, err := x.store.table.Get(context.Background(), "software//llm")
-		return err == nil && strings.Contains(string(row.Value), `"named"`)
-	}
-	for until := time.Now().Add(patience); !named() && time.Now().Before(until); {
-		pause(20 * time.Millisecond)
-	}
 	u := x.llm[rng.IntN(len(x.llm))]
-	x.t.Logf("%s release at %s, the only version is named: %v", time.Now().Format("05.000"), u.name(), named())
+	x.t.Logf("%s release at %s, the only version is named: %v", time.Now().Format("05.000"), u.name(), x.named())
 	x.replace(u, "v2", rng.IntN(2) == 0)
 	// Engines break answers off around the end, so that callers take the streams up.
 	u.broken.Store(true)
 	pause(time.Duration(rng.IntN(800)) * time.Millisecond)
+	x.t.Logf("%s all entries end, the only version is named: %v", time.Now().Format("05.000"), x.named())
 	for _, e := range x.entries {
 		e.signal(syscall.SIGKILL, true)
 	}
@@ -80,7 +79,9 @@
 
 // replace starts an engine again with other software.
 func (x *trial) replace(u *upstream, version string, sameID bool) {
-	u.shutDown()
+	for !u.shutDown() { // it has crashed and starts again soon
+		pause(20 * time.Millisecond)
+	}
 	u.mu.Lock()
 	u.version = version
 	u.mu.Unlock()
--- a/resume/rows.go
+++ b/resume/rows.go
@@ -236,6 +236,8 @@
 	switch {
 	case !s.everRead:
 		s.everRead, s.absentAtFirst = true, row.Version == 0
+	case r.firstStart && s.absentAtFirst && s.row.Version == 0 && s.agrees(now, row):
+		// At the first start several entries may take themselves for the owner.
 	case row.Version != s.row.Version && !own:
 		s.changedAt, s.absentAtFirst = now, false
 	}
@@ -259,6 +261,12 @@
 	return cleared
 }
 
+// agrees reports whether a row names or prepares the only version that this entry has seen.
+func (s *serviceRow) agrees(now time.Time, row Row) bool {
+	only := s.only(now)
+	return only != "" && row.Named+row.Prepared == only
+}
+
 // ReadAll records that a read of all rows, begun at a time, has shown these, by service.
 func (r *Rows) ReadAll(begun, now time.Time, rows map[string]Row) {
 	for name := range rows {
