--- a/resume/rows.go
+++ b/resume/rows.go
@@ -120,6 +120,8 @@
 			s.seen = nil
 		}
 	}
+	// leaveGrace counts from when a removal is seen, so it must be seen soon.
+	stale := !r.fresh(now)
 	if r.listedAt.IsZero() {
 		r.listedAt = now
 	}
@@ -145,6 +147,9 @@
 		for version := range l.Registered[name] {
 			s.versions[version].leftAt = time.Time{}
 		}
+		for _, p := range s.versions {
+			p.cleared = p.cleared && (!stale || p.leftAt.IsZero())
+		}
 	}
 }
 
@@ -231,6 +236,8 @@
 	switch {
 	case !s.everRead:
 		s.everRead, s.absentAtFirst = true, row.Version == 0
+	case r.firstStart && s.absentAtFirst && s.row.Version == 0 && s.agrees(now, row):
+		// At the first start several entries may take themselves for the owner.
 	case row.Version != s.row.Version && !own:
 		s.changedAt, s.absentAtFirst = now, false
 	}
@@ -254,6 +261,12 @@
 	return cleared
 }
 
+// agrees reports whether a row names or prepares the only version that this entry has seen.
+func (s *serviceRow) agrees(now time.Time, row Row) bool {
+	only := s.only(now)
+	return only != "" && row.Named+row.Prepared == only
+}
+
 // ReadAll records that a read of all rows, begun at a time, has shown these, by service.
 func (r *Rows) ReadAll(begun, now time.Time, rows map[string]Row) {
 	for name := range rows {
@@ -387,14 +400,19 @@
 	return Action{Operation: WriteRow, Row: row, Before: s.row, Version: version}
 }
 
-// Pending reports whether a registered version of a service with streams is not cleared.
-func (r *Rows) Pending(name string) bool {
+// Pending returns the registered versions of a service with streams that are not cleared.
+func (r *Rows) Pending(name string) []string {
 	s := r.services[name]
 	if s == nil || s.routes == "" {
-		return false
+		return nil
 	}
-	_, p := s.uncleared()
-	return p != nil
+	var out []string
+	for version, p := range s.versions {
+		if p.leftAt.IsZero() && !p.cleared {
+			out = append(out, version)
+		}
+	}
+	return out
 }
 
 // uncleared returns the registered version that is not cleared and joined last; nil if there is none.
