admission: a longer window for the growth of turns, and room for less urgent programs

When the load moves on, only long turns are left in a range, so its mean stayed at up to twice the true time (779 against about 450 ms), the growth was taken for 20 to 37 instead of 12 per unit of load, and the limit fell from 0.15 to 0.07. The expected growth, which rises under an overload too, weighed as much as the observed one.

Ranges take means over 1000 turns, the expected growth weighs a tenth, and less urgent routes stop at 0.9 of the limit of the urgent ones (0.75 before).

--- a/admission/programcost.go
+++ b/admission/programcost.go
@@ -312,13 +312,17 @@
 	LoadRanges  = 24
 	lowestRange = 0.01
 	rangeFactor = 1.3
-	// rangeCount is the number of turns over which a range takes its means.
-	rangeCount = 100
+	// rangeCount is the number of turns over which a range takes its means. It covers several times the
+	// length of a turn also in large systems: the short turns end first after the load has entered a
+	// range, and only long ones are left when it has moved on. A window of 100 turns, 0.1 s there, was left
+	// at twice the true time, so the growth was overestimated and the limit fell to half.
+	rangeCount = 1000
 	// higherDecay is the factor by which each turn lowers the weight of what was seen at higher loads.
-	higherDecay = 1 - 1./400
+	higherDecay = 1 - 1./2000
 	// responsePrior is the weight of the expected growth, as the sum of squared deviations of the load:
-	// that of 30 turns at loads that differ by 0.1.
-	responsePrior = 0.3
+	// that of 3 turns at loads that differ by 0.1. The expectation rises by half or more under an
+	// overload, so it must not outweigh a few hundred observed turns at loads that differ little.
+	responsePrior = 0.03
 	// minIdleShare bounds the time of a turn on idle engines as a share of the mean time of turns.
 	minIdleShare = 0.1
 )
--- a/admission/programs.go
+++ b/admission/programs.go
@@ -38,14 +38,16 @@
 	// timeShare is the share of its time within which a program is planned to end. The rest covers
 	// what differs between programs, such as longer answers.
 	timeShare = 1.0
-	// lessUrgentShare is the share of the limit of the next more urgent routes at which a route stops.
-	lessUrgentShare = 0.75
+	// lessUrgentShare is the share of the limit of the next more urgent routes at which a route stops. It
+	// covers how far the load strays between two digests. A lower share refuses programs that would
+	// end in time: the less urgent ones hold the load there while the urgent ones alone don't fill the rest.
+	lessUrgentShare = 0.9
 	// refusedBeforeFactor raises the limit of programs that were refused before. With sizeFactor it
 	// stays below the distance to the next more urgent routes.
-	refusedBeforeFactor = 1.05
+	refusedBeforeFactor = 1.02
 	// minSizeFactor and maxSizeFactor bound the factor for programs that need more or less
 	// than others of their urgency: the shorter ones are admitted first.
-	minSizeFactor, maxSizeFactor = 0.92, 1.08
+	minSizeFactor, maxSizeFactor = 0.96, 1.04
 	// recentTime is the time over which admitted programs are counted.
 	recentTime = 400 * time.Millisecond
 	// routeIdle is the time after its last new program for which a route lowers the limits of less
