--- a/admission/programs.go
+++ b/admission/programs.go
@@ -171,7 +171,7 @@
 	capped, after := p.policy.Admit(s.Load, s.Rank, s.Retried)
 	d.OK = capped && load <= d.Limit && inTime && !d.TooLate
 	if !d.OK {
-		d.After = p.retryAfter(&d, load, after)
+		d.After = p.retryAfter(&d, load, s.Left, after)
 	}
 	return d
 }
@@ -222,9 +222,10 @@
 }
 
 // retryAfter returns when there will be room: programs end at the rate of those in progress over their
-// time, and the load must fall to the limit. A program that can't wait that long returns while it has time.
-func (p *Programs) retryAfter(d *ProgramDecision, load float64, after time.Duration) time.Duration {
+// time, and the load must fall to the limit. Callers wait at most a third of the time that they have left, so
+// a longer wait would not be kept.
+func (p *Programs) retryAfter(d *ProgramDecision, load float64, left, after time.Duration) time.Duration {
 	excess := 1 - d.Limit/math.Max(load, 1e-9)
 	wait := max(after, minRetry, time.Duration(float64(d.Predicted)*excess))
-	return min(wait, maxRetry)
+	return min(wait, maxRetry, max(left/3, minRetry))
 }
