--- a/internal/gateway/releases_test.go
+++ b/internal/gateway/releases_test.go
@@ -75,7 +75,7 @@
 		r.entries = append(r.entries, startEntry(t, fmt.Sprintf("entry-%d", i+1), l))
 	}
 	for _, e := range r.entries {
-		eventually(t, "the entries know each other", func() bool { return e.mesh.size() == entries })
+		eventually(t, "the entries know each other", func() bool { return e.mesh.Size() == entries })
 	}
 	r.old = newScriptedUpstream(t, "llm-1", answerEvents(0, 2, false))
 	r.register(r.old, "v1")
