gateway: a table call that began without a known peer tries one learned of meanwhile

Cause: the peer to relay a call was chosen before the direct call. An entry that starts while the table is silent knows none at that time, so its first list failed after 2 s and was begun again.

Change: the peer is looked up again after the direct call has failed.

--- a/internal/gateway/tableclient.go
+++ b/internal/gateway/tableclient.go
@@ -210,6 +210,10 @@
 			c.recordOutcome(partition, nil)
 			return err
 		}
+		if peerTable == nil {
+			// An entry that starts may have learned of a peer since.
+			peerTable, markPeerUnreachable = c.peers.tableThroughPeer()
+		}
 	}
 	for range maxPeerAttempts {
 		if ctx.Err() != nil || peerTable == nil {
