settings: programs are admitted by their cost only where program_cost_admission is set

Change: the setting program_cost_admission, false by default. Without it admission counts calls per slot as before, and nothing is learned or exchanged.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -15,14 +15,14 @@
 	upstreams := g.fleet.Load().byService[j.service]
 	entries := g.mesh.Size()
 	now := time.Now()
-	left := j.call.ProgramTimeout
-	if left > 0 {
-		left = max(time.Millisecond, left-now.Sub(j.start))
+	left := time.Duration(0) // decided by the calls per slot alone
+	if g.cfg.ProgramCostAdmission && j.call.ProgramTimeout > 0 {
+		left = max(time.Millisecond, j.call.ProgramTimeout-now.Sub(j.start))
 	}
 	g.mu.Lock()
 	j.load = g.balancer.Load(now, upstreams)
 	if reserved.stage == programStarted {
-		if j.call.ProgramTimeout > 0 {
+		if left > 0 {
 			g.programs.Cost(j.route.Name).Turn(j.call.Program, left, j.load)
 		}
 		g.mu.Unlock()
@@ -83,7 +83,7 @@
 
 // turnEnded records what a complete turn of a program took.
 func (g *Gateway) turnEnded(j *job) {
-	if j.call.ProgramTimeout <= 0 || j.call.Program == "" || j.call.LastEvent != nil {
+	if !g.cfg.ProgramCostAdmission || j.call.ProgramTimeout <= 0 || j.call.Program == "" || j.call.LastEvent != nil {
 		return // a resumed stream is only a part of a turn
 	}
 	now := time.Now()
--- a/internal/gateway/releases_test.go
+++ b/internal/gateway/releases_test.go
@@ -90,7 +90,7 @@
 // owner returns the index of the entry that owns the row.
 func (r *release) owner() int {
 	for i, e := range r.entries {
-		if e.mesh.owner("llm") == nil {
+		if e.mesh.Owner("llm") == nil {
 			return i
 		}
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,8 +43,11 @@
 	// UpstreamHeartbeat is the interval at which upstreams report to the table. An upstream that
 	// has been silent for 3 intervals is removed from it. Default 1200ms.
 	UpstreamHeartbeat structs.Duration `toml:"upstream_heartbeat"`
-	Telemetry         Telemetry        `toml:"telemetry"`
-	Log               Log              `toml:"log"`
+	// ProgramCostAdmission has new programs admitted by what they will probably need until their end, for
+	// callers that say when a program should end. Otherwise only the calls per slot count. Default false.
+	ProgramCostAdmission bool      `toml:"program_cost_admission"`
+	Telemetry            Telemetry `toml:"telemetry"`
+	Log                  Log       `toml:"log"`
 }
 
 // defaultRowBytes is the default of Gateway.TableRowBytes.
