--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -84,6 +84,11 @@
 	// With status 421 another upstream answers.
 	if res.err == nil && res.answer.Status != http.StatusMisdirectedRequest {
 		g.limits.observeAnswer(j, res, res.answer)
+		if l := res.answer.Head.Load; l.Slowdown > 0 {
+			g.mu.Lock()
+			g.balancer.ObserveMachineLoad(time.Now(), u.ID, routing.MachineLoad{InFlight: l.Running + l.Waiting, Slowdown: l.Slowdown})
+			g.mu.Unlock()
+		}
 		if res.answer.Head.Leaving {
 			g.upstreamLeaves(res.incarnation, "answer to "+j.call.ID, true)
 		}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -126,6 +126,7 @@
 	// cache estimates the prompt parts that the upstream has cached.
 	cache    *prefixSet
 	slowness slowness
+	machine  machine
 	// failureRate is the estimated probability that a call fails, as of failureRateAt. It
 	// decays with time, so that calls are sent to a failed upstream again.
 	failureRate   float64
@@ -264,7 +265,12 @@
 		n += r.calls
 		oldest = max(oldest, age)
 	}
-	return n, oldest
+	return s.machine.inFlight(now, n), oldest
+}
+
+// slowdown returns the expected time of the upstream's work as a multiple of what its service takes.
+func (s *upstreamStats) slowdown(now time.Time) float64 {
+	return s.slowness.now(now) * s.machine.lastingPace() * s.machine.disturbance(now)
 }
 
 // SetPeerTTL sets how long the calls reported by another entry count.
@@ -300,6 +306,7 @@
 func (b *Balancer) Started(u Upstream, call *CallInfo) {
 	s := b.statsOf(u.ID, u.CacheTokens)
 	s.own++
+	s.machine.startedSince++
 	if call.Predicted > 0 {
 		b.LatencyModel(u.Service).observeFinish(ms(call.Predicted))
 	}
@@ -337,6 +344,7 @@
 func (b *Balancer) Ended(now time.Time, id string, outcome Outcome) {
 	s := b.statsOf(id, 0)
 	s.own = max(0, s.own-1)
+	s.machine.endedSince++
 	switch outcome {
 	case OutcomeSuccess:
 		s.lastSuccess = now
@@ -394,6 +402,7 @@
 	s := b.statsOf(id, 0)
 	s.cache = newPrefixSet(s.cache.limit)
 	s.slowness, s.failureRate, s.lastFailure = slowness{value: 1}, 0, time.Time{}
+	s.machine = machine{}
 	s.limited, s.heldUntil = false, time.Time{}
 }
 
@@ -423,7 +432,7 @@
 		return
 	}
 	m, s := b.LatencyModel(service), b.statsOf(id, 0)
-	slow := s.slowness.now(now)
+	slow := s.slowdown(now)
 	m.observeStep(ms(d.Elapsed)/float64(d.Tokens)/m.batchFactor(d.BatchSize), slow)
 	// Events that arrive together, such as two in a packet, say nothing of the time between them.
 	if d.Undisturbed < d.Elapsed/time.Duration(d.Tokens*maxDisturbance) {
@@ -433,7 +442,7 @@
 	if !m.observeUndisturbed(alone, slow) {
 		return
 	}
-	ratio := alone / m.undisturbed
+	ratio := s.machine.observePace(now, alone/m.undisturbed)
 	s.slowness.observe(now, ratio, slownessWeight)
 	s.slowness.own++
 	s.slowness.report(ratio)
@@ -447,7 +456,7 @@
 // pick. Calls of whose prompt nothing is known to be cached are left out, since another entry may
 // have had it cached there, and so are those to slow upstreams.
 func (b *Balancer) ObserveFirstEvent(now time.Time, service string, call *CallInfo, pick *Pick, took time.Duration) {
-	if pick.Cached <= 0 || pick.Cached >= call.Tokens || b.statsOf(pick.ID, 0).slowness.now(now) > maxMeasuredSlowness {
+	if pick.Cached <= 0 || pick.Cached >= call.Tokens || b.statsOf(pick.ID, 0).slowdown(now) > maxMeasuredSlowness {
 		return
 	}
 	b.LatencyModel(service).observePrefill(call.Tokens-pick.Cached, ms(took))
@@ -460,9 +469,9 @@
 // ObserveCall records the duration of a plain call at an upstream.
 func (b *Balancer) ObserveCall(now time.Time, service, id string, elapsed time.Duration) {
 	m := b.LatencyModel(service)
-	m.observeCall(ms(elapsed))
 	s := b.statsOf(id, 0)
-	ratio := ms(elapsed) / m.call
+	m.observeCall(ms(elapsed) / (s.machine.lastingPace() * s.machine.disturbance(now)))
+	ratio := s.machine.observePace(now, ms(elapsed)/m.call)
 	s.slowness.observe(now, ratio, slownessWeight/2)
 }
 
@@ -510,10 +519,10 @@
 	return max(load, 1+float64(leastHeld)/float64(heldLoad))
 }
 
-// places returns the number of calls that an upstream can run at once.
+// places returns the number of calls that an upstream can run at once at the usual pace of its service.
 func (b *Balancer) places(u *Upstream, s *upstreamStats) float64 {
 	if !s.limited {
-		return max(1, float64(u.Slots))
+		return max(1, float64(u.Slots)/s.machine.lastingPace())
 	}
 	return limits.Places(u.Slots, s.limit, fromMs(b.LatencyModel(u.Service).finish))
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		n, age := b.inFlight(now, stats)
-		slow := stats.slowness.now(now)
+		slow := stats.slowdown(now)
 		e := b.cost(u, stats, call, n, slow)
 		cost := e.cost + ms(held)
 		// The first part would have to be cached at an upstream that is not preferred for it.
