--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -62,9 +62,23 @@
 
 var (
 	failedTest    = regexp.MustCompile(`^--- FAIL: (\S+)`)
+	failedSubtest = regexp.MustCompile(`^\s+--- FAIL: (\S+)`)
 	failedPackage = regexp.MustCompile(`^FAIL\s+(\S+)`)
 )
 
+// listedNames returns the names under which a failed test of a package must be listed: its own, or, if that is
+// not listed, those of its failed subtests, so that a list of one subtest does not cover the others.
+func listedNames(pkg, test string, subtests []string, known map[string]bool) []string {
+	if known[pkg+" "+test] || len(subtests) == 0 {
+		return []string{pkg + " " + test}
+	}
+	names := make([]string, 0, len(subtests))
+	for _, s := range subtests {
+		names = append(names, pkg+" "+s)
+	}
+	return names
+}
+
 // maxLineBytes is the length in bytes of the longest line that is read. A line of test output may
 // exceed the default of 64 KiB.
 const maxLineBytes = 1 << 24
@@ -80,6 +94,8 @@
 	var unknown, pending []string
 	lines := bufio.NewScanner(strings.NewReader(log))
 	lines.Buffer(nil, maxLineBytes)
+	// subtests holds the failed subtests of each pending test.
+	subtests := map[string][]string{}
 	panicked, last := false, ""
 	for lines.Scan() {
 		line := lines.Text()
@@ -91,6 +107,11 @@
 			pending = append(pending, m[1])
 			continue
 		}
+		if m := failedSubtest.FindStringSubmatch(line); m != nil {
+			test, _, _ := strings.Cut(m[1], "/")
+			subtests[test] = append(subtests[test], m[1])
+			continue
+		}
 		m := failedPackage.FindStringSubmatch(line)
 		if m == nil {
 			continue
@@ -99,14 +120,16 @@
 			unknown = append(unknown, m[1])
 		}
 		for _, test := range pending {
-			name := m[1] + " " + test
-			if !known[name] {
-				unknown = append(unknown, name)
-				continue
+			for _, name := range listedNames(m[1], test, subtests[test], known) {
+				if !known[name] {
+					unknown = append(unknown, name)
+					continue
+				}
+				fmt.Fprintln(out, "KNOWN RED:", name)
 			}
-			fmt.Fprintln(out, "KNOWN RED:", name)
 		}
 		pending, panicked = nil, false
+		subtests = map[string][]string{}
 	}
 	if err := lines.Err(); err != nil {
 		return nil, err
