--- a/internal/gateway/budgetdraw.go
+++ b/internal/gateway/budgetdraw.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 	"github.com/buckthornroute/buckthornroute/ledger"
 )
 
@@ -77,7 +78,7 @@
 	}
 	err := b.awaitDrawLocked(ctx, draw, provisionalAfter)
 	// errDrawPending counts as a failure of the table here.
-	if isTableFailure(err) && b.grantProvisionallyLocked(ctx, pb, call) {
+	if tablerelay.IsFailure(err) && b.grantProvisionallyLocked(ctx, pb, call) {
 		return nil
 	}
 	if errors.Is(err, errDrawPending) {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -11,6 +11,7 @@
 	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 	"github.com/buckthornroute/buckthornroute/ledger"
 )
 
@@ -150,7 +151,7 @@
 	// keyUnreachable reports whether the row of a key is known to be unreachable.
 	keyUnreachable func(key string) bool
 	// tableFailedRecently reports whether a call to the table failed recently; see
-	// tableClient.
+	// tablerelay.Client.
 	tableFailedRecently func() bool
 	// tableUnreachable reports whether the table is unreachable, directly and through other
 	// entries.
@@ -203,9 +204,9 @@
 
 // newBudgets returns budgets without any program. They read rows from t and write them
 // through c.
-func newBudgets(t *tableClient, c *committer, owners budgetOwners, e *expiry, log *reqlog.Logger, holder, incarnation string) *budgets {
+func newBudgets(t *tablerelay.Client, c *committer, owners budgetOwners, e *expiry, log *reqlog.Logger, holder, incarnation string) *budgets {
 	return &budgets{
-		table: t, commits: c, owners: owners, expiry: e, log: log, holder: holder, incarnation: incarnation, keyUnreachable: t.unreachableFor, tableFailedRecently: t.failedRecently, tableSlow: t.slow, tableUnreachable: t.unreachable,
+		table: t, commits: c, owners: owners, expiry: e, log: log, holder: holder, incarnation: incarnation, keyUnreachable: t.UnreachableFor, tableFailedRecently: t.FailedRecently, tableSlow: t.Slow, tableUnreachable: t.Unreachable,
 		programs: map[string]*programBudget{}, known: map[string]*knownGrants{},
 	}
 }
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -82,7 +82,7 @@
 	})
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	for _, e := range entries {
-		eventually(t, "the table counts as unreachable", e.table.unreachable)
+		eventually(t, "the table counts as unreachable", e.table.Unreachable)
 	}
 	answered := 0
 	for i := range 12 {
@@ -95,7 +95,7 @@
 	}
 	p.injectFault(standin.Fault{Kind: "all", Clear: true})
 	for _, e := range entries {
-		eventually(t, "the table is reachable again", func() bool { return !e.table.unreachable() })
+		eventually(t, "the table is reachable again", func() bool { return !e.table.Unreachable() })
 	}
 	for i := range 12 {
 		if r := entries[i%3].call("POST", "/ask/1", "x", turnHeader("runaway", 200, 50)); r.status == http.StatusOK {
@@ -129,7 +129,7 @@
 	other := startEntry(t, "entry-2", switching)
 	eventually(t, "the entries know each other", func() bool { return e.mesh.Size() == 2 && other.mesh.Size() == 2 })
 	eventually(t, "the entry knows that the other reaches the table", func() bool {
-		via, _ := other.tableThroughPeer()
+		via, _ := other.TableThroughPeer()
 		return via != nil
 	})
 	switching.set(refusingTable{p.standin.Table})
@@ -140,7 +140,7 @@
 	}
 	p.writeDocument(9)
 	eventually(t, "the document arrives through the other entry", func() bool { return other.routes.Load().Document().Version == 9 })
-	if other.table.unreachable() {
+	if other.table.Unreachable() {
 		t.Error("the table counts as unreachable though another entry reaches it")
 	}
 }
@@ -222,7 +222,7 @@
 	}
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	for _, e := range entries {
-		eventually(t, "the table counts as unreachable", e.table.unreachable)
+		eventually(t, "the table counts as unreachable", e.table.Unreachable)
 	}
 	for _, e := range entries {
 		if r := e.call("POST", "/ask/1", "x", turnHeader(program, 200, 50)); r.status != http.StatusServiceUnavailable {
@@ -271,7 +271,7 @@
 	}
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
 	for _, e := range entries {
-		eventually(t, "the table counts as unreachable", e.table.unreachable)
+		eventually(t, "the table counts as unreachable", e.table.Unreachable)
 	}
 	if r := e.call("POST", "/ask/1", "x", turnHeader(program, 1000, 50)); r.status != http.StatusOK {
 		t.Fatalf("first turn: %+v", r)
@@ -305,7 +305,7 @@
 	}
 	eventually(t, "the entry knows that the table is slow", func() bool {
 		e.call("POST", "/ask/1", "x", turnHeader(own(), 500, 50))
-		return e.table.slow()
+		return e.table.Slow()
 	})
 	program := own()
 	start := time.Now()
@@ -405,7 +405,7 @@
 		return e.mesh.CanOwn() && other.mesh.CanOwn() && e.mesh.Size() == 2 && other.mesh.Size() == 2
 	})
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
-	eventually(t, "the table counts as unreachable", func() bool { return e.table.unreachable() && other.table.unreachable() })
+	eventually(t, "the table counts as unreachable", func() bool { return e.table.Unreachable() && other.table.Unreachable() })
 	if r := e.call("POST", "/ask/1", "x", turnHeader("runaway", 200, 50)); r.status != http.StatusOK {
 		t.Fatalf("the first turn failed: %+v", r)
 	}
@@ -436,7 +436,7 @@
 		return e.mesh.CanOwn() && other.mesh.CanOwn() && e.mesh.Size() == 2 && other.mesh.Size() == 2
 	})
 	p.injectFault(standin.Fault{Kind: standin.FaultDown})
-	eventually(t, "the table counts as unreachable", func() bool { return e.table.unreachable() && other.table.unreachable() })
+	eventually(t, "the table counts as unreachable", func() bool { return e.table.Unreachable() && other.table.Unreachable() })
 	for range 3 {
 		e.call("POST", "/draft/1", "x", turnHeader("kept", 200, 50))
 	}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -358,7 +358,7 @@
 
 // tableRetry returns the Retry-After of a call that was refused because of the table.
 func (g *Gateway) tableRetry() time.Duration {
-	if g.table.unreachable() {
+	if g.table.Unreachable() {
 		return retryOutage
 	}
 	return retryTable
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -257,11 +257,11 @@
 	p, e, a, l := startEntryWithUpstreams(t, answerSealed(http.StatusOK, ""), answerNotRun)
 	p.injectFault(standin.Fault{Kind: standin.FaultDown, Match: "/table/changes"})
 	p.injectFault(standin.Fault{Kind: standin.FaultRefuse, Match: "/table/snapshot"})
-	eventually(t, "the table is unreachable", e.table.unreachable)
+	eventually(t, "the table is unreachable", e.table.Unreachable)
 	p.removeUpstream(a)
 	p.standin.Table.DropChanges()
 	p.injectFault(standin.Fault{Kind: "all", Clear: true})
-	eventually(t, "the table is reachable again", func() bool { return !e.table.unreachable() })
+	eventually(t, "the table is reachable again", func() bool { return !e.table.Unreachable() })
 	if r := e.call("GET", "/read/1", "", nil); r.status != http.StatusOK {
 		t.Errorf("right after the outage: %+v", r)
 	}
--- a/internal/gateway/chains_test.go
+++ b/internal/gateway/chains_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 	"github.com/buckthornroute/buckthornroute/relay"
 )
 
@@ -100,16 +101,16 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	for _, e := range entries {
-		for range 2 * unreachablePartitions {
+		for range 2 * tablerelay.UnreachablePartitions {
 			go func() {
-				for ctx.Err() == nil && !e.table.unreachable() {
+				for ctx.Err() == nil && !e.table.Unreachable() {
 					_, _ = e.table.Get(ctx, budgetKey(newID()))
 				}
 			}()
 		}
 	}
 	for _, e := range entries {
-		eventually(t, "the entry has noticed that the table is unreachable", e.table.unreachable)
+		eventually(t, "the entry has noticed that the table is unreachable", e.table.Unreachable)
 	}
 }
 
@@ -234,28 +235,28 @@
 	}
 }
 
-// noPeers is a tablePeers without other entries.
+// noPeers is a tablerelay.Peers without other entries.
 type noPeers struct{}
 
-func (noPeers) tableThroughPeer() (platformapi.Watcher, func()) { return nil, nil }
+func (noPeers) TableThroughPeer() (platformapi.Watcher, func()) { return nil, nil }
 
 // TestReturnOfTheTableIsNoticedSoon guards against an entry that still considers the table
 // unreachable after it has recovered, because no call is sent to it any more, or because
 // the calls sent before the recovery get no answer.
 func TestReturnOfTheTableIsNoticedSoon(t *testing.T) {
 	shared := &faultyTable{Watcher: newTestPlatform(t).standin.Table}
-	client := newTableClient(shared, noPeers{}, func(eventlog.Event, eventlog.Fields) {})
+	client := tablerelay.NewClient(shared, noPeers{}, func(eventlog.Event, eventlog.Fields) {})
 	shared.unresponsive.Store(true)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	for !client.unreachable() {
+	for !client.Unreachable() {
 		_, _ = client.Get(ctx, budgetKey(newID()))
 	}
-	go client.probe(ctx)
+	go client.Probe(ctx)
 	shared.unresponsive.Store(false)
-	within, cancel := context.WithTimeout(ctx, 2*probeInterval+100*time.Millisecond)
+	within, cancel := context.WithTimeout(ctx, 2*tablerelay.ProbeInterval+100*time.Millisecond)
 	defer cancel()
-	if client.waitReachable(within); client.unreachable() {
+	if client.WaitReachable(within); client.Unreachable() {
 		t.Error("the table is back but the entry still considers it unreachable")
 	}
 }
--- a/internal/gateway/committer.go
+++ b/internal/gateway/committer.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 )
 
 const (
@@ -51,7 +52,7 @@
 // commits are batched into transactions across partitions, which take the table twice
 // as long.
 type committer struct {
-	table   *tableClient
+	table   *tablerelay.Client
 	metrics *metrics
 	// entryCount returns the number of live entries, which share the rate.
 	entryCount func() int
@@ -69,7 +70,7 @@
 	refilled  time.Time
 }
 
-func newCommitter(client *tableClient, m *metrics, writesPerSecond int, entryCount func() int) *committer {
+func newCommitter(client *tablerelay.Client, m *metrics, writesPerSecond int, entryCount func() int) *committer {
 	c := &committer{
 		table: client, metrics: m, queue: make(chan *commit, commitQueueSize), entryCount: entryCount,
 		txnTokens: 1, refilled: time.Now(), retries: make(chan []*commit, maxInFlightTxns),
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -65,8 +65,8 @@
 // Items that do not fit are dropped; only the counts of calls in flight are in the next digest
 // again.
 func (g *Gateway) joinMesh() {
-	g.mesh.AddFlag(mesh.FlagTableReachable, g.table.directlyReachable)
-	tablerelay.Serve(g.mesh, g.table.direct)
+	g.mesh.AddFlag(mesh.FlagTableReachable, g.table.DirectlyReachable)
+	tablerelay.Serve(g.mesh, g.table.Direct())
 	g.addCallFields()
 	g.cached.join(g)
 	g.reports.join()
@@ -80,8 +80,8 @@
 	g.documents.join()
 }
 
-// tableThroughPeer implements tablePeers.
-func (g *Gateway) tableThroughPeer() (platformapi.Watcher, func()) {
+// TableThroughPeer implements tablerelay.Peers.
+func (g *Gateway) TableThroughPeer() (platformapi.Watcher, func()) {
 	p, markUnreachable := g.mesh.TableRelay()
 	if p == nil {
 		return nil, nil
--- a/internal/gateway/documentsync.go
+++ b/internal/gateway/documentsync.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/mesh"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 	"github.com/buckthornroute/buckthornroute/relay"
 )
 
@@ -237,7 +238,7 @@
 	if waiting == nil {
 		return
 	}
-	for range maxPeerAttempts {
+	for range tablerelay.MaxPeerAttempts {
 		p, found := bestConfirmer(s.candidates())
 		if s.g.documentAge() <= maxDocumentAge || !found {
 			break
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -278,7 +278,7 @@
 // removalsDeferredUntil returns the time until which removals of upstreams are deferred because of
 // the last outage of the table.
 func (g *Gateway) removalsDeferredUntil() time.Time {
-	return g.table.lastRecovery().Add(time.Duration(g.cfg.OutageListGrace) + recoveryNoticeMargin)
+	return g.table.LastRecovery().Add(time.Duration(g.cfg.OutageListGrace) + recoveryNoticeMargin)
 }
 
 // recoveryNoticeMargin covers the time between the table's recovery and the moment when
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,7 @@
 //
 // The word call has three uses here: a caller's request that is forwarded to an upstream (job),
 // a datagram by which an entry asks another one (package mesh), and an operation of the platform's
-// table (tableClient).
+// table (tablerelay.Client).
 package gateway
 
 import (
@@ -31,6 +31,7 @@
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 	"github.com/buckthornroute/buckthornroute/internal/telemetry"
 	"github.com/buckthornroute/buckthornroute/quarantine"
 	"github.com/buckthornroute/buckthornroute/relay"
@@ -65,7 +66,7 @@
 	// process reports that it is not ready.
 	drainDelay time.Duration
 
-	table   *tableClient
+	table   *tablerelay.Client
 	mesh    *mesh.Mesh
 	pool    *forward.Pool
 	commits *committer
@@ -138,7 +139,7 @@
 	g.mesh = newMesh(g)
 	g.quota = newQuota(g)
 	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
-	g.table = newTableClient(env.Table, g, g.emitTableEvent)
+	g.table = tablerelay.NewClient(env.Table, g, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
 	g.expiry = &expiry{commits: g.commits}
 	g.budgets = newBudgets(g.table, g.commits, g.budgetPeers, g.expiry, env.Requests, g.holder(), g.incarnation)
@@ -166,7 +167,7 @@
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context){
-		g.pool.Run, g.table.probe, g.followDocument, g.documents.run, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.quota.Run, g.expiry.run, g.cleanUp,
+		g.pool.Run, g.table.Probe, g.followDocument, g.documents.run, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.quota.Run, g.expiry.run, g.cleanUp,
 	} {
 		group.Go(func() error {
 			task(taskCtx)
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -169,7 +169,7 @@
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.MaxTokens))
 	b = mesh.AppendBool(mesh.AppendText(b, r.Conversation), r.Durable)
 	timeout := peerCallTimeout
-	if o.g.table.failedRecently() {
+	if o.g.table.FailedRecently() {
 		timeout = peerCallTimeoutDegraded
 	}
 	v, err := o.g.mesh.Ask(ctx, p, timeout, callReserve, b)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -12,6 +12,7 @@
 
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
+	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
 	"github.com/buckthornroute/buckthornroute/turnlog"
 )
 
@@ -62,9 +63,9 @@
 	chainFromAnyPeer(ctx context.Context, id string) []*turnlog.Turn
 }
 
-func newTurnStore(client *tableClient, c *committer, peers turnPeers, e *expiry, cfg *settings.Gateway) *turnStore {
+func newTurnStore(client *tablerelay.Client, c *committer, peers turnPeers, e *expiry, cfg *settings.Gateway) *turnStore {
 	return &turnStore{
-		table: client, commits: c, peers: peers, expiry: e, unreachable: client.unreachableFor, awaitTable: client.waitReachable, rowBytes: cfg.TableRowBytes - rowHeadroom,
+		table: client, commits: c, peers: peers, expiry: e, unreachable: client.UnreachableFor, awaitTable: client.WaitReachable, rowBytes: cfg.TableRowBytes - rowHeadroom,
 		cache: turnlog.NewCache(int(float64(cfg.MemoryMB) * cacheShare * (1 << 20))),
 	}
 }
--- a/internal/gateway/tableclient.go
+++ b/internal/tablerelay/client.go
@@ -1,4 +1,4 @@
-package gateway
+package tablerelay
 
 import (
 	"context"
@@ -31,8 +31,8 @@
 	// partition counts as unreachable after a call to it failed on every way that was tried. A
 	// call to the partition that succeeds, directly or relayed, ends both early.
 	directRetryDelay = 400 * time.Millisecond
-	// maxPeerAttempts is the largest number of other entries that one call is sent through.
-	maxPeerAttempts = 2
+	// MaxPeerAttempts is the largest number of other entries that one call is sent through.
+	MaxPeerAttempts = 2
 	// slowLatency is the average latency above which turns don't wait until tokens are drawn
 	// from the table: about 10 times the usual latency.
 	slowLatency = 60 * time.Millisecond
@@ -50,33 +50,35 @@
 	// unreachableAfter is how long every call must have failed before the table counts as
 	// unreachable.
 	unreachableAfter = 250 * time.Millisecond
-	// unreachablePartitions is the number of partitions in which calls must have failed for
+	// UnreachablePartitions is the number of partitions in which calls must have failed for
 	// that. While a third of the partitions is down, 4 failures in a row in different
 	// partitions are rare.
-	unreachablePartitions = 4
-	// probeInterval is the time between two probes of an unreachable table. It is short compared
+	UnreachablePartitions = 4
+	// ProbeInterval is the time between two probes of an unreachable table. It is short compared
 	// with an outage of seconds, and all entries together still send few probes a second.
-	probeInterval = 150 * time.Millisecond
+	ProbeInterval = 150 * time.Millisecond
+	// snapshotTimeout bounds the read of all rows with a prefix.
+	snapshotTimeout = 2 * time.Second
 	// commonUnreachableAfter is how long every call must have failed before a failed call to the
 	// common partition alone makes the table count as unreachable. That partition is read once a
 	// second.
 	commonUnreachableAfter = time.Second
 )
 
-// tablePeers finds a peer, which is another entry, that can relay calls to the table.
-type tablePeers interface {
-	// tableThroughPeer returns a client that reaches the table through a peer, or nil when no
+// Peers finds a peer, which is another entry, that can relay calls to the table.
+type Peers interface {
+	// TableThroughPeer returns a client that reaches the table through a peer, or nil when no
 	// peer can relay. Call markPeerUnreachable when that peer does not answer.
-	tableThroughPeer() (t platformapi.Watcher, markPeerUnreachable func())
+	TableThroughPeer() (t platformapi.Watcher, markPeerUnreachable func())
 }
 
-// tableClient is this entry's client of the platform's table. It calls the table directly,
+// Client is this entry's client of the platform's table. It calls the table directly,
 // or through another entry while the table refuses or does not answer this one. It tracks
 // latency and failures, by partition and overall, and emits an event when the table becomes
 // unreachable or recovers. It is safe for concurrent use.
-type tableClient struct {
+type Client struct {
 	direct platformapi.Watcher
-	peers  tablePeers
+	peers  Peers
 	emit   func(eventlog.Event, eventlog.Fields)
 
 	mu sync.Mutex
@@ -112,44 +114,48 @@
 	unreachableUntil time.Time
 }
 
-var _ platformapi.Watcher = (*tableClient)(nil)
+var _ platformapi.Watcher = (*Client)(nil)
 
-func newTableClient(direct platformapi.Watcher, peers tablePeers, emit func(eventlog.Event, eventlog.Fields)) *tableClient {
-	return &tableClient{direct: direct, peers: peers, emit: emit, directUp: true, partitions: map[string]*partitionState{}, failedPartitions: map[string]bool{}}
+// NewClient returns a client that calls the table with direct, or through the peers. emit gets its events.
+func NewClient(direct platformapi.Watcher, peers Peers, emit func(eventlog.Event, eventlog.Fields)) *Client {
+	return &Client{direct: direct, peers: peers, emit: emit, directUp: true, partitions: map[string]*partitionState{}, failedPartitions: map[string]bool{}}
 }
 
-// directlyReachable reports whether this entry reaches the table without another entry.
-func (c *tableClient) directlyReachable() bool {
+// Direct returns the client that calls the table directly only.
+func (c *Client) Direct() platformapi.Watcher { return c.direct }
+
+// DirectlyReachable reports whether this entry reaches the table without another entry.
+func (c *Client) DirectlyReachable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.directUp
 }
 
-// unreachable reports whether the table can be reached neither directly nor through another
+// Unreachable reports whether the table can be reached neither directly nor through another
 // entry.
-func (c *tableClient) unreachable() bool {
+func (c *Client) Unreachable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.unreachableNow
 }
 
-// slow reports whether the table's average latency is above slowLatency.
-func (c *tableClient) slow() bool {
+// Slow reports whether the table's average latency is above slowLatency.
+func (c *Client) Slow() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.averageLatency > slowLatency
 }
 
-// failedRecently reports whether a call failed on every way within recentFailureWindow.
-func (c *tableClient) failedRecently() bool {
+// FailedRecently reports whether a call failed on every way within recentFailureWindow.
+func (c *Client) FailedRecently() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return time.Since(c.lastFailure) < recentFailureWindow
 }
 
-// lastRecovery returns when the last outage of the table ended: the current time during an
+// LastRecovery returns when the last outage of the table ended: the current time during an
 // outage, zero when there has been none.
-func (c *tableClient) lastRecovery() time.Time {
+func (c *Client) LastRecovery() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unreachableNow {
@@ -161,9 +167,9 @@
 // probeKey names a row of the common partition that does not exist.
 const probeKey = mesh.EntriesPrefix + "-"
 
-// isTableFailure reports whether err means that the table did not answer this entry or
+// IsFailure reports whether err means that the table did not answer this entry or
 // refused it.
-func isTableFailure(err error) bool {
+func IsFailure(err error) bool {
 	return errors.Is(err, platformapi.ErrUnavailable) || errors.Is(err, platformapi.ErrNotApplied)
 }
 
@@ -181,16 +187,16 @@
 // do runs f on the table directly, if useDirect allows that, and through a peer when the direct
 // call was not made or failed. If timeout is zero, it is derived from the average latency. When
 // neither way is tried, do returns platformapi.ErrUnavailable.
-func (c *tableClient) do(ctx context.Context, partition string, timeout time.Duration, f func(ctx context.Context, t platformapi.Watcher) error) error {
+func (c *Client) do(ctx context.Context, partition string, timeout time.Duration, f func(ctx context.Context, t platformapi.Watcher) error) error {
 	err := platformapi.ErrUnavailable
-	peerTable, markPeerUnreachable := c.peers.tableThroughPeer()
+	peerTable, markPeerUnreachable := c.peers.TableThroughPeer()
 	adaptive := timeout == 0
 	if adaptive {
 		timeout = c.timeout()
 	}
 	if c.useDirect(partition, peerTable != nil) {
 		start, directTimeout := time.Now(), timeout
-		if peerTable != nil && !c.directlyReachable() {
+		if peerTable != nil && !c.DirectlyReachable() {
 			// The table has not answered the last direct call, so this one is a probe.
 			directTimeout = min(timeout, directProbeTimeout)
 		}
@@ -203,16 +209,16 @@
 			c.updateLatency(time.Since(start), timeout, err)
 		}
 		c.recordDirect(partition, err)
-		if !isTableFailure(err) {
+		if !IsFailure(err) {
 			c.recordOutcome(partition, nil)
 			return err
 		}
 		if peerTable == nil {
 			// An entry that starts may have learned of a peer since.
-			peerTable, markPeerUnreachable = c.peers.tableThroughPeer()
+			peerTable, markPeerUnreachable = c.peers.TableThroughPeer()
 		}
 	}
-	for range maxPeerAttempts {
+	for range MaxPeerAttempts {
 		if ctx.Err() != nil || peerTable == nil {
 			break
 		}
@@ -221,14 +227,14 @@
 			break
 		}
 		markPeerUnreachable()
-		peerTable, markPeerUnreachable = c.peers.tableThroughPeer()
+		peerTable, markPeerUnreachable = c.peers.TableThroughPeer()
 	}
 	c.recordOutcome(partition, err)
 	return err
 }
 
 // timeout returns the timeout of a call, from the table's average latency.
-func (c *tableClient) timeout() time.Duration {
+func (c *Client) timeout() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return max(minTableTimeout, min(maxTableTimeout, tableTimeoutFactor*c.averageLatency))
@@ -237,13 +243,13 @@
 // updateLatency adds the duration of a call to the moving average. A call that ran into its
 // timeout would have taken longer, so it doubles the average, to at least
 // 2*minTableTimeout/tableTimeoutFactor and at most maxTableTimeout/tableTimeoutFactor.
-func (c *tableClient) updateLatency(took, timeout time.Duration, err error) {
+func (c *Client) updateLatency(took, timeout time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case isTableFailure(err) && took >= timeout:
+	case IsFailure(err) && took >= timeout:
 		c.averageLatency = min(maxTableTimeout/tableTimeoutFactor, max(2*c.averageLatency, 2*minTableTimeout/tableTimeoutFactor))
-	case !isTableFailure(err):
+	case !IsFailure(err):
 		c.averageLatency += time.Duration(latencyWeight * float64(took-c.averageLatency))
 	}
 }
@@ -261,7 +267,7 @@
 // relay or the table is unreachable, unless a call to the partition has succeeded since, directly
 // or relayed. Otherwise every call of an entry that the table refuses would first wait for a
 // timeout.
-func (c *tableClient) useDirect(partition string, peerAvailable bool) bool {
+func (c *Client) useDirect(partition string, peerAvailable bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if peerAvailable && partition != commonPartition && !c.directUp {
@@ -272,10 +278,10 @@
 	return p == nil || !time.Now().Before(p.avoidDirectUntil) || !peerAvailable && !c.unreachableNow
 }
 
-// unreachableFor reports whether calls for the key are expected to fail: the table is
+// UnreachableFor reports whether calls for the key are expected to fail: the table is
 // unreachable, or a call to the key's partition failed within the last directRetryDelay and none
 // has succeeded since.
-func (c *tableClient) unreachableFor(key string) bool {
+func (c *Client) UnreachableFor(key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.partitions[partitionOfKey(key)]
@@ -284,10 +290,10 @@
 
 // recordDirect records the outcome of a direct call. It emits an event when a call to the common
 // partition changes directUp.
-func (c *tableClient) recordDirect(partition string, err error) {
+func (c *Client) recordDirect(partition string, err error) {
 	now := time.Now()
 	c.mu.Lock()
-	if isTableFailure(err) {
+	if IsFailure(err) {
 		c.ensurePartitionLocked(partition, now).avoidDirectUntil = now.Add(directRetryDelay)
 	}
 	if partition != commonPartition {
@@ -295,19 +301,19 @@
 		return
 	}
 	wasUp := c.directUp
-	c.directUp = !isTableFailure(err)
+	c.directUp = !IsFailure(err)
 	c.mu.Unlock()
-	if wasUp && isTableFailure(err) {
+	if wasUp && IsFailure(err) {
 		c.emit(eventlog.GatewayTableDirectLost, eventlog.Fields{Step: "table", Err: err})
 	}
-	if !wasUp && !isTableFailure(err) {
+	if !wasUp && !IsFailure(err) {
 		c.emit(eventlog.GatewayTableDirectRestored, eventlog.Fields{Step: "table"})
 	}
 }
 
 // ensurePartitionLocked returns the state of a partition and creates it if needed. Before
 // creating one it deletes the states that have expired. c.mu must be held.
-func (c *tableClient) ensurePartitionLocked(partition string, now time.Time) *partitionState {
+func (c *Client) ensurePartitionLocked(partition string, now time.Time) *partitionState {
 	p := c.partitions[partition]
 	if p == nil {
 		for name, old := range c.partitions {
@@ -323,10 +329,10 @@
 
 // recordOutcome records the final outcome of a call, directly or through another entry, and
 // emits an event when the table becomes unreachable or recovers.
-func (c *tableClient) recordOutcome(partition string, err error) {
+func (c *Client) recordOutcome(partition string, err error) {
 	now := time.Now()
 	c.mu.Lock()
-	if isTableFailure(err) {
+	if IsFailure(err) {
 		c.lastFailure = now
 		c.ensurePartitionLocked(partition, now).unreachableUntil = now.Add(directRetryDelay)
 	} else {
@@ -334,7 +340,7 @@
 	}
 	wasUnreachable := c.unreachableNow
 	switch {
-	case !isTableFailure(err):
+	case !IsFailure(err):
 		c.failingSince = time.Time{}
 		clear(c.failedPartitions)
 		if c.unreachableNow {
@@ -347,7 +353,7 @@
 			c.failingSince = now
 		}
 		c.failedPartitions[partition] = true
-		c.unreachableNow = c.unreachableNow || len(c.failedPartitions) >= unreachablePartitions && now.Sub(c.failingSince) >= unreachableAfter ||
+		c.unreachableNow = c.unreachableNow || len(c.failedPartitions) >= UnreachablePartitions && now.Sub(c.failingSince) >= unreachableAfter ||
 			partition == commonPartition && now.Sub(c.failingSince) >= commonUnreachableAfter
 	}
 	isUnreachable := c.unreachableNow
@@ -363,8 +369,8 @@
 	}
 }
 
-// waitReachable blocks until the table is reachable or ctx ends.
-func (c *tableClient) waitReachable(ctx context.Context) {
+// WaitReachable blocks until the table is reachable or ctx ends.
+func (c *Client) WaitReachable(ctx context.Context) {
 	c.mu.Lock()
 	recovered := c.recovered
 	c.mu.Unlock()
@@ -377,24 +383,30 @@
 	}
 }
 
-// probe calls the table every probeInterval while it is unreachable, until ctx ends. Probes
+// Probe calls the table every ProbeInterval while it is unreachable, until ctx ends. Probes
 // overlap, since one that was sent before the table recovered may never be answered.
-func (c *tableClient) probe(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, probeInterval)
-		if c.unreachable() {
+func (c *Client) Probe(ctx context.Context) {
+	t := time.NewTicker(ProbeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if c.Unreachable() {
 			go c.probeOnce(ctx)
 		}
 	}
 }
 
 // probeOnce reads a row directly and records the outcome if the table answers.
-func (c *tableClient) probeOnce(ctx context.Context) {
+func (c *Client) probeOnce(ctx context.Context) {
 	err := callWithTimeout(ctx, maxTableTimeout, c.direct, func(ctx context.Context, t platformapi.Watcher) error {
 		_, err := t.Get(ctx, probeKey)
 		return err
 	})
-	if ctx.Err() == nil && !isTableFailure(err) {
+	if ctx.Err() == nil && !IsFailure(err) {
 		c.recordDirect(commonPartition, err)
 		c.recordOutcome(commonPartition, err)
 	}
@@ -410,12 +422,12 @@
 }
 
 // Apply implements platformapi.Table.
-func (c *tableClient) Apply(ctx context.Context, txn platformapi.Txn) error {
+func (c *Client) Apply(ctx context.Context, txn platformapi.Txn) error {
 	return c.do(ctx, partitionOfTxn(txn), 0, func(ctx context.Context, t platformapi.Watcher) error { return t.Apply(ctx, txn) })
 }
 
 // Get implements platformapi.Table.
-func (c *tableClient) Get(ctx context.Context, key string) (row platformapi.Row, err error) {
+func (c *Client) Get(ctx context.Context, key string) (row platformapi.Row, err error) {
 	err = c.do(ctx, partitionOfKey(key), 0, func(ctx context.Context, t platformapi.Watcher) error {
 		row, err = t.Get(ctx, key)
 		return err
@@ -424,7 +436,7 @@
 }
 
 // Scan implements platformapi.Table.
-func (c *tableClient) Scan(ctx context.Context, prefix, after string, limit int) (rows []platformapi.Row, err error) {
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) (rows []platformapi.Row, err error) {
 	err = c.do(ctx, partitionOfKey(prefix), 0, func(ctx context.Context, t platformapi.Watcher) error {
 		rows, err = t.Scan(ctx, prefix, after, limit)
 		return err
@@ -433,8 +445,8 @@
 }
 
 // Snapshot implements platformapi.Watcher.
-func (c *tableClient) Snapshot(ctx context.Context, prefix string) (rows []platformapi.Row, version int64, err error) {
-	err = c.do(ctx, partitionOfKey(prefix), listTimeout, func(ctx context.Context, t platformapi.Watcher) error {
+func (c *Client) Snapshot(ctx context.Context, prefix string) (rows []platformapi.Row, version int64, err error) {
+	err = c.do(ctx, partitionOfKey(prefix), snapshotTimeout, func(ctx context.Context, t platformapi.Watcher) error {
 		rows, version, err = t.Snapshot(ctx, prefix)
 		return err
 	})
@@ -453,8 +465,8 @@
 }
 
 // Changes implements platformapi.Watcher.
-func (c *tableClient) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []platformapi.Change, version int64, err error) {
-	directWait, timeout := changesWait(wait, c.directlyReachable())
+func (c *Client) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []platformapi.Change, version int64, err error) {
+	directWait, timeout := changesWait(wait, c.DirectlyReachable())
 	err = c.do(ctx, partitionOfKey(prefix), timeout, func(ctx context.Context, t platformapi.Watcher) error {
 		wait := directWait
 		if t != c.direct {
