--- a/internal/loadreplay/replay.go
+++ b/internal/loadreplay/replay.go
@@ -27,10 +27,10 @@
 	CacheTokens int64
 	// TokensPerMs is the prefill speed of an engine, SetupMs the additional time that each call
 	// takes, and TokenMs the decode step of a call without others in the batch. Zero stands for
-	// the values of tcod-portal-grown.
+	// the defaults below.
 	TokensPerMs, SetupMs, TokenMs float64
 	// TurnTokens is the mean length of an answer, InputTokens that of a turn's own input; zero
-	// stands for the values of tcod-portal-grown.
+	// stands for the defaults below.
 	TurnTokens, InputTokens int
 	// SharedParts is the number of shared first parts of prompts, SharedPartTokens the length
 	// of each.
@@ -131,7 +131,7 @@
 	// tick is the step of virtual time.
 	tick = 4 * time.Millisecond
 	// The defaults of Config. They, and slotSlope, the share by which each further call lengthens
-	// a decode step, are those of the engines and turns of tcod-portal-grown.
+	// a decode step, are those of engines of 16 slots with a fast prefill.
 	defaultTokensPerMs = 336
 	defaultSetupMs     = 8.7
 	defaultTokenMs     = 1.14
