--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts in review/. It needs the standard library only. The program under
+# test is built by the build line of the deploy file, into target/.
+set -euo pipefail
+cd "$(dirname "$0")/standins"
+GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o ../bin/standins .
