--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # test is built by the build line of the deploy file, into target/.
 set -euo pipefail
 cd "$(dirname "$0")/standins"
-GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o ../bin/standins .
+CGO_ENABLED=0 GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -buildvcs=false -o ../bin/standins .
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -205,25 +206,30 @@
 	}
 }
 
-// reservedPorts keeps freePort from giving a port twice.
-var reservedPorts = map[string]bool{}
+// The ports of the entries lie below the range from which the kernel gives ports to outgoing connections, so
+// that none is taken while an entry is down.
+const firstPort, lastPort = 12000, 32000
 
-// freePort returns a loopback address whose port is free for TCP and UDP.
+var nextPort = firstPort + rand.Intn(lastPort-firstPort)
+
+// freePort returns a loopback address whose port is free for TCP and UDP. It returns no address twice.
 func freePort() string {
-	for range 200 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		check(err)
-		a := l.Addr().String()
-		p, err := net.ListenPacket("udp", a)
+	for range lastPort - firstPort {
+		a := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if nextPort++; nextPort == lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			continue
+		}
 		l.Close()
+		p, err := net.ListenPacket("udp", a)
 		if err != nil {
 			continue
 		}
 		p.Close()
-		if !reservedPorts[a] {
-			reservedPorts[a] = true
-			return a
-		}
+		return a
 	}
 	check(fmt.Errorf("no free port"))
 	return ""
