--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -5,37 +5,50 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/ledger"
 )
 
-// recordLoop records provisional grants in their rows once these are reachable, until ctx
-// ends. It handles this entry's own grants, and those that other owners left unrecorded.
+// recordLoop writes what the rows lack once these are reachable, until ctx ends: this entry's claims
+// and ends of turns, and claims that other entries left unrecorded.
 func (b *budgets) recordLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, recordInterval)
-		for _, call := range b.unrecorded() {
-			go b.record(call)
-		}
+		b.flushAll()
 		for _, o := range b.orphaned(time.Now()) {
 			go b.recordOrphan(ctx, o)
 		}
 	}
 }
 
-// orphan holds provisional grants of one program that the incarnations that made them have not
-// recorded.
+// flushAll starts a write for each program whose row lacks something and is not known to be
+// unreachable.
+func (b *budgets) flushAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for program, pb := range b.programs {
+		pb.flushes = 0
+		if !pb.ledger.Flush() || pb.pendingWrite != nil || b.keyUnreachable(budgetKey(program)) {
+			continue
+		}
+		w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+		go func() {
+			if <-w.done; w.err != nil {
+				b.commits.metrics.provisionalGrantsUnrecorded.Inc(1)
+			}
+		}()
+	}
+}
+
+// orphan holds claims of one program that the claimants have not recorded.
 type orphan struct {
 	program string
 	total   int
 	granted ledger.Grants
 }
 
-// orphaned returns the provisional grants announced to this entry whose owners have not
-// recorded them within recordForOwnerAfter of the row being reachable. Such an owner may
-// have crashed.
+// orphaned returns the claims announced to this entry that have not been recorded within
+// recordForOwnerAfter of the row being reachable. The claimant may have crashed.
 func (b *budgets) orphaned(now time.Time) []orphan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -52,8 +65,8 @@
 		case now.Sub(k.reachableSince) > recordForOwnerAfter:
 			k.reachableSince = now // the next attempt follows after recordForOwnerAfter
 			o := orphan{program: program, total: k.total, granted: ledger.Grants{}}
-			for holder := range k.provisional {
-				o.granted[holder] = k.granted[holder]
+			for key := range k.provisional {
+				o.granted[key] = k.granted[key]
 			}
 			out = append(out, o)
 		}
@@ -61,8 +74,7 @@
 	return out
 }
 
-// recordOrphan records the grants of o in the row, under the names of the incarnations that
-// made them.
+// recordOrphan records the claims of o in the row.
 func (b *budgets) recordOrphan(ctx context.Context, o orphan) {
 	ctx, cancel := context.WithTimeout(ctx, recordForOwnerAfter)
 	defer cancel()
@@ -73,8 +85,8 @@
 			return // orphaned lists them again after recordForOwnerAfter
 		}
 		// A write that fails or whose outcome is unknown is repeated on the current row. That is
-		// safe, because RecordGrants takes the greater count of each holder.
-		next, changed := row.RecordGrants(o.granted)
+		// safe, because Record leaves claims that the row has.
+		next, changed := row.Record(o.granted)
 		if changed {
 			err = b.commits.apply(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: next.Encode()}})
 		}
@@ -85,12 +97,14 @@
 	}
 }
 
-// markRecorded marks the grants of o as recorded, except those that a newer notice has
-// changed. changed reports whether this entry wrote them to the row; if not, the row had them
-// already.
+// markRecorded marks the claims of o as recorded, except those that a newer notice has changed.
+// changed reports whether this entry wrote them to the row; if not, the row had them already.
 func (b *budgets) markRecorded(o orphan, changed bool) {
 	if changed {
 		b.commits.metrics.orphansRecorded.Inc(1)
+		for key, n := range o.granted {
+			b.log.Info("budget_claim_recorded").Str("program", o.program).Str("key", key).Int("tokens", int64(n)).End()
+		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -98,91 +112,73 @@
 	if k == nil {
 		return
 	}
-	for holder, n := range o.granted {
-		if k.granted[holder] == n {
-			delete(k.provisional, holder)
+	for key, n := range o.granted {
+		if k.granted[key] == n {
+			delete(k.provisional, key)
 		}
 	}
 }
 
-// unrecorded returns the programs of this entry with provisional grants whose rows are not
-// known to be unreachable, each as a call for 0 tokens to start a draw with.
-func (b *budgets) unrecorded() []reserveCall {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var calls []reserveCall
-	for program, pb := range b.programs {
-		if pb.account.Provisional() > 0 && pb.pendingDraw == nil && !b.keyUnreachable(budgetKey(program)) {
-			calls = append(calls, reserveCall{Program: program, Total: pb.account.Total(), ID: pb.lastRequest})
-		}
-	}
-	return calls
-}
-
-// record starts a draw that records this entry's provisional grants, and waits for it.
-func (b *budgets) record(call reserveCall) {
-	b.mu.Lock()
-	pb := b.programs[call.Program]
-	if pb == nil || pb.pendingDraw != nil || pb.account.Provisional() == 0 {
-		b.mu.Unlock()
-		return
-	}
-	draw := b.startDrawLocked(pb, call)
-	b.mu.Unlock()
-	<-draw.done
-	if draw.err != nil {
-		b.commits.metrics.provisionalGrantsUnrecorded.Inc(1)
-	}
-}
-
-// returnUnused returns drawn and unused tokens to their rows when this entry shuts down.
+// returnUnused lowers the blocks of all programs to what was used, and writes what else the rows lack,
+// when this entry shuts down. Rows that can't be reached are tried again until ctx ends.
 func (b *budgets) returnUnused(ctx context.Context) {
 	b.mu.Lock()
-	type unusedTokens struct {
-		holder string
-		tokens int
-	}
-	unused := map[string]unusedTokens{}
+	pending := map[string]*programBudget{}
 	for program, pb := range b.programs {
-		if n := pb.account.ReturnFree(); n > 0 {
-			unused[program] = unusedTokens{pb.holder, n}
+		pb.ledger.Stop()
+		if pb.ledger.Flush() {
+			pending[program] = pb
 		}
 	}
 	b.mu.Unlock()
 	var wait sync.WaitGroup
-	for program, u := range unused {
+	for program, pb := range pending {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			if err := b.returnTokens(ctx, program, u.holder, u.tokens); err != nil {
-				b.commits.metrics.blocksLost.Inc(1)
-			}
+			b.returnUntil(ctx, program, pb)
 		}()
 	}
 	wait.Wait()
 }
 
-// returnTokens returns tokens of an account to the program's row and announces what the account
-// retains.
-func (b *budgets) returnTokens(ctx context.Context, program, holder string, tokens int) error {
-	key := budgetKey(program)
-	for range maxRowAttempts {
-		// The total is used only for a row that does not exist.
-		row, version, err := b.read(ctx, key, 0)
-		if err != nil || version == platformapi.Absent {
-			return err
+// returnUntil records what the row of a program lacks, until that succeeds or ctx ends.
+func (b *budgets) returnUntil(ctx context.Context, program string, pb *programBudget) {
+	for {
+		b.mu.Lock()
+		if !pb.ledger.Flush() {
+			b.mu.Unlock()
+			return
 		}
-		next := row.Return(holder, tokens)
-		err = b.commits.apply(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: next.Encode()}})
-		if err == nil {
-			b.owners.announce(ctx, grantNotice{Program: program, Holder: holder, Granted: next.Drawn[holder], Returned: true})
-			return nil
+		w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+		b.mu.Unlock()
+		select {
+		case <-w.done:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			b.commits.metrics.blocksLost.Inc(1)
+			b.log.Info("budget_not_returned").Str("program", program).Str("holder", pb.ledger.Holder()).Err(ctx.Err()).End()
+			return
 		}
-		// A write with an unknown outcome is not repeated: tokens returned twice could be
-		// spent twice.
-		if !errors.Is(err, platformapi.ErrConditionFailed) {
-			return err
+		if w.err != nil {
+			sleep(ctx, returnRetryWait)
 		}
 	}
-	return errors.Mark(errors.Newf("budget row %q: %d compare-and-swaps failed", key, maxRowAttempts), platformapi.ErrUnavailable)
+}
+
+// settleInRow records the end of a reservation that its owner can't be told: nothing else would
+// show that the turn did not use all of its tokens.
+func (b *budgets) settleInRow(ctx context.Context, call reserveCall, used int) {
+	change := ledger.EndOf(call.ID, used)
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, drawTimeout)
+		_, _, err := b.changeRow(attempt, call, &change, true)
+		cancel()
+		b.log.Info("budget_settled_in_row").Str("request", call.ID).Str("program", call.Program).Int("used", int64(used)).Err(err).End()
+		if err == nil {
+			return
+		}
+		sleep(ctx, recordInterval)
+	}
 }
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -28,27 +28,34 @@
 	maxRowAttempts = 6
 	// drawTimeout bounds a reservation, and each draw from a row in the background.
 	drawTimeout = 900 * time.Millisecond
-	// provisionalAfter is how long an owner waits for the row before it grants tokens
-	// provisionally: about 10 times the table's usual latency.
-	provisionalAfter = 60 * time.Millisecond
+	// claimAfter is how long an owner waits for the row before it claims tokens that the row does
+	// not show: about 10 times the table's usual latency.
+	claimAfter = 60 * time.Millisecond
 	// budgetIdle is the time after a program's last request for a turn at which its budget
-	// is dropped from memory. Consecutive turns of a program are only seconds apart. Known grants
-	// are dropped as long after the last notice of the program. It is also the retention of the
-	// budget's row, counted from the first draw.
+	// is dropped from memory. Consecutive turns of a program are only seconds apart. It is also the
+	// retention of the budget's row, counted from the first write, and how long an entry must have
+	// run until it knows all claims that may still matter.
 	budgetIdle = 2 * time.Minute
+	// knownIdle is how long after the last notice of a program the claims announced for it are dropped.
+	knownIdle = 10 * time.Minute
 	// settleAttempts is the number of times that the end of a reservation is sent to the
 	// owner at most; settleTimeout bounds each of them.
 	settleAttempts = 3
 	settleTimeout  = 150 * time.Millisecond
-	// provisionalTimeout bounds a provisional grant: both calls to other entries and
-	// ledger.BurstDelay. It also bounds the call for other entries' grants before a draw.
-	provisionalTimeout = 200 * time.Millisecond
-	// recordForOwnerAfter is how long an owner has to record its provisional grants once the
-	// row is reachable, before the entries that were notified of them do it. In that time
-	// the owner makes several attempts. It also bounds each attempt of the other entries.
+	// claimRoundTimeout bounds a claim, and the questions to the witnesses before a change of a row.
+	claimRoundTimeout = 200 * time.Millisecond
+	// claimRetryDelay is how long a program claims nothing after a claim that too few witnesses acknowledged.
+	claimRetryDelay = 300 * time.Millisecond
+	// recordForOwnerAfter is how long an owner has to record its claims once the row is reachable,
+	// before the witnesses do it. In that time the owner makes several attempts. It also bounds each
+	// attempt of a witness.
 	recordForOwnerAfter = 2 * time.Second
-	// recordInterval is the time between two checks for unrecorded provisional grants.
+	// recordInterval is the time between two checks for what rows lack.
 	recordInterval = 250 * time.Millisecond
+	// maxFlushes bounds the writes of one row within recordInterval that only record ends of turns.
+	maxFlushes = 4
+	// returnRetryWait is the wait between two attempts to return tokens at shutdown.
+	returnRetryWait = 100 * time.Millisecond
 )
 
 // budgetOwners finds the entry that owns a program's budget, and calls other entries.
@@ -59,14 +66,12 @@
 	// reserveAt reserves tokens at the peer p; settleAt ends a reservation there.
 	reserveAt(ctx context.Context, p *mesh.Peer, r reserveCall) (reserveAnswer, error)
 	settleAt(ctx context.Context, p *mesh.Peer, s settleCall) error
-	// collectGrants returns the grants of the program that this entry and its peers know, and
-	// how complete they are.
-	collectGrants(ctx context.Context, program string) (granted ledger.Grants, view grantView)
-	// inMinority reports whether most entries may be behind a partition.
-	inMinority() bool
-	// announce sends a notice to the entries that rank first for its program. It reports
-	// whether at least one of them has received the notice.
-	announce(ctx context.Context, n grantNotice) bool
+	// askWitnesses sends the notice, unless it is nil, to the witnesses of the program, and then asks them
+	// for the unrecorded claims that they know. quorate reports whether a majority of them, which knows
+	// all claims that they acknowledged, has answered.
+	askWitnesses(ctx context.Context, program string, notice *grantNotice) (known ledger.Grants, quorate bool)
+	// announce sends a notice to the witnesses of its program.
+	announce(ctx context.Context, n grantNotice)
 }
 
 // reserveCall asks the owner to reserve the tokens of a turn.
@@ -99,7 +104,7 @@
 }
 
 // reserveOutcome is the result of a reserveCall. Only tryGrant and tryGrantLocked return 0: the
-// tokens granted so far do not suffice and more must be obtained first.
+// tokens here do not suffice and more must be obtained first.
 type reserveOutcome uint8
 
 const (
@@ -164,30 +169,29 @@
 	programs map[string]*programBudget
 	// accounts counts the accounts so far.
 	accounts int
-	// known holds the grants that other entries announced for programs that this entry may
-	// own next.
+	// known holds the claims that other entries announced for programs of which this entry is a
+	// witness.
 	known map[string]*knownGrants
+	// usageOf reads from the stored turn with the id how many tokens its caller received; stored is
+	// false when there is no such turn.
+	usageOf func(ctx context.Context, id string) (used int, stored bool, err error)
 }
 
 // programBudget is the state of one program's budget at this entry.
 type programBudget struct {
-	account *ledger.Account
-	// holder is the name of the account in the budget's row. Another account of the same program
-	// has another name: it must not take for its own what this one drew and spent.
-	holder string
-	// open maps the id of each open reservation to its tokens. settled contains the ids of
-	// settled reservations. A reservation may be settled before it is granted, because the
-	// entry that requested it may have given up.
-	open    map[string]int
-	settled map[string]bool
+	// ledger holds what this entry has granted. The name of its block in the row differs from those of
+	// earlier states of the same program: it must not take for its own what they drew and spent.
+	ledger *ledger.Program
 	// obtaining is closed when the turn that is now obtaining tokens for the program is done;
 	// nil when no turn is.
 	obtaining chan struct{}
-	// pendingDraw is the draw from the row in flight; nil when there is none. It may outlast
-	// the turn that started it.
-	pendingDraw *rowDraw
-	lastUsed    time.Time
-	runaway     ledger.RunawayDetector
+	// pendingWrite is the change of the row in flight; nil when there is none. It may outlast the
+	// turn that started it. flushes counts those since the last check that only recorded ends of turns.
+	pendingWrite *rowWrite
+	flushes      int
+	// noQuorumAt is when a claim last failed for lack of witnesses.
+	noQuorumAt time.Time
+	lastUsed   time.Time
 	// requests counts the reservations requested. lastRequest is the id of the newest one, so
 	// that its immediate repetition is not counted again.
 	lastRequest string
@@ -243,7 +247,7 @@
 	case errors.Is(err, mesh.ErrUnreachable):
 		// The owner may still grant this reservation later, and no turn would use it. The
 		// settleCall frees its tokens, or prevents the grant if it arrives first.
-		go b.sendSettle(context.WithoutCancel(ctx), owner, settleCall{Program: call.Program, ID: call.ID})
+		go b.sendSettle(context.WithoutCancel(ctx), owner, call, settleCall{Program: call.Program, ID: call.ID})
 		// Any entry may draw from the row. Only the owner grants provisionally, and only the
 		// owner can determine that the budget is spent.
 		owner = nil // from here on this entry counts as the one that grants the reservation
@@ -276,12 +280,13 @@
 		r.b.settleLocal(s)
 		return
 	}
-	go r.b.sendSettle(context.Background(), r.owner, s)
+	go r.b.sendSettle(context.Background(), r.owner, r.call, s)
 }
 
 // sendSettle sends the end of a reservation to the owner. Until the owner receives it, all
-// reserved tokens of the turn count as used.
-func (b *budgets) sendSettle(ctx context.Context, owner *mesh.Peer, s settleCall) {
+// reserved tokens of the turn count as used. If the owner can't be told, the end of a turn that was
+// not stored is recorded in the row.
+func (b *budgets) sendSettle(ctx context.Context, owner *mesh.Peer, call reserveCall, s settleCall) {
 	for range settleAttempts {
 		attemptCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 		err := b.owners.settleAt(attemptCtx, owner, s)
@@ -291,6 +296,11 @@
 		}
 	}
 	b.commits.metrics.settlementsLost.Inc(1)
+	if !s.Stored {
+		ctx, cancel := context.WithTimeout(ctx, budgetIdle)
+		defer cancel()
+		b.settleInRow(ctx, call, s.Used)
+	}
 }
 
 // settleLocal ends a reservation that this entry granted. It is idempotent, because the same
@@ -302,17 +312,20 @@
 	if pb == nil {
 		return
 	}
-	pb.settled[s.ID] = true
-	if maxTokens, ok := pb.open[s.ID]; ok {
-		delete(pb.open, s.ID)
-		pb.account.Settle(maxTokens, s.Used)
-		if s.Upstream != "" {
-			pb.upstreamOf[s.Conversation], pb.lastUpstream = s.Upstream, s.Upstream
-		}
-		if s.Stored {
-			pb.storedBy[s.ID] = s.StoredBy
-		}
+	wasOpen, claim := pb.ledger.Settle(s.ID, s.Used, s.Stored)
+	if claim != "" {
+		go b.owners.announce(context.Background(), grantNotice{Program: s.Program, Holder: claim, Granted: s.Used, Total: pb.ledger.Total(), Returned: true, Provisional: s.Used > 0})
+	}
+	if !wasOpen {
+		return
+	}
+	if s.Upstream != "" {
+		pb.upstreamOf[s.Conversation], pb.lastUpstream = s.Upstream, s.Upstream
 	}
+	if s.Stored {
+		pb.storedBy[s.ID] = s.StoredBy
+	}
+	b.flushLocked(s.Program, pb)
 }
 
 // storedBy returns the incarnation of the entry that has a stored turn in memory; empty
@@ -331,7 +344,7 @@
 func (b *budgets) tryGrant(call reserveCall) reserveAnswer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tryGrantLocked(b.programLocked(call), call)
+	return b.tryGrantLocked(b.programLocked(call), call, true)
 }
 
 // programLocked returns the budget of the call's program, which it creates if needed. It also
@@ -341,7 +354,7 @@
 	if pb == nil {
 		b.accounts++
 		pb = &programBudget{
-			account: ledger.NewAccount(call.Total), holder: b.holder + "/" + strconv.Itoa(b.accounts), open: map[string]int{}, settled: map[string]bool{},
+			ledger:     ledger.NewProgram(call.Total, b.holder+"/"+strconv.Itoa(b.accounts)),
 			upstreamOf: map[string]string{}, storedBy: map[string]string{}, firstRequestAt: time.Now(),
 		}
 		b.programs[call.Program] = pb
@@ -350,16 +363,18 @@
 	if call.ID != pb.lastRequest {
 		pb.lastRequest = call.ID
 		pb.requests++
-		pb.runaway.Observe(pb.lastUsed)
+	}
+	if call.Durable {
+		pb.ledger.MarkKept()
 	}
 	return pb
 }
 
 // stage returns the stage of the program, not counting the turn with the id.
 func (pb *programBudget) stage(id string) programStage {
-	_, granted := pb.open[id]
+	open, granted := pb.ledger.OpenTurns(), pb.ledger.IsOpen(id)
 	switch {
-	case pb.lastUpstream != "" || len(pb.open) > 1 || len(pb.open) == 1 && !granted:
+	case pb.lastUpstream != "" || open > 1 || open == 1 && !granted:
 		return programStarted
 	case pb.requests > 1:
 		return programRetried
@@ -369,28 +384,26 @@
 }
 
 // tryGrantLocked does the work of tryGrant for the program of pb.
-func (b *budgets) tryGrantLocked(pb *programBudget, call reserveCall) reserveAnswer {
+func (b *budgets) tryGrantLocked(pb *programBudget, call reserveCall, isOwner bool) reserveAnswer {
 	answer := reserveAnswer{lastUpstream: pb.upstreamOf[call.Conversation], stage: pb.stage(call.ID), waited: time.Since(pb.firstRequestAt)}
 	if answer.lastUpstream == "" {
 		answer.lastUpstream = pb.lastUpstream
 	}
-	_, granted := pb.open[call.ID]
-	switch {
-	case granted:
+	switch pb.ledger.Reserve(call.ID, call.MaxTokens, !isOwner) {
+	case ledger.OutcomeGranted:
 		answer.outcome = reserveGranted
-	case pb.settled[call.ID]:
+	case ledger.OutcomeSettled:
 		answer.outcome = reserveUnknown
-	case pb.account.Reserve(call.MaxTokens):
-		pb.open[call.ID] = call.MaxTokens
-		answer.outcome = reserveGranted
-	case pb.account.Exhausted():
+	case ledger.OutcomeSpent:
 		answer.outcome = reserveSpent
+	case ledger.OutcomeObtain:
 	}
 	return answer
 }
 
-// grant reserves the tokens of a turn at this entry and draws from the program's row as
-// needed. Only the owner of the program's budget grants tokens provisionally.
+// grant reserves the tokens of a turn at this entry and changes the program's row as needed. Only
+// the owner of the program's budget draws blocks and claims tokens. If the reservation is not granted,
+// it counts as settled.
 func (b *budgets) grant(ctx context.Context, call reserveCall, isOwner bool) (reserveAnswer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -398,16 +411,27 @@
 	// Obtain tokens, or wait for the turn that obtains them, until the reservation is granted or
 	// refused.
 	for {
-		if answer := b.tryGrantLocked(pb, call); answer.outcome != 0 {
+		answer := b.tryGrantLocked(pb, call, isOwner)
+		if answer.outcome != 0 {
 			return answer, nil
 		}
+		var err error
 		if pb.obtaining == nil {
-			if err := b.obtainLocked(ctx, pb, call, isOwner); err != nil {
-				return reserveAnswer{outcome: reserveUnknown}, err
-			}
-			continue
+			err = b.obtainLocked(ctx, pb, call, isOwner)
+		} else {
+			err = b.awaitObtainingLocked(ctx, pb)
+		}
+		if err == nil && ctx.Err() != nil {
+			err = errors.Mark(ctx.Err(), platformapi.ErrUnavailable)
 		}
-		if err := b.awaitObtainingLocked(ctx, pb); err != nil {
+		switch {
+		case errors.Is(err, errBudgetSpent):
+			answer.outcome = reserveSpent
+			return answer, nil
+		case err != nil:
+			// A write in flight may still reserve the tokens, and no turn would use them.
+			pb.ledger.Settle(call.ID, 0, false)
+			b.flushLocked(call.Program, pb)
 			return reserveAnswer{outcome: reserveUnknown}, err
 		}
 	}
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -339,8 +339,9 @@
 		program = fmt.Sprintf("p%d", n)
 	}
 	// The notice stands for that of an owner that crashed before it recorded the grant.
-	if !e.budgetPeers.announce(t.Context(), grantNotice{Program: program, Holder: "crashed/1", Granted: 150, Total: 500, Provisional: true}) {
-		t.Fatal("no entry received the notice")
+	notice := grantNotice{Program: program, Holder: "crashed/1", Granted: 150, Total: 500, Provisional: true}
+	if _, quorate := e.budgetPeers.askWitnesses(t.Context(), program, &notice); !quorate {
+		t.Fatal("the other entry has not acknowledged the notice")
 	}
 	eventually(t, "the other entry records the grant", func() bool {
 		row, err := p.standin.Table.Get(t.Context(), budgetKey(program))
@@ -370,28 +371,31 @@
 	}
 }
 
-// TestProvisionalGrantsStayKnown: neither a delayed notice of a crashed owner nor notices of
-// other entries replace what the owner was granted provisionally, and a draw leaves those
-// tokens in the row.
-func TestProvisionalGrantsStayKnown(t *testing.T) {
+// TestClaimsStayKnown: neither a delayed notice of a crashed owner nor notices of other entries
+// replace what the owner claimed, and a change of the row leaves those tokens in it. A notice that arrives
+// after the claim has ended must not raise it again.
+func TestClaimsStayKnown(t *testing.T) {
 	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerNotRun)
 	b := e.budgets
-	b.applyNotice(grantNotice{Program: "p", Holder: "crashed", Granted: 1144, Total: 1716, Provisional: true})
-	b.applyNotice(grantNotice{Program: "p", Holder: "crashed", Granted: 500, Total: 1716})
-	b.applyNotice(grantNotice{Program: "p", Holder: "other", Granted: 572, Total: 1716})
-	if got := decodeGrants(encodeGrants(b.grantsFor("p"))); got["crashed"] != 1144 || got["other"] != 572 {
-		t.Fatalf("known grants %v, want crashed 1144 and other 572", got)
+	b.applyNotice(grantNotice{Program: "p", Holder: "ahead:crashed", Granted: 1144, Total: 1716, Provisional: true})
+	b.applyNotice(grantNotice{Program: "p", Holder: "ahead:crashed", Granted: 500, Total: 1716})
+	b.applyNotice(grantNotice{Program: "p", Holder: "ahead:other", Granted: 572, Total: 1716, Provisional: true})
+	b.applyNotice(grantNotice{Program: "p", Holder: "ahead:ended", Returned: true})
+	b.applyNotice(grantNotice{Program: "p", Holder: "ahead:ended", Granted: 572, Total: 1716, Provisional: true})
+	got := decodeGrants(encodeGrants(b.grantsFor("p")))
+	if got["ahead:crashed"] != 1144 || got["ahead:other"] != 572 || got["ahead:ended"] != 0 {
+		t.Fatalf("known claims %v, want 1144 of the crashed entry, 572 of the other and none that has ended", got)
 	}
 	b.mu.Lock()
-	provisional := b.known["p"].provisional["crashed"]
+	provisional := b.known["p"].provisional["ahead:crashed"]
 	b.mu.Unlock()
 	if !provisional {
-		t.Fatal("the crashed owner's grants count as recorded")
+		t.Fatal("the crashed owner's claim counts as recorded")
 	}
-	a := ledger.NewAccount(1716)
-	a.SetOthers(b.grantsFor("p"), b.holder)
-	if block, err := b.drawFromRow(t.Context(), b.holder, "p", 1716, a.NextDraw(572)); err != nil || block != 0 {
-		t.Fatalf("drew %d though all 1716 tokens are granted, error %v", block, err)
+	change := ledger.NewProgram(1716, "h/1/1").Change("t", 572, false, b.grantsFor("p"))
+	res, _, err := b.changeRow(t.Context(), reserveCall{Program: "p", Total: 1716, MaxTokens: 572}, &change, false)
+	if err != nil || !res.Short || res.Drawn != 0 {
+		t.Fatalf("drew %d though all 1716 tokens are claimed, error %v", res.Drawn, err)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
 	g.quota = newQuota(g)
-	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
+	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g, handedOver: map[string]time.Time{}}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
 	g.table = tablerelay.NewClient(env.Table, g, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
 	g.expiry = &expiry{commits: g.commits}
@@ -146,6 +146,7 @@
 	g.quarantine = newQuarantineStore(g)
 	g.limits = newUpstreamLimits(g)
 	g.turns = newTurnStore(g.table, g.commits, g.chains, g.expiry, cfg)
+	g.budgets.usageOf = g.turns.usage
 	g.joinMesh()
 	return g
 }
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,13 +29,11 @@
 	// recentOwnerWindow is how long after the last digest of an entry its grants still matter: a
 	// program that has stopped may resume within this time.
 	recentOwnerWindow = time.Minute
-	// grantReplicas is the number of entries, besides the owner, to which each grant is announced.
-	grantReplicas = 2
 	// synchroniseInterval is the wait of an entry that has started before each attempt to fetch the
-	// grants that its peers know: a few digest intervals.
+	// claims that its peers know: a few digest intervals.
 	synchroniseInterval = 400 * time.Millisecond
-	// grantsTimeout is the timeout of a /grants request to one peer.
-	grantsTimeout = 500 * time.Millisecond
+	// claimsTimeout is the timeout of a /claims or /claims/handover request to one peer.
+	claimsTimeout = 500 * time.Millisecond
 )
 
 // stageShift is the number of bits by which the program's stage is shifted in the value of an
@@ -62,11 +61,13 @@
 // budgetPeers asks other entries about budgets and answers them. It implements budgetOwners.
 type budgetPeers struct {
 	g *Gateway
-	// synchronised reports whether this entry knows the grants that it has to know: it has received
-	// those that its peers knew when it started, or all entries started for the first time. A grant is
-	// the number of tokens of a program's budget that an incarnation of an entry may hand out to
-	// turns.
+	// synchronised reports whether this entry knows every claim that its node has acknowledged: it has
+	// received those that its peers knew when it started, or all entries started for the first time.
 	synchronised atomic.Bool
+
+	// mu guards handedOver, which maps nodes to when their claims were handed over to this entry.
+	mu         sync.Mutex
+	handedOver map[string]time.Time
 }
 
 var _ budgetOwners = (*budgetPeers)(nil)
@@ -75,6 +76,7 @@
 func (o *budgetPeers) join() {
 	m := o.g.mesh
 	m.AddFlag(mesh.FlagSynchronised, o.synchronised.Load)
+	o.joinClaims()
 	m.HandleQuestion(callReserve, func(q mesh.Question) {
 		call := reserveCall{
 			Program: q.Text(), ID: q.Text(), Total: int(q.Uvarint()), MaxTokens: int(q.Uvarint()),
@@ -102,7 +104,13 @@
 	})
 	m.HandleQuestion(callGrantsFor, func(q mesh.Question) {
 		if program := q.Text(); !q.Malformed() {
-			q.Reply(mesh.Answer{Text: encodeGrants(o.g.budgets.grantsFor(program))})
+			// Value tells whether the claims below are all that this node has acknowledged. It is read first: a
+			// claim acknowledged later is not handed over at the shutdown of this entry.
+			value := witnessIncomplete
+			if o.isWitness() {
+				value = witnessComplete
+			}
+			q.Reply(mesh.Answer{Value: value, Text: encodeGrants(o.g.budgets.grantsFor(program))})
 		}
 	})
 	m.HandleQuestion(callTurnStoredBy, func(q mesh.Question) {
@@ -212,30 +220,6 @@
 	return err
 }
 
-// announce implements budgetOwners. It sends the notice to the responsive peers that rank
-// first for the program, and waits until one has answered or all calls have failed. Of the
-// grantReplicas+1 entries that rank first, this entry itself is left out.
-func (o *budgetPeers) announce(ctx context.Context, n grantNotice) bool {
-	received := make(chan bool, grantReplicas)
-	sent := 0
-	for _, p := range o.g.mesh.Ranked(n.Program, grantReplicas+1) {
-		if p == nil {
-			continue
-		}
-		sent++
-		go func() {
-			_, err := o.g.mesh.Ask(ctx, p, peerCallTimeout, callGrantNotice, n.appendTo(make([]byte, 0, 48)))
-			received <- err == nil
-		}()
-	}
-	for range sent {
-		if <-received {
-			return true
-		}
-	}
-	return false
-}
-
 // appendTo appends the encoded notice to b.
 func (n grantNotice) appendTo(b []byte) []byte {
 	flags := uint64(0)
@@ -257,65 +241,6 @@
 	return n
 }
 
-// collectGrants implements budgetOwners. Each entry that ranks first for the program and sent
-// a digest or was listed within recentOwnerWindow may have received notices of its grants; the
-// synchronised ones are asked.
-// The view is exclusive only when each of these entries is synchronised and responsive, or
-// is leaving: then no other entry can consider itself the owner.
-func (o *budgetPeers) collectGrants(ctx context.Context, program string) (ledger.Grants, grantView) {
-	now := time.Now()
-	recent := func(p *mesh.Peer) bool {
-		return now.Sub(p.LastDigest) < recentOwnerWindow || now.Sub(p.ListedAt) < recentOwnerWindow
-	}
-	granted := o.g.budgets.grantsFor(program)
-	var ask []*mesh.Peer
-	view, allKnown := viewIncomplete, true
-	for _, p := range o.g.mesh.RankedAmong(program, grantReplicas+1, recent) {
-		switch {
-		case p == nil && o.synchronised.Load():
-			view = viewComplete
-		case p != nil && p.Has(mesh.FlagSynchronised) && o.g.mesh.Responsive(p, now):
-			ask = append(ask, p)
-		case p != nil && p.Has(mesh.FlagLeaving): // grants nothing once it is unresponsive
-		default:
-			allKnown = false
-		}
-	}
-	// A notice may have reached only one of them, so each must answer.
-	answers := make(chan ledger.Grants, len(ask))
-	for _, p := range ask {
-		go func() {
-			v, err := o.g.mesh.Ask(ctx, p, peerCallTimeout, callGrantsFor, mesh.AppendText(nil, program))
-			if err != nil {
-				answers <- nil
-				return
-			}
-			answers <- decodeGrants(v.Text)
-		}()
-	}
-	allAnswered := true
-	for range ask {
-		theirs := <-answers
-		allAnswered = allAnswered && theirs != nil
-		granted.Merge(theirs)
-	}
-	switch {
-	case !allAnswered:
-		return granted, viewIncomplete
-	case len(ask) > 0:
-		view = viewComplete
-	}
-	if view == viewComplete && allKnown {
-		view = viewExclusive
-	}
-	return granted, view
-}
-
-// inMinority implements budgetOwners: of the entries that sent a digest within recentOwnerWindow and are
-// not leaving, this one included, only half or fewer are responsive. When the table is unreachable
-// for all of them, the others may be behind a partition and reach it.
-func (o *budgetPeers) inMinority() bool { return o.g.mesh.InMinority(recentOwnerWindow) }
-
 // encodeGrants encodes grants as a string, the form in which mesh.Answer carries them.
 func encodeGrants(g ledger.Grants) string {
 	var b []byte
@@ -338,39 +263,3 @@
 	}
 	return g
 }
-
-// synchronise makes this entry a synchronised one, which knows all grants that it should
-// have been notified of. It collects the known grants of the synchronised entries until all
-// of them have answered. With FirstStart set there are no earlier grants to collect.
-func (o *budgetPeers) synchronise(ctx context.Context) {
-	if o.g.cfg.FirstStart {
-		o.synchronised.Store(true)
-		return
-	}
-	for ctx.Err() == nil && !o.synchronised.Load() {
-		sleep(ctx, synchroniseInterval)
-		o.synchronised.Store(o.collectAllGrants(ctx))
-	}
-}
-
-// collectAllGrants asks all synchronised entries for the grants that they know. It
-// reports whether there is at least one such entry and all have answered.
-func (o *budgetPeers) collectAllGrants(ctx context.Context) bool {
-	now := time.Now()
-	from := o.g.mesh.Peers(func(p *mesh.Peer) bool {
-		return p.Has(mesh.FlagSynchronised) && o.g.mesh.Responsive(p, now)
-	})
-	for _, p := range from {
-		var known []grantNotice
-		ctx, cancel := context.WithTimeout(ctx, grantsTimeout)
-		err := o.g.mesh.Post(ctx, p.HTTPAddress, "/grants", struct{}{}, &known)
-		cancel()
-		if err != nil {
-			return false
-		}
-		for _, n := range known {
-			o.g.budgets.applyNotice(n)
-		}
-	}
-	return len(from) > 0
-}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -14,6 +14,8 @@
 	// shutdownMargin is the part of the grace period that is left for the last steps and log
 	// lines, before the process is killed.
 	shutdownMargin = 700 * time.Millisecond
+	// returnTimeout bounds the return of unused tokens to budgets whose rows can't be reached.
+	returnTimeout = 2 * time.Second
 	// cleanUpInterval is the time between two removals of idle budgets.
 	cleanUpInterval = 20 * time.Second
 )
@@ -25,6 +27,8 @@
 	started := time.Now()
 	g.draining.Store(true)
 	g.env.Events.Emit(eventlog.GatewayStopping, eventlog.Fields{Step: "stop", Count: g.inFlight.Load()})
+	// No more claims are acknowledged, so that the handover has all of them.
+	g.budgetPeers.handOver(context.Background())
 	end := started.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
 	time.Sleep(min(g.drainDelay, time.Until(end)))
 	// Shutdown also closes idle connections: a call that arrived on one later could not be
@@ -35,7 +39,9 @@
 		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Err(err).End()
 	}
 	_ = s.callers.Close()
-	g.budgets.returnUnused(ctx)
+	returning, cancelReturning := context.WithTimeout(ctx, returnTimeout)
+	defer cancelReturning()
+	g.budgets.returnUnused(returning)
 	_ = s.ready.Close()
 	_ = s.mesh.Close()
 	_ = g.mesh.Close()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,6 +54,8 @@
 	tokens int
 	// lastEventAt is when the last event was sent to the caller.
 	lastEventAt time.Time
+	// reserved is set when the turn has tokens of a budget.
+	reserved bool
 	// stored is set when the turn is stored in the table.
 	stored bool
 }
@@ -73,6 +75,7 @@
 	if !ok {
 		return
 	}
+	s.reserved = reserved != nil
 	// reserved is nil for a call without a budget; settle then does nothing.
 	defer func() { reserved.settle(s.tokens, s.servedBy(), s.stored) }()
 	j.info = g.callInfo(j)
@@ -108,8 +111,7 @@
 	defer cancel()
 	previous := j.org.ScopedID(j.call.Previous)
 	if s.g.turns.cached(previous) == nil {
-		// The owner of the budget knows the turns of a program by the ids that the caller gave them.
-		j.previousStoredBy = s.g.budgetPeers.turnStoredBy(ctx, j.org.ScopedID(j.call.Program), j.call.Previous)
+		j.previousStoredBy = s.g.budgetPeers.turnStoredBy(ctx, j.org.ScopedID(j.call.Program), previous)
 	}
 	last, history, reads, err := s.g.turns.readChain(ctx, previous, j.previousStoredBy)
 	j.turnReads = reads
@@ -136,7 +138,7 @@
 		return nil, true
 	}
 	r, err := s.g.budgets.reserve(ctx, reserveCall{
-		Program: j.org.ScopedID(j.call.Program), ID: j.call.ID, Total: j.call.TokenBudget, MaxTokens: j.call.MaxTokens, Conversation: j.call.Conversation, Durable: j.route.Retained,
+		Program: j.org.ScopedID(j.call.Program), ID: j.org.ScopedID(j.call.ID), Total: j.call.TokenBudget, MaxTokens: j.call.MaxTokens, Conversation: j.call.Conversation, Durable: j.route.Retained,
 	})
 	switch {
 	case err == nil:
@@ -376,9 +378,13 @@
 func (s *stream) storeTurn(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, storeDeadline(s.j, s.lastEventAt))
 	defer cancel()
+	used := -1
+	if s.reserved {
+		used = s.tokens
+	}
 	err := s.g.turns.store(ctx, &turnlog.Turn{
 		ID: s.j.org.ScopedID(s.j.call.ID), Ancestors: turnlog.NextAncestors(s.previous), Input: s.input, Output: s.output,
-	}, s.j.route.Retention)
+	}, used, s.j.route.Retention)
 	if err != nil && errors.Is(err, platformapi.ErrNotApplied) {
 		return errors.Wrap(err, "turn was not written to the table")
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -84,6 +84,12 @@
 	return key
 }
 
+// usageKey returns the key of the row that tells how many tokens the caller of a stored turn
+// received. It is in the partition of the turn's location.
+func usageKey(id string, location int) string {
+	return "usage/" + partitionOf(strconv.Itoa(location)+id) + "/" + id
+}
+
 // cached returns the turn from memory, or nil.
 func (t *turnStore) cached(id string) *turnlog.Turn {
 	t.mu.Lock()
@@ -245,16 +251,36 @@
 	return turnlog.Decode(id, value)
 }
 
-// store writes a turn to the table. It returns nil only when the turn is stored durably, so
+// usage returns how many tokens the caller of the stored turn with the id received. stored is
+// false when the table has no such turn at any of its locations.
+func (t *turnStore) usage(ctx context.Context, id string) (used int, stored bool, err error) {
+	for location := range turnLocations {
+		row, err := t.table.Get(ctx, usageKey(id, location))
+		if errors.Is(err, platformapi.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return 0, false, errors.Wrapf(err, "usage of turn %q at location %d", id, location)
+		}
+		if used, err = strconv.Atoi(string(row.Value)); err != nil || used < 0 {
+			return 0, false, errors.Wrapf(turnlog.ErrBadTurn, "usage of turn %q: %q", id, row.Value)
+		}
+		return used, true, nil
+	}
+	return 0, false, nil
+}
+
+// store writes a turn to the table, with the number of tokens that its caller received if that counts
+// towards a budget; else used is negative. It returns nil only when the turn is stored durably, so
 // that any entry can read it from now on. It retries until ctx ends. The error is then marked as
 // platformapi.ErrUnavailable, and the turn may have been stored all the same.
-func (t *turnStore) store(ctx context.Context, turn *turnlog.Turn, retention time.Duration) error {
+func (t *turnStore) store(ctx context.Context, turn *turnlog.Turn, used int, retention time.Duration) error {
 	value := turn.Encode()
 	err := error(nil)
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		t.awaitTable(ctx)
 		location := attempt % turnLocations
-		if err = t.storeAt(ctx, turn.ID, value, location, retention); err == nil {
+		if err = t.storeAt(ctx, turn.ID, value, used, location, retention); err == nil {
 			t.addToCache(turn)
 			return nil
 		}
@@ -267,7 +293,7 @@
 
 // storeAt writes a turn to one location, within locationTimeout. A location known to be
 // unreachable is skipped, except the last.
-func (t *turnStore) storeAt(ctx context.Context, id string, value []byte, location int, retention time.Duration) error {
+func (t *turnStore) storeAt(ctx context.Context, id string, value []byte, used, location int, retention time.Duration) error {
 	if t.unreachable(turnKey(id, location, 0)) && location < turnLocations-1 {
 		return platformapi.ErrUnavailable
 	}
@@ -282,6 +308,9 @@
 		}
 		writes = append(writes, platformapi.Write{Key: turnKey(id, location, chunk), Value: piece})
 	}
+	if used >= 0 {
+		writes = append(writes, platformapi.Write{Key: usageKey(id, location), Value: strconv.AppendInt(nil, int64(used), 10)})
+	}
 	if err := t.commits.apply(ctx, nil, writes); err != nil {
 		return err
 	}
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -1,16 +1,13 @@
 // Package ledger accounts for the token budgets of programs whose turns are served by
-// several entries.
+// several entries. docs/design/budget.md describes the protocol.
 //
-// The budget row of a program in the platform's table records how many tokens each holder,
-// which is one incarnation of an entry, has drawn. An entry draws a block of tokens by
-// compare-and-swap and then reserves and settles turns against that block in memory, so that
-// most turns need no write to the table. A block whose entry crashes stays drawn: a budget may
-// run out too early, but drawn tokens are never spent twice.
+// The budget row of a program in the platform's table shows how many tokens are used, reserved for
+// turns in progress, or drawn as a block by one incarnation of an entry. Program holds what one
+// entry knows of a program and plans changes of the row; Row.Apply carries them out, and may be
+// repeated when the answer to a write was lost.
 //
-// The owner of a program's budget is an entry chosen by rendezvous hashing. While the table is
-// unreachable or slow, it may grant tokens provisionally, that is before the row records them,
-// and record them later. If all entries that know of a provisional grant fail before that, its
-// tokens can be granted again.
+// While the row can't be reached, the owner of the budget may claim up to the tokens of one turn for a
+// program in all. A majority of its witnesses knows each claim until the row shows it.
 //
 // The package starts no goroutine and uses neither sockets nor clocks.
 package ledger
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"slices"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 )
@@ -24,7 +23,7 @@
 	if _, block = row.Draw("a", DrawRequest{Need: 101}); block != 0 {
 		t.Fatalf("a draw that needs 101 took %d of a row that holds 100", block)
 	}
-	if returned := row.Return("a", 200); returned.Remaining() != 300 {
+	if returned := row.Lower("a", 300); returned.Remaining() != 300 {
 		t.Fatalf("%d tokens remain after 200 were returned, want 300", returned.Remaining())
 	}
 	decoded, err := DecodeRow(row.Encode())
@@ -38,72 +37,92 @@
 	}
 }
 
-// grantProvisionally grants a turn provisionally when the account allows it.
-func grantProvisionally(a *Account, maxTokens int) bool {
-	need, ok := a.ProvisionalGrant(maxTokens, GrantConditions{})
-	if ok {
-		a.GrantProvisionally(need)
+// claim claims the tokens of a turn at an entry whose witnesses know nothing else.
+func claim(p *Program, id string, tokens int, known Grants) bool {
+	if _, ok := p.Claim(id, tokens, known); !ok {
+		return false
 	}
-	return ok
+	if !p.Confirm(id, tokens, known) {
+		p.Withdraw(id)
+		return false
+	}
+	return true
+}
+
+// change applies a change for a turn to the row as an entry does, and returns the row and whether
+// the turn is reserved.
+func change(p *Program, row Row, id string, tokens int, known Grants) (Row, bool) {
+	c := p.Change(id, tokens, false, known)
+	res := row.Apply(c)
+	p.Applied(c, res)
+	return res.Row, p.Reserve(id, tokens, false) == OutcomeGranted
 }
 
-// TestProvisionalGrantLimits: provisional grants of an owner that may not be the only one
-// stay within half of the budget, and together with drawn tokens within all of it.
-func TestProvisionalGrantLimits(t *testing.T) {
-	a := NewAccount(1716)
-	if !grantProvisionally(a, 572) || !a.Reserve(572) {
-		t.Fatal("the first turn was not granted provisionally")
+// TestClaimsStayWithinOneTurn: what an entry hands out beside the row is the tokens of one turn in all,
+// also if its turns follow one another slowly. All that know of claims may end, and then these
+// tokens are handed out again.
+func TestClaimsStayWithinOneTurn(t *testing.T) {
+	p := NewProgram(1716, "a/1/1")
+	if !claim(p, "t1", 572, nil) {
+		t.Fatal("the first turn was not claimed")
 	}
-	if grantProvisionally(a, 572) {
-		t.Fatal("a second turn was granted beyond half of the budget")
+	if claim(p, "t2", 572, nil) {
+		t.Fatal("a second turn was claimed while the first was in progress")
 	}
-	d := a.NextDraw(0)
-	if d.Need != 572 {
-		t.Fatalf("the draw after the outage needs %d, want 572", d.Need)
+	p.Settle("t1", 264, false)
+	if claim(p, "t3", 572, nil) {
+		t.Fatal("claimed 572 tokens beside 264 that were handed out")
 	}
-	a.ApplyDraw(d, 858)
-	if a.Free() != 858-572 || a.Provisional() != 0 {
-		t.Fatalf("free %d, provisional %d; want 286 and 0", a.Free(), a.Provisional())
+	if !claim(p, "t4", 308, nil) {
+		t.Fatal("the rest of the slack was not claimed")
 	}
-
-	drawn := NewAccount(1716)
-	drawn.ApplyDraw(drawn.NextDraw(1716), 1716)
-	for range 3 {
-		if !drawn.Reserve(572) {
-			t.Fatal("a turn was refused though its tokens were drawn")
-		}
+	p.Settle("t4", 0, false)
+	if !claim(p, "t5", 308, nil) {
+		t.Fatal("a claim that was not used stays counted")
+	}
+	row, ok := change(p, Row{Total: 1716}, "t6", 572, nil)
+	if !ok || row.Remaining() > 1716-264-308-572 {
+		t.Fatalf("granted %v, %d tokens remain beside 264 used, 308 claimed and 572 drawn", ok, row.Remaining())
 	}
-	if grantProvisionally(drawn, 572) {
-		t.Fatal("drawn and provisional tokens exceed the budget")
+	if !claim(p, "t7", 572, nil) {
+		t.Fatal("the slack is not whole again though the row shows all claims")
 	}
 }
 
-// TestProvisionalGrantCountsOthers: the known grants of other incarnations reduce what an
-// entry may grant provisionally.
-func TestProvisionalGrantCountsOthers(t *testing.T) {
-	a := NewAccount(1000)
-	a.SetOthers(Grants{"x": 700, "me": 50}, "me")
-	if grantProvisionally(a, 400) {
-		t.Fatal("granted 400 though the others hold 700 of 1000")
+// TestClaimCountsOthers: the known claims of other entries reduce what an entry may claim, also those
+// that it learns of only after its own claim was announced.
+func TestClaimCountsOthers(t *testing.T) {
+	p := NewProgram(1000, "a/1/1")
+	if claim(p, "t1", 400, Grants{"ahead:x": 100}) {
+		t.Fatal("claimed 400 of a turn's 400 though another entry holds 100")
+	}
+	if _, ok := p.Claim("t2", 400, nil); !ok {
+		t.Fatal("the first claim was refused")
+	}
+	if p.Confirm("t2", 400, Grants{"ahead:t2": 400, "ahead:x": 1}) {
+		t.Fatal("confirmed a claim though a witness knew another")
 	}
-	if !grantProvisionally(a, 300) || a.Granted() != 300 {
-		t.Fatalf("granted %d, want 300", a.Granted())
+	p.Withdraw("t2")
+	if !claim(p, "t3", 400, Grants{"ahead:t3": 400}) {
+		t.Fatal("its own claim, told by a witness, counted twice")
 	}
 }
 
-// TestExhaustedAccountGrantsNothing: a draw that found too few tokens left must end
-// provisional grants too, or the program would exceed its budget.
-func TestExhaustedAccountGrantsNothing(t *testing.T) {
-	a := NewAccount(1000)
-	a.ApplyDraw(a.NextDraw(100), 0)
-	if !a.Exhausted() || grantProvisionally(a, 100) {
-		t.Fatal("an account whose draw took nothing is not exhausted, or granted tokens provisionally")
+// TestExhaustedProgramClaimsNothing: a draw that found too few tokens left must end claims too,
+// or the program would exceed its budget.
+func TestExhaustedProgramClaimsNothing(t *testing.T) {
+	p := NewProgram(1000, "a/1/1")
+	full := Row{Total: 1000, Drawn: map[string]int{"b/1/1": 950}}
+	if _, ok := change(p, full, "t1", 100, nil); ok {
+		t.Fatal("drew 100 of 50 tokens")
+	}
+	if p.Reserve("t1", 100, false) != OutcomeSpent || claim(p, "t1", 100, nil) {
+		t.Fatal("a program whose draw took nothing is not spent, or claimed tokens")
 	}
 }
 
 // TestBudgetHoldsOverEntries runs random draws, settlements, returns and crashes of several
-// entries. The tokens delivered to callers must never exceed the budget. Provisional grants
-// are not part of it.
+// entries. The tokens delivered to callers must never exceed the budget. Claims are not part of it.
 func TestBudgetHoldsOverEntries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const maxTokens = 100
@@ -124,10 +143,9 @@
 				if a.Reserve(maxTokens) {
 					open[n]++
 				} else if !a.Exhausted() {
-					d := a.NextDraw(maxTokens)
-					next, block := row.Draw(n, d)
+					next, block := row.Draw(n, a.NextDraw(maxTokens))
 					row = next
-					a.ApplyDraw(d, block)
+					a.ApplyDraw(block)
 				}
 			case 1:
 				if open[n] > 0 {
@@ -137,7 +155,8 @@
 					delivered += used
 				}
 			case 2:
-				row = row.Return(n, a.ReturnFree())
+				a.ReturnFree()
+				row = row.Lower(n, a.Granted())
 				a.exhausted = false
 			case 3: // crash: open turns count as fully delivered, and the account is lost
 				delivered += open[n] * maxTokens
@@ -153,146 +172,166 @@
 	})
 }
 
-// TestAtMostOneTurnIsGrantedProvisionally: a runaway program, or one with a turn in progress,
-// must not be granted more than one turn provisionally, because the grants may be lost.
-func TestAtMostOneTurnIsGrantedProvisionally(t *testing.T) {
-	a := NewAccount(3000)
-	if !grantProvisionally(a, 500) || !a.Reserve(500) {
-		t.Fatal("the first turn was not granted provisionally")
+// TestDrawLeavesOthersClaims: a paused entry has claimed tokens and told the others. One of them
+// draws when the table is reachable again, and must leave those tokens in the row.
+func TestDrawLeavesOthersClaims(t *testing.T) {
+	known := Grants{"ahead:a": 110}
+	if row, ok := change(NewProgram(180, "b/1/1"), Row{Total: 180}, "t", 60, known); !ok || row.Remaining() != 10 {
+		t.Fatalf("reserved %v and left %d; want 60 of the 70 that 110 claimed ones leave", ok, row.Remaining())
+	}
+	if _, ok := change(NewProgram(160, "b/1/1"), Row{Total: 160}, "t", 60, known); ok {
+		t.Fatal("drew 60 tokens though only 50 of 160 remain")
 	}
-	if _, ok := a.ProvisionalGrant(500, GrantConditions{ExclusiveOwner: true, OpenTurns: 1}); ok {
-		t.Fatal("a second turn was granted provisionally while the first was in progress")
+	// Claims that the row shows must not be counted twice.
+	if row, ok := change(NewProgram(180, "b/1/1"), Row{Total: 180, Drawn: map[string]int{"ahead:a": 110}}, "t", 60, known); !ok || row.Remaining() != 10 {
+		t.Fatalf("reserved %v and left %d, want 60 of the 70 that remain", ok, row.Remaining())
 	}
-	a.Settle(500, 400)
-	if _, ok := a.ProvisionalGrant(500, GrantConditions{ExclusiveOwner: true, Runaway: true}); ok {
-		t.Fatal("a runaway program was granted more than one turn")
+	own := NewProgram(180, "a/1/1")
+	if !claim(own, "t", 60, nil) {
+		t.Fatal("the claim was refused")
 	}
-	if need, ok := a.ProvisionalGrant(500, GrantConditions{ExclusiveOwner: true}); !ok || need != 400 {
-		t.Fatalf("the next turn of a program that is no runaway: needs %d, allowed %v; want 400, true", need, ok)
+	if row, _ := change(own, Row{Total: 180}, "", 0, nil); row.Remaining() != 120 || len(own.Claims()) != 0 {
+		t.Fatalf("the write that records the entry's own claim left %d, want 120", row.Remaining())
 	}
 }
 
-// TestRunawayDetector: 4 sub-agents that send a turn each every 300 ms are no runaway
-// program, 16 turns at intervals of 1 ms are one.
-func TestRunawayDetector(t *testing.T) {
-	now := time.Unix(100, 0)
-	var normal, burst RunawayDetector
-	for i := range 40 {
-		if i%4 == 0 {
-			now = now.Add(300 * time.Millisecond)
-		}
-		normal.Observe(now)
-	}
-	if normal.Runaway() {
-		t.Error("4 turns at once are detected as a runaway program")
+// TestRecordGrants: claims of other entries, and grants of the build before, are recorded once, and a
+// claim whose end the row shows is not raised again.
+func TestRecordGrants(t *testing.T) {
+	row := Row{Total: 1000, Drawn: map[string]int{"a": 300}}
+	granted := Grants{"a": 500, "b": 100, "ahead:t": 50}
+	next, changed := row.Record(granted)
+	if !changed || next.Remaining() != 350 {
+		t.Fatalf("%d of 1000 tokens remain after 650 were granted, want 350", next.Remaining())
 	}
-	for range 16 {
-		now = now.Add(time.Millisecond)
-		burst.Observe(now)
+	if _, changed = next.Record(granted); changed {
+		t.Fatal("the same grants were recorded a second time")
 	}
-	if !burst.Runaway() {
-		t.Error("16 turns at once are not detected as a runaway program")
+	ended := next.Apply(EndOf("t", 20)).Row
+	if again, changed := ended.Record(granted); changed || again.Remaining() != 380 {
+		t.Fatalf("%d tokens remain after the claim had ended with 20 used and was told again, want 380", again.Remaining())
 	}
 }
 
-// TestDrawLeavesOthersProvisionalGrants: a paused entry has granted tokens provisionally
-// and notified the others. One of them draws when the table is reachable again, and must
-// leave those tokens in the row.
-func TestDrawLeavesOthersProvisionalGrants(t *testing.T) {
-	other := NewAccount(180)
-	other.SetOthers(Grants{"a": 110}, "b")
-	d := other.NextDraw(60)
-	if _, block := (Row{Total: 180}).Draw("b", d); block != 60 {
-		t.Fatalf("drew %d, want 60; 110 of 180 are granted already", block)
-	}
-	if _, block := (Row{Total: 160}).Draw("b", d); block != 0 {
-		t.Fatalf("drew %d, want 0; only 50 of 160 remain", block)
-	}
-	// Grants that the row records must not be counted twice.
-	if _, block := (Row{Total: 180, Drawn: map[string]int{"a": 110}}).Draw("b", d); block != 60 {
-		t.Fatalf("drew %d of the 70 that remain, want 60", block)
-	}
-	own := NewAccount(180)
-	own.GrantProvisionally(60)
-	if _, block := (Row{Total: 180}).Draw("a", own.NextDraw(0)); block != 90 {
-		t.Fatalf("the draw that records the entry's own grants took %d, want 90", block)
+// TestTwoDrawsAfterOwnerCrash: the owner crashed after it had granted 1144 of 1716 tokens that the row
+// did not show. Two entries that know of these draw one after the other, and neither
+// knows of the other's draw; together they must not take more than the remaining 572.
+func TestTwoDrawsAfterOwnerCrash(t *testing.T) {
+	known := Grants{"ahead:crashed": 1144}
+	row, first := change(NewProgram(1716, "one/1/1"), Row{Total: 1716}, "t1", 572, known)
+	// The second draw reads the row after the first, without any notice of it.
+	_, second := change(NewProgram(1716, "two/1/1"), row, "t2", 572, known)
+	if !first || second {
+		t.Fatalf("drew %v and %v beside 1144 granted of 1716; want the first only", first, second)
 	}
 }
 
-// TestRecordGrants: grants of other incarnations are recorded once.
-func TestRecordGrants(t *testing.T) {
-	row := Row{Total: 1000, Drawn: map[string]int{"a": 300}}
-	granted := Grants{"a": 500, "b": 100}
-	next, changed := row.RecordGrants(granted)
-	if !changed || next.Remaining() != 400 {
-		t.Fatalf("%d of 1000 tokens remain after 600 were granted, want 400", next.Remaining())
+// TestClaimDuringAWrite: the table was slow, so a turn was claimed while the write that reserves it
+// was in flight. The tokens must not be counted twice once both are in the row.
+func TestClaimDuringAWrite(t *testing.T) {
+	p := NewProgram(500, "a/1/1")
+	p.MarkKept()
+	c := p.Change("t", 100, false, nil)
+	if !claim(p, "t", 100, nil) {
+		t.Fatal("the turn was not claimed")
+	}
+	res := (Row{Total: 500}).Apply(c)
+	p.Applied(c, res)
+	if !p.FlushEnds() {
+		t.Fatal("the reservation beside the claim is not to be removed")
+	}
+	row, _ := change(p, res.Row, "", 0, nil)
+	if row.Remaining() != 400 {
+		t.Errorf("%d of 500 tokens remain beside one turn of 100, want 400", row.Remaining())
 	}
-	if _, changed = next.RecordGrants(granted); changed {
-		t.Fatal("the same grants were recorded a second time")
+}
+
+// TestRepeatedReturn: the answer to the write that lowers a block was lost, and it is carried out again on
+// the row that shows it. Tokens must not be returned twice: they would be handed out twice.
+func TestRepeatedReturn(t *testing.T) {
+	p := NewProgram(1000, "a/1/1")
+	row, ok := change(p, Row{Total: 1000}, "t", 100, nil)
+	if !ok {
+		t.Fatal("the draw failed")
+	}
+	p.Settle("t", 90, false)
+	p.Stop()
+	c := p.Change("", 0, false, nil)
+	for try := range 3 {
+		if row = row.Apply(c).Row; row.Remaining() != 910 {
+			t.Fatalf("after %d writes of one return %d of 1000 tokens remain beside 90 used, want 910", try+1, row.Remaining())
+		}
 	}
 }
 
-// TestTwoDrawsAfterOwnerCrash: the owner crashed after it had granted 1144 of 1716 tokens
-// provisionally. Two entries that know of these grants draw one after the other, and neither
-// knows of the other's draw; together they must not take more than the remaining 572.
-func TestTwoDrawsAfterOwnerCrash(t *testing.T) {
-	row := Row{Total: 1716}
-	one, two := NewAccount(1716), NewAccount(1716)
-	one.SetOthers(Grants{"crashed": 1144}, "one")
-	two.SetOthers(Grants{"crashed": 1144}, "two")
-	row, first := row.Draw("one", one.NextDraw(572))
-	// The second draw reads the row after the first, without a notice of the first's grant.
-	_, second := row.Draw("two", two.NextDraw(572))
-	if first != 572 || second != 0 {
-		t.Fatalf("drew %d and %d beside 1144 granted of 1716; want 572 and 0", first, second)
+// TestUnansweredReservation: the answer to a reservation was lost, its turn was refused, and the write
+// may still be applied. The next write must remove it, or make it impossible.
+func TestUnansweredReservation(t *testing.T) {
+	for _, applied := range []bool{true, false} {
+		p := NewProgram(1000, "a/1/1")
+		p.MarkKept()
+		c := p.Change("t", 600, false, nil)
+		row := Row{Total: 1000}
+		if applied {
+			row = row.Apply(c).Row
+		}
+		p.Failed(c, true)
+		p.Settle("t", 0, false)
+		res := row.Apply(p.Change("", 0, false, nil))
+		if !res.Write || res.Row.Remaining() != 1000 {
+			t.Errorf("applied %v: written %v, %d of 1000 tokens remain, want a write after which all do", applied, res.Write, res.Row.Remaining())
+		}
 	}
 }
 
-// TestProvisionalGrantDuringADraw: the table was slow, so a turn was granted provisionally
-// while a draw was in flight. The draw covers that turn when it ends, so that its tokens are
-// not drawn twice.
-func TestProvisionalGrantDuringADraw(t *testing.T) {
-	a := NewAccount(500)
-	d := a.NextDraw(100)
-	if !grantProvisionally(a, 100) || !a.Reserve(100) {
-		t.Fatal("the turn was not granted provisionally")
-	}
-	a.ApplyDraw(d, 250)
-	if a.Free() != 150 || a.Provisional() != 0 || a.Granted() != 250 {
-		t.Errorf("free %d, provisional %d, granted %d; want 150, 0 and 250", a.Free(), a.Provisional(), a.Granted())
-	}
-	small := NewAccount(500)
-	d = small.NextDraw(100)
-	if !grantProvisionally(small, 100) || !small.Reserve(100) || !grantProvisionally(small, 100) || !small.Reserve(100) {
-		t.Fatal("the 2 turns were not granted provisionally")
-	}
-	small.ApplyDraw(d, 150)
-	if small.Free() != 0 || small.Provisional() != 50 {
-		t.Errorf("free %d, provisional %d after a draw of 150 for 200 in use; want 0 and 50", small.Free(), small.Provisional())
+// TestKeptTurnsOutliveTheirOwner reproduces review case 1: all entries were killed after two turns that
+// are kept. The turns that are stored tell what was used, so the program has room for one more.
+func TestKeptTurnsOutliveTheirOwner(t *testing.T) {
+	const total, maxTokens, used = 1150, 575, 264
+	owner := NewProgram(total, "owner/1/1")
+	owner.MarkKept()
+	row, stored := Row{Total: total}, map[string]int{}
+	for _, id := range []string{"t0", "t1"} {
+		var ok bool
+		if row, ok = change(owner, row, id, maxTokens, nil); !ok {
+			t.Fatalf("turn %s was not reserved", id)
+		}
+		owner.Settle(id, used, true)
+		stored[turnKey(id)] = used
+	}
+	next := NewProgram(total, "owner/2/1")
+	next.MarkKept()
+	c := next.Change("t2", maxTokens, false, nil)
+	c.Resolved(stored)
+	if res := row.Apply(c); !res.Reserved || res.Row.Remaining() != total-2*used-maxTokens {
+		t.Errorf("a turn of %d was refused though %d of %d tokens were used, row %+v", maxTokens, 2*used, total, res.Row)
 	}
 }
 
 // TestBudgetOutlivesItsHolders reproduces a power failure of all entries. Of a budget of 2
 // turns, the first used a part of its tokens and the second was reserved but never sent. The
-// next turn of the program should get the unused tokens, but they stay drawn and the row has
-// too few left: a known fault.
+// next turn of the program should get the unused tokens, but nothing tells that the second was not sent: a
+// known fault.
 func TestBudgetOutlivesItsHolders(t *testing.T) {
 	const total, maxTokens, used = 1140, 570, 200
-	row, owner := Row{Total: total}, NewAccount(total)
-	for turn := range 2 {
-		d := owner.NextDraw(maxTokens)
-		var block int
-		row, block = row.Draw("owner/1", d)
-		owner.ApplyDraw(d, block)
-		if !owner.Reserve(maxTokens) {
-			t.Fatalf("turn %d does not fit the drawn tokens", turn)
+	owner := NewProgram(total, "owner/1/1")
+	owner.MarkKept()
+	row, stored := Row{Total: total}, map[string]int{}
+	for turn, id := range []string{"t0", "t1"} {
+		var ok bool
+		if row, ok = change(owner, row, id, maxTokens, nil); !ok {
+			t.Fatalf("turn %d was not reserved", turn)
 		}
 		if turn == 0 {
-			owner.Settle(maxTokens, used)
+			owner.Settle(id, used, true)
+			stored[turnKey(id)] = used
 		}
 	}
-	next := NewAccount(total)
-	if _, block := row.Draw("owner/2", next.NextDraw(maxTokens)); block < maxTokens {
-		t.Errorf("drew %d for a turn of %d; only %d of %d tokens were used", block, maxTokens, used, total)
+	next := NewProgram(total, "owner/2/1")
+	next.MarkKept()
+	c := next.Change("t2", maxTokens, false, nil)
+	c.Resolved(stored)
+	if res := row.Apply(c); !res.Reserved {
+		t.Errorf("a turn of %d was refused; only %d of %d tokens were used, row %+v", maxTokens, used, total, res.Row)
 	}
 }
--- /dev/null
+++ b/ledger/model_test.go
@@ -0,0 +1,419 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// cluster is a model of several entries, the row of one program, and its stored turns. It carries
+// the changes and claims of Program as package gateway does, and loses them at every point.
+type cluster struct {
+	t       *rapid.T
+	kept    bool
+	total   int
+	row     Row
+	version int
+	down    bool
+	// stored maps the keys of stored turns to the tokens that their callers received.
+	stored map[string]int
+	// late are writes without an answer that may still be applied.
+	late    []lateWrite
+	entries []*modelEntry
+	turns   []*modelTurn
+	// handed is the number of tokens that callers have received, broken the most of turns that did not end
+	// whole and of those that no one may count as used up less.
+	handed, broken int
+	// lost is the number of tokens reserved for turns that were refused or had broken off when the entry
+	// that knew it was killed.
+	lost   int
+	nextID int
+}
+
+// lateWrite is a write of the row that expects a version.
+type lateWrite struct {
+	version int
+	row     Row
+}
+
+// modelEntry is one entry. Its witness knowledge is lost when it is killed.
+type modelEntry struct {
+	name   string
+	lives  int
+	state  *Program
+	up     bool
+	cut    bool
+	known  Grants
+	synced bool
+	handed map[string]bool // nodes that handed their claims over to it
+}
+
+// modelTurn is a turn in progress, granted by an entry in one of its lives.
+type modelTurn struct {
+	id     string
+	by     *modelEntry
+	life   int
+	handed int
+}
+
+const modelMost = 100
+
+func newCluster(t *rapid.T) *cluster {
+	c := &cluster{t: t, kept: rapid.Bool().Draw(t, "kept"), total: rapid.IntRange(1, 8).Draw(t, "turns") * modelMost, stored: map[string]int{}}
+	c.row = Row{Total: c.total}
+	for i := range rapid.IntRange(3, 5).Draw(t, "entries") {
+		e := &modelEntry{name: fmt.Sprintf("e%d", i)}
+		c.start(e)
+		e.synced = true // all start for the first time
+		c.entries = append(c.entries, e)
+	}
+	return c
+}
+
+func (c *cluster) start(e *modelEntry) {
+	e.up, e.lives, e.known, e.handed, e.synced = true, e.lives+1, Grants{}, map[string]bool{}, false
+	c.renew(e)
+}
+
+// renew gives the entry a state of its own for the program.
+func (c *cluster) renew(e *modelEntry) {
+	e.state = NewProgram(c.total, fmt.Sprintf("%s/%d/1", e.name, e.lives))
+	if c.kept {
+		e.state.MarkKept()
+	}
+}
+
+// witnesses returns those of the program; the ranking never changes.
+func (c *cluster) witnesses() []*modelEntry { return c.entries[:Witnesses] }
+
+// ask tells the witnesses that e reaches of a claim, and returns the claims that they know and
+// whether a majority of them has answered.
+func (c *cluster) ask(e *modelEntry, key string, tokens int) (Grants, bool) {
+	known, answered := Grants{}, 0
+	for _, w := range c.witnesses() {
+		if !w.up || w != e && (w.cut || e.cut) || !rapid.Bool().Draw(c.t, "reached") && w != e {
+			continue
+		}
+		if key != "" && w != e {
+			w.known[key] = tokens
+		}
+		if !w.synced {
+			continue
+		}
+		answered++
+		known.Merge(w.known)
+		known.Merge(w.state.Claims())
+	}
+	return known, answered >= Quorum(len(c.witnesses()))
+}
+
+// tell tells every witness that e reaches of the end of claims.
+func (c *cluster) tell(e *modelEntry, key string, tokens int) {
+	for _, w := range c.witnesses() {
+		if w == e || !w.up || w.cut || e.cut {
+			continue
+		}
+		w.known[key] = tokens
+	}
+}
+
+// write changes the row for a turn of e, or only records what is pending if id is empty.
+func (c *cluster) write(e *modelEntry, id string, owner bool) {
+	known := maps.Clone(e.known)
+	if !e.state.RowSeen() {
+		theirs, _ := c.ask(e, "", 0)
+		known.Merge(theirs)
+	}
+	change := e.state.Change(id, modelMost, !owner, known)
+	if c.down {
+		e.state.Failed(change, false)
+		return
+	}
+	res := c.row.Apply(change)
+	if res.Short && len(res.Unresolved) > 0 {
+		used := map[string]int{}
+		for _, key := range res.Unresolved {
+			if n, ok := c.stored[key]; ok {
+				used[key] = n
+			}
+		}
+		change.Resolved(used)
+		res = c.row.Apply(change)
+	}
+	if res.Write {
+		switch rapid.SampledFrom([]string{"answered", "answered", "lost", "late", "repeated"}).Draw(c.t, "write") {
+		case "lost": // applied, not answered, and the entry gives up
+			c.apply(lateWrite{c.version, res.Row})
+			e.state.Failed(change, true)
+			return
+		case "late": // not applied yet, and the entry gives up
+			c.late = append(c.late, lateWrite{c.version, res.Row})
+			e.state.Failed(change, true)
+			return
+		case "repeated": // applied, not answered, and carried out again on the row that shows it
+			c.apply(lateWrite{c.version, res.Row})
+			if res = c.row.Apply(change); res.Write {
+				c.apply(lateWrite{c.version, res.Row})
+			}
+		default:
+			c.apply(lateWrite{c.version, res.Row})
+		}
+	}
+	for _, key := range e.state.Applied(change, res) {
+		c.tell(e, key, res.Row.Drawn[key])
+	}
+}
+
+// apply carries out a write if its condition holds.
+func (c *cluster) apply(w lateWrite) {
+	if w.version == c.version {
+		c.row, c.version = w.row, c.version+1
+	}
+}
+
+// ask for a turn at e.
+func (c *cluster) request(e *modelEntry) {
+	c.nextID++
+	id, owner := fmt.Sprint(c.nextID), rapid.Bool().Draw(c.t, "owner")
+	if out := e.state.Reserve(id, modelMost, !owner); out == OutcomeObtain {
+		if owner && (c.down || rapid.IntRange(0, 3).Draw(c.t, "slow") == 0) {
+			c.claim(e, id)
+		} else {
+			c.write(e, id, owner)
+		}
+	}
+	if e.state.Reserve(id, modelMost, !owner) == OutcomeGranted {
+		c.turns = append(c.turns, &modelTurn{id: id, by: e, life: e.lives})
+		return
+	}
+	e.state.Settle(id, 0, false)
+}
+
+func (c *cluster) claim(e *modelEntry, id string) {
+	known := maps.Clone(e.known)
+	key, ok := e.state.Claim(id, modelMost, known)
+	if !ok {
+		return
+	}
+	theirs, quorate := c.ask(e, key, modelMost)
+	known.Merge(theirs)
+	if !quorate || !e.state.Confirm(id, modelMost, known) {
+		e.state.Withdraw(id)
+		c.tell(e, key, 0)
+	}
+}
+
+// end ends a turn in one of the ways in which turns end.
+func (c *cluster) end(i int) {
+	u := c.turns[i]
+	c.turns = append(c.turns[:i], c.turns[i+1:]...)
+	// A turn is handed out by the entry that serves it, which outlives the one that granted it.
+	n := rapid.IntRange(0, modelMost).Draw(c.t, "used")
+	u.handed += n
+	c.handed += n
+	whole := rapid.Bool().Draw(c.t, "whole")
+	stored := whole && c.kept && !c.down
+	if stored {
+		c.stored[turnKey(u.id)], c.stored[claimKey(u.id)] = u.handed, u.handed
+	}
+	if !stored {
+		c.broken += modelMost - u.handed
+	}
+	if !u.by.up || u.by.state == nil || u.by.lives != u.life || u.by.cut {
+		return // the owner can't be told
+	}
+	if _, key := u.by.state.Settle(u.id, u.handed, stored); key != "" {
+		c.tell(u.by, key, u.handed)
+	}
+	if u.by.state.FlushEnds() && rapid.Bool().Draw(c.t, "flush") {
+		c.write(u.by, "", false)
+	}
+}
+
+// kill ends an entry without warning.
+func (c *cluster) kill(e *modelEntry) {
+	if e.up = false; e.state == nil {
+		return
+	}
+	// Turns that were refused or broke off just now have not ended as far as the row can tell.
+	for key, used := range e.state.ended {
+		if _, ok := c.stored[key]; ok {
+			continue
+		}
+		pending := c.row.Drawn[key]
+		for _, w := range c.late {
+			pending = max(pending, w.row.Drawn[key])
+		}
+		if pending > used {
+			c.lost += pending - used
+		}
+	}
+	e.state = nil
+}
+
+// stop ends an entry that hands over what it knows and returns its block.
+func (c *cluster) stop(e *modelEntry) {
+	if e.synced && !e.cut {
+		for _, o := range c.entries {
+			if o != e && o.up && !o.cut {
+				o.handed[e.name] = true
+				o.known.Merge(e.known)
+				o.known.Merge(e.state.Claims())
+			}
+		}
+	}
+	e.state.Stop()
+	if e.state.Flush() {
+		c.write(e, "", false)
+	}
+	c.kill(e)
+}
+
+// synchronise makes e a witness if it can learn every claim that its node acknowledged.
+func (c *cluster) synchronise(e *modelEntry) {
+	if e.synced || e.cut {
+		return
+	}
+	missing, handed := map[string]bool{}, map[string]bool{}
+	for _, o := range c.entries {
+		if o == e {
+			continue
+		}
+		if !o.up || o.cut {
+			missing[o.name] = true
+			continue
+		}
+		e.known.Merge(o.known)
+		e.known.Merge(o.state.Claims())
+		maps.Copy(handed, o.handed)
+		delete(o.handed, e.name)
+		if !o.synced {
+			missing[o.name] = true
+		}
+	}
+	for name := range handed {
+		delete(missing, name)
+	}
+	e.synced = handed[e.name] || len(missing) == 0
+}
+
+// recordOrphans has a witness record the claims that it knows.
+func (c *cluster) recordOrphans(e *modelEntry) {
+	if c.down {
+		return
+	}
+	if next, changed := c.row.Record(e.known); changed {
+		c.apply(lateWrite{c.version, next})
+	}
+}
+
+func (c *cluster) step() {
+	e := rapid.SampledFrom(c.entries).Draw(c.t, "entry")
+	switch op := rapid.SampledFrom([]string{
+		"request", "request", "request", "end", "end", "flush", "kill", "kill all", "stop", "start", "cut", "heal",
+		"table", "late", "synchronise", "record", "forget",
+	}).Draw(c.t, "step"); {
+	case op == "end" && len(c.turns) > 0:
+		c.end(rapid.IntRange(0, len(c.turns)-1).Draw(c.t, "turn"))
+	case op == "table":
+		c.down = !c.down
+	case op == "late" && len(c.late) > 0 && !c.down:
+		c.apply(c.late[0])
+		c.late = c.late[1:]
+	case op == "kill all":
+		for _, e := range c.entries {
+			c.kill(e)
+		}
+	case op == "start" && !e.up:
+		c.start(e)
+	case !e.up:
+	case op == "request":
+		c.request(e)
+	case op == "flush" && e.state.Flush():
+		c.write(e, "", false)
+	case op == "kill":
+		c.kill(e)
+	case op == "stop":
+		c.stop(e)
+	case op == "cut":
+		e.cut = true
+	case op == "heal":
+		e.cut = false
+	case op == "synchronise":
+		c.synchronise(e)
+	case op == "record":
+		c.recordOrphans(e)
+	case op == "forget" && e.state.OpenTurns() == 0 && len(e.state.Claims()) == 0 && !e.state.Flush():
+		if e.state.Stop(); e.state.Flush() {
+			c.write(e, "", false)
+		}
+		c.renew(e)
+	}
+}
+
+// calm heals everything and has the entries write what they know. Turns in progress whose entries are
+// gone have broken off.
+func (c *cluster) calm() {
+	c.down, c.late = false, nil
+	for _, u := range c.turns {
+		c.broken += modelMost - u.handed
+	}
+	c.turns = nil
+	for _, e := range c.entries {
+		if e.cut = false; !e.up {
+			c.start(e)
+		}
+		for range 20 { // a write may fail
+			if e.state.Flush() {
+				c.write(e, "", false)
+			}
+		}
+	}
+}
+
+// TestNoLossBreaksABudget runs random sequences of turns, ends of entries, outages of the table and lost
+// answers. Callers must never receive more than the budget and the most of one turn, in all.
+func TestNoLossBreaksABudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			c.step()
+			if c.handed > c.total+modelMost {
+				t.Fatalf("callers received %d tokens of a budget of %d; one turn is %d", c.handed, c.total, modelMost)
+			}
+		}
+	})
+}
+
+// TestKeptTurnGoesOnAfterLoss runs the same sequences and then kills all entries. A program whose turns
+// are kept must be granted one more turn if its budget has room, with turns that broke off
+// counted at their most.
+func TestKeptTurnGoesOnAfterLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		if !c.kept {
+			return
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			c.step()
+		}
+		c.calm()
+		for _, e := range c.entries {
+			c.kill(e)
+			c.start(e)
+		}
+		if c.total-c.handed-c.broken-c.lost < modelMost {
+			return
+		}
+		e := c.entries[0]
+		for range 30 { // a write may fail
+			c.request(e)
+			if len(c.turns) > 0 {
+				return
+			}
+		}
+		t.Fatalf("no turn is granted though callers received %d, and %d may have been used, of %d; row %+v, stored %v", c.handed, c.broken, c.total, c.row, c.stored)
+	})
+}
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,21 +17,61 @@
 // for the entry that the program moves to.
 const drawDivisor = 2
 
+// Keys of Row.Drawn that are not the name of a block's holder. Such a name contains a slash
+// and begins with a node name.
+const (
+	// turnPrefix precedes the id of a reservation.
+	turnPrefix = "turn:"
+	// claimPrefix precedes the id of a claim.
+	claimPrefix = "ahead:"
+	// settledKey holds the tokens that ended reservations have used.
+	settledKey = "settled"
+)
+
+// turnKey returns the key of the reservation for the turn with the id.
+func turnKey(id string) string { return turnPrefix + id }
+
+// claimKey returns the key of the claim for the turn with the id.
+func claimKey(id string) string { return claimPrefix + id }
+
+// TurnOf returns the id of the turn that a key stands for; empty for other keys.
+func TurnOf(key string) string {
+	if id, ok := strings.CutPrefix(key, turnPrefix); ok {
+		return id
+	}
+	if id, ok := strings.CutPrefix(key, claimPrefix); ok {
+		return id
+	}
+	return ""
+}
+
+// isClaim reports whether a key is that of a claim.
+func isClaim(key string) bool { return strings.HasPrefix(key, claimPrefix) }
+
 // Row is the budget row of one program in the platform's table.
 type Row struct {
 	// Total is the budget in tokens.
 	Total int `json:"total"`
-	// Drawn is the number of tokens that each holder has drawn and not returned. A holder is
-	// the name of an incarnation of an entry.
+	// Drawn is the number of tokens by key: what the holder of a block has drawn and not
+	// returned, or what a key of the constants above stands for. The values are absolute, so that a
+	// repeated write changes nothing.
 	Drawn map[string]int `json:"drawn"`
 }
 
+// maxTokens bounds each number of a row, so that sums of them don't overflow.
+const maxTokens = 1 << 40
+
 // DecodeRow decodes a stored row. Its errors wrap ErrBadRow.
 func DecodeRow(value []byte) (Row, error) {
 	var r Row
-	if err := json.Unmarshal(value, &r); err != nil || r.Total <= 0 {
+	if err := json.Unmarshal(value, &r); err != nil || r.Total <= 0 || r.Total > maxTokens {
 		return Row{}, errors.Wrapf(ErrBadRow, "%d bytes, total %d: %v", len(value), r.Total, err)
 	}
+	for key, n := range r.Drawn {
+		if n < 0 || n > maxTokens {
+			return Row{}, errors.Wrapf(ErrBadRow, "%d tokens under %q", n, key)
+		}
+	}
 	return r, nil
 }
 
@@ -41,7 +84,8 @@
 	return b
 }
 
-// Remaining returns the number of tokens that no holder has drawn.
+// Remaining returns the number of tokens that are not drawn, reserved or used. It is negative
+// when recorded claims have taken the row beyond its total.
 func (r Row) Remaining() int {
 	remaining := r.Total
 	for _, n := range r.Drawn {
@@ -50,53 +94,180 @@
 	return remaining
 }
 
-// Unrecorded returns the number of tokens that are known to be granted to others and that
-// the row does not record.
-func (r Row) Unrecorded(others Grants) int {
-	missing := 0
-	for holder, n := range others {
-		missing += max(0, n-r.Drawn[holder])
+// clone returns a copy of the row that shares no memory with it.
+func (r Row) clone() Row {
+	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+1)}
+	maps.Copy(next.Drawn, r.Drawn)
+	return next
+}
+
+// Record returns the row with the claims recorded, and reports whether that changes it. A claim
+// that the row has already stays as it is, since its end may have been recorded since. Grants of
+// the build before have the names of holders, and their greater count holds.
+func (r Row) Record(claims Grants) (Row, bool) {
+	next, changed := r, false
+	for key, n := range claims {
+		have, ok := r.Drawn[key]
+		if ok && (isClaim(key) || have >= n) {
+			continue
+		}
+		if !changed {
+			next, changed = r.clone(), true
+		}
+		next.Drawn[key] = n
 	}
-	return missing
+	return next, changed
 }
 
-// Draw returns the row after holder has drawn a block of at least d.Need tokens, and the
-// size of that block. The block is 0 when the row has too few tokens left besides those
-// that are granted but unrecorded.
-func (r Row) Draw(holder string, d DrawRequest) (Row, int) {
-	remaining := r.Remaining() - r.Unrecorded(d.Others)
-	if remaining < d.Need {
-		return r, 0
+// settle records in place that a reservation or a claim has ended with used tokens. It reports
+// whether that changes the row.
+func (r Row) settle(key string, used int) bool {
+	have, ok := r.Drawn[key]
+	switch {
+	case !ok:
+		return false
+	case isClaim(key):
+		// The key stays, so that a witness does not record the claim again.
+		r.Drawn[key] = min(have, used)
+		return used < have
+	default:
+		delete(r.Drawn, key)
+		r.Drawn[settledKey] += used
+		return true
 	}
-	block := max(d.Need, remaining/drawDivisor)
-	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+1)}
-	for h, n := range r.Drawn {
-		next.Drawn[h] = n
+}
+
+// lower reduces in place what a holder has drawn to what it retains. It reports whether that
+// changes the row.
+func (r Row) lower(holder string, retained int) bool {
+	if r.Drawn[holder] <= retained {
+		return false
 	}
-	next.Drawn[holder] += block
-	return next, block
+	r.Drawn[holder] = retained
+	if retained == 0 {
+		delete(r.Drawn, holder)
+	}
+	return true
+}
+
+// Change is a change of a row, planned by Program.Change. Apply may be called again for a newer
+// version of the row if a write failed or its outcome is unknown: what a former write did is recognised.
+type Change struct {
+	// Claims holds the claims to record, by key.
+	Claims Grants
+	// Ended maps the keys of ended reservations and claims to the tokens that they used.
+	Ended map[string]int
+	// Retained maps holders to what they retain of their blocks.
+	Retained map[string]int
+	// Own contains the keys of the reservations in progress at this entry.
+	Own map[string]bool
+	// Turn is the id of the turn to reserve Tokens for; empty for none.
+	Turn   string
+	Tokens int
+	// Block is the draw of a block by Holder; nil for none.
+	Block  *DrawRequest
+	Holder string
+	// Force writes the row even if nothing changes, so that an earlier write whose answer was lost
+	// can't be applied any more.
+	Force bool
+}
+
+// Result is the outcome of Row.Apply.
+type Result struct {
+	// Row is the row to write, if Write is set.
+	Row   Row
+	Write bool
+	// Reserved reports whether the turn is reserved.
+	Reserved bool
+	// Drawn is the size of the block.
+	Drawn int
+	// Short reports whether too few tokens are left for the turn or the block.
+	Short bool
+	// Unresolved holds, in order, the keys of reservations and claims that other entries made and
+	// whose end the row does not show.
+	Unresolved []string
+}
+
+// Apply returns what a change does to the row.
+func (r Row) Apply(c Change) Result {
+	next, write := r.Record(c.Claims)
+	if !write {
+		next = r.clone()
+	}
+	for key, used := range c.Ended {
+		write = next.settle(key, used) || write
+	}
+	for holder, n := range c.Retained {
+		write = next.lower(holder, n) || write
+	}
+	res := Result{Unresolved: next.unresolved(c.Own)}
+	switch {
+	case c.Turn != "":
+		res.Reserved = next.reserve(c.Turn, c.Tokens)
+		_, had := r.Drawn[turnKey(c.Turn)]
+		write = write || res.Reserved && !had
+		res.Short = !res.Reserved
+	case c.Block != nil:
+		drawn, known := next.Drawn[c.Holder], c.Block.KnownDrawn
+		if drawn > known { // the answer to an earlier draw was lost
+			res.Drawn = drawn - known
+			break
+		}
+		next.Drawn[c.Holder] = known // also if the row was deleted while the program ran
+		var block int
+		if next, block = next.Draw(c.Holder, *c.Block); block > 0 {
+			res.Drawn, write = block, true
+		}
+		res.Short = block == 0
+		if next.Drawn[c.Holder] == 0 {
+			delete(next.Drawn, c.Holder)
+		}
+	}
+	res.Row, res.Write = next, write || c.Force
+	return res
 }
 
-// RecordGrants returns the row with the grants of other holders recorded under their names,
-// and reports whether that changes the row.
-func (r Row) RecordGrants(granted Grants) (Row, bool) {
-	if r.Unrecorded(granted) == 0 {
-		return r, false
+// reserve reserves tokens for a turn in place and reports whether they are reserved.
+func (r Row) reserve(id string, tokens int) bool {
+	key := turnKey(id)
+	if _, ok := r.Drawn[key]; ok {
+		return true // an earlier write did it
 	}
-	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+len(granted))}
-	for h, n := range r.Drawn {
-		next.Drawn[h] = n
+	if r.Remaining() < tokens {
+		return false
 	}
-	Grants(next.Drawn).Merge(granted)
-	return next, true
+	r.Drawn[key] = tokens
+	return true
 }
 
-// Return returns the row after holder has returned tokens, at most those that it had drawn.
-func (r Row) Return(holder string, tokens int) Row {
-	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn))}
-	for h, n := range r.Drawn {
-		next.Drawn[h] = n
+// unresolved returns the keys of the reservations and unsettled claims that are not own ones.
+func (r Row) unresolved(own map[string]bool) []string {
+	var keys []string
+	for key, n := range r.Drawn {
+		if TurnOf(key) != "" && n > 0 && !own[key] {
+			keys = append(keys, key)
+		}
 	}
-	next.Drawn[holder] = max(0, next.Drawn[holder]-tokens)
+	slices.Sort(keys)
+	return keys
+}
+
+// Draw returns the row after holder has drawn a block of at least d.Need tokens, and the
+// size of that block. The block is 0 when the row has too few tokens left.
+func (r Row) Draw(holder string, d DrawRequest) (Row, int) {
+	remaining := r.Remaining()
+	if remaining < d.Need || d.Need <= 0 {
+		return r, 0
+	}
+	block := max(d.Need, remaining/drawDivisor)
+	next := r.clone()
+	next.Drawn[holder] += block
+	return next, block
+}
+
+// Lower returns the row in which holder has drawn at most the tokens that it retains.
+func (r Row) Lower(holder string, retained int) Row {
+	next := r.clone()
+	next.lower(holder, retained)
 	return next
 }
