forward: an answer belongs to a call only if it bears its id

Here an answer with another id was skipped, but one without any id was taken for the answer to the call, and a second send of the same call could use the connection of the first, on which a repeated refusal bears the right id.

An answer without an id now fails the call as one that may have run; a connection is not used again for a call that was refused on it, nor after an answer to another call. Both tests fail without the guards.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -113,6 +113,67 @@
 	}
 }
 
+// encodeRefusal returns an answer that states that the call with the given id was not executed; without
+// an id if that is empty.
+func encodeRefusal(id string) string {
+	if id != "" {
+		id = "X-Request-Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + id + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// TestOldRefusalIsNotTheAnswer guards against taking an earlier refusal, which the upstream writes once
+// more when the next call has arrived, for the answer to that call, which it runs.
+func TestOldRefusalIsNotTheAnswer(t *testing.T) {
+	for name, repeated := range map[string]string{"with its id": encodeRefusal("1"), "without an id": encodeRefusal("")} {
+		address, _ := startUpstream(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			for n := 0; ; n++ {
+				id, ok := readRequest(br)
+				if !ok {
+					return
+				}
+				answer := encodeRefusal(id)
+				if n > 0 {
+					answer = repeated + encodeAnswer(id, "ran")
+				}
+				_, _ = io.WriteString(c, answer)
+			}
+		})
+		p := NewPool(time.Second)
+		if _, err := send(t, p, address, "1", "", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		// Without an id nothing tells to which call an answer belongs, so that the call may have run.
+		got, err := send(t, p, address, "2", "", time.Second)
+		if got != "ran" && !errors.Is(err, ErrLost) {
+			t.Errorf("%s: the next call was answered %q, error %v; want its own answer or an error marked with ErrLost", name, got, err)
+		}
+	}
+}
+
+// TestRefusedCallIsSentOnAnotherConnection guards against the same confusion between two sends of one
+// call, whose answers bear the same id: the second must not use a connection of the first.
+func TestRefusedCallIsSentOnAnotherConnection(t *testing.T) {
+	address, accepted := startUpstream(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, encodeRefusal(id))
+		}
+	})
+	p := NewPool(time.Second)
+	for _, id := range []string{"1", "1", "2"} {
+		if _, err := send(t, p, address, id, "", time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if accepted.Load() != 2 {
+		t.Errorf("%d connections were opened, want 2: one for each send of call 1, and call 2 on either", accepted.Load())
+	}
+}
+
 // TestConnectionWithUnexpectedBytesIsClosed guards against taking bytes that follow a
 // complete answer for the answer to the next call: such a connection must not be reused.
 func TestConnectionWithUnexpectedBytesIsClosed(t *testing.T) {
@@ -234,11 +295,11 @@
 func TestConnectionLimit(t *testing.T) {
 	address, _ := startUpstream(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = io.ReadAll(br) })
 	p := NewPool(time.Second)
-	inUse, err := p.get(context.Background(), address, 1, time.Minute)
+	inUse, err := p.get(context.Background(), &Request{Address: address, ID: "1", MaxConns: 1, MaxIdle: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := p.get(context.Background(), address, 1, time.Minute); !errors.Is(err, ErrBusy) {
+	if _, err := p.get(context.Background(), &Request{Address: address, ID: "1", MaxConns: 1, MaxIdle: time.Minute}); !errors.Is(err, ErrBusy) {
 		t.Errorf("a second connection at a limit of 1: %v, want ErrBusy", err)
 	}
 	p.drop(inUse)
@@ -264,7 +325,7 @@
 	p := NewPool(time.Second)
 	getAndPut := func(limit int, maxIdle time.Duration) {
 		t.Helper()
-		c, err := p.get(t.Context(), address, limit, maxIdle)
+		c, err := p.get(t.Context(), &Request{Address: address, ID: "1", MaxConns: limit, MaxIdle: maxIdle})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -64,10 +65,33 @@
 	br      *bufio.Reader
 	head    *headReader
 	address string
+	opened  time.Time
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// expires is the time after which the connection must not be used again.
 	expires time.Time
+	// refused holds the ids of the calls that the upstream refused on the connection.
+	refused map[string]struct{}
+}
+
+// maxRefused is the number of refusals after which a connection is closed, which bounds the memory
+// of their ids.
+const maxRefused = 100
+
+// noteRefused notes that a refusal of the call with the id has arrived. It returns false when the
+// connection must not be used again.
+func (c *conn) noteRefused(id string) bool {
+	if c.refused == nil {
+		c.refused = map[string]struct{}{}
+	}
+	c.refused[id] = struct{}{}
+	return len(c.refused) < maxRefused
+}
+
+// hasRefused reports whether a refusal of the call with the id has arrived on the connection.
+func (c *conn) hasRefused(id string) bool {
+	_, ok := c.refused[id]
+	return ok
 }
 
 // NewPool returns an empty pool.
@@ -86,23 +110,33 @@
 	return h
 }
 
-// get returns a connection that was idle for at most maxIdle, or a new one. Connections
-// that were idle for longer stay in the pool for calls with a larger maxIdle, except that
-// the one unused for longest is closed when the limit would prevent a new one. limit is the
-// maximum number of connections to the address; 0 means no limit. When all of them are in
+// ErrNoOldConnection is returned when no idle connection was opened before Request.OpenedBefore.
+var ErrNoOldConnection = errors.New("no idle connection to the upstream is old enough")
+
+// suits reports whether an idle connection may carry the request, apart from the time for which it was idle.
+func (c *conn) suits(r *Request) bool {
+	return !c.hasRefused(r.ID) && (r.OpenedBefore.IsZero() || c.opened.Before(r.OpenedBefore))
+}
+
+// get returns a connection for the request: one that was idle for at most MaxIdle, or a new one.
+// Connections that were idle for longer stay in the pool for calls with a larger MaxIdle, except that
+// the one unused for longest is closed when the limit would prevent a new one. When all of them are in
 // use, get returns ErrBusy.
-func (p *Pool) get(ctx context.Context, address string, limit int, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
-	h := p.hostOf(address)
+	h := p.hostOf(r.Address)
 	// Try the connection used last first: the upstream is least likely to have closed it.
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
+	for n := len(h.idle); n > 0; n = min(n-1, len(h.idle)) {
+		c := h.idle[n-1]
+		if !c.suits(r) {
+			continue
+		}
 		usable := now.Before(c.expires) && c.reusable()
-		if usable && now.Sub(c.idleSince) > maxIdle {
+		if usable && now.Sub(c.idleSince) > r.MaxIdle {
 			break // the others were idle for even longer
 		}
-		h.idle = h.idle[:len(h.idle)-1]
+		h.idle = slices.Delete(h.idle, n-1, n)
 		if usable {
 			p.mu.Unlock()
 			return c, nil
@@ -110,19 +144,35 @@
 		h.open--
 		_ = c.Close()
 	}
+	if !r.OpenedBefore.IsZero() {
+		p.mu.Unlock()
+		return nil, ErrNoOldConnection
+	}
 	// The idle connections that are left are too old for this call: make room for a new one.
-	if limit > 0 && h.open >= limit && len(h.idle) > 0 {
+	if r.MaxConns > 0 && h.open >= r.MaxConns && len(h.idle) > 0 {
 		_ = h.idle[0].Close()
 		h.idle = h.idle[1:]
 		h.open--
 	}
-	if limit > 0 && h.open >= limit {
+	if r.MaxConns > 0 && h.open >= r.MaxConns {
 		p.mu.Unlock()
 		return nil, ErrBusy
 	}
 	h.open++
 	p.mu.Unlock()
-	return p.dial(ctx, address)
+	return p.dial(ctx, r.Address)
+}
+
+// HasIdleOpenedBefore reports whether an idle connection to the address was opened before a time and has been
+// idle for at most maxIdle.
+func (p *Pool) HasIdleOpenedBefore(address string, before time.Time, maxIdle time.Duration) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	return h != nil && slices.ContainsFunc(h.idle, func(c *conn) bool {
+		return c.opened.Before(before) && now.Before(c.expires) && now.Sub(c.idleSince) <= maxIdle && c.reusable()
+	})
 }
 
 // dial opens a connection that get has already counted.
@@ -135,7 +185,7 @@
 	}
 	p.OnDial()
 	head := &headReader{r: nc, left: noLimit}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
+	return &conn{Conn: nc, opened: time.Now(), br: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
 }
 
 // uncount subtracts a closed connection or a failed dial from the count of its address.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -23,7 +23,7 @@
 
 // ErrMalformed is the cause of an error about an answer that violates the protocol between
 // entry and upstream. Send returns it when a connection delivers more than maxSkipped answers
-// to other calls, or one after which the upstream closes the connection. Callers of Send use
+// to other calls, one after which the upstream closes the connection, or one without an id. Callers of Send use
 // it for their own checks of an answer.
 var ErrMalformed = errors.New("malformed answer")
 
@@ -42,8 +42,9 @@
 type Request struct {
 	// Address is the upstream's host and port.
 	Address string
-	// ID is the call's id. An answer that carries another id is skipped; one without an id is
-	// accepted.
+	// ID is the call's id. An answer that carries another id is skipped, and one without an id
+	// fails the call: nothing shows to which call it belongs. No connection on which the call was
+	// refused before is used, since the upstream may repeat the refusal.
 	ID string
 	// Method is the HTTP method; it determines whether the answer has a body.
 	Method string
@@ -54,6 +55,9 @@
 	Deadline time.Time
 	// MaxConns is the maximum number of connections to the upstream; 0 means no limit.
 	MaxConns int
+	// OpenedBefore, if it is not zero, excludes connections that were opened later. The process of the upstream
+	// is then the one that ran at that time.
+	OpenedBefore time.Time
 	// MaxIdle is the maximum time that a reused connection may have been idle. A connection
 	// idle for longer is more likely to be closed by the upstream just when the call is sent.
 	MaxIdle time.Duration
@@ -73,7 +77,8 @@
 	// conn is nil after Close.
 	conn *conn
 	body io.ReadCloser
-	// closing reports whether the upstream closes the connection after the answer.
+	// closing reports whether the connection must not be used after the answer: the upstream closes
+	// it, or has sent answers to other calls on it.
 	closing bool
 	// bodyComplete reports whether the body was read to its end.
 	bodyComplete bool
@@ -100,7 +105,7 @@
 // Send sends a request and reads the head of its answer. It does not retry. Every error is
 // marked with ErrNotSent or ErrLost.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, r.Address, r.MaxConns, r.MaxIdle)
+	c, err := p.get(ctx, r)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -159,7 +164,11 @@
 		}
 		a.conn.head.left = noLimit
 		head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
-		if head.RequestID != r.ID && head.RequestID != "" {
+		if head.RequestID == "" {
+			return errors.Wrapf(ErrMalformed, "answer with status %d has no request id", resp.StatusCode)
+		}
+		if head.RequestID != r.ID {
+			a.closing = true // the upstream may send more of them
 			if skipped++; skipped > maxSkipped || resp.Close {
 				return errors.Wrap(ErrMalformed, "answers to other calls")
 			}
@@ -170,7 +179,10 @@
 			continue
 		}
 		a.Status, a.Header, a.Head, a.Length = resp.StatusCode, resp.Header, head, resp.ContentLength
-		a.body, a.closing = resp.Body, resp.Close
+		a.body, a.closing = resp.Body, a.closing || resp.Close
+		if head.NotRun && !a.conn.noteRefused(r.ID) {
+			a.closing = true
+		}
 		return nil
 	}
 }
@@ -215,6 +227,9 @@
 	return a.conn.SetDeadline(t)
 }
 
+// Opened returns when the connection of the answer was opened. It must not be called after Close.
+func (a *Answer) Opened() time.Time { return a.conn.opened }
+
 // BodyComplete reports whether the body was read to its end.
 func (a *Answer) BodyComplete() bool { return a.bodyComplete }
 
