origins: an entry that stood still resumes no stream at another version

Cause here: an upstream that had started again under its id, with other software, was taken for the old one until the entry had its new row, unless a failure was seen meanwhile. An entry that was frozen sees none. The same way it recorded a stream that began at the new version as one of the old.

The age counts time in which the machine was suspended. A stream that began on a new connection while the rows were old goes on nowhere else.

TestEntryOutOfStepKeepsStreamsAtTheirVersion fails in both of its parts on the code before.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -131,6 +131,8 @@
 	origin       *resume.Origin
 	originSource string
 	originAge    time.Duration
+	// openedBefore, if it is not zero, restricts the next send to connections that were opened earlier.
+	openedBefore time.Time
 	// withdrawalWait is how long the call waited for a version at which a stream may begin.
 	withdrawalWait time.Duration
 	// turnReads counts the turns of the chain that were neither in memory here nor received
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -249,16 +249,25 @@
 }
 
 // softwareConfirmed reports whether a stream that has begun may go on at an upstream that was chosen for its
-// version. One that has failed since the rows were last confirmed may have started again with other
-// software, under its id: its row is read once more.
+// version. The upstream may have started again under its id, with other software: the end of its process breaks
+// connections, so one that was opened before its row was known proves that it has not, and j.openedBefore is set
+// for it. Without one the row must have been confirmed recently, which it is not after this entry stood still or
+// was cut off, and the upstream must not have failed since; else its row is read once more.
 func (g *Gateway) softwareConfirmed(ctx context.Context, j *job, u *relay.Upstream) bool {
+	j.openedBefore = time.Time{}
 	if j.origin == nil {
 		return true
 	}
+	confirmed := g.origins.rowsConfirmed()
+	listed := confirmed.Add(-rowDelay)
 	g.mu.Lock()
 	lastFailure := g.balancer.LastFailure(u.ID)
 	g.mu.Unlock()
-	if lastFailure.Before(g.origins.rowsConfirmed()) {
+	if !confirmed.IsZero() && lastFailure.Before(listed) && g.pool.HasIdleOpenedBefore(u.Address, listed, j.maxIdle()) {
+		j.openedBefore = listed
+		return true
+	}
+	if lastFailure.Before(confirmed) && ageOf(confirmed) <= maxRegistryAge {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
@@ -272,10 +281,17 @@
 		}
 	}
 	g.requestLog("upstream_software_checked", j).Str("upstream", u.ID).Str("want", j.origin.Version).Str("software", version).
-		Ms("rows_age_ms", time.Since(g.origins.rowsConfirmed())).Err(err).End()
+		Ms("rows_age_ms", ageOf(confirmed)).Err(err).End()
 	return version == j.origin.Version
 }
 
+// ageOf returns the time since t, also if the machine was suspended meanwhile, which the steady clock does
+// not count. A step of the clock of the day may make it too long.
+func ageOf(t time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
 // rowsConfirmed returns the time as of which the upstreams' rows are known.
 func (o *streamOrigins) rowsConfirmed() time.Time {
 	if at := o.confirmedAt.Load(); at != nil {
@@ -316,14 +332,22 @@
 
 // beginOrigin records where the stream began, when its first event has arrived. Callers may take up only
 // streams of resumable routes.
-func (s *stream) beginOrigin() {
-	j := s.j
+func (s *stream) beginOrigin(a *forward.Answer) {
+	j, g := s.j, s.g
 	if j.origin == nil {
 		j.origin = &resume.Origin{Service: j.service, Version: j.software}
+		// The process of an old connection is the one in the upstream's row. Without old connections, nothing
+		// tells which software answers if the rows are old: the stream can't go on anywhere else.
+		confirmed := g.origins.rowsConfirmed()
+		if j.software != "" && ageOf(confirmed) > maxRegistryAge && !a.Opened().Before(confirmed.Add(-rowDelay)) {
+			g.requestLog("stream_software_uncertain", j).Str("upstream", j.pick.ID).Str("software", j.software).
+				Ms("rows_age_ms", ageOf(confirmed)).Ms("connection_age_ms", time.Since(a.Opened())).End()
+			j.origin.Version = ""
+		}
 	}
 	j.origin.Upstream = routing.HashID(j.pick.ID)
 	if j.route.Resumable && j.origin.Version != "" {
-		s.g.origins.began(j.org.ScopedID(j.call.ID), *j.origin)
+		g.origins.began(j.org.ScopedID(j.call.ID), *j.origin)
 	}
 }
 
--- a/internal/gateway/settled.go
+++ b/internal/gateway/settled.go
@@ -154,7 +154,7 @@
 		return "", refusedUnread, err
 	}
 	// An upstream whose row is older may have started again with other software, under its id.
-	if time.Since(o.rowsConfirmed()) > maxRegistryAge {
+	if ageOf(o.rowsConfirmed()) > maxRegistryAge {
 		return "", resume.RefusedListOld, nil
 	}
 	o.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -324,7 +324,7 @@
 // writeHead sends the status and the headers of the first answer that has an event.
 func (s *stream) writeHead(a *forward.Answer) {
 	s.started = true
-	s.beginOrigin()
+	s.beginOrigin(a)
 	s.g.metrics.firstEvent.RecordDuration(time.Since(s.j.start))
 	platform.CopyAnswer(s.w.Header(), a.Header)
 	s.w.WriteHeader(a.Status)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -437,3 +438,60 @@
 		eventually(t, "the log has "+line, func() bool { return strings.Contains(e.log.String(), line) })
 	}
 }
+
+// standingFeed is a table whose changes do not arrive while an entry stands still.
+type standingFeed struct {
+	platformapi.Watcher
+	still atomic.Bool
+}
+
+func (f *standingFeed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platformapi.Change, int64, error) {
+	changes, version, err := f.Watcher.Changes(ctx, prefix, after, wait)
+	for f.still.Load() {
+		time.Sleep(5 * time.Millisecond) // not even the end of ctx is noticed
+	}
+	return changes, version, err
+}
+
+// TestEntryOutOfStepKeepsStreamsAtTheirVersion: while an entry stands still, upstreams start again under their ids
+// with other software. When it wakes, and has not caught up, a stream must not go on there at another version than
+// the one that began it, whether it began at another entry or at this one.
+func TestEntryOutOfStepKeepsStreamsAtTheirVersion(t *testing.T) {
+	v := startVersionedEntries(t, 1, 1)
+	feed := &standingFeed{Watcher: v.p.standin.Table}
+	e := startEntry(t, "entry-2", feed)
+	v.entries = append(v.entries, e)
+	first := newScriptedUpstream(t, "llm-1", answerEvents(0, 0, true))
+	second := newScriptedUpstream(t, "llm-2", answerEvents(0, 0, true), answerEvents(1, 2, false))
+	v.register(first, "v1")
+	began := newID()
+	if r := v.entries[0].call("POST", "/ask/1", "x", map[string]string{"X-Request-Id": began}); r.err == nil {
+		t.Fatalf("the stream was not broken off: %+v", r)
+	}
+	v.register(second, "v1")
+	eventually(t, "streams may begin", func() bool { return e.origins.excluded(time.Now(), "llm") == nil })
+	feed.still.Store(true)
+	defer feed.still.Store(false)
+	time.Sleep(maxRegistryAge + 200*time.Millisecond)
+	all := v.entries
+	v.entries = all[:1]
+	v.remove(first)
+	v.register(second, "v2")
+	v.entries = all
+	if r := e.takeUp(began); r.status != http.StatusServiceUnavailable || len(second.requests()) != 0 {
+		t.Errorf("a stream of v1 went on at an upstream that has v2 now, %d calls: %+v", len(second.requests()), r)
+	}
+	here := newID()
+	for len(second.requests()) == 0 { // the choice may fall on the upstream that is gone
+		if r := e.call("POST", "/ask/1", "x", map[string]string{"X-Request-Id": here}); r.err == nil && r.status == http.StatusOK {
+			t.Fatalf("the stream was not broken off: %+v", r)
+		}
+	}
+	third := newScriptedUpstream(t, "llm-3", answerEvents(1, 2, false))
+	v.entries = all[:1]
+	v.register(third, "v1")
+	v.entries = all
+	if r := v.entries[0].takeUp(here); r.status != http.StatusServiceUnavailable || len(third.requests()) != 0 {
+		t.Errorf("a stream that began at v2 went on at v1, %d calls: %+v", len(third.requests()), r)
+	}
+}
