budgets: turns go on while the row is out of reach, within one turn's tokens

With claims of one turn's tokens for a program in all, programs were refused in outages of the table that they got through before: a claim took the most of a turn, of which most turns use a third, and a refused caller used up its few attempts within 3.5 s.

- A claim takes what is left of the slack if that is half as much again as the caller's estimate.
The stream ends there if the turn needs more.
- A turn waits for its row for up to 45% of the time left, then it is refused.
- A draw takes the most of three turns ahead if the row has it.
An entry gives unused tokens back as soon as it stops, or when the new owner asks for them; if they are with an entry that has ended, the owner may claim.
- A claim of a slow row is recorded at once, and a held row saves the read before a write: the table tells its version with the answer.

--- a/internal/gateway/budgetclaims.go
+++ b/internal/gateway/budgetclaims.go
@@ -64,20 +64,25 @@
 	if time.Since(pb.noQuorumAt) < claimRetryDelay {
 		return false
 	}
-	key, ok := pb.ledger.Claim(call.ID, call.MaxTokens, known)
+	least := call.Least
+	if least <= 0 {
+		least = call.MaxTokens
+	}
+	key, tokens, ok := pb.ledger.Claim(call.ID, call.MaxTokens, least, known)
 	if !ok {
 		b.logClaim("budget_claim_refused", pb, call, known, "slack in use")
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimRoundTimeout)
 	defer cancel()
-	notice := grantNotice{Program: call.Program, Holder: key, Granted: call.MaxTokens, Total: call.Total, Provisional: true}
+	notice := grantNotice{Program: call.Program, Holder: key, Granted: tokens, Total: call.Total, Provisional: true}
 	b.mu.Unlock()
 	theirs, quorate := b.owners.askWitnesses(ctx, call.Program, &notice)
 	b.mu.Lock()
 	known.Merge(theirs)
-	if quorate && pb.ledger.Confirm(call.ID, call.MaxTokens, known) {
+	if quorate && pb.ledger.Confirm(call.ID, known) {
 		b.logClaim("budget_granted_ahead", pb, call, known, "")
+		b.flushLocked(call.Program, pb) // a slow row shows it before the next turn
 		return true
 	}
 	if !pb.ledger.IsOpen(call.ID) {
--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -119,14 +119,24 @@
 	}
 }
 
+// releaseAll starts to lower the blocks of all programs to what was used.
+func (b *budgets) releaseAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for program, pb := range b.programs {
+		if pb.ledger.Release() {
+			b.flushLocked(program, pb)
+		}
+	}
+}
+
 // returnUnused lowers the blocks of all programs to what was used, and writes what else the rows lack,
 // when this entry shuts down. Rows that can't be reached are tried again until ctx ends.
 func (b *budgets) returnUnused(ctx context.Context) {
 	b.mu.Lock()
 	pending := map[string]*programBudget{}
 	for program, pb := range b.programs {
-		pb.ledger.Stop()
-		if pb.ledger.Flush() {
+		if pb.ledger.Release(); pb.ledger.Flush() {
 			pending[program] = pb
 		}
 	}
@@ -167,13 +177,28 @@
 	}
 }
 
+// release lowers the program's block at this entry to what was used, for an entry that owns the budget
+// now, and reports whether the row shows that.
+func (b *budgets) release(ctx context.Context, program string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pb := b.programs[program]
+	if pb == nil || !pb.ledger.Release() {
+		return false
+	}
+	w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+	err := b.awaitWriteLocked(ctx, w, drawTimeout)
+	b.log.Info("budget_released").Str("program", program).Str("holder", pb.ledger.Holder()).Err(err).End()
+	return err == nil
+}
+
 // settleInRow records the end of a reservation that its owner can't be told: nothing else would
 // show that the turn did not use all of its tokens.
 func (b *budgets) settleInRow(ctx context.Context, call reserveCall, used int) {
 	change := ledger.EndOf(call.ID, used)
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, drawTimeout)
-		_, _, err := b.changeRow(attempt, call, &change, true)
+		_, _, err := b.changeRow(attempt, call, &change, &heldRow{exists: true})
 		cancel()
 		b.log.Info("budget_settled_in_row").Str("request", call.ID).Str("program", call.Program).Int("used", int64(used)).Err(err).End()
 		if err == nil {
--- a/internal/gateway/budgetrow.go
+++ b/internal/gateway/budgetrow.go
@@ -132,9 +132,9 @@
 	return w
 }
 
-// flushLocked starts a write of the ends that the row should show soon.
+// flushLocked starts a write of what the row should show soon, unless it is known to be unreachable.
 func (b *budgets) flushLocked(program string, pb *programBudget) {
-	if pb.ledger.FlushEnds() && pb.pendingWrite == nil && !b.keyUnreachable(budgetKey(program)) && pb.flushes < maxFlushes {
+	if pb.ledger.Flush() && pb.pendingWrite == nil && !b.keyUnreachable(budgetKey(program)) && pb.flushes < maxFlushes {
 		pb.flushes++
 		b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
 	}
@@ -144,38 +144,77 @@
 // entries and to the table.
 func (b *budgets) writeLocked(ctx context.Context, pb *programBudget, call reserveCall, isOwner bool) error {
 	known := b.knownClaimsLocked(ctx, pb, call)
+	res, err := b.applyChangeLocked(ctx, pb, call, isOwner, known)
+	if err != nil || !res.Short {
+		return err
+	}
+	// Other entries may hold unused tokens: those that owned the budget before.
+	if len(res.Holders) > 0 {
+		b.mu.Unlock()
+		released := b.owners.releaseAt(ctx, call.Program, res.Holders)
+		b.mu.Lock()
+		if released {
+			if res, err = b.applyChangeLocked(ctx, pb, call, isOwner, known); err != nil || !res.Short {
+				return err
+			}
+		}
+		if b.claimLocked(ctx, pb, call) {
+			return nil
+		}
+	}
+	b.log.Info("budget_spent").Str("request", call.ID).Str("program", call.Program).Int("tokens", int64(call.MaxTokens)).
+		Int("budget", int64(call.Total)).Int("remaining", int64(res.Row.Remaining())).Int("unresolved", int64(len(res.Unresolved))).
+		Str("row", string(res.Row.Encode())).End()
+	return errBudgetSpent
+}
+
+// applyChangeLocked carries out the change of the row for a call once. The lock is released meanwhile.
+func (b *budgets) applyChangeLocked(ctx context.Context, pb *programBudget, call reserveCall, isOwner bool, known ledger.Grants) (ledger.Result, error) {
 	change := pb.ledger.Change(call.ID, call.MaxTokens, !isOwner, known)
+	held := pb.held
+	if held == nil {
+		held = &heldRow{exists: pb.ledger.RowSeen()}
+	}
 	b.mu.Unlock()
-	res, unknown, err := b.changeRow(ctx, call, &change, pb.ledger.RowSeen())
+	res, unknown, err := b.changeRow(ctx, call, &change, held)
 	b.mu.Lock()
+	pb.held = held
 	if err != nil {
 		pb.ledger.Failed(change, unknown)
-		return err
+		return res, err
 	}
 	if recorded := pb.ledger.Applied(change, res); len(recorded) > 0 {
 		go b.announceRecorded(context.WithoutCancel(ctx), call.Program, res.Row, recorded)
 	}
-	if !res.Short {
-		return nil
-	}
-	b.log.Info("budget_spent").Str("request", call.ID).Str("program", call.Program).Int("tokens", int64(call.MaxTokens)).
-		Int("budget", int64(call.Total)).Int("remaining", int64(res.Row.Remaining())).Int("unresolved", int64(len(res.Unresolved))).
-		Str("row", string(res.Row.Encode())).End()
-	return errBudgetSpent
+	return res, nil
+}
+
+// heldRow is what an entry remembers of a program's row between two changes, to save a read.
+type heldRow struct {
+	// exists reports whether the row was there when it was last seen.
+	exists bool
+	// row is the row at the version; version is 0 if that is not known.
+	row     ledger.Row
+	version int64
 }
 
 // changeRow applies a change to the program's row by compare-and-swap and returns its result. If it
-// fails, unknown reports whether the change may have been applied or may still be. rowSeen is set
-// if the row exists as far as this entry knows.
+// fails, unknown reports whether the change may have been applied or may still be. It begins with the
+// row that is held, and updates that.
 //
 // If too few tokens are left, the ends of turns that other entries reserved are read from the stored
 // turns first.
-func (b *budgets) changeRow(ctx context.Context, call reserveCall, change *ledger.Change, rowSeen bool) (res ledger.Result, unknown bool, err error) {
+func (b *budgets) changeRow(ctx context.Context, call reserveCall, change *ledger.Change, held *heldRow) (res ledger.Result, unknown bool, err error) {
 	key := budgetKey(call.Program)
 	// The first write assumes that there is no row yet, which saves a read. If there is one, the
 	// write fails with a conflict, which carries the row.
 	row, version := ledger.Row{Total: call.Total}, platformapi.Absent
-	if rowSeen {
+	known := *held
+	held.version = 0
+	switch {
+	case known.version != 0:
+		row, version = known.row, known.version
+	case known.exists:
 		if row, version, err = b.read(ctx, key, call.Total); err != nil {
 			return res, false, err
 		}
@@ -197,13 +236,24 @@
 			res = row.Apply(*change)
 		}
 		if !res.Write {
-			return res, false, nil
+			// The row that was held may be old; that too few tokens are left must be true of the present one.
+			if version != known.version || version == platformapi.Absent {
+				*held = heldRow{exists: version != platformapi.Absent, row: row, version: version}
+				return res, false, nil
+			}
+			known.version = 0
+			if row, version, err = b.read(ctx, key, call.Total); err != nil {
+				return res, unanswered >= 0, err
+			}
+			continue
 		}
-		err = b.commits.apply(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: res.Row.Encode()}})
+		var applied int64
+		applied, err = b.commits.applyVersioned(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: res.Row.Encode()}})
 		if err == nil {
 			if version == platformapi.Absent {
 				b.expiry.add(key, budgetIdle)
 			}
+			*held = heldRow{exists: true, row: res.Row, version: applied}
 			return res, false, nil
 		}
 		if !errors.Is(err, platformapi.ErrConditionFailed) && !errors.Is(err, platformapi.ErrNotApplied) {
@@ -287,8 +337,7 @@
 			continue
 		}
 		delete(b.programs, program)
-		pb.ledger.Stop()
-		if pb.ledger.Flush() {
+		if pb.ledger.Release(); pb.ledger.Flush() {
 			go b.flushForgotten(program, pb)
 		}
 	}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -54,6 +54,8 @@
 	recordInterval = 250 * time.Millisecond
 	// maxFlushes bounds the writes of one row within recordInterval that only record ends of turns.
 	maxFlushes = 4
+	// reachablePoll is the time between two checks whether a row is in reach again.
+	reachablePoll = 20 * time.Millisecond
 	// returnRetryWait is the wait between two attempts to return tokens at shutdown.
 	returnRetryWait = 100 * time.Millisecond
 )
@@ -70,6 +72,9 @@
 	// for the unrecorded claims that they know. quorate reports whether a majority of them, which knows
 	// all claims that they acknowledged, has answered.
 	askWitnesses(ctx context.Context, program string, notice *grantNotice) (known ledger.Grants, quorate bool)
+	// releaseAt asks the entries among the holders of blocks of a program that are in reach to return their
+	// unused tokens to the row. It reports whether one of them has done so.
+	releaseAt(ctx context.Context, program string, holders []string) bool
 	// announce sends a notice to the witnesses of its program.
 	announce(ctx context.Context, n grantNotice)
 }
@@ -84,6 +89,9 @@
 	MaxTokens int
 	// Conversation identifies the sequence of turns that the turn belongs to.
 	Conversation string
+	// Least is the least number of tokens with which the turn may be sent if no more can be claimed; 0 if it
+	// needs MaxTokens.
+	Least int
 	// Durable reports whether the turn ends only once it is stored in the table.
 	Durable bool
 }
@@ -126,6 +134,8 @@
 	stage programStage
 	// waited is the time since the program's first request.
 	waited time.Duration
+	// tokens is the number of tokens granted if that is less than MaxTokens, else 0.
+	tokens int
 }
 
 // programStage is how far a program has come: whether a turn of it has run.
@@ -189,6 +199,8 @@
 	// turn that started it. flushes counts those since the last check that only recorded ends of turns.
 	pendingWrite *rowWrite
 	flushes      int
+	// held is what is remembered of the row; nil before the first change.
+	held *heldRow
 	// noQuorumAt is when a claim last failed for lack of witnesses.
 	noQuorumAt time.Time
 	lastUsed   time.Time
@@ -228,11 +240,31 @@
 	stage        programStage
 	// waited is the time since the program's first request, if its owner knows that; else zero.
 	waited time.Duration
+	// limit is the number of tokens that the turn may hand out if that is less than MaxTokens, else 0.
+	limit int
 }
 
-// reserve sets aside the tokens of a turn. It returns errBudgetSpent when the budget has too
-// few tokens left, or an error marked ErrUnavailable when that can't be determined now.
-func (b *budgets) reserve(ctx context.Context, call reserveCall) (*reservation, error) {
+// reserve sets aside the tokens of a turn. While the program's row is out of reach it waits for that, up to
+// a time: callers make few attempts, which together should outlast an outage. It returns errBudgetSpent
+// when the budget has too few tokens left, or an error marked ErrUnavailable when that can't be determined now.
+func (b *budgets) reserve(ctx context.Context, call reserveCall, patience time.Duration) (*reservation, error) {
+	end := time.Now().Add(patience)
+	for {
+		r, err := b.reserveNow(ctx, call)
+		if err == nil || errors.Is(err, errBudgetSpent) || !b.keyUnreachable(budgetKey(call.Program)) {
+			return r, err
+		}
+		for b.keyUnreachable(budgetKey(call.Program)) {
+			if left := time.Until(end); left <= 0 || ctx.Err() != nil {
+				return r, err
+			}
+			sleep(ctx, min(reachablePoll, max(0, time.Until(end))))
+		}
+	}
+}
+
+// reserveNow does the work of reserve without waiting for a row that is out of reach.
+func (b *budgets) reserveNow(ctx context.Context, call reserveCall) (*reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	owner := b.owners.owner(call.Program)
@@ -257,7 +289,7 @@
 	}
 	switch answer.outcome {
 	case reserveGranted:
-		return &reservation{b: b, owner: owner, call: call, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited}, nil
+		return &reservation{b: b, owner: owner, call: call, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited, limit: answer.tokens}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -392,18 +424,18 @@
 	switch pb.ledger.Reserve(call.ID, call.MaxTokens, !isOwner) {
 	case ledger.OutcomeGranted:
 		answer.outcome = reserveGranted
+		if n := pb.ledger.Tokens(call.ID); n < call.MaxTokens {
+			answer.tokens = n
+		}
 	case ledger.OutcomeSettled:
 		answer.outcome = reserveUnknown
-	case ledger.OutcomeSpent:
-		answer.outcome = reserveSpent
 	case ledger.OutcomeObtain:
 	}
 	return answer
 }
 
 // grant reserves the tokens of a turn at this entry and changes the program's row as needed. Only
-// the owner of the program's budget draws blocks and claims tokens. If the reservation is not granted,
-// it counts as settled.
+// the owner of the program's budget draws blocks and claims tokens.
 func (b *budgets) grant(ctx context.Context, call reserveCall, isOwner bool) (reserveAnswer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -429,9 +461,7 @@
 			answer.outcome = reserveSpent
 			return answer, nil
 		case err != nil:
-			// A write in flight may still reserve the tokens, and no turn would use them.
-			pb.ledger.Settle(call.ID, 0, false)
-			b.flushLocked(call.Program, pb)
+			pb.ledger.Abandon(call.ID)
 			return reserveAnswer{outcome: reserveUnknown}, err
 		}
 	}
--- a/internal/gateway/committer.go
+++ b/internal/gateway/committer.go
@@ -42,6 +42,9 @@
 	conditions []platformapi.Condition
 	writes     []platformapi.Write
 	done       chan error
+	// version is that of the table when the change was applied, and 0 if that is not known. It is valid once
+	// done has received nil.
+	version int64
 }
 
 // committer writes changes to the table within this entry's share of the table's write
@@ -95,17 +98,24 @@
 // when nothing was written, platformapi.ErrUnavailable when the change may have been
 // written or ctx ended first, or a *platformapi.Conflict when a condition failed.
 func (c *committer) apply(ctx context.Context, conditions []platformapi.Condition, writes []platformapi.Write) error {
+	_, err := c.applyVersioned(ctx, conditions, writes)
+	return err
+}
+
+// applyVersioned is apply, and returns the version of the table when the change was applied; see
+// platformapi.Txn.
+func (c *committer) applyVersioned(ctx context.Context, conditions []platformapi.Condition, writes []platformapi.Write) (int64, error) {
 	cm := &commit{ctx: ctx, conditions: conditions, writes: writes, done: make(chan error, 1)}
 	select {
 	case c.queue <- cm:
 	default:
-		return errCommitQueueFull
+		return 0, errCommitQueueFull
 	}
 	select {
 	case err := <-cm.done:
-		return err
+		return cm.version, err
 	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), platformapi.ErrUnavailable)
+		return 0, errors.Mark(ctx.Err(), platformapi.ErrUnavailable)
 	}
 }
 
@@ -192,23 +202,26 @@
 		txn.Conditions = append(txn.Conditions, cm.conditions...)
 		txn.Writes = append(txn.Writes, cm.writes...)
 	}
+	var version int64
+	txn.Applied = &version
 	start := time.Now()
 	err := c.table.Apply(ctx, txn)
 	c.metrics.commitLatency.RecordDuration(time.Since(start))
 	c.metrics.commits.Inc(1)
-	c.retries <- c.resolve(batch, err)
+	c.retries <- c.resolve(batch, version, err)
 }
 
-// resolve reports the result of a batch to the callers of apply. After a conflict it
+// resolve reports the result of a batch, and the version of the table if it was applied, to the callers of apply. After a conflict it
 // returns the commits that must be sent again without the conflicting ones. Other failures
 // are not retried here, since each caller handles them in its own way: a turn is stored at
 // another location, a budget's row is read again or its tokens are granted provisionally.
-func (c *committer) resolve(batch []*commit, err error) []*commit {
+func (c *committer) resolve(batch []*commit, version int64, err error) []*commit {
 	var conflict *platformapi.Conflict
 	if errors.As(err, &conflict) {
 		return c.failConflicting(batch, conflict)
 	}
 	for _, cm := range batch {
+		cm.version = version
 		cm.done <- err
 	}
 	return nil
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,10 @@
 // shifted. Earlier builds read 8 bits of the stage and ignore those above.
 const waitedShift = stageShift + 8
 
+// limitShift is the number of bits by which the tokens of a limited reservation are shifted. Only an entry
+// that named the least number of tokens gets a limit.
+const limitShift = 40
+
 // Kinds of questions between entries about budgets.
 const (
 	// callReserve reserves tokens for a turn at the owner of the program's budget.
@@ -54,6 +59,8 @@
 	callGrantNotice = 'g'
 	// callGrantsFor asks for the grants of a program that the receiver knows.
 	callGrantsFor = 'k'
+	// callRelease asks the receiver to return the unused tokens of its block of a program to the row.
+	callRelease = 'u'
 	// callTurnStoredBy asks which entry stored a turn and has it in memory.
 	callTurnStoredBy = 'w'
 )
@@ -82,6 +89,9 @@
 			Program: q.Text(), ID: q.Text(), Total: int(q.Uvarint()), MaxTokens: int(q.Uvarint()),
 			Conversation: q.Text(), Durable: q.Bool(),
 		}
+		if q.More() { // builds before end here, and know no limit of an answer
+			call.Least = int(q.Uvarint())
+		}
 		if !q.Malformed() {
 			o.handleReserve(call, q.Reply)
 		}
@@ -113,6 +123,21 @@
 			q.Reply(mesh.Answer{Value: value, Text: encodeGrants(o.g.budgets.grantsFor(program))})
 		}
 	})
+	m.HandleQuestion(callRelease, func(q mesh.Question) {
+		program := q.Text()
+		if q.Malformed() {
+			return
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), drawTimeout)
+			defer cancel()
+			released := uint64(0)
+			if o.g.budgets.release(ctx, program) {
+				released = 1
+			}
+			q.Reply(mesh.Answer{Value: released})
+		}()
+	})
 	m.HandleQuestion(callTurnStoredBy, func(q mesh.Question) {
 		if program, turn := q.Text(), q.Text(); !q.Malformed() {
 			q.Reply(mesh.Answer{Text: o.g.budgets.storedBy(program, turn)})
@@ -151,14 +176,15 @@
 // encode packs the answer to a reservation: the outcome in the low bits of the value and the
 // stage above it.
 func (a reserveAnswer) encode() mesh.Answer {
-	return mesh.Answer{Value: uint64(a.outcome) | uint64(a.stage)<<stageShift | uint64(max(0, a.waited.Milliseconds()))<<waitedShift, Text: a.lastUpstream}
+	return mesh.Answer{Value: uint64(a.outcome) | uint64(a.stage)<<stageShift | uint64(min(max(0, a.waited.Milliseconds()), budgetIdle.Milliseconds()))<<waitedShift | uint64(a.tokens)<<limitShift, Text: a.lastUpstream}
 }
 
 // decodeReserveAnswer unpacks the answer to a reservation.
 func decodeReserveAnswer(v mesh.Answer) reserveAnswer {
 	return reserveAnswer{
 		outcome: reserveOutcome(v.Value & (1<<stageShift - 1)), lastUpstream: v.Text,
-		stage: programStage(v.Value >> stageShift), waited: time.Duration(min(v.Value>>waitedShift, uint64(budgetIdle.Milliseconds()))) * time.Millisecond,
+		stage: programStage(v.Value >> stageShift), waited: time.Duration(min(v.Value&(1<<limitShift-1)>>waitedShift, uint64(budgetIdle.Milliseconds()))) * time.Millisecond,
+		tokens: int(v.Value >> limitShift),
 	}
 }
 
@@ -175,7 +201,7 @@
 func (o *budgetPeers) reserveAt(ctx context.Context, p *mesh.Peer, r reserveCall) (reserveAnswer, error) {
 	b := mesh.AppendText(mesh.AppendText(make([]byte, 0, 96), r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.MaxTokens))
-	b = mesh.AppendBool(mesh.AppendText(b, r.Conversation), r.Durable)
+	b = binary.AppendUvarint(mesh.AppendBool(mesh.AppendText(b, r.Conversation), r.Durable), uint64(r.Least))
 	timeout := peerCallTimeout
 	if o.g.table.FailedRecently() {
 		timeout = peerCallTimeoutDegraded
@@ -211,6 +237,33 @@
 	return v.Text
 }
 
+// releaseAt implements budgetOwners. The name of a holder is NODE/INCARNATION/NUMBER.
+func (o *budgetPeers) releaseAt(ctx context.Context, program string, holders []string) bool {
+	now, asked := time.Now(), map[string]bool{}
+	answers := make(chan bool, len(holders))
+	for _, holder := range holders {
+		parts := strings.Split(holder, "/")
+		if len(parts) < 3 || asked[parts[len(parts)-2]] {
+			continue
+		}
+		incarnation := parts[len(parts)-2]
+		p := o.g.mesh.ByIncarnation(incarnation)
+		if p == nil || !o.g.mesh.Responsive(p, now) {
+			continue
+		}
+		asked[incarnation] = true
+		go func() {
+			v, err := o.g.mesh.Ask(ctx, p, peerCallTimeout, callRelease, mesh.AppendText(nil, program))
+			answers <- err == nil && v.Value == 1
+		}()
+	}
+	released := false
+	for range asked {
+		released = <-answers || released
+	}
+	return released
+}
+
 // settleAt implements budgetOwners. StoredBy is not encoded: the receiver takes it from the
 // sender's incarnation, which each call carries.
 func (o *budgetPeers) settleAt(ctx context.Context, p *mesh.Peer, s settleCall) error {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -29,6 +29,8 @@
 	g.env.Events.Emit(eventlog.GatewayStopping, eventlog.Fields{Step: "stop", Count: g.inFlight.Load()})
 	// No more claims are acknowledged, so that the handover has all of them.
 	g.budgetPeers.handOver(context.Background())
+	// The entries that own the budgets from now on need the tokens that this one does not use.
+	go g.budgets.releaseAll()
 	end := started.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
 	time.Sleep(min(g.drainDelay, time.Until(end)))
 	// Shutdown also closes idle connections: a call that arrived on one later could not be
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,8 +54,9 @@
 	tokens int
 	// lastEventAt is when the last event was sent to the caller.
 	lastEventAt time.Time
-	// reserved is set when the turn has tokens of a budget.
+	// reserved is set when the turn has tokens of a budget, and limit when it has fewer than it may generate.
 	reserved bool
+	limit    int
 	// stored is set when the turn is stored in the table.
 	stored bool
 }
@@ -75,7 +76,9 @@
 	if !ok {
 		return
 	}
-	s.reserved = reserved != nil
+	if s.reserved = reserved != nil; s.reserved {
+		s.limit = reserved.limit
+	}
 	// reserved is nil for a call without a budget; settle then does nothing.
 	defer func() { reserved.settle(s.tokens, s.servedBy(), s.stored) }()
 	j.info = g.callInfo(j)
@@ -138,8 +141,8 @@
 		return nil, true
 	}
 	r, err := s.g.budgets.reserve(ctx, reserveCall{
-		Program: j.org.ScopedID(j.call.Program), ID: j.org.ScopedID(j.call.ID), Total: j.call.TokenBudget, MaxTokens: j.call.MaxTokens, Conversation: j.call.Conversation, Durable: j.route.Retained,
-	})
+		Program: j.org.ScopedID(j.call.Program), ID: j.org.ScopedID(j.call.ID), Total: j.call.TokenBudget, MaxTokens: j.call.MaxTokens, Least: s.leastTokens(), Conversation: j.call.Conversation, Durable: j.route.Retained,
+	}, time.Duration(rowPatience*float64(j.left())))
 	switch {
 	case err == nil:
 		return r, true
@@ -152,6 +155,30 @@
 	return nil, false
 }
 
+const (
+	// rowPatience is the share of the time left for which a turn waits for the row of its budget. A turn that is
+	// refused then has time to come back, and one that is granted to run.
+	rowPatience = 0.45
+	// hintMargin is the factor by which a turn may exceed its caller's estimate when its tokens are limited.
+	hintMargin = 1.5
+	// unhintedShare is the share of the most tokens of a turn without an estimate that it gets at least.
+	unhintedShare = 0.5
+)
+
+// leastTokens returns the least number of tokens with which the turn is sent when its program's row is out of
+// reach and no more can be claimed. Most turns generate far less than they may.
+func (s *stream) leastTokens() int {
+	call := s.j.call
+	least := unhintedShare * float64(call.MaxTokens)
+	if call.LengthHint > 0 {
+		least = hintMargin * float64(call.LengthHint)
+	}
+	return min(call.MaxTokens, max(1, int(least)))
+}
+
+// errTokenLimit is returned for an event that would exceed the tokens reserved for the turn.
+var errTokenLimit = errors.New("the tokens that could be claimed for the turn are used up")
+
 // servedBy returns the upstream that was chosen last; empty when no event was sent to the
 // caller. The reservation is settled with it.
 func (s *stream) servedBy() string {
@@ -217,6 +244,11 @@
 			s.abort()
 			return
 		}
+		if errors.Is(err, errTokenLimit) {
+			j.mayHaveRun = true
+			s.endFailed("token_limit", err)
+			return
+		}
 		if !g.mayResend(j, res) {
 			s.endFailed(failureReason(res), err)
 			return
@@ -300,6 +332,10 @@
 		}
 		s.nextID = e.id + 1
 	}
+	perEvent := s.g.tokensPerEvent(s.j.service)
+	if s.limit > 0 && s.tokens+perEvent > s.limit {
+		return errTokenLimit
+	}
 	if !s.started {
 		s.writeHead(a)
 	}
@@ -311,7 +347,7 @@
 	}
 	s.lastEventAt = time.Now()
 	s.j.events++
-	s.tokens += s.g.tokensPerEvent(s.j.service)
+	s.tokens += perEvent
 	if s.j.route.Retained {
 		if len(s.output)+len(e.data) > maxTurnOutput {
 			return errors.Wrapf(forward.ErrMalformed, "the output of the turn is longer than %d bytes", maxTurnOutput)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -62,6 +62,9 @@
 type Txn struct {
 	Conditions []Condition `json:"conditions"`
 	Writes     []Write     `json:"writes"`
+	// Applied, unless it is nil, receives the version of the table once the transaction is applied, if the
+	// client learns of it. It is usually that of the rows written, and newer if others wrote meanwhile.
+	Applied *int64 `json:"-"`
 }
 
 // Table is the transactional table service.
--- a/internal/tablerelay/tablerelay.go
+++ b/internal/tablerelay/tablerelay.go
@@ -66,6 +66,7 @@
 		if c.Txn == nil {
 			return tableAnswer{Code: codeNotApplied, Detail: "no transaction"}
 		}
+		c.Txn.Applied = &a.Version
 		err = t.Apply(ctx, *c.Txn)
 	case "get":
 		var row platformapi.Row
@@ -145,7 +146,10 @@
 
 // Apply implements platformapi.Table.
 func (t *Table) Apply(ctx context.Context, txn platformapi.Txn) error {
-	_, err := t.call(ctx, "apply", tableCall{Txn: &txn})
+	a, err := t.call(ctx, "apply", tableCall{Txn: &txn})
+	if err == nil && txn.Applied != nil {
+		*txn.Applied = a.Version
+	}
 	return err
 }
 
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -11,8 +11,6 @@
 	reserved int
 	// spent is the number of tokens that ended turns delivered to callers.
 	spent int
-	// exhausted is set when a draw finds too few tokens left, and by ReturnFree. It stays set.
-	exhausted bool
 }
 
 // NewAccount returns the account of a program whose budget is total tokens.
@@ -25,9 +23,6 @@
 // when a turn delivered more than it had reserved.
 func (a *Account) Free() int { return a.drawn - a.reserved - a.spent }
 
-// Exhausted reports whether a draw has found too few tokens left, or ReturnFree was called.
-func (a *Account) Exhausted() bool { return a.exhausted }
-
 // Reserve sets aside maxTokens, the number of tokens that a turn may generate. It reports
 // false when fewer tokens are free.
 func (a *Account) Reserve(maxTokens int) bool {
@@ -49,30 +44,28 @@
 	// KnownDrawn is the number of tokens that the account had drawn before and not returned. The
 	// row shows more when the answer to an earlier draw was lost.
 	KnownDrawn int
-	// Need is the least number of tokens to draw.
-	Need int
+	// Need is the least number of tokens to draw, Ahead the number to draw if the row has it.
+	Need, Ahead int
 }
 
+// turnsAhead is the number of turns for which a draw takes tokens, if the row has them: a program that
+// has begun goes on with them while the table is away.
+const turnsAhead = 3
+
 // NextDraw returns the draw needed for a turn that may generate maxTokens.
 func (a *Account) NextDraw(maxTokens int) DrawRequest {
-	return DrawRequest{KnownDrawn: a.drawn, Need: max(0, maxTokens-a.Free())}
+	return DrawRequest{KnownDrawn: a.drawn, Need: max(0, maxTokens-a.Free()), Ahead: max(0, turnsAhead*maxTokens-a.Free())}
 }
 
-// ApplyDraw adds the block that a draw took, or that the row already showed. A block of 0 means
-// that the row had too few tokens left, and marks the account as exhausted.
-func (a *Account) ApplyDraw(block int) {
-	a.drawn += block
-	a.exhausted = a.exhausted || block == 0
-}
+// ApplyDraw adds the block that a draw took, or that the row already showed.
+func (a *Account) ApplyDraw(block int) { a.drawn += block }
 
 // Granted returns the number of tokens that the account has drawn and not returned.
 func (a *Account) Granted() int { return a.drawn }
 
-// ReturnFree removes the free tokens from the account and returns their number. The account is
-// exhausted afterwards, so that no more is drawn.
+// ReturnFree removes the free tokens from the account and returns their number.
 func (a *Account) ReturnFree() int {
 	returned := max(0, min(a.drawn, a.Free()))
 	a.drawn -= returned
-	a.exhausted = true
 	return returned
 }
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -10,8 +10,6 @@
 	OutcomeObtain Outcome = iota
 	// OutcomeGranted means that the tokens are reserved.
 	OutcomeGranted
-	// OutcomeSpent means that the budget has too few tokens left.
-	OutcomeSpent
 	// OutcomeSettled means that the reservation was settled before it was granted.
 	OutcomeSettled
 )
@@ -45,14 +43,21 @@
 	// settled contains the ids of settled reservations. A reservation may be settled before it is
 	// granted, because the entry that requested it may have given up.
 	settled map[string]bool
-	// ended maps the keys of ended reservations that the row may still show to the tokens used.
-	ended map[string]int
+	// abandoned contains the ids of requests that failed. A change in flight may still reserve their tokens.
+	abandoned map[string]bool
+	// ended holds the ends of turns, by key, that the row may not show yet.
+	ended map[string]End
 	// flush is set when the row must show the ends soon, since no stored turn shows them.
 	flush bool
+	// spent is set when the last change found too few tokens left, though no other entry holds a block.
+	spent bool
+	// lowered is set while the row may show more for the block than the program retains of it.
+	lowered bool
 	// force is set when an unanswered write may still be applied.
 	force bool
-	// claims holds the unrecorded claims of this entry by key.
-	claims Grants
+	// claims holds the unrecorded claims of this entry by key, announced the keys of all of its claims.
+	claims    Grants
+	announced map[string]bool
 	// rowSeen reports whether this entry has seen or written the program's row. shown contains the keys
 	// of the claims that it showed then, and excess is by how much it exceeded the budget.
 	rowSeen bool
@@ -64,8 +69,8 @@
 // in the row, and no other incarnation or state may have that name.
 func NewProgram(total int, holder string) *Program {
 	return &Program{
-		holder: holder, block: NewAccount(total), open: map[string]reservation{}, settled: map[string]bool{},
-		ended: map[string]int{}, claims: Grants{},
+		holder: holder, block: NewAccount(total), open: map[string]reservation{}, settled: map[string]bool{}, abandoned: map[string]bool{},
+		ended: map[string]End{}, claims: Grants{}, announced: map[string]bool{},
 	}
 }
 
@@ -84,11 +89,14 @@
 	return ok
 }
 
+// Tokens returns the tokens of a reservation in progress.
+func (p *Program) Tokens(id string) int { return p.open[id].tokens }
+
 // MarkKept notes that the entries keep turns of the program. Its block is no longer used then.
 func (p *Program) MarkKept() {
 	if !p.kept {
 		p.kept = true
-		p.flush = p.block.ReturnFree() > 0 || p.flush
+		p.Release()
 	}
 }
 
@@ -99,6 +107,7 @@
 // may have no block here.
 func (p *Program) Reserve(id string, tokens int, byTurn bool) Outcome {
 	p.mostTokens = max(p.mostTokens, tokens)
+	delete(p.abandoned, id) // it is asked for again
 	switch {
 	case p.IsOpen(id):
 		return OutcomeGranted
@@ -109,8 +118,6 @@
 	case p.block.Reserve(tokens):
 		p.open[id] = reservation{tokens, fromBlock}
 		return OutcomeGranted
-	case p.block.Exhausted():
-		return OutcomeSpent
 	default:
 		return OutcomeObtain
 	}
@@ -126,14 +133,11 @@
 		}
 	}
 	for open, r := range p.open {
-		switch r.source {
-		case fromRow:
+		if r.source != fromBlock {
 			c.Own[turnKey(open)] = true
-		case fromClaim:
-			c.Own[claimKey(open)] = true
 		}
 	}
-	if p.kept || p.block.Exhausted() {
+	if p.lowered {
 		c.Retained = map[string]int{p.holder: p.block.Granted()}
 	}
 	switch {
@@ -150,19 +154,24 @@
 
 // EndOf returns the change that records the end of a turn with used tokens.
 func EndOf(id string, used int) Change {
-	return Change{Ended: map[string]int{turnKey(id): used, claimKey(id): used}}
+	return Change{Ended: map[string]End{turnKey(id): {used, true}}}
 }
 
-// Resolved adds the ends of other entries' reservations, read from stored turns, to a change.
-func (c *Change) Resolved(used map[string]int) { maps.Copy(c.Ended, used) }
+// Resolved adds the ends of other entries' turns, by key, read from stored turns, to a change.
+func (c *Change) Resolved(used map[string]int) {
+	for key, n := range used {
+		c.Ended[key] = End{n, true}
+	}
+}
 
 // Applied notes that the row now is as Row.Apply left it. It returns the keys of the own claims that
 // the row shows now.
 func (p *Program) Applied(c Change, r Result) (recorded []string) {
 	p.rowSeen, p.force = true, false
+	p.spent = r.Short && len(r.Holders) == 0
 	p.excess, p.shown = max(0, -r.Row.Remaining()), map[string]bool{}
 	for key := range r.Row.Drawn {
-		if isClaim(key) {
+		if TurnOf(key) != "" {
 			p.shown[key] = true
 		}
 	}
@@ -174,27 +183,44 @@
 		delete(p.claims, key)
 		recorded = append(recorded, key)
 		if now != n { // it was settled meanwhile
-			p.ended[key] = now
-			p.flush = true
+			p.end(key, End{now, true}, false)
 		}
 	}
-	for key, used := range c.Ended {
-		if now, ok := p.ended[key]; ok && now == used {
+	for key, end := range c.Ended {
+		if now, ok := p.ended[key]; ok && now == end {
 			delete(p.ended, key)
 		}
 	}
+	if n, ok := c.Retained[p.holder]; ok && n == p.block.Granted() {
+		p.lowered = false
+	}
 	p.flush = p.flush && len(p.ended) > 0
 	switch {
-	case r.Reserved && (p.settled[c.Turn] || p.IsOpen(c.Turn)):
-		p.end(turnKey(c.Turn), 0, false) // given up, or claimed meanwhile
 	case r.Reserved:
-		p.open[c.Turn] = reservation{c.Tokens, fromRow}
+		p.reserved(c.Turn, c.Tokens)
 	case c.Block != nil:
 		p.block.ApplyDraw(r.Drawn)
 	}
 	return recorded
 }
 
+// reserved notes that the row shows the reservation of a turn.
+func (p *Program) reserved(id string, tokens int) {
+	key := turnKey(id)
+	_, claimed := p.claims[key]
+	switch {
+	case p.IsOpen(id): // claimed meanwhile, under the same key
+	case (p.settled[id] || p.abandoned[id]) && !claimed:
+		p.end(key, End{}, false)
+	case p.settled[id] || p.abandoned[id]: // the end of the claim is recorded with it
+	default:
+		// A claim that was withdrawn meanwhile must not be recorded as unused.
+		delete(p.claims, key)
+		delete(p.ended, key)
+		p.open[id] = reservation{tokens, fromRow}
+	}
+}
+
 // Failed notes that a change was not applied, or may not have been if unknown is set. The turn is not
 // reserved, and a later write must make sure of that.
 func (p *Program) Failed(c Change, unknown bool) {
@@ -202,18 +228,22 @@
 		return
 	}
 	p.force = true
-	if c.Turn != "" {
-		p.end(turnKey(c.Turn), 0, false)
+	if _, claimed := p.claims[turnKey(c.Turn)]; c.Turn != "" && !claimed && !p.IsOpen(c.Turn) {
+		p.end(turnKey(c.Turn), End{}, false)
 	}
 }
 
-// end notes the end of a reservation that the row shows. stored reports whether a stored turn
-// shows it too.
-func (p *Program) end(key string, used int, stored bool) {
-	p.ended[key] = used
+// end notes the end of a turn that the row may show. stored reports whether a stored turn shows it
+// too.
+func (p *Program) end(key string, e End, stored bool) {
+	e.Keep = e.Keep || p.announced[key]
+	p.ended[key] = e
 	p.flush = p.flush || !stored
 }
 
+// Abandon notes that a request for tokens failed. It may be made again.
+func (p *Program) Abandon(id string) { p.abandoned[id] = true }
+
 // Settle ends a reservation of which used tokens were handed out; stored reports whether the turn
 // was stored. It reports whether the reservation was open, and returns the key of its claim if that is
 // not recorded. Settling twice changes nothing.
@@ -224,19 +254,17 @@
 		return false, ""
 	}
 	delete(p.open, id)
-	switch key := claimKey(id); r.source {
+	switch key := turnKey(id); r.source {
 	case fromBlock:
 		p.block.Settle(r.tokens, used)
 	case fromRow:
-		p.end(turnKey(id), used, stored)
+		p.end(key, End{used, false}, stored)
 	case fromClaim:
-		if _, unrecorded := p.claims[key]; !unrecorded {
-			p.end(key, used, stored)
-			break
+		p.end(key, End{used, true}, stored) // a witness may have recorded it
+		if _, unrecorded := p.claims[key]; unrecorded {
+			p.claims[key] = used
+			return true, key
 		}
-		p.claims[key] = used
-		p.end(key, used, stored) // a witness may have recorded it
-		return true, key
 	}
 	return true, ""
 }
@@ -245,7 +273,7 @@
 func (p *Program) RowSeen() bool { return p.rowSeen }
 
 // FlushEnds reports whether the row should be written soon for ends of turns that nothing else shows.
-func (p *Program) FlushEnds() bool { return p.flush || p.force }
+func (p *Program) FlushEnds() bool { return p.flush || p.force || p.lowered }
 
 // Flush reports whether the row should be written soon for the ends that it does not show, or for
 // claims that it lacks.
@@ -254,41 +282,46 @@
 // Claims returns a copy of the unrecorded claims of this entry by key.
 func (p *Program) Claims() Grants { return maps.Clone(p.claims) }
 
-// Claim claims the tokens of a turn from the slack, next to the claims that are known of other
-// entries. It returns the key of the claim. The claim counts from now on, but nothing may
-// be handed out before Confirm; Withdraw takes it back.
-func (p *Program) Claim(id string, tokens int, known Grants) (key string, ok bool) {
+// Claim claims tokens for a turn from the slack, next to the claims that are known of other entries: as many
+// as the turn may generate, or those that are left if they are at least a number. It returns the key and the
+// tokens of the claim. The claim counts from now on, but nothing may be handed out before Confirm;
+// Withdraw takes it back.
+func (p *Program) Claim(id string, tokens, least int, known Grants) (key string, claimed int, ok bool) {
 	p.mostTokens = max(p.mostTokens, tokens)
-	key = claimKey(id)
-	if _, again := p.claims[key]; again || p.block.Exhausted() && !p.kept || !p.fits(key, tokens, known) {
-		return "", false
+	key = turnKey(id)
+	claimed = min(tokens, p.slack(key, known))
+	// A key is claimed once: witnesses take a second claim under it for a late notice of the first.
+	if _, again := p.claims[key]; again || p.spent || claimed < least || claimed <= 0 {
+		return "", 0, false
 	}
-	p.claims[key] = tokens
-	return key, true
+	p.claims[key], p.announced[key] = claimed, true
+	delete(p.ended, key) // of a reservation that failed
+	return key, claimed, true
 }
 
-// fits reports whether a claim of tokens fits the slack beside the other claims: those that the row
-// does not show as far as this entry knows, and what recorded ones have taken beyond the budget.
-func (p *Program) fits(key string, tokens int, known Grants) bool {
-	total := tokens + p.excess
+// slack returns how many tokens can be claimed under a key beside the other claims: those that the row does not
+// show as far as this entry knows, and what recorded ones have taken beyond the budget.
+func (p *Program) slack(key string, known Grants) int {
+	left := p.mostTokens - p.excess
 	for k, n := range p.claims {
 		if k != key {
-			total += n
+			left -= n
 		}
 	}
 	for k, n := range known {
 		if _, own := p.claims[k]; !own && k != key && !p.shown[k] {
-			total += n
+			left -= n
 		}
 	}
-	return total <= p.mostTokens
+	return left
 }
 
 // Confirm completes a claim once a majority of the witnesses has acknowledged it and shown the
 // claims that they know. It reports whether the turn may be sent.
-func (p *Program) Confirm(id string, tokens int, known Grants) bool {
-	key := claimKey(id)
-	if _, ok := p.claims[key]; !ok || p.settled[id] || p.IsOpen(id) || !p.fits(key, tokens, known) {
+func (p *Program) Confirm(id string, known Grants) bool {
+	key := turnKey(id)
+	tokens, ok := p.claims[key]
+	if !ok || p.settled[id] || p.IsOpen(id) || tokens > p.slack(key, known) {
 		return false
 	}
 	p.open[id] = reservation{tokens, fromClaim}
@@ -297,17 +330,19 @@
 
 // Withdraw takes back a claim that was not confirmed.
 func (p *Program) Withdraw(id string) {
-	key := claimKey(id)
+	key := turnKey(id)
 	if _, unrecorded := p.claims[key]; unrecorded {
 		// The row is to show it with 0 tokens: a witness that does not hear of this would record it.
 		p.claims[key] = 0
 	}
-	p.end(key, 0, false)
+	p.end(key, End{0, true}, false)
 }
 
-// Stop returns the free tokens of the block, so that the next change lowers it.
-func (p *Program) Stop() {
+// Release returns the free tokens of the block, so that the next change lowers it in the row. It
+// reports whether there are any.
+func (p *Program) Release() bool {
 	if p.block.ReturnFree() > 0 {
-		p.flush = true
+		p.lowered = true
 	}
+	return p.lowered
 }
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -12,42 +12,31 @@
 // ErrBadRow reports a budget row that does not decode.
 var ErrBadRow = errors.New("malformed budget row")
 
-// drawDivisor sets the size of a block: a draw takes 1/drawDivisor of the remaining tokens,
-// or what the turn needs if that is more. With a divisor of 2, as much as was taken remains
-// for the entry that the program moves to.
+// drawDivisor sets the size of a block: a draw takes 1/drawDivisor of the remaining tokens, or
+// those of turnsAhead turns if that is more.
 const drawDivisor = 2
 
 // Keys of Row.Drawn that are not the name of a block's holder. Such a name contains a slash
 // and begins with a node name.
 const (
-	// turnPrefix precedes the id of a reservation.
+	// turnPrefix precedes the id of a turn whose tokens are reserved or claimed.
 	turnPrefix = "turn:"
-	// claimPrefix precedes the id of a claim.
-	claimPrefix = "ahead:"
 	// settledKey holds the tokens that ended reservations have used.
 	settledKey = "settled"
 )
 
-// turnKey returns the key of the reservation for the turn with the id.
+// turnKey returns the key of the turn with the id.
 func turnKey(id string) string { return turnPrefix + id }
 
-// claimKey returns the key of the claim for the turn with the id.
-func claimKey(id string) string { return claimPrefix + id }
-
 // TurnOf returns the id of the turn that a key stands for; empty for other keys.
 func TurnOf(key string) string {
-	if id, ok := strings.CutPrefix(key, turnPrefix); ok {
-		return id
-	}
-	if id, ok := strings.CutPrefix(key, claimPrefix); ok {
-		return id
+	id, _ := strings.CutPrefix(key, turnPrefix)
+	if id == key {
+		return ""
 	}
-	return ""
+	return id
 }
 
-// isClaim reports whether a key is that of a claim.
-func isClaim(key string) bool { return strings.HasPrefix(key, claimPrefix) }
-
 // Row is the budget row of one program in the platform's table.
 type Row struct {
 	// Total is the budget in tokens.
@@ -108,7 +97,7 @@
 	next, changed := r, false
 	for key, n := range claims {
 		have, ok := r.Drawn[key]
-		if ok && (isClaim(key) || have >= n) {
+		if ok && (TurnOf(key) != "" || have >= n) {
 			continue
 		}
 		if !changed {
@@ -119,20 +108,20 @@
 	return next, changed
 }
 
-// settle records in place that a reservation or a claim has ended with used tokens. It reports
+// settle records in place that a turn has ended with used tokens. The key of a reservation that this
+// entry made itself is removed; another one stays, so that nobody records the claim again. settle reports
 // whether that changes the row.
-func (r Row) settle(key string, used int) bool {
+func (r Row) settle(key string, e End) bool {
 	have, ok := r.Drawn[key]
 	switch {
 	case !ok:
 		return false
-	case isClaim(key):
-		// The key stays, so that a witness does not record the claim again.
-		r.Drawn[key] = min(have, used)
-		return used < have
+	case e.Keep:
+		r.Drawn[key] = min(have, e.Used)
+		return e.Used < have
 	default:
 		delete(r.Drawn, key)
-		r.Drawn[settledKey] += used
+		r.Drawn[settledKey] += e.Used
 		return true
 	}
 }
@@ -150,13 +139,19 @@
 	return true
 }
 
+// End is the end of a turn that used a number of tokens. Keep is set if its key is to stay in the row.
+type End struct {
+	Used int
+	Keep bool
+}
+
 // Change is a change of a row, planned by Program.Change. Apply may be called again for a newer
 // version of the row if a write failed or its outcome is unknown: what a former write did is recognised.
 type Change struct {
 	// Claims holds the claims to record, by key.
 	Claims Grants
-	// Ended maps the keys of ended reservations and claims to the tokens that they used.
-	Ended map[string]int
+	// Ended maps the keys of turns to their ends.
+	Ended map[string]End
 	// Retained maps holders to what they retain of their blocks.
 	Retained map[string]int
 	// Own contains the keys of the reservations in progress at this entry.
@@ -183,8 +178,10 @@
 	Drawn int
 	// Short reports whether too few tokens are left for the turn or the block.
 	Short bool
+	// Holders holds, in order, the names of the other holders of blocks.
+	Holders []string
 	// Unresolved holds, in order, the keys of reservations and claims that other entries made and
-	// whose end the row does not show.
+	// whose end the row may not show.
 	Unresolved []string
 }
 
@@ -194,22 +191,21 @@
 	if !write {
 		next = r.clone()
 	}
-	for key, used := range c.Ended {
-		write = next.settle(key, used) || write
+	for key, end := range c.Ended {
+		write = next.settle(key, end) || write
 	}
 	for holder, n := range c.Retained {
 		write = next.lower(holder, n) || write
 	}
-	res := Result{Unresolved: next.unresolved(c.Own)}
+	res := Result{Unresolved: next.unresolved(c.Own), Holders: next.holders(c.Holder)}
 	switch {
 	case c.Turn != "":
 		res.Reserved = next.reserve(c.Turn, c.Tokens)
-		_, had := r.Drawn[turnKey(c.Turn)]
-		write = write || res.Reserved && !had
+		write = write || res.Reserved && r.Drawn[turnKey(c.Turn)] < c.Tokens
 		res.Short = !res.Reserved
 	case c.Block != nil:
 		drawn, known := next.Drawn[c.Holder], c.Block.KnownDrawn
-		if drawn > known { // the answer to an earlier draw was lost
+		if drawn > known && !c.Force { // the answer to an earlier draw was lost
 			res.Drawn = drawn - known
 			break
 		}
@@ -227,16 +223,17 @@
 	return res
 }
 
-// reserve reserves tokens for a turn in place and reports whether they are reserved.
+// reserve reserves tokens for a turn in place and reports whether they are reserved. The row has the key
+// already if an earlier write reserved them, or with fewer tokens if a claim of the turn was withdrawn.
 func (r Row) reserve(id string, tokens int) bool {
 	key := turnKey(id)
-	if _, ok := r.Drawn[key]; ok {
-		return true // an earlier write did it
-	}
-	if r.Remaining() < tokens {
-		return false
+	need := tokens - r.Drawn[key]
+	if need > 0 {
+		if r.Remaining() < need {
+			return false
+		}
+		r.Drawn[key] = tokens
 	}
-	r.Drawn[key] = tokens
 	return true
 }
 
@@ -252,6 +249,18 @@
 	return keys
 }
 
+// holders returns the names of the holders of blocks other than own.
+func (r Row) holders(own string) []string {
+	var names []string
+	for key, n := range r.Drawn {
+		if n > 0 && key != own && key != settledKey && TurnOf(key) == "" {
+			names = append(names, key)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Draw returns the row after holder has drawn a block of at least d.Need tokens, and the
 // size of that block. The block is 0 when the row has too few tokens left.
 func (r Row) Draw(holder string, d DrawRequest) (Row, int) {
@@ -259,7 +268,7 @@
 	if remaining < d.Need || d.Need <= 0 {
 		return r, 0
 	}
-	block := max(d.Need, remaining/drawDivisor)
+	block := max(d.Need, remaining/drawDivisor, min(remaining, d.Ahead))
 	next := r.clone()
 	next.Drawn[holder] += block
 	return next, block
