--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -86,11 +86,11 @@
 	o.joinClaims()
 	m.HandleQuestion(callReserve, func(q mesh.Question) {
 		call := reserveCall{
-			Program: q.Text(), ID: q.Text(), Total: int(q.Uvarint()), MaxTokens: int(q.Uvarint()),
+			Program: q.Text(), ID: q.Text(), Total: readTokens(q.Reader), MaxTokens: readTokens(q.Reader),
 			Conversation: q.Text(), Durable: q.Bool(),
 		}
 		if q.More() { // builds before end here, and know no limit of an answer
-			call.Least = int(q.Uvarint())
+			call.Least = readTokens(q.Reader)
 		}
 		if !q.Malformed() {
 			o.handleReserve(call, q.Reply)
@@ -98,7 +98,7 @@
 	})
 	m.HandleQuestion(callSettle, func(q mesh.Question) {
 		call := settleCall{
-			Program: q.Text(), ID: q.Text(), Used: int(q.Uvarint()), Conversation: q.Text(), Upstream: q.Text(),
+			Program: q.Text(), ID: q.Text(), Used: readTokens(q.Reader), Conversation: q.Text(), Upstream: q.Text(),
 			Stored: q.Bool(), StoredBy: q.From,
 		}
 		if !q.Malformed() {
@@ -288,12 +288,22 @@
 
 // readNotice decodes a grantNotice.
 func readNotice(r *mesh.Reader) grantNotice {
-	n := grantNotice{Program: r.Text(), Holder: r.Text(), Granted: int(r.Uvarint()), Total: int(r.Uvarint())}
+	n := grantNotice{Program: r.Text(), Holder: r.Text(), Granted: readTokens(r), Total: readTokens(r)}
 	flags := r.Uvarint()
 	n.Returned, n.Provisional = flags&noticeReturned != 0, flags&noticeProvisional != 0
 	return n
 }
 
+// readTokens reads a number of tokens. One above ledger.MaxTokens makes the packet malformed.
+func readTokens(r *mesh.Reader) int {
+	n := r.Uvarint()
+	if n > ledger.MaxTokens {
+		r.Fail()
+		return 0
+	}
+	return int(n)
+}
+
 // encodeGrants encodes grants as a string, the form in which mesh.Answer carries them.
 func encodeGrants(g ledger.Grants) string {
 	var b []byte
@@ -308,7 +318,7 @@
 	r := mesh.NewReader([]byte(text))
 	g := ledger.Grants{}
 	for r.More() {
-		holder, n := r.Text(), int(r.Uvarint())
+		holder, n := r.Text(), readTokens(r)
 		if r.Malformed() {
 			return nil
 		}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -13,6 +13,7 @@
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
 	"github.com/buckthornroute/buckthornroute/internal/settings"
 	"github.com/buckthornroute/buckthornroute/internal/tablerelay"
+	"github.com/buckthornroute/buckthornroute/ledger"
 	"github.com/buckthornroute/buckthornroute/turnlog"
 )
 
@@ -262,7 +263,7 @@
 		if err != nil {
 			return 0, false, errors.Wrapf(err, "usage of turn %q at location %d", id, location)
 		}
-		if used, err = strconv.Atoi(string(row.Value)); err != nil || used < 0 {
+		if used, err = strconv.Atoi(string(row.Value)); err != nil || used < 0 || used > ledger.MaxTokens {
 			return 0, false, errors.Wrapf(turnlog.ErrBadTurn, "usage of turn %q: %q", id, row.Value)
 		}
 		return used, true, nil
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -47,17 +47,17 @@
 	Drawn map[string]int `json:"drawn"`
 }
 
-// maxTokens bounds each number of a row, so that sums of them don't overflow.
-const maxTokens = 1 << 40
+// MaxTokens bounds each number of tokens in rows and messages, so that sums of them don't overflow.
+const MaxTokens = 1 << 40
 
 // DecodeRow decodes a stored row. Its errors wrap ErrBadRow.
 func DecodeRow(value []byte) (Row, error) {
 	var r Row
-	if err := json.Unmarshal(value, &r); err != nil || r.Total <= 0 || r.Total > maxTokens {
+	if err := json.Unmarshal(value, &r); err != nil || r.Total <= 0 || r.Total > MaxTokens {
 		return Row{}, errors.Wrapf(ErrBadRow, "%d bytes, total %d: %v", len(value), r.Total, err)
 	}
 	for key, n := range r.Drawn {
-		if n < 0 || n > maxTokens {
+		if n < 0 || n > MaxTokens {
 			return Row{}, errors.Wrapf(ErrBadRow, "%d tokens under %q", n, key)
 		}
 	}
