budgets: an owner that can't be told to forget a turn does not end it in the row

An entry that does not reach the owner asks it to forget the turn, and reserves the turn itself. When the owner could not be told, the end was written to the row under the key of that turn, which was the one of the running turn: its 570 tokens were handed out again. Logs of the entry, budget_settled_in_row with 0 tokens for a turn that it served, showed that.

The end is written to the row only where a turn has ended. TestUnreachableOwnerLeavesTheReservation fails with the former call.

A program that was found spent counts as that for 300 ms unless a turn of it ends, so that a loop does not read its row for each turn.

--- a/internal/gateway/budgetrow.go
+++ b/internal/gateway/budgetrow.go
@@ -162,6 +162,7 @@
 			return nil
 		}
 	}
+	pb.spentAt = time.Now()
 	b.log.Info("budget_spent").Str("request", call.ID).Str("program", call.Program).Int("tokens", int64(call.MaxTokens)).
 		Int("budget", int64(call.Total)).Int("remaining", int64(res.Row.Remaining())).Int("unresolved", int64(len(res.Unresolved))).
 		Str("row", string(res.Row.Encode())).End()
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -44,6 +44,9 @@
 	settleTimeout  = 150 * time.Millisecond
 	// claimRoundTimeout bounds a claim, and the questions to the witnesses before a change of a row.
 	claimRoundTimeout = 200 * time.Millisecond
+	// spentMemory is how long a program counts as spent without another look at its row, unless one of its
+	// turns ends: some programs send many turns until they are refused.
+	spentMemory = 300 * time.Millisecond
 	// claimRetryDelay is how long a program claims nothing after a claim that too few witnesses acknowledged.
 	claimRetryDelay = 300 * time.Millisecond
 	// recordForOwnerAfter is how long an owner has to record its claims once the row is reachable,
@@ -201,6 +204,8 @@
 	flushes      int
 	// held is what is remembered of the row; nil before the first change.
 	held *heldRow
+	// spentAt is when too few tokens were found left; zero once a turn has ended since.
+	spentAt time.Time
 	// noQuorumAt is when a claim last failed for lack of witnesses.
 	noQuorumAt time.Time
 	lastUsed   time.Time
@@ -278,8 +283,9 @@
 		answer, err = b.grant(ctx, call, true)
 	case errors.Is(err, mesh.ErrUnreachable):
 		// The owner may still grant this reservation later, and no turn would use it. The
-		// settleCall frees its tokens, or prevents the grant if it arrives first.
-		go b.sendSettle(context.WithoutCancel(ctx), owner, call, settleCall{Program: call.Program, ID: call.ID})
+		// settleCall frees its tokens, or prevents the grant if it arrives first. In the row the turn has not
+		// ended: this entry reserves its tokens under the same key.
+		go b.tellOwner(context.WithoutCancel(ctx), owner, settleCall{Program: call.Program, ID: call.ID})
 		// Any entry may draw from the row. Only the owner grants provisionally, and only the
 		// owner can determine that the budget is spent.
 		owner = nil // from here on this entry counts as the one that grants the reservation
@@ -319,20 +325,26 @@
 // reserved tokens of the turn count as used. If the owner can't be told, the end of a turn that was
 // not stored is recorded in the row.
 func (b *budgets) sendSettle(ctx context.Context, owner *mesh.Peer, call reserveCall, s settleCall) {
+	if b.tellOwner(ctx, owner, s) || s.Stored {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, budgetIdle)
+	defer cancel()
+	b.settleInRow(ctx, call, s.Used)
+}
+
+// tellOwner sends a settleCall to the owner and reports whether that has received it.
+func (b *budgets) tellOwner(ctx context.Context, owner *mesh.Peer, s settleCall) bool {
 	for range settleAttempts {
 		attemptCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 		err := b.owners.settleAt(attemptCtx, owner, s)
 		cancel()
 		if err == nil {
-			return
+			return true
 		}
 	}
 	b.commits.metrics.settlementsLost.Inc(1)
-	if !s.Stored {
-		ctx, cancel := context.WithTimeout(ctx, budgetIdle)
-		defer cancel()
-		b.settleInRow(ctx, call, s.Used)
-	}
+	return false
 }
 
 // settleLocal ends a reservation that this entry granted. It is idempotent, because the same
@@ -345,6 +357,7 @@
 		return
 	}
 	wasOpen, claim := pb.ledger.Settle(s.ID, s.Used, s.Stored)
+	pb.spentAt = time.Time{}
 	if claim != "" {
 		go b.owners.announce(context.Background(), grantNotice{Program: s.Program, Holder: claim, Granted: s.Used, Total: pb.ledger.Total(), Returned: true, Provisional: s.Used > 0})
 	}
@@ -444,6 +457,9 @@
 	// refused.
 	for {
 		answer := b.tryGrantLocked(pb, call, isOwner)
+		if answer.outcome == 0 && time.Since(pb.spentAt) < spentMemory {
+			answer.outcome = reserveSpent
+		}
 		if answer.outcome != 0 {
 			return answer, nil
 		}
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -524,3 +524,44 @@
 		t.Errorf("%d turns of 50 tokens ran on a budget of 200, want 4", n)
 	}
 }
+
+// TestUnreachableOwnerLeavesTheReservation: the owner of a budget does not answer, so another entry reserves a turn in
+// the row. That the owner can't be told to forget the turn must not end it there while it runs: its tokens would be
+// handed out again.
+func TestUnreachableOwnerLeavesTheReservation(t *testing.T) {
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, func(w http.ResponseWriter, r *http.Request) {
+		answerEvents(0, 0, false)(w, r)
+		<-release
+	})
+	t.Cleanup(end) // before that of the upstream, which waits for its answers
+	eventually(t, "the entry owns budgets", e.mesh.CanOwn)
+	program := "p0"
+	for n := 1; routing.Rendezvous(program, "silent") < routing.Rendezvous(program, string(e.cfg.Node)); n++ {
+		program = fmt.Sprintf("p%d", n)
+	}
+	setPeer(t, e.Gateway, mesh.Peer{
+		Node: "silent", Incarnation: "x", UDPAddress: "127.0.0.1:9", HTTPAddress: "127.0.0.1:9", Flags: mesh.FlagSynchronised | mesh.FlagOwner, LastDigest: time.Now(),
+	})
+	ended := make(chan reply)
+	go func() { ended <- e.call("POST", "/ask/1", "x", turnHeader(program, 500, 50)) }()
+	remaining := func() int {
+		row, _, err := e.budgets.read(t.Context(), budgetKey(program), 500)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return row.Remaining()
+	}
+	eventually(t, "the turn is reserved", func() bool { return remaining() == 450 })
+	eventually(t, "the owner could not be told", func() bool { return e.scope.Snapshot().Counters()["gateway.settles_lost+"].Value() > 0 })
+	for range 40 {
+		if n := remaining(); n != 450 {
+			t.Fatalf("%d of 500 tokens remain while a turn of 50 runs", n)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	end()
+	<-ended
+	eventually(t, "the turn has ended in the row", func() bool { return remaining() == 490 })
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -29,6 +29,9 @@
 	// maxRegistryAge is how recently the upstreams' rows must have been confirmed to conclude from them
 	// which versions serve: the feed's wait and some delay.
 	maxRegistryAge = feedWait + rowDelay
+	// maxFeedAge is the age of the upstreams' rows from which an entry is out of step: it stood still, was cut off,
+	// or the table does not answer. A poll that brings nothing confirms them as of its beginning.
+	maxFeedAge = 2*feedWait + rowDelay
 	// rowTimeout bounds reading the row of an upstream that may have started again.
 	rowTimeout = 150 * time.Millisecond
 	// rowDelay is the time within which an entry usually has the row of an upstream that has started.
@@ -339,7 +342,7 @@
 		// The process of an old connection is the one in the upstream's row. Without old connections, nothing
 		// tells which software answers if the rows are old: the stream can't go on anywhere else.
 		confirmed := g.origins.rowsConfirmed()
-		if j.software != "" && ageOf(confirmed) > maxRegistryAge && !a.Opened().Before(confirmed.Add(-rowDelay)) {
+		if j.software != "" && ageOf(confirmed) > maxFeedAge && !a.Opened().Before(confirmed.Add(-rowDelay)) {
 			g.requestLog("stream_software_uncertain", j).Str("upstream", j.pick.ID).Str("software", j.software).
 				Ms("rows_age_ms", ageOf(confirmed)).Ms("connection_age_ms", time.Since(a.Opened())).End()
 			j.origin.Version = ""
