budgets: an owner that forgets a turn leaves the reservation of the entry in its place

An entry that hears nothing of the owner in time reserves the turn itself. If the owner had reserved the same turn in the row, both had one key, and the owner removed it when it was told to forget the turn, while that ran.

--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -31,7 +31,7 @@
 		if !pb.ledger.Flush() || pb.pendingWrite != nil || b.keyUnreachable(budgetKey(program)) {
 			continue
 		}
-		w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+		w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()})
 		go func() {
 			if <-w.done; w.err != nil {
 				b.commits.metrics.provisionalGrantsUnrecorded.Inc(1)
@@ -160,7 +160,7 @@
 			b.mu.Unlock()
 			return
 		}
-		w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+		w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()})
 		b.mu.Unlock()
 		select {
 		case <-w.done:
@@ -186,7 +186,7 @@
 	if pb == nil || !pb.ledger.Release() {
 		return false
 	}
-	w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+	w := b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()})
 	err := b.awaitWriteLocked(ctx, w, drawTimeout)
 	b.log.Info("budget_released").Str("program", program).Str("holder", pb.ledger.Holder()).Err(err).End()
 	return err == nil
--- a/internal/gateway/budgetrow.go
+++ b/internal/gateway/budgetrow.go
@@ -73,7 +73,7 @@
 	if isOwner && unreachable || b.tableUnreachable() {
 		return errors.Wrapf(platformapi.ErrUnavailable, "budget row of program %q is unreachable", call.Program)
 	}
-	w := b.startWriteLocked(pb, call, isOwner)
+	w := b.startWriteLocked(pb, call)
 	if !isOwner || claimFirst {
 		// A claim is not allowed here, or was not made above.
 		return b.awaitWriteLocked(ctx, w, drawTimeout)
@@ -112,7 +112,7 @@
 // startWriteLocked starts a change of the program's row in the background and returns it. If
 // one is in flight, it returns that one, even if it is for another turn. A call without an id only
 // records what is pending.
-func (b *budgets) startWriteLocked(pb *programBudget, call reserveCall, isOwner bool) *rowWrite {
+func (b *budgets) startWriteLocked(pb *programBudget, call reserveCall) *rowWrite {
 	if pb.pendingWrite != nil {
 		return pb.pendingWrite
 	}
@@ -123,7 +123,7 @@
 		defer cancel()
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		w.err = b.writeLocked(ctx, pb, call, isOwner)
+		w.err = b.writeLocked(ctx, pb, call)
 		pb.pendingWrite = nil
 		close(w.done)
 		// What ended meanwhile is recorded now rather than by recordLoop.
@@ -136,15 +136,15 @@
 func (b *budgets) flushLocked(program string, pb *programBudget) {
 	if pb.ledger.Flush() && pb.pendingWrite == nil && !b.keyUnreachable(budgetKey(program)) && pb.flushes < maxFlushes {
 		pb.flushes++
-		b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false)
+		b.startWriteLocked(pb, reserveCall{Program: program, Total: pb.ledger.Total()})
 	}
 }
 
 // writeLocked changes the program's row for a call. The lock is released during calls to other
 // entries and to the table.
-func (b *budgets) writeLocked(ctx context.Context, pb *programBudget, call reserveCall, isOwner bool) error {
+func (b *budgets) writeLocked(ctx context.Context, pb *programBudget, call reserveCall) error {
 	known := b.knownClaimsLocked(ctx, pb, call)
-	res, err := b.applyChangeLocked(ctx, pb, call, isOwner, known)
+	res, err := b.applyChangeLocked(ctx, pb, call, known)
 	if err != nil || !res.Short {
 		return err
 	}
@@ -154,7 +154,7 @@
 		released := b.owners.releaseAt(ctx, call.Program, res.Holders)
 		b.mu.Lock()
 		if released {
-			if res, err = b.applyChangeLocked(ctx, pb, call, isOwner, known); err != nil || !res.Short {
+			if res, err = b.applyChangeLocked(ctx, pb, call, known); err != nil || !res.Short {
 				return err
 			}
 		}
@@ -170,8 +170,8 @@
 }
 
 // applyChangeLocked carries out the change of the row for a call once. The lock is released meanwhile.
-func (b *budgets) applyChangeLocked(ctx context.Context, pb *programBudget, call reserveCall, isOwner bool, known ledger.Grants) (ledger.Result, error) {
-	change := pb.ledger.Change(call.ID, call.MaxTokens, !isOwner, known)
+func (b *budgets) applyChangeLocked(ctx context.Context, pb *programBudget, call reserveCall, known ledger.Grants) (ledger.Result, error) {
+	change := pb.ledger.Change(call.ID, call.MaxTokens, known)
 	held := pb.held
 	if held == nil {
 		held = &heldRow{exists: pb.ledger.RowSeen()}
@@ -272,18 +272,18 @@
 
 // endsOf returns, by key, the tokens used by those of the reservations and claims whose turns are stored.
 // It fails if that can't be read of one of them.
-func (b *budgets) endsOf(ctx context.Context, keys []string) (map[string]int, error) {
+func (b *budgets) endsOf(ctx context.Context, keys []string) (map[string]ledger.Usage, error) {
 	var mu sync.Mutex
-	used := map[string]int{}
+	used := map[string]ledger.Usage{}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelReads)
 	for _, key := range keys {
 		group.Go(func() error {
-			n, stored, err := b.usageOf(ctx, ledger.TurnOf(key))
+			u, stored, err := b.usageOf(ctx, ledger.TurnOf(key))
 			if err == nil && stored {
 				mu.Lock()
 				defer mu.Unlock()
-				used[key] = n
+				used[key] = u
 			}
 			return err
 		})
@@ -356,7 +356,7 @@
 	defer cancel()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if err := b.writeLocked(ctx, pb, reserveCall{Program: program, Total: pb.ledger.Total()}, false); err != nil {
+	if err := b.writeLocked(ctx, pb, reserveCall{Program: program, Total: pb.ledger.Total()}); err != nil {
 		b.commits.metrics.blocksLost.Inc(1)
 		b.log.Info("budget_not_returned").Str("program", program).Str("holder", pb.ledger.Holder()).Err(err).End()
 	}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -187,7 +187,7 @@
 	known map[string]*knownGrants
 	// usageOf reads from the stored turn with the id how many tokens its caller received; stored is
 	// false when there is no such turn.
-	usageOf func(ctx context.Context, id string) (used int, stored bool, err error)
+	usageOf func(ctx context.Context, id string) (used ledger.Usage, stored bool, err error)
 }
 
 // programBudget is the state of one program's budget at this entry.
@@ -245,6 +245,8 @@
 	stage        programStage
 	// waited is the time since the program's first request, if its owner knows that; else zero.
 	waited time.Duration
+	// standIn is set if this entry granted it in place of an owner out of reach.
+	standIn bool
 	// limit is the number of tokens that the turn may hand out if that is less than MaxTokens, else 0.
 	limit int
 }
@@ -273,7 +275,7 @@
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	owner := b.owners.owner(call.Program)
-	answer := reserveAnswer{outcome: reserveUnknown}
+	answer, standIn := reserveAnswer{outcome: reserveUnknown}, false
 	var err error
 	if owner != nil {
 		answer, err = b.owners.reserveAt(ctx, owner, call)
@@ -288,14 +290,14 @@
 		go b.tellOwner(context.WithoutCancel(ctx), owner, settleCall{Program: call.Program, ID: call.ID})
 		// Any entry may draw from the row. Only the owner grants provisionally, and only the
 		// owner can determine that the budget is spent.
-		owner = nil // from here on this entry counts as the one that grants the reservation
+		owner, standIn = nil, true // from here on this entry counts as the one that grants the reservation
 		if answer, err = b.grant(ctx, call, false); answer.outcome == reserveSpent {
 			answer.outcome, err = reserveUnknown, mesh.ErrUnreachable
 		}
 	}
 	switch answer.outcome {
 	case reserveGranted:
-		return &reservation{b: b, owner: owner, call: call, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited, limit: answer.tokens}, nil
+		return &reservation{b: b, owner: owner, call: call, standIn: standIn, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited, limit: answer.tokens}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -392,7 +392,7 @@
 	if !provisional {
 		t.Fatal("the crashed owner's claim counts as recorded")
 	}
-	change := ledger.NewProgram(1716, "h/1/1").Change("t", 572, false, b.grantsFor("p"))
+	change := ledger.NewProgram(1716, "h/1/1").Change("t", 572, b.grantsFor("p"))
 	res, _, err := b.changeRow(t.Context(), reserveCall{Program: "p", Total: 1716, MaxTokens: 572}, &change, &heldRow{})
 	if err != nil || !res.Short || res.Drawn != 0 {
 		t.Fatalf("drew %d though all 1716 tokens are claimed, error %v", res.Drawn, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/buckthornroute/buckthornroute/internal/forward"
 	platformapi "github.com/buckthornroute/buckthornroute/internal/platform"
+	"github.com/buckthornroute/buckthornroute/ledger"
 	"github.com/buckthornroute/buckthornroute/platform"
 	"github.com/buckthornroute/buckthornroute/routing"
 	"github.com/buckthornroute/buckthornroute/turnlog"
@@ -54,8 +55,9 @@
 	tokens int
 	// lastEventAt is when the last event was sent to the caller.
 	lastEventAt time.Time
-	// reserved is set when the turn has tokens of a budget, and limit when it has fewer than it may generate.
-	reserved bool
+	// reserved holds the tokens of the turn, nil without a budget. limit is set when it has fewer than it may
+	// generate.
+	reserved *reservation
 	limit    int
 	// stored is set when the turn is stored in the table.
 	stored bool
@@ -76,7 +78,7 @@
 	if !ok {
 		return
 	}
-	if s.reserved = reserved != nil; s.reserved {
+	if s.reserved = reserved; reserved != nil {
 		s.limit = reserved.limit
 	}
 	// reserved is nil for a call without a budget; settle then does nothing.
@@ -414,9 +416,9 @@
 func (s *stream) storeTurn(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, storeDeadline(s.j, s.lastEventAt))
 	defer cancel()
-	used := -1
-	if s.reserved {
-		used = s.tokens
+	var used *ledger.Usage
+	if s.reserved != nil {
+		used = &ledger.Usage{Tokens: s.tokens, StandIn: s.reserved.standIn}
 	}
 	err := s.g.turns.store(ctx, &turnlog.Turn{
 		ID: s.j.org.ScopedID(s.j.call.ID), Ancestors: turnlog.NextAncestors(s.previous), Input: s.input, Output: s.output,
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -252,30 +253,44 @@
 	return turnlog.Decode(id, value)
 }
 
+// standInMark follows the number of tokens in a usage row if they were reserved in place of the owner.
+const standInMark = "+"
+
 // usage returns how many tokens the caller of the stored turn with the id received. stored is
 // false when the table has no such turn at any of its locations.
-func (t *turnStore) usage(ctx context.Context, id string) (used int, stored bool, err error) {
+func (t *turnStore) usage(ctx context.Context, id string) (used ledger.Usage, stored bool, err error) {
 	for location := range turnLocations {
 		row, err := t.table.Get(ctx, usageKey(id, location))
 		if errors.Is(err, platformapi.ErrNotFound) {
 			continue
 		}
 		if err != nil {
-			return 0, false, errors.Wrapf(err, "usage of turn %q at location %d", id, location)
+			return ledger.Usage{}, false, errors.Wrapf(err, "usage of turn %q at location %d", id, location)
 		}
-		if used, err = strconv.Atoi(string(row.Value)); err != nil || used < 0 || used > ledger.MaxTokens {
-			return 0, false, errors.Wrapf(turnlog.ErrBadTurn, "usage of turn %q: %q", id, row.Value)
+		text, standIn := strings.CutSuffix(string(row.Value), standInMark)
+		tokens, err := strconv.Atoi(text)
+		if err != nil || tokens < 0 || tokens > ledger.MaxTokens {
+			return ledger.Usage{}, false, errors.Wrapf(turnlog.ErrBadTurn, "usage of turn %q: %.100q", id, row.Value)
 		}
-		return used, true, nil
+		return ledger.Usage{Tokens: tokens, StandIn: standIn}, true, nil
+	}
+	return ledger.Usage{}, false, nil
+}
+
+// encodeUsage returns the value of a usage row.
+func encodeUsage(u ledger.Usage) []byte {
+	b := strconv.AppendInt(nil, int64(u.Tokens), 10)
+	if u.StandIn {
+		b = append(b, standInMark...)
 	}
-	return 0, false, nil
+	return b
 }
 
-// store writes a turn to the table, with the number of tokens that its caller received if that counts
-// towards a budget; else used is negative. It returns nil only when the turn is stored durably, so
+// store writes a turn to the table, with the tokens that its caller received if they count towards a
+// budget; else used is nil. It returns nil only when the turn is stored durably, so
 // that any entry can read it from now on. It retries until ctx ends. The error is then marked as
 // platformapi.ErrUnavailable, and the turn may have been stored all the same.
-func (t *turnStore) store(ctx context.Context, turn *turnlog.Turn, used int, retention time.Duration) error {
+func (t *turnStore) store(ctx context.Context, turn *turnlog.Turn, used *ledger.Usage, retention time.Duration) error {
 	value := turn.Encode()
 	err := error(nil)
 	for attempt := 0; ctx.Err() == nil; attempt++ {
@@ -294,7 +309,7 @@
 
 // storeAt writes a turn to one location, within locationTimeout. A location known to be
 // unreachable is skipped, except the last.
-func (t *turnStore) storeAt(ctx context.Context, id string, value []byte, used, location int, retention time.Duration) error {
+func (t *turnStore) storeAt(ctx context.Context, id string, value []byte, used *ledger.Usage, location int, retention time.Duration) error {
 	if t.unreachable(turnKey(id, location, 0)) && location < turnLocations-1 {
 		return platformapi.ErrUnavailable
 	}
@@ -309,8 +324,8 @@
 		}
 		writes = append(writes, platformapi.Write{Key: turnKey(id, location, chunk), Value: piece})
 	}
-	if used >= 0 {
-		writes = append(writes, platformapi.Write{Key: usageKey(id, location), Value: strconv.AppendInt(nil, int64(used), 10)})
+	if used != nil {
+		writes = append(writes, platformapi.Write{Key: usageKey(id, location), Value: encodeUsage(*used)})
 	}
 	if err := t.commits.apply(ctx, nil, writes); err != nil {
 		return err
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -29,8 +29,8 @@
 		}
 		p := NewProgram(row.Total, "h/1/1")
 		p.MarkKept()
-		res := row.Apply(p.Change("t", 10, false, nil))
-		if res.Reserved && row.Drawn[turnKey("t")] < 10 && res.Row.Remaining() < 0 {
+		res := row.Apply(p.Change("t", 10, nil))
+		if res.Reserved && row.Drawn[turnKey("t", false)] < 10 && res.Row.Remaining() < 0 {
 			t.Fatalf("reserved beyond the budget: %+v", res.Row)
 		}
 		if _, err := DecodeRow(res.Row.Encode()); err != nil && res.Row.Drawn[settledKey] <= MaxTokens {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -52,7 +52,10 @@
 // change applies a change for a turn to the row as an entry does, and returns the row and whether
 // the turn is reserved.
 func change(p *Program, row Row, id string, tokens int, known Grants) (Row, bool) {
-	c := p.Change(id, tokens, false, known)
+	if id != "" {
+		p.Reserve(id, tokens, false)
+	}
+	c := p.Change(id, tokens, known)
 	res := row.Apply(c)
 	p.Applied(c, res)
 	return res.Row, p.Reserve(id, tokens, false) == OutcomeGranted
@@ -242,7 +245,7 @@
 func TestClaimDuringAWrite(t *testing.T) {
 	p := NewProgram(500, "a/1/1")
 	p.MarkKept()
-	c := p.Change("t", 100, false, nil)
+	c := p.Change("t", 100, nil)
 	if !claim(p, "t", 100, nil) {
 		t.Fatal("the turn was not claimed")
 	}
@@ -268,7 +271,7 @@
 	}
 	p.Settle("t", 90, false)
 	p.Release()
-	c := p.Change("", 0, false, nil)
+	c := p.Change("", 0, nil)
 	for try := range 3 {
 		if row = row.Apply(c).Row; row.Remaining() != 910 {
 			t.Fatalf("after %d writes of one return %d of 1000 tokens remain beside 90 used, want 910", try+1, row.Remaining())
@@ -282,14 +285,14 @@
 	for _, applied := range []bool{true, false} {
 		p := NewProgram(1000, "a/1/1")
 		p.MarkKept()
-		c := p.Change("t", 600, false, nil)
+		c := p.Change("t", 600, nil)
 		row := Row{Total: 1000}
 		if applied {
 			row = row.Apply(c).Row
 		}
 		p.Failed(c, true)
 		p.Settle("t", 0, false)
-		res := row.Apply(p.Change("", 0, false, nil))
+		res := row.Apply(p.Change("", 0, nil))
 		if !res.Write || res.Row.Remaining() != 1000 {
 			t.Errorf("applied %v: written %v, %d of 1000 tokens remain, want a write after which all do", applied, res.Write, res.Row.Remaining())
 		}
@@ -302,18 +305,18 @@
 	const total, maxTokens, used = 1150, 575, 264
 	owner := NewProgram(total, "owner/1/1")
 	owner.MarkKept()
-	row, stored := Row{Total: total}, map[string]int{}
+	row, stored := Row{Total: total}, map[string]Usage{}
 	for _, id := range []string{"t0", "t1"} {
 		var ok bool
 		if row, ok = change(owner, row, id, maxTokens, nil); !ok {
 			t.Fatalf("turn %s was not reserved", id)
 		}
 		owner.Settle(id, used, true)
-		stored[turnKey(id)] = used
+		stored[turnKey(id, false)] = Usage{Tokens: used}
 	}
 	next := NewProgram(total, "owner/2/1")
 	next.MarkKept()
-	c := next.Change("t2", maxTokens, false, nil)
+	c := next.Change("t2", maxTokens, nil)
 	c.Resolved(stored)
 	if res := row.Apply(c); !res.Reserved || res.Row.Remaining() != total-2*used-maxTokens {
 		t.Errorf("a turn of %d was refused though %d of %d tokens were used, row %+v", maxTokens, 2*used, total, res.Row)
@@ -328,7 +331,7 @@
 	const total, maxTokens, used = 1140, 570, 200
 	owner := NewProgram(total, "owner/1/1")
 	owner.MarkKept()
-	row, stored := Row{Total: total}, map[string]int{}
+	row, stored := Row{Total: total}, map[string]Usage{}
 	for turn, id := range []string{"t0", "t1"} {
 		var ok bool
 		if row, ok = change(owner, row, id, maxTokens, nil); !ok {
@@ -336,14 +339,41 @@
 		}
 		if turn == 0 {
 			owner.Settle(id, used, true)
-			stored[turnKey(id)] = used
+			stored[turnKey(id, false)] = Usage{Tokens: used}
 		}
 	}
 	next := NewProgram(total, "owner/2/1")
 	next.MarkKept()
-	c := next.Change("t2", maxTokens, false, nil)
+	c := next.Change("t2", maxTokens, nil)
 	c.Resolved(stored)
 	if res := row.Apply(c); !res.Reserved {
 		t.Errorf("a turn of %d was refused; only %d of %d tokens were used, row %+v", maxTokens, used, total, res.Row)
 	}
 }
+
+// TestOwnerForgetsOnlyItsOwnReservation: the owner reserved a turn and its answer came too late, so another entry
+// reserved the turn in its place. When the owner is told to forget it, the tokens of the running turn must stay
+// reserved, and once the turn is stored they must count once.
+func TestOwnerForgetsOnlyItsOwnReservation(t *testing.T) {
+	owner, other := NewProgram(1000, "a/1/1"), NewProgram(1000, "b/1/1")
+	owner.MarkKept()
+	other.MarkKept()
+	row, _ := change(owner, Row{Total: 1000}, "t", 100, nil)
+	other.Reserve("t", 100, true)
+	c := other.Change("t", 100, nil)
+	res := row.Apply(c)
+	if other.Applied(c, res); !res.Reserved || other.Reserve("t", 100, true) != OutcomeGranted {
+		t.Fatal("the turn was not reserved in place of the owner")
+	}
+	// All may end now, and the turn is stored with 40 tokens used.
+	usage := Usage{Tokens: 40, StandIn: true}
+	lost := NewProgram(1000, "c/1/1").Change("", 0, nil)
+	lost.Resolved(map[string]Usage{turnKey("t", false): usage, turnKey("t", true): usage})
+	if left := res.Row.Apply(lost).Row.Remaining(); left != 960 {
+		t.Errorf("%d of 1000 tokens remain after one turn that used 40, want 960", left)
+	}
+	owner.Settle("t", 0, false)
+	if row, _ = change(owner, res.Row, "", 0, nil); row.Remaining() != 900 {
+		t.Errorf("%d of 1000 tokens remain while a turn of 100 runs, want 900", row.Remaining())
+	}
+}
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -18,12 +18,16 @@
 	version int
 	down    bool
 	// stored maps the keys of stored turns to the tokens that their callers received.
-	stored map[string]int
+	stored map[string]Usage
 	// late are writes without an answer that may still be applied.
 	late    []lateWrite
 	entries []*modelEntry
 	turns   []*modelTurn
 	waiting []waitingTurn
+	// calmed is set once no more faults occur.
+	calmed bool
+	// forgets are turns that their owners are to be told to forget.
+	forgets []waitingTurn
 	// handed is the number of tokens that callers have received, broken the most of turns that did not end
 	// whole and of those that no one may count as used up less.
 	handed, broken int
@@ -59,6 +63,8 @@
 	life   int
 	most   int
 	handed int
+	// standIn is set if by does not own the budget.
+	standIn bool
 }
 
 // waitingTurn is a turn that was not granted and may be asked for again.
@@ -71,7 +77,7 @@
 const modelMost = 100
 
 func newCluster(t *rapid.T) *cluster {
-	c := &cluster{t: t, kept: rapid.Bool().Draw(t, "kept"), total: rapid.IntRange(1, 8).Draw(t, "turns") * modelMost, stored: map[string]int{}}
+	c := &cluster{t: t, kept: rapid.Bool().Draw(t, "kept"), total: rapid.IntRange(1, 8).Draw(t, "turns") * modelMost, stored: map[string]Usage{}}
 	c.row = Row{Total: c.total}
 	for i := range rapid.IntRange(3, 5).Draw(t, "entries") {
 		e := &modelEntry{name: fmt.Sprintf("e%d", i)}
@@ -137,14 +143,14 @@
 		theirs, _ := c.askWitnesses(e, "", 0)
 		known.Merge(theirs)
 	}
-	change := e.state.Change(id, modelMost, !owner, known)
+	change := e.state.Change(id, modelMost, known)
 	if c.down {
 		e.state.Failed(change, false)
 		return
 	}
 	res := c.row.Apply(change)
 	if res.Short && len(res.Unresolved) > 0 {
-		used := map[string]int{}
+		used := map[string]Usage{}
 		for _, key := range res.Unresolved {
 			if n, ok := c.stored[key]; ok {
 				used[key] = n
@@ -201,7 +207,11 @@
 		}
 	}
 	if e.state.Reserve(id, modelMost, !owner) == OutcomeGranted {
-		c.turns = append(c.turns, &modelTurn{id: id, by: e, life: e.lives, most: e.state.Tokens(id)})
+		if owner && !c.calmed && rapid.IntRange(0, 5).Draw(c.t, "unanswered") == 0 {
+			c.fallBack(e, id)
+			return
+		}
+		c.turns = append(c.turns, &modelTurn{id: id, by: e, life: e.lives, most: e.state.Tokens(id), standIn: !owner})
 		return
 	}
 	if e.state.Abandon(id); rapid.Bool().Draw(c.t, "again") {
@@ -209,6 +219,33 @@
 	}
 }
 
+// fallBack has another entry reserve a turn whose reservation at the owner was not answered. The owner is told to
+// forget the turn, sooner or later.
+func (c *cluster) fallBack(owner *modelEntry, id string) {
+	c.forgets = append(c.forgets, waitingTurn{owner, owner.lives, id})
+	other := rapid.SampledFrom(c.entries).Draw(c.t, "other")
+	if other == owner || !other.up {
+		return
+	}
+	if other.state.Reserve(id, modelMost, true) == OutcomeObtain {
+		c.write(other, id, false)
+	}
+	if other.state.Reserve(id, modelMost, true) == OutcomeGranted {
+		c.turns = append(c.turns, &modelTurn{id: id, by: other, life: other.lives, most: other.state.Tokens(id), standIn: true})
+		return
+	}
+	other.state.Abandon(id)
+}
+
+// forget tells an owner that a turn was reserved elsewhere.
+func (c *cluster) forget(i int) {
+	w := c.forgets[i]
+	c.forgets = append(c.forgets[:i], c.forgets[i+1:]...)
+	if w.at.up && w.at.lives == w.life {
+		w.at.state.Settle(w.id, 0, false)
+	}
+}
+
 // retry asks again for a turn that was not granted, at the same entry.
 func (c *cluster) retry(i int) {
 	w := c.waiting[i]
@@ -243,7 +280,8 @@
 	whole := rapid.Bool().Draw(c.t, "whole")
 	stored := whole && c.kept && !c.down
 	if stored {
-		c.stored[turnKey(u.id)] = u.handed
+		usage := Usage{u.handed, u.standIn}
+		c.stored[turnKey(u.id, false)], c.stored[turnKey(u.id, true)] = usage, usage
 	}
 	if !stored {
 		c.broken += modelMost - u.handed
@@ -264,22 +302,34 @@
 	if e.up = false; e.state == nil {
 		return
 	}
+	// It was not told to forget these turns.
+	for _, w := range c.forgets {
+		if w.at == e && w.life == e.lives {
+			c.lost += c.pending(turnKey(w.id, false))
+		}
+	}
 	// Turns that were refused or broke off just now have not ended as far as the row can tell.
 	for key, end := range e.state.ended {
 		if _, ok := c.stored[key]; ok {
 			continue
 		}
-		pending := c.row.Drawn[key]
-		for _, w := range c.late {
-			pending = max(pending, w.row.Drawn[key])
-		}
-		if pending > end.Used {
-			c.lost += pending - end.Used
-		}
+		c.lost += max(0, c.pending(key)-end.Used)
 	}
 	e.state = nil
 }
 
+// pending returns the tokens that the row has, or may come to have, under a key.
+func (c *cluster) pending(key string) int {
+	most := c.row.Drawn[key]
+	for _, w := range c.late {
+		most = max(most, w.row.Drawn[key])
+	}
+	for _, e := range c.entries {
+		most = max(most, e.known[key])
+	}
+	return most
+}
+
 // stop ends an entry that hands over what it knows and returns its block.
 func (c *cluster) stop(e *modelEntry) {
 	if e.synced && !e.cut {
@@ -340,12 +390,14 @@
 	e := rapid.SampledFrom(c.entries).Draw(c.t, "entry")
 	switch op := rapid.SampledFrom([]string{
 		"request", "request", "request", "end", "end", "flush", "kill", "kill all", "stop", "start", "cut", "heal",
-		"table", "late", "retry", "synchronise", "record", "forget", "release",
+		"table", "late", "retry", "forget turn", "synchronise", "record", "forget", "release",
 	}).Draw(c.t, "step"); {
 	case op == "end" && len(c.turns) > 0:
 		c.end(rapid.IntRange(0, len(c.turns)-1).Draw(c.t, "turn"))
 	case op == "retry" && len(c.waiting) > 0:
 		c.retry(rapid.IntRange(0, len(c.waiting)-1).Draw(c.t, "waiting"))
+	case op == "forget turn" && len(c.forgets) > 0:
+		c.forget(rapid.IntRange(0, len(c.forgets)-1).Draw(c.t, "forgotten"))
 	case op == "table":
 		c.down = !c.down
 	case op == "late" && len(c.late) > 0 && !c.down:
@@ -389,11 +441,14 @@
 // calm heals everything and has the entries write what they know. Turns in progress whose entries are
 // gone have broken off.
 func (c *cluster) calm() {
-	c.down, c.late = false, nil
+	c.down, c.late, c.calmed = false, nil, true
 	for _, u := range c.turns {
 		c.broken += modelMost - u.handed
 	}
 	c.turns = nil
+	for len(c.forgets) > 0 {
+		c.forget(0)
+	}
 	for _, e := range c.entries {
 		if e.cut = false; !e.up {
 			c.start(e)
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -25,6 +25,7 @@
 
 // reservation is the number of tokens of one turn in progress.
 type reservation struct {
+	key    string
 	tokens int
 	source source
 }
@@ -43,6 +44,8 @@
 	// settled contains the ids of settled reservations. A reservation may be settled before it is
 	// granted, because the entry that requested it may have given up.
 	settled map[string]bool
+	// standIn contains the ids that were asked for in place of an owner out of reach.
+	standIn map[string]bool
 	// abandoned contains the ids of requests that failed. A change in flight may still reserve their tokens.
 	abandoned map[string]bool
 	// ended holds the ends of turns, by key, that the row may not show yet.
@@ -69,7 +72,7 @@
 // in the row, and no other incarnation or state may have that name.
 func NewProgram(total int, holder string) *Program {
 	return &Program{
-		holder: holder, block: NewAccount(total), open: map[string]reservation{}, settled: map[string]bool{}, abandoned: map[string]bool{},
+		holder: holder, block: NewAccount(total), open: map[string]reservation{}, settled: map[string]bool{}, abandoned: map[string]bool{}, standIn: map[string]bool{},
 		ended: map[string]End{}, claims: Grants{}, announced: map[string]bool{},
 	}
 }
@@ -103,20 +106,26 @@
 // Kept reports whether the entries keep turns of the program.
 func (p *Program) Kept() bool { return p.kept }
 
-// Reserve reserves the tokens of a turn from what this entry has. byTurn is set if the program
-// may have no block here.
-func (p *Program) Reserve(id string, tokens int, byTurn bool) Outcome {
+// keyOf returns the key of the turn with the id.
+func (p *Program) keyOf(id string) string { return turnKey(id, p.standIn[id]) }
+
+// Reserve reserves the tokens of a turn from what this entry has. standIn is set if another entry owns the
+// budget; then no block is used.
+func (p *Program) Reserve(id string, tokens int, standIn bool) Outcome {
 	p.mostTokens = max(p.mostTokens, tokens)
 	delete(p.abandoned, id) // it is asked for again
+	if delete(p.standIn, id); standIn {
+		p.standIn[id] = true
+	}
 	switch {
 	case p.IsOpen(id):
 		return OutcomeGranted
 	case p.settled[id]:
 		return OutcomeSettled
-	case byTurn || p.kept:
+	case standIn || p.kept:
 		return OutcomeObtain
 	case p.block.Reserve(tokens):
-		p.open[id] = reservation{tokens, fromBlock}
+		p.open[id] = reservation{"", tokens, fromBlock}
 		return OutcomeGranted
 	default:
 		return OutcomeObtain
@@ -124,17 +133,17 @@
 }
 
 // Change returns the change of the row that obtains the tokens of a turn, or only records what
-// is pending if id is empty. byTurn is as for Reserve; known holds the claims of other entries.
-func (p *Program) Change(id string, tokens int, byTurn bool, known Grants) Change {
+// is pending if id is empty. Reserve must have been called for the id. known holds the claims of other entries.
+func (p *Program) Change(id string, tokens int, known Grants) Change {
 	c := Change{Claims: maps.Clone(p.claims), Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force}
 	for key, n := range known {
 		if _, own := p.claims[key]; !own {
 			c.Claims[key] = n
 		}
 	}
-	for open, r := range p.open {
+	for _, r := range p.open {
 		if r.source != fromBlock {
-			c.Own[turnKey(open)] = true
+			c.Own[r.key] = true
 		}
 	}
 	if p.lowered {
@@ -142,8 +151,8 @@
 	}
 	switch {
 	case id == "":
-	case byTurn || p.kept:
-		c.Turn, c.Tokens = id, tokens
+	case p.standIn[id] || p.kept:
+		c.Turn, c.Tokens = p.keyOf(id), tokens
 	default:
 		if d := p.block.NextDraw(tokens); d.Need > 0 { // none if a turn has ended meanwhile
 			c.Block = &d
@@ -154,13 +163,13 @@
 
 // EndOf returns the change that records the end of a turn with used tokens.
 func EndOf(id string, used int) Change {
-	return Change{Ended: map[string]End{turnKey(id): {used, true}}}
+	return Change{Ended: map[string]End{turnKey(id, false): {used, true}}}
 }
 
 // Resolved adds the ends of other entries' turns, by key, read from stored turns, to a change.
-func (c *Change) Resolved(used map[string]int) {
-	for key, n := range used {
-		c.Ended[key] = End{n, true}
+func (c *Change) Resolved(used map[string]Usage) {
+	for key, u := range used {
+		c.Ended[key] = End{u.Of(key), true}
 	}
 }
 
@@ -204,20 +213,21 @@
 	return recorded
 }
 
-// reserved notes that the row shows the reservation of a turn.
-func (p *Program) reserved(id string, tokens int) {
-	key := turnKey(id)
+// reserved notes that the row shows the reservation of a turn under its key.
+func (p *Program) reserved(key string, tokens int) {
+	id := TurnOf(key)
 	_, claimed := p.claims[key]
 	switch {
-	case p.IsOpen(id): // claimed meanwhile, under the same key
-	case (p.settled[id] || p.abandoned[id]) && !claimed:
-		p.end(key, End{}, false)
-	case p.settled[id] || p.abandoned[id]: // the end of the claim is recorded with it
+	case p.open[id].key == key: // claimed meanwhile
+	case p.settled[id] || p.abandoned[id] || p.IsOpen(id) || p.keyOf(id) != key:
+		if !claimed { // else the end of the claim is recorded with it
+			p.end(key, End{}, false)
+		}
 	default:
 		// A claim that was withdrawn meanwhile must not be recorded as unused.
 		delete(p.claims, key)
 		delete(p.ended, key)
-		p.open[id] = reservation{tokens, fromRow}
+		p.open[id] = reservation{key, tokens, fromRow}
 	}
 }
 
@@ -228,8 +238,8 @@
 		return
 	}
 	p.force = true
-	if _, claimed := p.claims[turnKey(c.Turn)]; c.Turn != "" && !claimed && !p.IsOpen(c.Turn) {
-		p.end(turnKey(c.Turn), End{}, false)
+	if _, claimed := p.claims[c.Turn]; c.Turn != "" && !claimed && p.open[TurnOf(c.Turn)].key != c.Turn {
+		p.end(c.Turn, End{}, false)
 	}
 }
 
@@ -254,7 +264,7 @@
 		return false, ""
 	}
 	delete(p.open, id)
-	switch key := turnKey(id); r.source {
+	switch key := r.key; r.source {
 	case fromBlock:
 		p.block.Settle(r.tokens, used)
 	case fromRow:
@@ -288,7 +298,7 @@
 // Withdraw takes it back.
 func (p *Program) Claim(id string, tokens, least int, known Grants) (key string, claimed int, ok bool) {
 	p.mostTokens = max(p.mostTokens, tokens)
-	key = turnKey(id)
+	key = p.keyOf(id)
 	claimed = min(tokens, p.slack(key, known))
 	// A key is claimed once: witnesses take a second claim under it for a late notice of the first.
 	if _, again := p.claims[key]; again || p.spent || claimed < least || claimed <= 0 {
@@ -319,18 +329,18 @@
 // Confirm completes a claim once a majority of the witnesses has acknowledged it and shown the
 // claims that they know. It reports whether the turn may be sent.
 func (p *Program) Confirm(id string, known Grants) bool {
-	key := turnKey(id)
+	key := p.keyOf(id)
 	tokens, ok := p.claims[key]
 	if !ok || p.settled[id] || p.IsOpen(id) || tokens > p.slack(key, known) {
 		return false
 	}
-	p.open[id] = reservation{tokens, fromClaim}
+	p.open[id] = reservation{key, tokens, fromClaim}
 	return true
 }
 
 // Withdraw takes back a claim that was not confirmed.
 func (p *Program) Withdraw(id string) {
-	key := turnKey(id)
+	key := p.keyOf(id)
 	if _, unrecorded := p.claims[key]; unrecorded {
 		// The row is to show it with 0 tokens: a witness that does not hear of this would record it.
 		p.claims[key] = 0
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -19,22 +19,47 @@
 // Keys of Row.Drawn that are not the name of a block's holder. Such a name contains a slash
 // and begins with a node name.
 const (
-	// turnPrefix precedes the id of a turn whose tokens are reserved or claimed.
+	// turnPrefix precedes the id of a turn whose tokens are reserved or claimed by the owner of the budget.
 	turnPrefix = "turn:"
+	// standInPrefix precedes the id of a turn whose tokens are reserved or claimed by an entry that does not reach
+	// the owner. The owner may have reserved tokens for the same turn, and forgets it once it hears of that.
+	standInPrefix = "over:"
 	// settledKey holds the tokens that ended reservations have used.
 	settledKey = "settled"
 )
 
-// turnKey returns the key of the turn with the id.
-func turnKey(id string) string { return turnPrefix + id }
+// turnKey returns the key of the turn with the id, at the owner or at an entry in its place.
+func turnKey(id string, standIn bool) string {
+	if standIn {
+		return standInPrefix + id
+	}
+	return turnPrefix + id
+}
 
 // TurnOf returns the id of the turn that a key stands for; empty for other keys.
 func TurnOf(key string) string {
-	id, _ := strings.CutPrefix(key, turnPrefix)
-	if id == key {
-		return ""
+	for _, prefix := range []string{turnPrefix, standInPrefix} {
+		if id, ok := strings.CutPrefix(key, prefix); ok {
+			return id
+		}
+	}
+	return ""
+}
+
+// Usage is the number of tokens that the caller of a stored turn received, with where they were reserved.
+type Usage struct {
+	Tokens int
+	// StandIn is set if the turn's tokens were reserved in place of an owner out of reach.
+	StandIn bool
+}
+
+// Of returns the tokens that count under a key of the turn. A turn may have a second key, of an owner whose answer
+// came too late; no tokens count there.
+func (u Usage) Of(key string) int {
+	if strings.HasPrefix(key, standInPrefix) != u.StandIn {
+		return 0
 	}
-	return id
+	return u.Tokens
 }
 
 // Row is the budget row of one program in the platform's table.
@@ -156,7 +181,7 @@
 	Retained map[string]int
 	// Own contains the keys of the reservations in progress at this entry.
 	Own map[string]bool
-	// Turn is the id of the turn to reserve Tokens for; empty for none.
+	// Turn is the key of the turn to reserve Tokens for; empty for none.
 	Turn   string
 	Tokens int
 	// Block is the draw of a block by Holder; nil for none.
@@ -201,7 +226,7 @@
 	switch {
 	case c.Turn != "":
 		res.Reserved = next.reserve(c.Turn, c.Tokens)
-		write = write || res.Reserved && r.Drawn[turnKey(c.Turn)] < c.Tokens
+		write = write || res.Reserved && r.Drawn[c.Turn] < c.Tokens
 		res.Short = !res.Reserved
 	case c.Block != nil:
 		drawn, known := next.Drawn[c.Holder], c.Block.KnownDrawn
@@ -225,8 +250,7 @@
 
 // reserve reserves tokens for a turn in place and reports whether they are reserved. The row has the key
 // already if an earlier write reserved them, or with fewer tokens if a claim of the turn was withdrawn.
-func (r Row) reserve(id string, tokens int) bool {
-	key := turnKey(id)
+func (r Row) reserve(key string, tokens int) bool {
 	need := tokens - r.Drawn[key]
 	if need > 0 {
 		if r.Remaining() < need {
