--- a/internal/gateway/budgetrecord.go
+++ b/internal/gateway/budgetrecord.go
@@ -91,6 +91,7 @@
 			err = b.commits.apply(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: next.Encode()}})
 		}
 		if err == nil {
+			b.expiry.watch(key, 0, time.Now())
 			b.markRecorded(o, changed)
 			return
 		}
--- a/internal/gateway/budgetrow.go
+++ b/internal/gateway/budgetrow.go
@@ -251,9 +251,7 @@
 		var applied int64
 		applied, err = b.commits.applyVersioned(ctx, []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: res.Row.Encode()}})
 		if err == nil {
-			if version == platformapi.Absent {
-				b.expiry.add(key, budgetIdle)
-			}
+			b.expiry.watch(key, applied, time.Now())
 			*held = heldRow{exists: true, row: res.Row, version: applied}
 			return res, false, nil
 		}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -32,9 +32,8 @@
 	// not show: about 10 times the table's usual latency.
 	claimAfter = 60 * time.Millisecond
 	// budgetIdle is the time after a program's last request for a turn at which its budget
-	// is dropped from memory. Consecutive turns of a program are only seconds apart. It is also the
-	// retention of the budget's row, counted from the first write, and how long an entry must have
-	// run until it knows all claims that may still matter.
+	// is dropped from memory. Consecutive turns of a program are only seconds apart. It is also how
+	// long an entry must have run until it knows all claims that may still matter.
 	budgetIdle = 2 * time.Minute
 	// knownIdle is how long after the last notice of a program the claims announced for it are dropped.
 	knownIdle = 10 * time.Minute
@@ -160,7 +159,7 @@
 	table   platformapi.Table
 	commits *committer
 	owners  budgetOwners
-	expiry  *expiry
+	expiry  *budgetExpiry
 	log     *reqlog.Logger
 	// incarnation identifies this incarnation of the entry; holder is the first part of the names
 	// of its accounts in budget rows.
@@ -225,9 +224,9 @@
 
 // newBudgets returns budgets without any program. They read rows from t and write them
 // through c.
-func newBudgets(t *tablerelay.Client, c *committer, owners budgetOwners, e *expiry, log *reqlog.Logger, holder, incarnation string) *budgets {
+func newBudgets(t *tablerelay.Client, c *committer, owners budgetOwners, log *reqlog.Logger, holder, incarnation string) *budgets {
 	return &budgets{
-		table: t, commits: c, owners: owners, expiry: e, log: log, holder: holder, incarnation: incarnation, keyUnreachable: t.UnreachableFor, tableFailedRecently: t.FailedRecently, tableSlow: t.Slow, tableUnreachable: t.Unreachable,
+		table: t, commits: c, owners: owners, expiry: &budgetExpiry{table: t, commits: c, rows: map[string]watchedRow{}}, log: log, holder: holder, incarnation: incarnation, keyUnreachable: t.UnreachableFor, tableFailedRecently: t.FailedRecently, tableSlow: t.Slow, tableUnreachable: t.Unreachable,
 		programs: map[string]*programBudget{}, known: map[string]*knownGrants{},
 	}
 }
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -565,3 +565,40 @@
 	<-ended
 	eventually(t, "the turn has ended in the row", func() bool { return remaining() == 490 })
 }
+
+// TestBudgetRowStaysWhileItChanges: a program outlasts the retention of its row, counted from the first write. The entry
+// that wrote it first must not delete it after another has changed it: the whole budget would be handed out again.
+func TestBudgetRowStaysWhileItChanges(t *testing.T) {
+	_, e, _, _ := startEntryWithUpstreams(t, answerNotRun, answerEvents(0, 4, false))
+	eventually(t, "the entry owns budgets", e.mesh.CanOwn)
+	if n := spendTurns(e, "p", 1, func() {}); n != 1 {
+		t.Fatal("the turn failed")
+	}
+	b, key := e.budgets, budgetKey("p")
+	read := func() (ledger.Row, int64) {
+		row, version, err := b.read(t.Context(), key, 200)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return row, version
+	}
+	row, version := read()
+	b.expiry.watch(key, version, time.Now())
+	row.Drawn["another/1/1"] = 10
+	if err := b.commits.apply(t.Context(), []platformapi.Condition{{Key: key, Version: version}}, []platformapi.Write{{Key: key, Value: row.Encode()}}); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now().Add(budgetRowRetention + time.Second)
+	b.expiry.sweep(t.Context(), now)
+	if _, version := read(); version == platformapi.Absent {
+		t.Fatal("a row that another entry had changed was deleted")
+	}
+	b.expiry.sweep(t.Context(), now.Add(budgetRowRetention/2))
+	if _, version := read(); version == platformapi.Absent {
+		t.Fatal("a row was deleted before its retention had passed since the change was seen")
+	}
+	b.expiry.sweep(t.Context(), now.Add(budgetRowRetention+time.Second))
+	if _, version := read(); version != platformapi.Absent {
+		t.Error("a row that nobody changes any more stays in the table")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 	g.table = tablerelay.NewClient(env.Table, g, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
 	g.expiry = &expiry{commits: g.commits}
-	g.budgets = newBudgets(g.table, g.commits, g.budgetPeers, g.expiry, env.Requests, g.holder(), g.incarnation)
+	g.budgets = newBudgets(g.table, g.commits, g.budgetPeers, env.Requests, g.holder(), g.incarnation)
 	g.quarantine = newQuarantineStore(g)
 	g.limits = newUpstreamLimits(g)
 	g.turns = newTurnStore(g.table, g.commits, g.chains, g.expiry, cfg)
@@ -168,7 +168,7 @@
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	for _, task := range []func(context.Context){
-		g.pool.Run, g.table.Probe, g.followDocument, g.documents.run, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.quota.Run, g.expiry.run, g.cleanUp,
+		g.pool.Run, g.table.Probe, g.followDocument, g.documents.run, g.followUpstreams, g.commits.run, g.mesh.Run, g.budgetPeers.synchronise, g.reports.synchronise, g.quarantine.run, g.quarantine.follow, g.budgets.recordLoop, g.origins.recordSettled, g.quota.Run, g.expiry.run, g.budgets.expiry.run, g.cleanUp,
 	} {
 		group.Go(func() error {
 			task(taskCtx)
