--- a/internal/committer/committer_test.go
+++ b/internal/committer/committer_test.go
@@ -241,3 +241,29 @@
 		}
 	})
 }
+
+// TestTakeOverEndsWithTheCommitter: a takeover waits for the platform when the committer is stopped. It must not
+// wait on until its own deadline, which keeps a goroutine of an entry that has ended.
+func TestTakeOverEndsWithTheCommitter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.NewPlatform(standin.PlatformConfig{})
+		c := open(t, p, "b", Config{})
+		must(t, p.Faults.Set(down))
+		ended := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+			defer cancel()
+			_, err := c.TakeOver(ctx, "a")
+			ended <- err
+		}()
+		time.Sleep(time.Second)
+		c.Stop()
+		synctest.Wait()
+		select {
+		case err := <-ended:
+			wantError(t, err, homelog.ErrStopped)
+		default:
+			t.Fatal("the takeover waits on after Stop")
+		}
+	})
+}
--- a/internal/committer/takeover.go
+++ b/internal/committer/takeover.go
@@ -21,7 +21,7 @@
 // TakeOver returns homelog.ErrNoLog when the log does not exist or was deleted,
 // homelog.ErrOtherSuccessor, homelog.ErrOwnerActive, homelog.ErrCorrupt, homelog.ErrStopped
 // or ctx's error. After ctx's error the takeover continues, and the next TakeOver of the log
-// returns the entries. ctx should have a deadline: after Stop a queued request gets no answer.
+// returns the entries. A request that is queued when the committer ends fails with homelog.ErrStopped.
 func (c *Committer) TakeOver(ctx context.Context, log structs.LogID) ([]homelog.Entry, error) {
 	result := make(chan homelog.TakeoverDone, 1)
 	c.mu.Lock()
@@ -39,6 +39,9 @@
 	select {
 	case done := <-result:
 		return done.Entries, errors.Wrapf(done.Err, "adopt log %q", log)
+	case <-c.ended:
+		c.withdraw(log, result)
+		return nil, errors.Wrapf(homelog.ErrStopped, "adopt log %q", log)
 	case <-ctx.Done():
 		c.withdraw(log, result)
 		return nil, errors.Wrapf(ctx.Err(), "adopt log %q", log)
