forward: answers in HTTP/1.1 only, and HEAD without a body

What callers saw: the body of an answer in HTTP/1.0 with chunks came with its chunk sizes, framed as whole; an answer in HTTP/2.0 was taken; HEAD was answered 502 when the upstream stated a length.

Cause: net/http reads chunks as framing in HTTP/1.1 alone and accepts any version; the length of an answer to HEAD was read as that of a body.

The error of a cut head now says how many bytes of it came.

--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -42,3 +42,7 @@
 	}
 	return n, err
 }
+
+// headBytes returns the number of bytes received for the head that is being read. It is at least that of the
+// part that is left in the buffer.
+func (c *conn) headBytes() int64 { return maxHeadBytes - c.head.left }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -154,7 +154,11 @@
 	for skipped, informational := 0, 0; ; {
 		resp, err := http.ReadResponse(a.conn.br, method) //nolint:bodyclose // the body goes to the answer, whose Close ends the connection
 		if err != nil {
-			return errors.Wrap(err, "read head")
+			return errors.Wrapf(err, "read head, %d bytes of it received", a.conn.headBytes())
+		}
+		if resp.ProtoMajor != 1 || resp.ProtoMinor != 1 {
+			// Chunks are framing in HTTP/1.1 only, so the end of the body would be a guess.
+			return errors.Wrapf(ErrMalformed, "the answer has the protocol version %s", resp.Proto)
 		}
 		if resp.StatusCode < http.StatusOK { // an informational response; the answer follows
 			if informational++; informational > maxInformational {
@@ -179,6 +183,9 @@
 			continue
 		}
 		a.Status, a.Header, a.Head, a.Length = resp.StatusCode, resp.Header, head, resp.ContentLength
+		if r.Method == http.MethodHead {
+			a.Length = 0 // the head states the length that a GET would have
+		}
 		a.body, a.closing = resp.Body, a.closing || resp.Close
 		if head.NotRun && !a.conn.noteRefused(r.ID) {
 			a.closing = true
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -134,6 +134,12 @@
 	g.metrics.latency.RecordDuration(time.Since(j.start))
 	platform.CopyAnswer(w.Header(), a.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if length := a.Header.Get("Content-Length"); j.request.Method == http.MethodHead {
+		w.Header().Del("Content-Length")
+		if length != "" { // that of the body which a GET would have
+			w.Header().Set("Content-Length", length)
+		}
+	}
 	g.logOutcome(j, "answered", a.Status, "", nil, 0)
 	w.WriteHeader(a.Status)
 	if _, err := w.Write(body); err != nil {
