streams: only an answer of events with status 200 is the rest of a stream

An empty answer ended the stream as complete. The events of a stream without ids came twice.

Cause: the status of an answer with content type text/event-stream was not looked at. Events without an id passed every check of the order. An answer without events counted as the end of the stream, though it does not show that its upstream knows the stream.

An empty rest is a failed send. A stream that breaks between its last event and its end is now broken off visibly when the next upstream has nothing left to send.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -26,6 +26,8 @@
 	data  []byte
 	id    int64
 	hasID bool
+	// comment is set when the event has comment lines alone, as upstreams send to keep a connection open.
+	comment bool
 }
 
 // eventReader splits an answer into events. An incomplete event is never returned.
@@ -43,7 +45,7 @@
 // event is valid until the next call.
 func (r *eventReader) next() (*event, error) {
 	r.buf = r.buf[:0]
-	e := &event{}
+	e := &event{comment: true}
 	for {
 		// Read one line, in several pieces if it exceeds the read buffer.
 		begin := len(r.buf)
@@ -86,10 +88,11 @@
 func (e *event) parseField(line []byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
+	e.comment = e.comment && len(name) == 0
 	switch string(name) {
 	case "id":
 		id, err := strconv.ParseInt(string(value), 10, 64)
-		if err != nil {
+		if err != nil || id < 0 {
 			return errors.Wrapf(forward.ErrMalformed, "event id %q is not a number", value)
 		}
 		e.id, e.hasID = id, true
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -263,7 +263,7 @@
 	if !res.notSent && !res.notRun {
 		j.mayHaveRun = true
 	}
-	if j.left() <= 0 {
+	if j.left() <= 0 || j.request.Context().Err() != nil {
 		return false
 	}
 	if res.notSent {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -226,12 +226,7 @@
 		done, err := s.relayEvents(res)
 		if done {
 			g.finish(res, routing.OutcomeSuccess)
-			if s.started {
-				g.completed(j)
-			} else {
-				res.err = errors.Wrap(io.ErrUnexpectedEOF, "the stream has no event")
-				g.sendUnanswered(ctx, j, res)
-			}
+			g.completed(j)
 			s.complete(ctx)
 			return
 		}
@@ -251,8 +246,15 @@
 			s.endFailed("token_limit", err)
 			return
 		}
+		if s.started && s.nextID < 0 {
+			// Without ids no upstream can be told where to go on, and another run from the start
+			// would repeat events.
+			j.mayHaveRun = true
+			s.endFailed("events_without_ids", err)
+			return
+		}
 		if !g.mayResend(j, res) {
-			s.endFailed(failureReason(res), err)
+			s.endFailed(streamFailureReason(res), err)
 			return
 		}
 		g.logResend(j, res)
@@ -290,18 +292,19 @@
 	if res.notRun {
 		return false, errors.Newf("the upstream has not run the call, status %d", a.Status)
 	}
-	if !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
-		if s.started {
-			return false, errors.Wrapf(forward.ErrMalformed, "status %d instead of the rest of a stream", a.Status)
+	if a.Status != http.StatusOK || !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		// nextID is set for a caller that asks for the rest of a stream, too.
+		if s.started || s.nextID >= 0 && a.Status < http.StatusMultipleChoices {
+			return false, errors.Wrapf(forward.ErrMalformed, "status %d and content type %q instead of the rest of a stream", a.Status, a.Header.Get("Content-Type"))
 		}
 		return false, nil
 	}
 	meter := decodeMeter{g: s.g, j: s.j, upstream: res.upstream, sentAt: res.sentAt}
 	defer meter.report()
 	events := newEventReader(a)
-	gap := s.j.gapLimit()
+	gap, progress := s.j.gapLimit(), true
 	for {
-		if gap > 0 {
+		if gap > 0 && progress {
 			if err := a.SetDeadline(earlier(s.j.deadline.Add(answerGrace), time.Now().Add(gap))); err != nil {
 				return false, errors.Mark(err, forward.ErrLost)
 			}
@@ -310,9 +313,23 @@
 		if err != nil {
 			return false, err
 		}
+		if e == nil && meter.events == 0 {
+			// Also of the rest of a stream: an answer without events does not show that its upstream
+			// knows the stream, so it is no proof of the end.
+			return false, errEmptyStream
+		}
 		if e == nil {
 			return true, nil
 		}
+		if progress = !e.comment; e.comment {
+			// Before its first event an upstream has not shown that it serves this stream.
+			if meter.events > 0 {
+				if err := s.write(e); err != nil {
+					return false, err
+				}
+			}
+			continue
+		}
 		arrived := time.Now()
 		if meter.events == 0 {
 			if err := s.checkSoftware(res); err != nil {
@@ -326,8 +343,22 @@
 	}
 }
 
+// errEmptyStream is returned for a complete answer without an event, where a stream or the rest of one is due.
+var errEmptyStream = errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "the stream has no event"), forward.ErrMalformed)
+
+// write sends the lines of an event to the caller at once.
+func (s *stream) write(e *event) error {
+	if _, err := s.w.Write(e.raw); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	return errors.Mark(http.NewResponseController(s.w).Flush(), errCallerGone)
+}
+
 // writeEvent sends one event to the caller.
 func (s *stream) writeEvent(a *forward.Answer, e *event) error {
+	if s.nextID >= 0 && !e.hasID {
+		return errors.Wrapf(forward.ErrMalformed, "an event without an id, want %d", s.nextID)
+	}
 	if e.hasID {
 		if s.nextID >= 0 && e.id != s.nextID {
 			return errors.Wrapf(forward.ErrMalformed, "event id %d, want %d", e.id, s.nextID)
@@ -341,11 +372,8 @@
 	if !s.started {
 		s.writeHead(a)
 	}
-	if _, err := s.w.Write(e.raw); err != nil {
-		return errors.Mark(err, errCallerGone)
-	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return errors.Mark(err, errCallerGone)
+	if err := s.write(e); err != nil {
+		return err
 	}
 	s.lastEventAt = time.Now()
 	s.j.events++
@@ -380,11 +408,6 @@
 // is stored, since callers may continue from it as soon as it has ended.
 func (s *stream) complete(ctx context.Context) {
 	g, j := s.g, s.j
-	if !s.started {
-		j.mayHaveRun = true
-		g.refuseOrFail(s.w, j, "empty_stream", nil)
-		return
-	}
 	if j.route.Retained {
 		start := time.Now()
 		err := s.storeTurn(ctx)
@@ -429,6 +452,14 @@
 	return err
 }
 
+// streamFailureReason is failureReason, with a reason of its own for a stream without events.
+func streamFailureReason(res *sendResult) string {
+	if errors.Is(res.err, errEmptyStream) {
+		return "empty_stream"
+	}
+	return failureReason(res)
+}
+
 // endFailed ends a call that is not sent to a further upstream: it breaks off an answer
 // that has started, and otherwise refuses or fails the call.
 func (s *stream) endFailed(reason string, cause error) {
