gateway: a planned stop sends no call that may outlast it, and answers those that it cuts off

What callers saw: a call whose body came late in the grace period was sent to an upstream, and its connection was closed without an answer at the end, also if it must not be repeated (LOST). Calls that were sent before and outlast the grace period were cut without an answer. A request whose head came in two parts was dropped.

Cause: only new connections were refused in a shutdown; what arrived on open ones was sent whatever was left of the grace. net/http's Shutdown drops requests of which it has read a part.

Mend: admission.Shutdown decides which calls are still sent; the others are refused at once, not run. The server's shutdown begins when no request is being read or answered. Unused tokens may be returned for 400 ms after that.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -421,7 +421,7 @@
 // callerGone reports whether the caller has closed its connection and, if so, logs and
 // counts it.
 func (g *Gateway) callerGone(ctx context.Context, j *job, err error) bool {
-	if ctx.Err() == nil && !errors.Is(err, errCallerGone) {
+	if cutByShutdown(ctx) || ctx.Err() == nil && !errors.Is(err, errCallerGone) {
 		return false
 	}
 	g.metrics.callerGone.Inc(1)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -35,11 +35,14 @@
 	endMalformed  = "malformed"
 	endSilent     = "silent"
 	endCallerGone = "caller_gone"
+	endShutdown   = "shutdown"
 )
 
 // endOf returns how a send without a complete answer ended.
 func endOf(ctx context.Context, res *sendResult) string {
 	switch {
+	case cutByShutdown(ctx):
+		return endShutdown
 	case ctx.Err() != nil || errors.Is(res.err, errCallerGone):
 		return endCallerGone
 	case errors.Is(res.err, os.ErrDeadlineExceeded):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,11 @@
 	// before the first confirmation. Read before routes, it holds for the document that routes has then.
 	documentConfirmedAt atomic.Pointer[time.Time]
 	draining            atomic.Bool
+	// stopping says which calls are still sent; nil until the shutdown begins. callsCtx is the parent of the
+	// contexts of all calls, cutCalls cancels it.
+	stopping atomic.Pointer[admission.Shutdown]
+	callsCtx context.Context
+	cutCalls context.CancelCauseFunc
 	// documentMu serialises the replacement of routes, so that the version never decreases. A document
 	// is prepared under it alone: requests take g.mu but not this one.
 	documentMu sync.Mutex
@@ -130,6 +135,7 @@
 		sends:       quarantine.NewEndedSends(survivedHeartbeats * time.Duration(cfg.UpstreamHeartbeat)),
 		balancer:    routing.NewBalancer(routing.BalancerConfig{Entry: string(cfg.Node), Seed: seedOf(string(cfg.Node))}),
 	}
+	g.callsCtx, g.cutCalls = context.WithCancelCause(context.Background())
 	g.pool.OnDial = func() { g.metrics.connections.Inc(1) }
 	g.leaving = newLeavingUpstreams()
 	g.origins = newStreamOrigins(g)
@@ -265,6 +271,7 @@
 		// replaces that deadline by the idle timeout in force.
 		IdleTimeout:    defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
+		BaseContext:    func(net.Listener) context.Context { return g.callsCtx },
 		ConnState:      s.listener.connState,
 		ErrorLog:       nil,
 	}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +16,8 @@
 type callerListener struct {
 	net.Listener
 	idleTimeout func() time.Duration
+	// begun is the number of connections on which a request has begun to arrive and is not answered yet.
+	begun atomic.Int64
 }
 
 func newCallerListener(l net.Listener, idleTimeout func() time.Duration) *callerListener {
@@ -33,8 +36,24 @@
 // connState is the ConnState function of the callers' server. It records whether a connection
 // is idle.
 func (l *callerListener) connState(c net.Conn, s http.ConnState) {
-	if cc, ok := c.(*callerConn); ok {
-		cc.idle.Store(s == http.StateIdle)
+	cc, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	cc.idle.Store(s == http.StateIdle)
+	if s == http.StateIdle || s == http.StateClosed || s == http.StateHijacked {
+		cc.setBegun(false)
+	}
+}
+
+// beginPoll is the time between two looks at the requests that have begun to arrive.
+const beginPoll = 10 * time.Millisecond
+
+// awaitRequests waits until no request is being read or answered, or ctx ends. The server must not be shutting down
+// yet: it would drop requests of which it has read a part, without an answer.
+func (l *callerListener) awaitRequests(ctx context.Context) {
+	for l.begun.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, beginPoll)
 	}
 }
 
@@ -43,6 +62,27 @@
 	net.Conn
 	listener *callerListener
 	idle     atomic.Bool
+	begun    atomic.Bool
+}
+
+// setBegun records whether a request has begun to arrive and is not answered yet.
+func (c *callerConn) setBegun(begun bool) {
+	if c.begun.CompareAndSwap(!begun, begun) {
+		if begun {
+			c.listener.begun.Add(1)
+		} else {
+			c.listener.begun.Add(-1)
+		}
+	}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.setBegun(true)
+	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. While the connection is idle it replaces every deadline
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,8 @@
 	// Requests of callers: received, answered by an upstream, refused before they ran, failed
 	// with an unknown outcome, and abandoned by their caller.
 	requests, answered, refused, failed, callerGone tally.Counter
+	// refusedByShutdown counts calls that could not have ended before the process does.
+	refusedByShutdown tally.Counter
 	// resent counts further sends of a call, connections new connections to upstreams, commits
 	// transactions of the table, digestErrors datagrams between entries that were not sent or
 	// were malformed.
@@ -84,7 +86,7 @@
 	s = s.SubScope("gateway")
 	return &metrics{
 		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
-		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), resent: s.Counter("resent"),
+		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), refusedByShutdown: s.Counter("refused_by_shutdown"), resent: s.Counter("resent"),
 		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsStored: s.Counter("turns_kept"), turnsNotStored: s.Counter("turns_not_kept"),
--- a/internal/gateway/orgquota.go
+++ b/internal/gateway/orgquota.go
@@ -122,8 +122,7 @@
 	if tokenValid(&j.token) {
 		return true
 	}
-	if ctx.Err() != nil {
-		g.callerGone(ctx, j, errCallerGone)
+	if ctx.Err() != nil && g.callerGone(ctx, j, errCallerGone) {
 		panic(http.ErrAbortHandler)
 	}
 	// The grantor spreads the times at which callers return, but those that this entry refuses without
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -131,7 +131,7 @@
 	asked := time.Now()
 	grant, from, err := g.limits.ask(ctx, u, s, j.permitWaitLimit())
 	if ctx.Err() != nil {
-		return false, errCallerGone
+		return false, endOfCall(ctx)
 	}
 	if err != nil {
 		g.metrics.permitsFailed.Inc(1)
@@ -150,7 +150,7 @@
 	j.permitWait += time.Since(asked)
 	j.permitFrom, j.limit = from, s.PerSecond
 	if ctx.Err() != nil {
-		return false, errCallerGone
+		return false, endOfCall(ctx)
 	}
 	if !g.usable(u) || j.left() <= 0 {
 		return false, nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,6 +70,8 @@
 	switch {
 	case errors.Is(err, errQuarantined):
 		return reasonQuarantined
+	case errors.Is(err, errShutdown):
+		return "shutting_down"
 	case errors.Is(err, errLimited):
 		return "upstreams_limited"
 	case errors.Is(err, errNoVersion):
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -53,11 +53,11 @@
 // send chooses an upstream and sends the call there. A stream continues after the event
 // lastEvent, or starts from its beginning when that is nil. When no upstream was chosen, the
 // result is nil and the error is errCallerGone, errQuarantined, errNoUpstream, errNoVersion,
-// errExcluded or errLimited. The failure of
+// errExcluded, errLimited or errShutdown. The failure of
 // a send is in the result. The result must be passed to finish.
 func (g *Gateway) send(ctx context.Context, j *job, lastEvent *int64) (*sendResult, error) {
 	if ctx.Err() != nil {
-		return nil, errCallerGone
+		return nil, endOfCall(ctx)
 	}
 	if !g.admitContent(ctx, j) {
 		return nil, errQuarantined
@@ -77,6 +77,10 @@
 		g.unchoose(u)
 		return nil, err
 	}
+	if err := g.endsBeforeShutdown(j); err != nil {
+		g.unchoose(u)
+		return nil, err
+	}
 	// The call puts its prompt into the upstream's cache, which the other entries should know.
 	if j.pick.Cached == 0 {
 		g.cached.add(u.ID, j.info.Prompt)
@@ -250,7 +254,8 @@
 		return routing.OutcomeFailure
 	case res.notRun:
 		return routing.OutcomeInconclusive
-	case errors.Is(res.err, forward.ErrBusy):
+	// A caller may ask for the rest of a stream that has none.
+	case errors.IsAny(res.err, forward.ErrBusy, errEmptyStream):
 		return routing.OutcomeInconclusive
 	default:
 		return routing.OutcomeFailure
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/admission"
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
 )
 
@@ -14,34 +17,78 @@
 	// shutdownMargin is the part of the grace period that is left for the last steps and log
 	// lines, before the process is killed.
 	shutdownMargin = 700 * time.Millisecond
+	// answerTimeout, a part of shutdownMargin, is left to answer the calls that are cut off.
+	answerTimeout = 200 * time.Millisecond
+	// returnMargin is how long after the end of calls unused tokens may still be returned.
+	returnMargin = 400 * time.Millisecond
 	// returnTimeout bounds the return of unused tokens to budgets whose rows can't be reached.
 	returnTimeout = 2 * time.Second
 	// cleanUpInterval is the time between two removals of idle budgets.
 	cleanUpInterval = 20 * time.Second
 )
 
+// errShutdown is the cause of a call that is not sent, or is cut off, since the process is about to end.
+var errShutdown = errors.New("the entry shuts down")
+
+// cutByShutdown reports whether a call's context ended because the process is about to end, so that its
+// caller still waits for an answer.
+func cutByShutdown(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errShutdown) }
+
+// endOfCall returns why a call's context has ended: errShutdown or errCallerGone.
+func endOfCall(ctx context.Context) error {
+	if cutByShutdown(ctx) {
+		return errShutdown
+	}
+	return errCallerGone
+}
+
+// endsBeforeShutdown returns errShutdown when the process shuts down and the call, for which an upstream was
+// picked, would probably not end before.
+func (g *Gateway) endsBeforeShutdown(j *job) error {
+	s := g.stopping.Load()
+	if s == nil {
+		return nil
+	}
+	now := time.Now()
+	if s.Admits(now, admission.ShutdownCall{Deadline: j.deadline, Predicted: j.pick.Finish}) {
+		return nil
+	}
+	g.metrics.refusedByShutdown.Inc(1)
+	return errors.Wrapf(errShutdown, "%s are left, the call is predicted to take %s", s.End.Sub(now).Round(time.Millisecond), j.pick.Finish.Round(time.Millisecond))
+}
+
 // shutdown makes the readiness check fail, waits drainDelay, and lets calls in progress finish
-// until shutdownMargin before the end of the grace period. It cuts the remaining calls, returns
+// until shutdownMargin before the end of the grace period. Calls that could not finish by then are
+// refused. The remaining ones are cancelled and answered that they may have run; streams that have begun
+// are broken off. Then it returns
 // unused tokens to the budgets and closes the sockets.
 func (g *Gateway) shutdown(s *servers) {
 	started := time.Now()
+	end := started.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
+	g.stopping.Store(&admission.Shutdown{DrainedAt: started.Add(g.drainDelay), End: end})
 	g.draining.Store(true)
 	g.env.Events.Emit(eventlog.GatewayStopping, eventlog.Fields{Step: "stop", Count: g.inFlight.Load()})
 	// No more claims are acknowledged, so that the handover has all of them.
 	g.budgetPeers.handOver(context.Background())
 	// The entries that own the budgets from now on need the tokens that this one does not use.
 	go g.budgets.releaseAll()
-	end := started.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
 	time.Sleep(min(g.drainDelay, time.Until(end)))
 	// Shutdown also closes idle connections: a call that arrived on one later could not be
 	// finished in time.
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
+	_ = s.listener.Close()
+	s.callers.SetKeepAlivesEnabled(false)
+	s.listener.awaitRequests(ctx)
+	if err := s.callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Err(err).End()
+		g.cutCalls(errShutdown)
+		answering, cancelAnswering := context.WithTimeout(context.Background(), answerTimeout)
+		defer cancelAnswering()
+		_ = s.callers.Shutdown(answering) // what has not ended by then is closed below
 	}
 	_ = s.callers.Close()
-	returning, cancelReturning := context.WithTimeout(ctx, returnTimeout)
+	returning, cancelReturning := context.WithDeadline(context.Background(), earlier(time.Now().Add(returnTimeout), end.Add(returnMargin)))
 	defer cancelReturning()
 	g.budgets.returnUnused(returning)
 	_ = s.ready.Close()
