budgets: an entry that has started again asks each other entry for its claims once

Cause: an entry that has started again asked all others for all claims that they know, every 400 ms, until all of them were synchronised.

Change: ledger.Rejoin asks a peer when it is first seen, and once more when its digest says that it is synchronised. One complete answer of a node after this start is enough: all claims of this node are from before it.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,8 +26,9 @@
 	// provisionalGrantsUnrecorded failed attempts to record provisional grants in their row,
 	// rowsNotExpired rows that were not deleted after their retention, and orphansRecorded rows
 	// in which this entry recorded the grants of another one that had not done so itself.
-	// noticesLost counts notices of claims that a witness did not acknowledge.
-	settlementsLost, blocksLost, provisionalGrantsUnrecorded, rowsNotExpired, orphansRecorded, noticesLost tally.Counter
+	// noticesLost counts notices of claims that a witness did not acknowledge, claimsAsked requests for all claims
+	// of another entry.
+	settlementsLost, blocksLost, provisionalGrantsUnrecorded, rowsNotExpired, orphansRecorded, noticesLost, claimsAsked tally.Counter
 	// crashesCounted counts ends of upstreams that this entry counted against the content of a call,
 	// crashReportsReceived those that other entries reported, crashReportsDropped reports that were
 	// not sent for lack of room, and quarantined calls that were not sent because of their content.
@@ -92,7 +93,7 @@
 		budgetSpent: s.Counter("budget_spent"), turnsStored: s.Counter("turns_kept"), turnsNotStored: s.Counter("turns_not_kept"),
 		chainQueriesFailed: s.Counter("chains_not_asked"),
 		settlementsLost:    s.Counter("settles_lost"), blocksLost: s.Counter("budget_lumps_lost"), provisionalGrantsUnrecorded: s.Counter("budget_advances_unrecorded"),
-		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"), noticesLost: s.Counter("budget_notices_lost"),
+		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"), noticesLost: s.Counter("budget_notices_lost"), claimsAsked: s.Counter("budget_claims_asked"),
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
 		overQuota: s.Counter("over_quota"), quotaUnknown: s.Counter("quota_unknown"),
--- a/internal/gateway/witnesses.go
+++ b/internal/gateway/witnesses.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/mesh"
@@ -174,11 +173,11 @@
 // Otherwise it collects those of the other entries, or waits until programs that it has not
 // heard of can't return.
 func (o *budgetPeers) synchronise(ctx context.Context) {
-	reason := "first start"
+	reason, rejoin := "first start", ledger.NewRejoin(string(o.g.cfg.Node))
 	for !o.g.cfg.FirstStart && ctx.Err() == nil {
 		sleep(ctx, synchroniseInterval)
 		if o.g.mesh.CanOwn() {
-			if reason = o.collectClaims(ctx); reason != "" {
+			if reason = o.collectClaims(ctx, rejoin); reason != "" {
 				break
 			}
 		}
@@ -193,40 +192,33 @@
 	}
 }
 
-// collectClaims asks all other entries for the claims that they know. It returns why this entry
-// is synchronised now, or an empty string: the incarnation before handed its claims over, or every other node
-// still knows all claims that it has acknowledged. Each claim is known to two nodes.
-func (o *budgetPeers) collectClaims(ctx context.Context) string {
+// collectClaims asks the other entries that may know more claims than they have told. It returns why this entry
+// is synchronised now, or an empty string.
+func (o *budgetPeers) collectClaims(ctx context.Context, rejoin *ledger.Rejoin) string {
 	now := time.Now()
 	peers := o.g.mesh.Peers(func(p *mesh.Peer) bool {
 		return now.Sub(p.LastDigest) < recentOwnerWindow || now.Sub(p.ListedAt) < recentOwnerWindow
 	})
-	var handedOver, missing []string
+	all := make([]ledger.RejoinPeer, 0, len(peers))
 	for _, p := range peers {
-		var a claimsAnswer
-		err := error(nil)
-		if o.g.mesh.Responsive(p, now) {
-			ctx, cancel := context.WithTimeout(ctx, claimsTimeout)
-			err = o.g.mesh.Post(ctx, p.HTTPAddress, "/claims", claimsRequest{Node: string(o.g.cfg.Node)}, &a)
-			cancel()
+		known := ledger.RejoinPeer{Node: p.Node, Incarnation: p.Incarnation, Synchronised: p.Has(mesh.FlagSynchronised)}
+		all = append(all, known)
+		if !rejoin.ShouldAsk(known) || !o.g.mesh.Responsive(p, now) {
+			continue
 		}
+		var a claimsAnswer
+		ctx, cancel := context.WithTimeout(ctx, claimsTimeout)
+		err := o.g.mesh.Post(ctx, p.HTTPAddress, "/claims", claimsRequest{Node: string(o.g.cfg.Node)}, &a)
+		cancel()
+		o.g.metrics.claimsAsked.Inc(1)
 		if err != nil {
 			o.g.env.Requests.Info("budget_claims_not_read").Str("peer", p.Node).Err(err).End()
+			continue
 		}
 		for _, n := range a.Claims {
 			o.g.budgets.applyNotice(n)
 		}
-		handedOver = append(handedOver, a.HandedOver...)
-		if !a.Synchronised {
-			missing = append(missing, p.Node)
-		}
-	}
-	if slices.Contains(handedOver, string(o.g.cfg.Node)) {
-		return "handed over"
-	}
-	missing = slices.DeleteFunc(missing, func(node string) bool { return slices.Contains(handedOver, node) })
-	if len(peers) > 0 && len(missing) == 0 {
-		return "all entries asked"
+		rejoin.Answered(known, a.Synchronised, a.HandedOver)
 	}
-	return ""
+	return rejoin.Synchronised(all)
 }
