--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -43,6 +43,6 @@
 	return n, err
 }
 
-// headBytes returns the number of bytes received for the head that is being read. It is at least that of the
-// part that is left in the buffer.
+// headBytes returns the number of bytes received since the head that is being read began. What was read ahead
+// of it, into the buffer, counts too.
 func (c *conn) headBytes() int64 { return maxHeadBytes - c.head.left }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -59,9 +59,8 @@
 
 // shutdown makes the readiness check fail, waits drainDelay, and lets calls in progress finish
 // until shutdownMargin before the end of the grace period. Calls that could not finish by then are
-// refused. The remaining ones are cancelled and answered that they may have run; streams that have begun
-// are broken off. Then it returns
-// unused tokens to the budgets and closes the sockets.
+// refused. The remaining ones are cancelled and answered that they may have run, and streams that have
+// begun are broken off. Then it returns unused tokens to the budgets and closes the sockets.
 func (g *Gateway) shutdown(s *servers) {
 	started := time.Now()
 	end := started.Add(time.Duration(g.cfg.ShutdownGrace) - shutdownMargin)
@@ -73,8 +72,7 @@
 	// The entries that own the budgets from now on need the tokens that this one does not use.
 	go g.budgets.releaseAll()
 	time.Sleep(min(g.drainDelay, time.Until(end)))
-	// Shutdown also closes idle connections: a call that arrived on one later could not be
-	// finished in time.
+	// Idle connections are closed too: a call that arrived on one later could not be finished in time.
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	_ = s.listener.Close()
