gateway: no request is served on a connection that a shutdown has closed as idle

At the end of the drain delay net/http closed the connections that it took for idle; one on which a request has arrived and is not parsed yet is among them, and the request was then served, since the server was not shutting down yet.

Change: connections on which no request has begun are retired one by one, and a request that is parsed on a retired one is dropped before it is sent. Answers say "Connection: close" by the time at which they are written, so that calls begun before the shutdown end their connections too.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -169,8 +169,8 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	g.metrics.requests.Inc(1)
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
+	if isRetired(r.Context()) {
+		panic(http.ErrAbortHandler) // nobody would get the answer
 	}
 	j := &job{request: r, start: time.Now()}
 	defer func() {
@@ -398,7 +398,7 @@
 		platform.SetRequestID(w.Header(), id)
 	}
 	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(status)
+	g.writeHead(w, status)
 }
 
 // refuseOrFail answers a call that is not sent to a further upstream: it is refused when it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -272,6 +272,7 @@
 		IdleTimeout:    defaultIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		BaseContext:    func(net.Listener) context.Context { return g.callsCtx },
+		ConnContext:    connContext,
 		ConnState:      s.listener.connState,
 		ErrorLog:       nil,
 	}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,10 +19,14 @@
 	idleTimeout func() time.Duration
 	// begun is the number of connections on which a request has begun to arrive and is not answered yet.
 	begun atomic.Int64
+
+	mu sync.Mutex
+	// conns are the open connections.
+	conns map[*callerConn]struct{}
 }
 
 func newCallerListener(l net.Listener, idleTimeout func() time.Duration) *callerListener {
-	return &callerListener{Listener: l, idleTimeout: idleTimeout}
+	return &callerListener{Listener: l, idleTimeout: idleTimeout, conns: map[*callerConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
@@ -30,7 +35,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, listener: l}, nil
+	cc := &callerConn{Conn: c, listener: l}
+	l.mu.Lock()
+	l.conns[cc] = struct{}{}
+	l.mu.Unlock()
+	return cc, nil
 }
 
 // connState is the ConnState function of the callers' server. It records whether a connection
@@ -41,8 +50,33 @@
 		return
 	}
 	cc.idle.Store(s == http.StateIdle)
-	if s == http.StateIdle || s == http.StateClosed || s == http.StateHijacked {
-		cc.setBegun(false)
+	switch s {
+	case http.StateActive: // also for a request that arrived together with the one before
+		cc.begin()
+	case http.StateIdle:
+		cc.end()
+	case http.StateClosed, http.StateHijacked:
+		cc.end()
+		l.mu.Lock()
+		delete(l.conns, cc)
+		l.mu.Unlock()
+	case http.StateNew:
+	}
+}
+
+// retireIdle closes the connections that are idle. A request that has begun to arrive on one keeps it open; one that
+// comes later is not served.
+func (l *callerListener) retireIdle() {
+	l.mu.Lock()
+	conns := make([]*callerConn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		if c.idle.Load() && c.state.CompareAndSwap(connQuiet, connRetired) {
+			_ = c.Close()
+		}
 	}
 }
 
@@ -57,22 +91,49 @@
 	}
 }
 
+// States of a caller's connection.
+const (
+	// connQuiet: no request is being read or answered.
+	connQuiet int32 = iota
+	// connBegun: a request has begun to arrive and is not answered yet.
+	connBegun
+	// connRetired: the connection is closed, and no request on it is served.
+	connRetired
+)
+
 // callerConn is a caller's connection with the idle timeout of its listener.
 type callerConn struct {
 	net.Conn
 	listener *callerListener
 	idle     atomic.Bool
-	begun    atomic.Bool
+	state    atomic.Int32
 }
 
-// setBegun records whether a request has begun to arrive and is not answered yet.
-func (c *callerConn) setBegun(begun bool) {
-	if c.begun.CompareAndSwap(!begun, begun) {
-		if begun {
-			c.listener.begun.Add(1)
-		} else {
-			c.listener.begun.Add(-1)
-		}
+// connKey is the key under which the context of a request has its callerConn.
+type connKey struct{}
+
+// connContext is the ConnContext function of the callers' server.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// isRetired reports whether the connection of a request was closed as idle just when the request arrived.
+func isRetired(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && c.state.Load() == connRetired
+}
+
+// begin records that a request has begun to arrive.
+func (c *callerConn) begin() {
+	if c.state.CompareAndSwap(connQuiet, connBegun) {
+		c.listener.begun.Add(1)
+	}
+}
+
+// end records that no request is being read or answered.
+func (c *callerConn) end() {
+	if c.state.CompareAndSwap(connBegun, connQuiet) {
+		c.listener.begun.Add(-1)
 	}
 }
 
@@ -80,7 +141,7 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.setBegun(true)
+		c.begin()
 	}
 	return n, err
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +58,14 @@
 	return errors.Wrapf(errShutdown, "%s are left, the call is predicted to take %s", s.End.Sub(now).Round(time.Millisecond), j.pick.Finish.Round(time.Millisecond))
 }
 
+// writeHead writes the head of an answer. During a shutdown it says that the connection ends with the answer.
+func (g *Gateway) writeHead(w http.ResponseWriter, status int) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(status)
+}
+
 // shutdown makes the readiness check fail, waits drainDelay, and lets calls in progress finish
 // until shutdownMargin before the end of the grace period. Calls that could not finish by then are
 // refused. The remaining ones are cancelled and answered that they may have run, and streams that have
@@ -76,7 +85,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	_ = s.listener.Close()
-	s.callers.SetKeepAlivesEnabled(false)
+	s.listener.retireIdle()
 	s.listener.awaitRequests(ctx)
 	if err := s.callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Err(err).End()
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -270,3 +270,37 @@
 	callers.Wait()
 	t.Logf("answers by status: %v", outcomes)
 }
+
+// TestRequestsAsIdleConnectionsClose: callers send on connections that the entry is about to close at the end of the
+// drain delay. A request is answered or not sent.
+func TestRequestsAsIdleConnectionsClose(t *testing.T) {
+	entries, upstreams := startStoppable(t, 1)
+	e := entries[0]
+	const conns = 300
+	readers, open := make([]*bufio.Reader, conns), make([]net.Conn, conns)
+	for i := range conns {
+		readers[i], open[i] = e.callRaw(requestText("/act/1", fmt.Sprint("first-", i), "x"))
+	}
+	for i := range conns {
+		if r := readReply(readers[i]); r.status != http.StatusOK {
+			t.Fatalf("before the shutdown: %+v", r)
+		}
+	}
+	e.stop()
+	eventually(t, "the shutdown has begun", e.draining.Load)
+	end := e.stopping.Load().DrainedAt
+	var wg sync.WaitGroup
+	for i := range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Until(end) + time.Duration(i-conns/2)*4*time.Microsecond)
+			id := fmt.Sprint("second-", i)
+			_, _ = io.WriteString(open[i], requestText("/act/1", id, "x"))
+			if r := readReply(readers[i]); r.status != http.StatusOK && sendsOf(upstreams, id) > 0 {
+				t.Errorf("%s was sent to an upstream and not answered: %v", id, r.err)
+			}
+		}()
+	}
+	wg.Wait()
+}
