gateway: a line and a counter for each connection that ends without an answer

What callers saw: a connection that closes on a whole request; neither log nor metrics showed it, since net/http closes connections without a word.

Change: callers' connections record how far the present request has come. When one ends while a request is arriving, request_not_read says why, and heads_broken_off, heads_timed_out, heads_malformed or requests_cut counts it. No decision changes.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -91,6 +91,7 @@
 	// service is the service whose upstreams the call may be sent to.
 	service string
 	request *http.Request
+	conn    *callerConn
 	body    []byte
 	// fingerprint is a hash of the request's content, for the quarantine.
 	fingerprint uint64
@@ -169,15 +170,23 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	g.metrics.requests.Inc(1)
+	connOf(r).progress.startRequest()
 	if isRetired(r.Context()) {
 		panic(http.ErrAbortHandler) // nobody would get the answer
 	}
-	j := &job{request: r, start: time.Now()}
+	j := &job{request: r, conn: connOf(r), start: time.Now()}
 	defer func() {
 		g.answers.release(j.answerMemory)
 		g.returnToken(j)
 	}()
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
+	g.handle(w, j)
+	j.conn.progress.endRequest() // not after a panic, by which a handler closes the connection without an answer
+}
+
+// handle answers the request.
+func (g *Gateway) handle(w http.ResponseWriter, j *job) {
+	r := j.request
 	var err error
 	if j.call, err = platform.DecodeCall(r.Header); err != nil {
 		g.reject(w, j, http.StatusBadRequest, "bad_request", err)
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -17,6 +17,8 @@
 type callerListener struct {
 	net.Listener
 	idleTimeout func() time.Duration
+	// onEnd is called when a connection has ended.
+	onEnd func(connEnd)
 	// begun is the number of connections on which a request has begun to arrive and is not answered yet.
 	begun atomic.Int64
 
@@ -26,7 +28,7 @@
 }
 
 func newCallerListener(l net.Listener, idleTimeout func() time.Duration) *callerListener {
-	return &callerListener{Listener: l, idleTimeout: idleTimeout, conns: map[*callerConn]struct{}{}}
+	return &callerListener{Listener: l, idleTimeout: idleTimeout, onEnd: func(connEnd) {}, conns: map[*callerConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
@@ -56,6 +58,7 @@
 	case http.StateIdle:
 		cc.end()
 	case http.StateClosed, http.StateHijacked:
+		l.onEnd(cc.howEnded())
 		cc.end()
 		l.mu.Lock()
 		delete(l.conns, cc)
@@ -107,6 +110,7 @@
 	listener *callerListener
 	idle     atomic.Bool
 	state    atomic.Int32
+	progress connProgress
 }
 
 // connKey is the key under which the context of a request has its callerConn.
@@ -127,6 +131,7 @@
 func (c *callerConn) begin() {
 	if c.state.CompareAndSwap(connQuiet, connBegun) {
 		c.listener.begun.Add(1)
+		c.progress.begin()
 	}
 }
 
@@ -143,6 +148,9 @@
 	if n > 0 {
 		c.begin()
 	}
+	if err != nil {
+		c.progress.readFailed(err)
+	}
 	return n, err
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,10 @@
 	requests, answered, refused, failed, callerGone tally.Counter
 	// refusedByShutdown counts calls that could not have ended before the process does.
 	refusedByShutdown tally.Counter
+	// headsBrokenOff, headsTimedOut and headsMalformed count connections that ended before the head of a request on
+	// them was whole: closed by their caller, by the timeout, and as malformed. requestsCut counts those that a shutdown
+	// has closed, with a request that was arriving or had arrived.
+	headsBrokenOff, headsTimedOut, headsMalformed, requestsCut tally.Counter
 	// resent counts further sends of a call, connections new connections to upstreams, commits
 	// transactions of the table, digestErrors datagrams between entries that were not sent or
 	// were malformed.
@@ -88,6 +92,7 @@
 	return &metrics{
 		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
 		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), refusedByShutdown: s.Counter("refused_by_shutdown"), resent: s.Counter("resent"),
+		headsBrokenOff: s.Counter("heads_broken_off"), headsTimedOut: s.Counter("heads_timed_out"), headsMalformed: s.Counter("heads_malformed"), requestsCut: s.Counter("requests_cut"),
 		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsStored: s.Counter("turns_kept"), turnsNotStored: s.Counter("turns_not_kept"),
