--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -170,18 +170,15 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	g.metrics.requests.Inc(1)
-	connOf(r).progress.startRequest()
-	if isRetired(r.Context()) {
-		panic(http.ErrAbortHandler) // nobody would get the answer
-	}
 	j := &job{request: r, conn: connOf(r), start: time.Now()}
+	j.conn.startRequest(r.ContentLength)
 	defer func() {
 		g.answers.release(j.answerMemory)
 		g.returnToken(j)
 	}()
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
 	g.handle(w, j)
-	j.conn.progress.endRequest() // not after a panic, by which a handler closes the connection without an answer
+	j.conn.endRequest() // not after a panic, by which a handler closes the connection without an answer
 }
 
 // handle answers the request.
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +15,6 @@
 	connEndCaller    = "caller_closed" // before the request was whole
 	connEndTimeout   = "head_timeout"
 	connEndShutdown  = "shutdown"  // the process ended before the request was whole
-	connEndRetired   = "retired"   // the request was read on a connection that a shutdown had closed
 	connEndMalformed = "malformed" // net/http has answered that
 	connEndAborted   = "aborted"   // by the request's handler, which logs why
 )
@@ -31,74 +29,28 @@
 	err      error
 }
 
-// connProgress is how far the present request of a connection has come.
-type connProgress struct {
-	mu      sync.Mutex
-	begunAt time.Time
-	// parsed is set once the request's head was parsed, answered once its handler has ended.
-	parsed, answered bool
-	// requests counts the requests whose heads were parsed.
-	requests int64
-	// readErr is the error that ended the reads.
-	readErr error
-}
-
-// begin records that a request has begun to arrive.
-func (p *connProgress) begin() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.begunAt, p.parsed, p.answered, p.readErr = time.Now(), false, false, nil
-}
-
-func (p *connProgress) readFailed(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.readErr = err
-}
-
-// startRequest records that the head of a request was parsed.
-func (p *connProgress) startRequest() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.parsed = true
-	p.requests++
-}
-
-// endRequest records that the handler of the request has ended with an answer.
-func (p *connProgress) endRequest() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.answered = true
-}
-
-// howEnded returns how the connection ended.
-func (c *callerConn) howEnded() connEnd {
-	c.progress.mu.Lock()
-	defer c.progress.mu.Unlock()
-	p := &c.progress
-	e := connEnd{before: p.requests, err: p.readErr}
-	state := c.state.Load()
-	if state == connQuiet || p.answered || state == connRetired && !p.parsed {
+// end returns how the connection ended.
+func (c *callerConn) end() connEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := connEnd{before: c.requests, err: c.lastErr}
+	if !c.begun || c.answered {
 		return e
 	}
-	e.arriving = time.Since(p.begunAt)
+	e.arriving = time.Since(c.begunAt)
 	switch {
-	case state == connRetired:
-		e.reason = connEndRetired
-	case p.parsed:
+	case c.parsed:
 		e.reason = connEndAborted
-	case errors.Is(p.readErr, net.ErrClosed):
+		e.before--
+	case errors.Is(c.lastErr, net.ErrClosed):
 		e.reason = connEndShutdown
-	case isTimeout(p.readErr):
+	case isTimeout(c.lastErr):
 		e.reason = connEndTimeout
-	case p.readErr != nil:
+	case c.lastErr != nil:
 		e.reason = connEndCaller
 	default:
 		e.reason = connEndMalformed
 	}
-	if p.parsed {
-		e.before--
-	}
 	return e
 }
 
@@ -120,7 +72,7 @@
 	switch e.reason {
 	case "", connEndAborted:
 		return
-	case connEndShutdown, connEndRetired:
+	case connEndShutdown:
 		g.metrics.requestsCut.Inc(1)
 		line = g.env.Requests.Warn("request_not_read")
 	case connEndTimeout:
@@ -135,3 +87,8 @@
 	}
 	line.Str("reason", e.reason).Ms("arriving_ms", e.arriving).Int("requests_before", e.before).Err(e.err).End()
 }
+
+// connectionRefused logs a connection that was accepted and can't be used.
+func (g *Gateway) connectionRefused(err error) {
+	g.env.Requests.Warn("connection_refused").Err(err).End()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,7 +264,7 @@
 // serve starts the HTTP servers on the sockets, and the receiver of packets from other entries.
 func (g *Gateway) serve(l *listeners) *servers {
 	s := &servers{listener: newCallerListener(l.callers, g.idleTimeout)}
-	s.listener.onEnd = g.connectionEnded
+	s.listener.onEnd, s.listener.onRefused = g.connectionEnded, g.connectionRefused
 	s.callers = &http.Server{
 		Handler:           http.HandlerFunc(g.serveCaller),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -81,20 +81,20 @@
 	// The entries that own the budgets from now on need the tokens that this one does not use.
 	go g.budgets.releaseAll()
 	time.Sleep(min(g.drainDelay, time.Until(end)))
-	// Idle connections are closed too: a call that arrived on one later could not be finished in time.
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	_ = s.listener.Close()
+	// Connections without a request end too: a call that arrived on one later could not be finished in time.
 	s.listener.retireIdle()
-	s.listener.awaitRequests(ctx)
-	if err := s.callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Err(err).End()
+	if !s.listener.awaitClosed(ctx) {
+		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Int("connections", int64(len(s.listener.open()))).End()
 		g.cutCalls(errShutdown)
 		answering, cancelAnswering := context.WithTimeout(context.Background(), answerTimeout)
 		defer cancelAnswering()
-		_ = s.callers.Shutdown(answering) // what has not ended by then is closed below
+		s.listener.awaitClosed(answering) // what has not ended by then is closed below
 	}
 	_ = s.callers.Close()
+	g.env.Requests.Info("callers_gone").Int("connections_ended", s.listener.retired.Load()).Ms("after_ms", time.Since(started)).End()
 	returning, cancelReturning := context.WithDeadline(context.Background(), earlier(time.Now().Add(returnTimeout), end.Add(returnMargin)))
 	defer cancelReturning()
 	g.budgets.returnUnused(returning)
