gateway: a request that has arrived behind another is not dropped in a shutdown

Cause: each answer in a shutdown says "Connection: close", and net/http then drops what it has read behind the request. The same class: the end of a connection was decided without the bytes already received.

Change: callerConn returns no bytes of two requests from one Read, so it knows whether bytes of another one have arrived, in its own buffer, in the byte that net/http reads ahead, or in the socket. If so, the answer leaves the connection open, and the next request is served, or refused before it is sent.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -320,6 +320,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		j.conn.bodyRead()
 		return true
 	case errors.As(err, &tooLarge):
 		g.reject(w, j, http.StatusRequestEntityTooLarge, "body_too_large", err)
@@ -404,7 +405,7 @@
 		platform.SetRequestID(w.Header(), id)
 	}
 	w.Header().Set("Content-Length", "0")
-	g.writeHead(w, status)
+	g.writeHead(w, j, status)
 }
 
 // refuseOrFail answers a call that is not sent to a further upstream: it is refused when it
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -13,6 +13,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// arrivedBytes is the size in bytes of the buffer for what has arrived behind a request.
+const arrivedBytes = 4 << 10
+
 // callerConn is a caller's connection. It tells from the bytes that have arrived whether a request is on the
 // connection: net/http knows of a request only once its head is parsed. One Read never returns bytes of two requests, so
 // that net/http holds no bytes of the next one that this type doesn't know of.
@@ -39,8 +42,9 @@
 	// begun is set while a request is arriving or not answered; begunAt is when its first byte was read.
 	begun   bool
 	begunAt time.Time
-	// parsed is set once the request's head was parsed, answered once its handler has ended.
-	parsed, answered bool
+	// parsed is set once the request's head was parsed, reading until its body was read, answered once its handler
+	// has ended.
+	parsed, reading, answered bool
 	// quietSince is when the connection was accepted or became idle.
 	quietSince time.Time
 	// requests counts the requests whose heads were parsed.
@@ -205,10 +209,17 @@
 func (c *callerConn) startRequest(length int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.parsed, c.body = true, max(length, 0)
+	c.parsed, c.reading, c.body = true, length != 0, max(length, 0)
 	c.requests++
 }
 
+// bodyRead records that the body of the request was read.
+func (c *callerConn) bodyRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
 // endRequest records that the handler of the request has ended with an answer.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
@@ -241,6 +252,25 @@
 	return !c.begun
 }
 
+// anotherArrived reports whether bytes of another request have arrived behind the present one, which was read whole.
+func (c *callerConn) anotherArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		return false
+	}
+	if c.partial || len(c.pending) > 0 {
+		return true
+	}
+	b := make([]byte, arrivedBytes)
+	_ = c.raw.Control(func(fd uintptr) { // a closed connection has no further request
+		if n, err := readNow(int(fd), b); err == nil {
+			c.pending = b[:n]
+		}
+	})
+	return len(c.pending) > 0
+}
+
 // SetReadDeadline implements net.Conn. While the connection is idle it replaces every deadline
 // that the server sets, including that for the headers of the next request, by the idle timeout
 // in force.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -58,9 +58,10 @@
 	return errors.Wrapf(errShutdown, "%s are left, the call is predicted to take %s", s.End.Sub(now).Round(time.Millisecond), j.pick.Finish.Round(time.Millisecond))
 }
 
-// writeHead writes the head of an answer. During a shutdown it says that the connection ends with the answer.
-func (g *Gateway) writeHead(w http.ResponseWriter, status int) {
-	if g.draining.Load() {
+// writeHead writes the head of an answer. During a shutdown it says that the connection ends with the answer, unless
+// another request has arrived behind this one: that would get no answer.
+func (g *Gateway) writeHead(w http.ResponseWriter, j *job, status int) {
+	if g.draining.Load() && !j.conn.anotherArrived() {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(status)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -393,7 +393,7 @@
 	s.beginOrigin(a)
 	s.g.metrics.firstEvent.RecordDuration(time.Since(s.j.start))
 	platform.CopyAnswer(s.w.Header(), a.Header)
-	s.g.writeHead(s.w, a.Status)
+	s.g.writeHead(s.w, s.j, a.Status)
 }
 
 // tokensPerEvent returns the number of generated tokens in one event of the service.
