gateway: a call whose body is not whole by its deadline is refused with 408

What callers saw: the connection closed without an answer when a call's time ended before its body had arrived, also if it had arrived by then and a process that stood still had not read it. A caller can't know then whether the call has run.

Cause: readBody took a passed deadline for a body that its caller broke off, and aborted the request.

Change: a passed deadline is answered 408 with Retry-After and Connection: close, reason body_late. The call was not sent.

Evidence: TestBodyThatComesTooLateIsRefused failed for both kinds of calls before.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -296,8 +296,8 @@
 	return chosen
 }
 
-// readBody reads the body of the caller's request. When the body is too large, readBody
-// answers the caller and returns false; when it breaks off, readBody aborts the request.
+// readBody reads the body of the caller's request. When the body is too large, or not whole by the call's deadline,
+// readBody answers the caller and returns false; when it breaks off, readBody aborts the request.
 func (g *Gateway) readBody(w http.ResponseWriter, j *job) bool {
 	if j.request.Body == nil || j.request.Body == http.NoBody {
 		return true
@@ -324,6 +324,9 @@
 		return true
 	case errors.As(err, &tooLarge):
 		g.reject(w, j, http.StatusRequestEntityTooLarge, "body_too_large", err)
+	case isTimeout(err):
+		w.Header().Set("Connection", "close") // the rest of the body may still come
+		g.refuseWith(w, j, http.StatusRequestTimeout, "body_late", err, g.jitter(retryUpstream))
 	default:
 		g.metrics.callerGone.Inc(1)
 		g.requestLog("request_broken_off", j).Err(err).End()
@@ -357,7 +360,7 @@
 	g.refuseWith(w, j, http.StatusServiceUnavailable, reason, cause, after)
 }
 
-// refuseWith is refuseAfter with a status, 503 or 429, both of which say that the call has not run.
+// refuseWith is refuseAfter with a status, 503, 429 or 408, which say that the call has not run.
 func (g *Gateway) refuseWith(w http.ResponseWriter, j *job, status int, reason string, cause error, after time.Duration) {
 	g.metrics.refused.Inc(1)
 	g.logOutcome(j, "refused", status, reason, cause, after)
