gateway: the end of a connection with an unread body does not reset it at once

What callers saw: after a refusal with the body unread, a reset as soon as the connection closed, which can overtake the answer.

Cause: net/http ends its direction first and waits, but callerConn hid CloseWrite, so that only the wait was left and the close reset the connection.

Change: callerConn passes CloseWrite on.

Evidence: TestRefusalArrivesBeforeALongBodyEnds, which now asks for the end of the connection behind the answer, failed without it.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -321,3 +321,12 @@
 		_ = c.Conn.SetReadDeadline(t) // fails for a closed connection
 	}
 }
+
+// CloseWrite ends the direction to the caller, so that net/http can let an answer arrive before it closes a connection
+// with unread bytes, which resets it.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // TestBodyThatComesTooLateIsRefused: the time of a call ends before its body has arrived. It is refused and not sent; its
@@ -43,6 +45,9 @@
 				if r := readReply(br); r.status != want || r.err != nil {
 					t.Errorf("%s: %+v, want status %d", path, r, want)
 				}
+				if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+					t.Errorf("%s: %v after the answer, want the end of the connection without a reset", path, err)
+				}
 			}()
 		}
 	}
