gateway: a caller that is gone gets no empty success

What callers saw: a caller that ended its direction of the connection while its call was at an upstream got 200 with no body and no seal, which no upstream gave (MIXED).

Cause: servePlain returned without an answer when the caller was gone, and net/http answers 200 for such a handler. With a connection that is closed whole nobody sees it; with one that is half closed, or when the connection fails in one direction only, the caller does.

Change: these places abort the request, as those of streams do, so that the connection ends without an answer.

Evidence: TestCallOfHalfClosedConnectionHasNoEmptySuccess failed for plain calls before. Other places that return without an answer: none; each path of handle ends in refuse, reject, fail, deliver or abort (read).

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -330,7 +330,7 @@
 	default:
 		g.metrics.callerGone.Inc(1)
 		g.requestLog("request_broken_off", j).Err(err).End()
-		panic(http.ErrAbortHandler)
+		abort()
 	}
 	return false
 }
@@ -438,3 +438,7 @@
 	g.logOutcome(j, "caller_gone", 0, "", nil, 0)
 	return true
 }
+
+// abort closes the caller's connection before the end of the answer, so that the caller does not take it for complete:
+// net/http takes a handler that returns without an answer for one with an empty success. It does not return.
+func abort() { panic(http.ErrAbortHandler) }
--- a/internal/gateway/orgquota.go
+++ b/internal/gateway/orgquota.go
@@ -123,7 +123,7 @@
 		return true
 	}
 	if ctx.Err() != nil && g.callerGone(ctx, j, errCallerGone) {
-		panic(http.ErrAbortHandler)
+		abort()
 	}
 	// The grantor spreads the times at which callers return, but those that this entry refuses without
 	// asking it share one time.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,7 +25,7 @@
 	for {
 		res, err := g.send(ctx, j, nil)
 		if res == nil && g.callerGone(ctx, j, err) {
-			return
+			abort()
 		}
 		if err != nil {
 			g.refuseOrFail(w, j, noSendReason(err), err)
@@ -49,7 +49,7 @@
 			g.completed(j)
 		}
 		if g.callerGone(ctx, j, err) {
-			return
+			abort()
 		}
 		if !g.mayResend(j, res) {
 			g.refuseOrFail(w, j, failureReason(res), err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -216,8 +216,7 @@
 	for {
 		res, err := g.send(ctx, j, from)
 		if res == nil && g.callerGone(ctx, j, err) {
-			s.abort()
-			return
+			abort()
 		}
 		if err != nil {
 			s.endFailed(noSendReason(err), err)
@@ -238,8 +237,7 @@
 		g.finish(res, outcomeOf(ctx, res))
 		g.sendUnanswered(ctx, j, res)
 		if g.callerGone(ctx, j, err) {
-			s.abort()
-			return
+			abort()
 		}
 		if errors.Is(err, errTokenLimit) {
 			j.mayHaveRun = true
@@ -415,8 +413,7 @@
 		if err != nil {
 			g.metrics.turnsNotStored.Inc(1)
 			g.logOutcome(j, "broken_off", http.StatusOK, "turn_not_kept", err, 0)
-			s.abort()
-			return
+			abort()
 		}
 		s.stored = true
 		g.metrics.turnsStored.Inc(1)
@@ -469,14 +466,9 @@
 	}
 	s.g.metrics.failed.Inc(1)
 	s.g.logOutcome(s.j, "broken_off", http.StatusOK, reason, cause, 0)
-	s.abort()
+	abort()
 }
 
-// abort closes the caller's connection before the end of the answer, so that the caller
-// does not take it for complete. It does not return: it panics with the value on which net/http
-// closes the connection.
-func (s *stream) abort() { panic(http.ErrAbortHandler) }
-
 // decodeMeter measures an upstream's decode speed by the events of one answer.
 type decodeMeter struct {
 	g        *Gateway
