gateway: connections in the socket's queue are accepted before a shutdown closes it

What callers saw: connections that the kernel had accepted and the process had not were reset at the end of the drain delay, with the requests they bore. On a VM that is busy or stood still these may have waited for long.

Cause: the socket was closed whatever was in its queue.

Change: Accept goes on, at most 0.5 s, until a look at the queue has found it empty; then the socket is closed. A deadline that passes during a wait is no such look.

--- a/internal/gateway/arrived_test.go
+++ b/internal/gateway/arrived_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // stalledListener accepts connections that stalledConn describes.
@@ -147,3 +149,60 @@
 		})
 	}
 }
+
+// heldListener accepts nothing until it is released, as a process that does not run.
+type heldListener struct {
+	*net.TCPListener
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.TCPListener.Accept()
+}
+
+// TestConnectionsInTheQueueAreServedInShutdown: connections wait in the queue of the socket, with their requests, when it is
+// to be closed. They are accepted, and their requests answered.
+func TestConnectionsInTheQueueAreServedInShutdown(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldListener{TCPListener: tcp.(*net.TCPListener), release: make(chan struct{})}
+	l := newCallerListener(held, func() time.Duration { return time.Minute })
+	s := &http.Server{ConnContext: connContext, ConnState: l.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "x")
+	})}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	var readers []*bufio.Reader
+	for range 50 {
+		c, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = io.WriteString(c, requestText("/", "1", ""))
+		readers = append(readers, bufio.NewReader(c))
+	}
+	closed := make(chan struct{})
+	go func() {
+		l.closeWhenEmpty(t.Context())
+		close(closed)
+	}()
+	time.Sleep(50 * time.Millisecond) // the deadline of Accept has passed
+	close(held.release)
+	for i, br := range readers {
+		if r := readReply(br); r.status != http.StatusOK {
+			t.Errorf("connection %d: %+v, want an answer", i, r)
+		}
+	}
+	<-closed
+	if _, err := net.Dial("tcp", tcp.Addr().String()); err == nil {
+		t.Error("the socket is still open")
+	}
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Serve: %v, want that the listener is closed", err)
+	}
+}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -15,6 +15,10 @@
 	// newConnGrace is how long a connection may wait for its first request during a shutdown. Callers send it
 	// as soon as the connection is established.
 	newConnGrace = time.Second
+	// acceptQueueWait is how long the queue of new connections must stay empty before the socket is closed, and
+	// acceptQueueTimeout bounds the wait for that.
+	acceptQueueWait    = 20 * time.Millisecond
+	acceptQueueTimeout = 500 * time.Millisecond
 	// connPoll is the time between two looks at the connections that are left.
 	connPoll = 10 * time.Millisecond
 )
@@ -29,8 +33,11 @@
 	onRefused func(error)
 	// retiring is set once connections without a request are closed.
 	retiring atomic.Bool
-	// retired counts the connections that were closed for that.
-	retired atomic.Int64
+	// retired counts the connections that were closed for that, and late those accepted while closing.
+	retired, late atomic.Int64
+	// closing is set while the last connections are accepted. emptied is closed when none is left.
+	closing atomic.Bool
+	emptied chan struct{}
 
 	mu sync.Mutex
 	// conns are the open connections.
@@ -40,20 +47,31 @@
 func newCallerListener(l net.Listener, idleTimeout func() time.Duration) *callerListener {
 	return &callerListener{
 		Listener: l, idleTimeout: idleTimeout, onEnd: func(connEnd) {}, onRefused: func(error) {},
-		conns: map[*callerConn]struct{}{},
+		emptied: make(chan struct{}), conns: map[*callerConn]struct{}{},
 	}
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
+	looked := false
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil {
+		if err == nil {
+			if c = l.add(c); c == nil {
+				continue
+			}
+			return c, nil
+		}
+		if !l.closing.Load() || !isTimeout(err) {
 			return nil, err
 		}
-		if c = l.add(c); c != nil {
-			return c, nil
+		// A deadline that passes during the wait does not show that the queue is empty: only a call that
+		// begins before the deadline looks at it.
+		if looked || !l.setAcceptDeadline(time.Now().Add(acceptQueueWait)) {
+			close(l.emptied)
+			return nil, net.ErrClosed
 		}
+		looked = true
 	}
 }
 
@@ -65,12 +83,36 @@
 		_ = c.Close()
 		return nil
 	}
+	if l.closing.Load() {
+		l.late.Add(1)
+	}
 	l.mu.Lock()
 	l.conns[cc] = struct{}{}
 	l.mu.Unlock()
 	return cc
 }
 
+// setAcceptDeadline sets the deadline of Accept. It returns false if the listener has none.
+func (l *callerListener) setAcceptDeadline(t time.Time) bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(t) == nil
+}
+
+// closeWhenEmpty accepts the connections that wait in the socket's queue and closes the socket: connections that are
+// in the queue then are reset, with the requests they bear.
+func (l *callerListener) closeWhenEmpty(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acceptQueueTimeout)
+	defer cancel()
+	l.closing.Store(true)
+	if l.setAcceptDeadline(time.Now()) {
+		select {
+		case <-ctx.Done():
+		case <-l.emptied:
+		}
+	}
+	_ = l.Close()
+}
+
 // connState is the ConnState function of the callers' server.
 func (l *callerListener) connState(c net.Conn, s http.ConnState) {
 	cc, ok := c.(*callerConn)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -84,7 +84,7 @@
 	time.Sleep(min(g.drainDelay, time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	_ = s.listener.Close()
+	s.listener.closeWhenEmpty(ctx)
 	// Connections without a request end too: a call that arrived on one later could not be finished in time.
 	s.listener.retireIdle()
 	if !s.listener.awaitClosed(ctx) {
@@ -95,7 +95,7 @@
 		s.listener.awaitClosed(answering) // what has not ended by then is closed below
 	}
 	_ = s.callers.Close()
-	g.env.Requests.Info("callers_gone").Int("connections_ended", s.listener.retired.Load()).Ms("after_ms", time.Since(started)).End()
+	g.env.Requests.Info("callers_gone").Int("accepted_late", s.listener.late.Load()).Int("connections_ended", s.listener.retired.Load()).Ms("after_ms", time.Since(started)).End()
 	returning, cancelReturning := context.WithDeadline(context.Background(), earlier(time.Now().Add(returnTimeout), end.Add(returnMargin)))
 	defer cancelReturning()
 	g.budgets.returnUnused(returning)
