gateway: calls that a shutdown cuts off have 400 ms to be answered

What callers may see: a connection closed without an answer at the end of the grace period, if a busy process can't answer all cut calls within 200 ms.

Change: answers may take 400 ms of the 700 ms that are left; unused tokens are returned until 550 ms, and usually have more time than before, since the answers end sooner.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -19,9 +19,9 @@
 	// lines, before the process is killed.
 	shutdownMargin = 700 * time.Millisecond
 	// answerTimeout, a part of shutdownMargin, is left to answer the calls that are cut off.
-	answerTimeout = 200 * time.Millisecond
+	answerTimeout = 400 * time.Millisecond
 	// returnMargin is how long after the end of calls unused tokens may still be returned.
-	returnMargin = 400 * time.Millisecond
+	returnMargin = 550 * time.Millisecond
 	// returnTimeout bounds the return of unused tokens to budgets whose rows can't be reached.
 	returnTimeout = 2 * time.Second
 	// cleanUpInterval is the time between two removals of idle budgets.
