gateway: a handler that panics answers 502, and is logged and counted

What callers may see: a connection closed without an answer when a handler panics. None is known; net/http printed the stack as text that is no log line, and no counter told of it.

Change: serveCaller recovers, logs handler_panicked with the stack, counts it, and answers that the call may have run, or breaks off an answer that has begun.

Evidence: TestPanicOfAHandlerIsAnswered; on the code before the panic leaves serveCaller.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,6 +108,8 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
+	// headWritten is set once the answer has begun.
+	headWritten bool
 	// answerMemory is the memory in bytes that is reserved for the answer.
 	answerMemory int64
 	// started is set for a call of a program that has started.
@@ -176,11 +179,32 @@
 		g.answers.release(j.answerMemory)
 		g.returnToken(j)
 	}()
+	defer g.answerPanic(w, j)
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
 	g.handle(w, j)
 	j.conn.endRequest() // not after a panic, by which a handler closes the connection without an answer
 }
 
+// answerPanic answers a request whose handler has panicked for another reason than to end the connection. net/http would
+// close the connection without an answer.
+func (g *Gateway) answerPanic(w http.ResponseWriter, j *job) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		abort()
+	}
+	g.metrics.handlerPanics.Inc(1)
+	g.env.Requests.Warn("handler_panicked").Str("request", requestID(j)).Str("stack", string(debug.Stack())).Err(errors.Newf("%v", v)).End()
+	if j.headWritten {
+		abort()
+	}
+	j.mayHaveRun = true
+	g.fail(w, j, "panic", nil)
+	j.conn.endRequest()
+}
+
 // handle answers the request.
 func (g *Gateway) handle(w http.ResponseWriter, j *job) {
 	r := j.request
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	// them was whole: closed by their caller, by the timeout, and as malformed. requestsCut counts those that a shutdown
 	// has closed, with a request that was arriving or had arrived.
 	headsBrokenOff, headsTimedOut, headsMalformed, requestsCut tally.Counter
+	// handlerPanics counts requests whose handler panicked.
+	handlerPanics tally.Counter
 	// resent counts further sends of a call, connections new connections to upstreams, commits
 	// transactions of the table, digestErrors datagrams between entries that were not sent or
 	// were malformed.
@@ -93,7 +95,8 @@
 		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
 		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), refusedByShutdown: s.Counter("refused_by_shutdown"), resent: s.Counter("resent"),
 		headsBrokenOff: s.Counter("heads_broken_off"), headsTimedOut: s.Counter("heads_timed_out"), headsMalformed: s.Counter("heads_malformed"), requestsCut: s.Counter("requests_cut"),
-		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
+		handlerPanics: s.Counter("handler_panics"),
+		connections:   s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsStored: s.Counter("turns_kept"), turnsNotStored: s.Counter("turns_not_kept"),
 		chainQueriesFailed: s.Counter("chains_not_asked"),
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -64,6 +64,7 @@
 	if g.draining.Load() && !j.conn.anotherArrived() {
 		w.Header().Set("Connection", "close")
 	}
+	j.headWritten = true
 	w.WriteHeader(status)
 }
 
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -97,3 +99,27 @@
 	e.stop()
 	wg.Wait()
 }
+
+// brokenBody panics when it is read.
+type brokenBody struct{ io.ReadCloser }
+
+func (brokenBody) Read([]byte) (int, error) { panic("broken") }
+
+// TestPanicOfAHandlerIsAnswered: a handler that panics before it has answered answers 502, with a line and a counter.
+func TestPanicOfAHandlerIsAnswered(t *testing.T) {
+	entries, _ := startStoppable(t, 1)
+	e := entries[0]
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "http://h/act/1", brokenBody{})
+	r.Header.Set("X-Request-Id", "panics")
+	e.serveCaller(w, r.WithContext(context.WithValue(r.Context(), connKey{}, &callerConn{})))
+	if w.Code != http.StatusBadGateway {
+		t.Errorf("status %d, want 502", w.Code)
+	}
+	eventually(t, "the line", func() bool {
+		return strings.Contains(e.log.String(), `"msg":"handler_panicked","node":"entry-1","request":"panics"`)
+	})
+	if n := e.scope.Snapshot().Counters()["gateway.handler_panics+"]; n.Value() != 1 {
+		t.Errorf("%d panics counted, want 1", n.Value())
+	}
+}
