ledger: a claim that its witnesses have not confirmed reserves nothing

Cause: an owner that waits too long for the row claims while its write for the same turn is in flight. The write recorded the claim that was not confirmed yet, found its turn's key in the row, and took that for the reservation. The same happened when another entry, to which the claim was announced, had recorded it. A new owner asks the witnesses before its first write, so the two overlap whenever an owner is new and the witnesses don't answer.

Change: own writes leave out claims that are not confirmed, and a key in the row reserves a turn only if the budget holds its tokens.

Evidence: TestUnconfirmedClaimReservesNothing, both parts, on the code before: "the turn is reserved", "the turn is granted after its claim was withdrawn". The model runs writes of the row while a claim waits for its witnesses, and TestNoLossBreaksABudget then fails on the code before in the first sequence (201 tokens of a budget of 100).

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -377,3 +377,38 @@
 		t.Errorf("%d of 1000 tokens remain while a turn of 100 runs, want 900", row.Remaining())
 	}
 }
+
+// TestUnconfirmedClaimReservesNothing: the budget is used up, and an entry claims for a turn while its write of the row for the
+// same turn is in flight. Until the claim is confirmed the turn is not reserved, whether the write would record the
+// claim itself or another entry has done so.
+func TestUnconfirmedClaimReservesNothing(t *testing.T) {
+	const total, most = 300, 100
+	full := Row{Total: total, Drawn: map[string]int{"turn:1": most, "turn:2": most, "turn:3": most}}
+	for _, recordedByOther := range []bool{false, true} {
+		p := NewProgram(total, "e/1/1")
+		p.MarkKept()
+		if out := p.Reserve("4", most, false); out != OutcomeObtain {
+			t.Fatalf("outcome %v of a turn without tokens", out)
+		}
+		key, tokens, ok := p.Claim("4", most, most, nil)
+		if !ok {
+			t.Fatal("the claim was refused")
+		}
+		row, change := full, p.Change("4", most, nil)
+		if recordedByOther {
+			row, _ = full.Record(Grants{key: tokens})
+		}
+		res := row.Apply(change)
+		if res.Reserved {
+			t.Errorf("recorded by another entry %v: the turn is reserved, row %+v", recordedByOther, res.Row)
+		}
+		p.Applied(change, res)
+		p.Withdraw("4") // too few witnesses
+		if out := p.Reserve("4", most, false); out == OutcomeGranted {
+			t.Errorf("recorded by another entry %v: the turn is granted after its claim was withdrawn", recordedByOther)
+		}
+		if after := res.Row.Apply(p.Change("", 0, nil)).Row; after.Remaining() != 0 {
+			t.Errorf("recorded by another entry %v: %d tokens are left, want 0: %+v", recordedByOther, after.Remaining(), after)
+		}
+	}
+}
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -138,12 +138,21 @@
 
 // write changes the row for a turn of e, or only records what is pending if id is empty.
 func (c *cluster) write(e *modelEntry, id string, owner bool) {
+	c.carryOut(e, c.plan(e, id))
+}
+
+// plan returns the change of the row for a turn of e.
+func (c *cluster) plan(e *modelEntry, id string) Change {
 	known := maps.Clone(e.known)
 	if !e.state.RowSeen() {
 		theirs, _ := c.askWitnesses(e, "", 0)
 		known.Merge(theirs)
 	}
-	change := e.state.Change(id, modelMost, known)
+	return e.state.Change(id, modelMost, known)
+}
+
+// carryOut changes the row as planned, maybe some time after.
+func (c *cluster) carryOut(e *modelEntry, change Change) {
 	if c.down {
 		e.state.Failed(change, false)
 		return
@@ -255,15 +264,31 @@
 	}
 }
 
+// claim claims the tokens of a turn. A write for the same turn that has taken long may be planned before and carried
+// out meanwhile, and so may writes of other entries, which learn of the claim.
 func (c *cluster) claim(e *modelEntry, id string) {
 	known := maps.Clone(e.known)
+	var inFlight *Change
+	if rapid.IntRange(0, 3).Draw(c.t, "write in flight") == 0 {
+		change := c.plan(e, id)
+		inFlight = &change
+	}
 	key, tokens, ok := e.state.Claim(id, modelMost, rapid.IntRange(1, modelMost).Draw(c.t, "least"), known)
 	if !ok {
 		return
 	}
 	theirs, quorate := c.askWitnesses(e, key, tokens)
 	known.Merge(theirs)
-	if !quorate || !e.state.Confirm(id, known) {
+	if other := rapid.SampledFrom(c.entries).Draw(c.t, "meanwhile"); other != e && other.up && rapid.IntRange(0, 3).Draw(c.t, "records") == 0 {
+		c.write(other, "", false)
+	}
+	switch {
+	case inFlight != nil:
+		c.carryOut(e, *inFlight)
+	case rapid.IntRange(0, 3).Draw(c.t, "write meanwhile") == 0:
+		c.write(e, id, true)
+	}
+	if (!quorate || !e.state.Confirm(id, known)) && !e.state.IsOpen(id) {
 		e.state.Withdraw(id)
 		c.tell(e, key, 0)
 	}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -135,7 +135,12 @@
 // Change returns the change of the row that obtains the tokens of a turn, or only records what
 // is pending if id is empty. Reserve must have been called for the id. known holds the claims of other entries.
 func (p *Program) Change(id string, tokens int, known Grants) Change {
-	c := Change{Claims: maps.Clone(p.claims), Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force}
+	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force}
+	for key, n := range p.claims {
+		if !p.unconfirmed(key, n) {
+			c.Claims[key] = n
+		}
+	}
 	for key, n := range known {
 		if _, own := p.claims[key]; !own {
 			c.Claims[key] = n
@@ -173,6 +178,12 @@
 	}
 }
 
+// unconfirmed reports whether a claim of this entry waits for its witnesses. It may be withdrawn.
+func (p *Program) unconfirmed(key string, tokens int) bool {
+	id := TurnOf(key)
+	return tokens > 0 && !p.IsOpen(id) && !p.settled[id]
+}
+
 // Applied notes that the row now is as Row.Apply left it. It returns the keys of the own claims that
 // the row shows now.
 func (p *Program) Applied(c Change, r Result) (recorded []string) {
@@ -207,6 +218,8 @@
 	switch {
 	case r.Reserved:
 		p.reserved(c.Turn, c.Tokens)
+	case c.Turn != "" && r.Row.Drawn[c.Turn] > 0 && !p.IsOpen(TurnOf(c.Turn)) && p.claims[c.Turn] == 0:
+		p.end(c.Turn, End{}, false) // an earlier write reserved them, and the budget holds them no more
 	case c.Block != nil:
 		p.block.ApplyDraw(r.Drawn)
 	}
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -248,16 +248,15 @@
 	return res
 }
 
-// reserve reserves tokens for a turn in place and reports whether they are reserved. The row has the key
-// already if an earlier write reserved them, or with fewer tokens if a claim of the turn was withdrawn.
+// reserve reserves tokens for a turn in place and reports whether they are reserved. The row may have the key
+// already, from an earlier write or from a claim that others have recorded and that is not confirmed: only
+// tokens within the budget are reserved.
 func (r Row) reserve(key string, tokens int) bool {
-	need := tokens - r.Drawn[key]
-	if need > 0 {
-		if r.Remaining() < need {
-			return false
-		}
-		r.Drawn[key] = tokens
+	have := r.Drawn[key]
+	if r.Remaining()+have < tokens {
+		return false
 	}
+	r.Drawn[key] = max(have, tokens)
 	return true
 }
 
