--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -412,3 +412,23 @@
 		}
 	}
 }
+
+// TestClaimIsNotRepeatedUnderItsKey: a claim was withdrawn and the row shows that. A second one under the same key would
+// count nowhere: the row keeps what it has, and witnesses take it for a late notice of the first.
+func TestClaimIsNotRepeatedUnderItsKey(t *testing.T) {
+	const total, most = 100, 100
+	p := NewProgram(total, "e/1/1")
+	p.MarkKept()
+	p.Reserve("2", most, false)
+	if _, _, ok := p.Claim("2", most, most, nil); !ok {
+		t.Fatal("the first claim was refused")
+	}
+	p.Withdraw("2")
+	row := Row{Total: total, Drawn: map[string]int{"turn:1": 0}}
+	change := p.Change("", 0, nil)
+	res := row.Apply(change)
+	p.Applied(change, res)
+	if _, _, ok := p.Claim("2", most, most, nil); ok {
+		t.Errorf("a second claim under a key was accepted, row %+v", res.Row)
+	}
+}
