--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -6,6 +6,9 @@
 // processes, and a store that is unavailable, slow or loses answers. At the end the
 // tests compare what the callers received with what the upstreams ran.
 //
+// TestPlannedWork does planned work only, without any fault: stops, reloads and changes of the document.
+//
 //	go test ./internal/soak                                   # the short run of CI
 //	go test ./internal/soak -run Soak -seeds 50 -first 100 -length 12s -timeout 60m
+//	go test ./internal/soak -run PlannedWork -seeds 50 -first 100 -length 12s -busy 8 -timeout 60m
 package soak
--- a/internal/soak/entry_test.go
+++ b/internal/soak/entry_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// buildEntry builds buckthorn-entry and returns the path of the binary.
+func buildEntry(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "buckthorn-entry")
+	if out, err := exec.Command("go", "build", "-o", binary, "github.com/buckthornroute/buckthornroute/cmd/buckthorn-entry").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 func newEntry(t *testing.T, dir, binary string, n int, store string) *entry {
 	e := &entry{
 		name: fmt.Sprintf("entry-%d", n), callers: freePort(t), ready: freePort(t), mesh: freePort(t), digests: freePort(t),
--- a/internal/soak/losses_test.go
+++ b/internal/soak/losses_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,10 +19,7 @@
 	if testing.Short() {
 		t.Skip("the soak test starts processes")
 	}
-	binary := filepath.Join(t.TempDir(), "buckthorn-entry")
-	if out, err := exec.Command("go", "build", "-o", binary, "github.com/buckthornroute/buckthornroute/cmd/buckthorn-entry").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildEntry(t)
 	for i := range *seeds {
 		seed := 2 * (*first + uint64(i)) // the odd ones are about software versions
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -41,10 +40,7 @@
 	if testing.Short() {
 		t.Skip("the soak test starts processes")
 	}
-	binary := filepath.Join(t.TempDir(), "buckthorn-entry")
-	if out, err := exec.Command("go", "build", "-o", binary, "github.com/buckthornroute/buckthornroute/cmd/buckthorn-entry").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildEntry(t)
 	all := append([]uint64(nil), regressions...)
 	for i := range *seeds {
 		all = append(all, *first+uint64(i))
