--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,7 @@
 	// service is the service whose upstreams the call may be sent to.
 	service string
 	request *http.Request
+	conn    *callerConn
 	body    []byte
 	// fingerprint is a hash of the request's content, for the quarantine.
 	fingerprint uint64
@@ -106,6 +108,8 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
+	// headWritten is set once the answer has begun.
+	headWritten bool
 	// answerMemory is the memory in bytes that is reserved for the answer.
 	answerMemory int64
 	// started is set for a call of a program that has started.
@@ -169,15 +173,41 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	g.metrics.requests.Inc(1)
-	if isRetired(r.Context()) {
-		panic(http.ErrAbortHandler) // nobody would get the answer
-	}
-	j := &job{request: r, start: time.Now()}
+	j := &job{request: r, conn: connOf(r), start: time.Now()}
+	j.conn.startRequest(r.ContentLength)
 	defer func() {
 		g.answers.release(j.answerMemory)
 		g.returnToken(j)
 	}()
+	defer g.answerPanic(w, j)
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
+	g.handle(w, j)
+	j.conn.endRequest() // not after a panic, by which a handler closes the connection without an answer
+}
+
+// answerPanic answers a request whose handler has panicked for another reason than to end the connection. net/http would
+// close the connection without an answer.
+func (g *Gateway) answerPanic(w http.ResponseWriter, j *job) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		abort()
+	}
+	g.metrics.handlerPanics.Inc(1)
+	g.env.Requests.Warn("handler_panicked").Str("request", requestID(j)).Str("stack", string(debug.Stack())).Err(errors.Newf("%v", v)).End()
+	if j.headWritten {
+		abort()
+	}
+	j.mayHaveRun = true
+	g.fail(w, j, "panic", nil)
+	j.conn.endRequest()
+}
+
+// handle answers the request.
+func (g *Gateway) handle(w http.ResponseWriter, j *job) {
+	r := j.request
 	var err error
 	if j.call, err = platform.DecodeCall(r.Header); err != nil {
 		g.reject(w, j, http.StatusBadRequest, "bad_request", err)
@@ -290,8 +320,8 @@
 	return chosen
 }
 
-// readBody reads the body of the caller's request. When the body is too large, readBody
-// answers the caller and returns false; when it breaks off, readBody aborts the request.
+// readBody reads the body of the caller's request. When the body is too large, or not whole by the call's deadline,
+// readBody answers the caller and returns false; when it breaks off, readBody aborts the request.
 func (g *Gateway) readBody(w http.ResponseWriter, j *job) bool {
 	if j.request.Body == nil || j.request.Body == http.NoBody {
 		return true
@@ -314,13 +344,17 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		j.conn.bodyRead()
 		return true
 	case errors.As(err, &tooLarge):
 		g.reject(w, j, http.StatusRequestEntityTooLarge, "body_too_large", err)
+	case isTimeout(err):
+		w.Header().Set("Connection", "close") // the rest of the body may still come
+		g.refuseWith(w, j, http.StatusRequestTimeout, "body_late", err, g.jitter(retryUpstream))
 	default:
 		g.metrics.callerGone.Inc(1)
 		g.requestLog("request_broken_off", j).Err(err).End()
-		panic(http.ErrAbortHandler)
+		abort()
 	}
 	return false
 }
@@ -350,7 +384,7 @@
 	g.refuseWith(w, j, http.StatusServiceUnavailable, reason, cause, after)
 }
 
-// refuseWith is refuseAfter with a status, 503 or 429, both of which say that the call has not run.
+// refuseWith is refuseAfter with a status, 503, 429 or 408, which say that the call has not run.
 func (g *Gateway) refuseWith(w http.ResponseWriter, j *job, status int, reason string, cause error, after time.Duration) {
 	g.metrics.refused.Inc(1)
 	g.logOutcome(j, "refused", status, reason, cause, after)
@@ -398,7 +432,7 @@
 		platform.SetRequestID(w.Header(), id)
 	}
 	w.Header().Set("Content-Length", "0")
-	g.writeHead(w, status)
+	g.writeHead(w, j, status)
 }
 
 // refuseOrFail answers a call that is not sent to a further upstream: it is refused when it
@@ -428,3 +462,7 @@
 	g.logOutcome(j, "caller_gone", 0, "", nil, 0)
 	return true
 }
+
+// abort closes the caller's connection before the end of the answer, so that the caller does not take it for complete:
+// net/http takes a handler that returns without an answer for one with an empty success. It does not return.
+func abort() { panic(http.ErrAbortHandler) }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,7 +25,7 @@
 	for {
 		res, err := g.send(ctx, j, nil)
 		if res == nil && g.callerGone(ctx, j, err) {
-			return
+			abort()
 		}
 		if err != nil {
 			g.refuseOrFail(w, j, noSendReason(err), err)
@@ -49,7 +49,7 @@
 			g.completed(j)
 		}
 		if g.callerGone(ctx, j, err) {
-			return
+			abort()
 		}
 		if !g.mayResend(j, res) {
 			g.refuseOrFail(w, j, failureReason(res), err)
@@ -143,7 +143,7 @@
 		}
 	}
 	g.logOutcome(j, "answered", a.Status, "", nil, 0)
-	g.writeHead(w, a.Status)
+	g.writeHead(w, j, a.Status)
 	if _, err := w.Write(body); err != nil {
 		g.requestLog("answer_not_taken", j).Err(err).End()
 	}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -19,9 +19,9 @@
 	// lines, before the process is killed.
 	shutdownMargin = 700 * time.Millisecond
 	// answerTimeout, a part of shutdownMargin, is left to answer the calls that are cut off.
-	answerTimeout = 200 * time.Millisecond
+	answerTimeout = 400 * time.Millisecond
 	// returnMargin is how long after the end of calls unused tokens may still be returned.
-	returnMargin = 400 * time.Millisecond
+	returnMargin = 550 * time.Millisecond
 	// returnTimeout bounds the return of unused tokens to budgets whose rows can't be reached.
 	returnTimeout = 2 * time.Second
 	// cleanUpInterval is the time between two removals of idle budgets.
@@ -58,11 +58,13 @@
 	return errors.Wrapf(errShutdown, "%s are left, the call is predicted to take %s", s.End.Sub(now).Round(time.Millisecond), j.pick.Finish.Round(time.Millisecond))
 }
 
-// writeHead writes the head of an answer. During a shutdown it says that the connection ends with the answer.
-func (g *Gateway) writeHead(w http.ResponseWriter, status int) {
-	if g.draining.Load() {
+// writeHead writes the head of an answer. During a shutdown it says that the connection ends with the answer, unless
+// another request has arrived behind this one: that would get no answer.
+func (g *Gateway) writeHead(w http.ResponseWriter, j *job, status int) {
+	if g.draining.Load() && !j.conn.anotherArrived() {
 		w.Header().Set("Connection", "close")
 	}
+	j.headWritten = true
 	w.WriteHeader(status)
 }
 
@@ -81,20 +83,20 @@
 	// The entries that own the budgets from now on need the tokens that this one does not use.
 	go g.budgets.releaseAll()
 	time.Sleep(min(g.drainDelay, time.Until(end)))
-	// Idle connections are closed too: a call that arrived on one later could not be finished in time.
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	_ = s.listener.Close()
+	s.listener.closeWhenEmpty(ctx)
+	// Connections without a request end too: a call that arrived on one later could not be finished in time.
 	s.listener.retireIdle()
-	s.listener.awaitRequests(ctx)
-	if err := s.callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Err(err).End()
+	if !s.listener.awaitClosed(ctx) {
+		g.env.Requests.Warn("calls_cut_by_shutdown").Int("count", g.inFlight.Load()).Int("connections", int64(len(s.listener.open()))).End()
 		g.cutCalls(errShutdown)
 		answering, cancelAnswering := context.WithTimeout(context.Background(), answerTimeout)
 		defer cancelAnswering()
-		_ = s.callers.Shutdown(answering) // what has not ended by then is closed below
+		s.listener.awaitClosed(answering) // what has not ended by then is closed below
 	}
 	_ = s.callers.Close()
+	g.env.Requests.Info("callers_gone").Int("accepted_late", s.listener.late.Load()).Int("connections_ended", s.listener.retired.Load()).Ms("after_ms", time.Since(started)).End()
 	returning, cancelReturning := context.WithDeadline(context.Background(), earlier(time.Now().Add(returnTimeout), end.Add(returnMargin)))
 	defer cancelReturning()
 	g.budgets.returnUnused(returning)
