entry: SIGHUP while the process reads its settings does not end it

The signal was only taken over once the settings were read and the log, telemetry and store were set up; by default it ends a process. main takes it over first of all now; one that comes meanwhile makes the gateway read its settings again. An entry that is the home of programs has no reload and keeps the default.

A signal that comes before main, in the start of the Go runtime, still ends the process.

--- a/cmd/buckthorn-entry/gateway.go
+++ b/cmd/buckthorn-entry/gateway.go
@@ -28,7 +28,7 @@
 )
 
 // runGateway runs an entry of kind gateway, whose callers drive their own programs.
-func runGateway(ctx context.Context, path string) error {
+func runGateway(ctx context.Context, path string, hangups <-chan os.Signal) error {
 	cfg, err := settings.LoadGateway(path)
 	if err != nil {
 		return err
@@ -66,21 +66,17 @@
 	store := platform.NewStore(cfg.TableAddress)
 	defer store.Close()
 	return gateway.Run(ctx, cfg, gateway.Environment{
-		Events: events, Requests: requestLog, Telemetry: t, Table: store, Reload: watchSettings(ctx, path, events),
+		Events: events, Requests: requestLog, Telemetry: t, Table: store, Reload: watchSettings(ctx, path, events, hangups),
 	})
 }
 
 // settingsPollInterval is the time between two checks of the settings file for a change.
 const settingsPollInterval = 5 * time.Second
 
-// watchSettings reads the settings again after each SIGHUP and each change of the file, and
-// sends them if they are valid. Invalid settings are reported as an event. It also makes the
+// watchSettings reads the settings again after each signal of hangups and each change of the file,
+// and sends them if they are valid. Invalid settings are reported as an event. It also makes the
 // process ignore SIGPIPE.
-func watchSettings(ctx context.Context, path string, events *eventlog.Logger) <-chan *settings.Gateway {
-	signals := make(chan os.Signal, 1)
-	// It stays notified after ctx has ended: by default SIGHUP would end the process in the middle of
-	// its graceful shutdown.
-	signal.Notify(signals, syscall.SIGHUP)
+func watchSettings(ctx context.Context, path string, events *eventlog.Logger, hangups <-chan os.Signal) <-chan *settings.Gateway {
 	// A closed standard output must not end the process: Go exits on SIGPIPE only for writes
 	// to file descriptors 1 and 2. Writes to other closed connections return an error.
 	signal.Ignore(syscall.SIGPIPE)
@@ -99,7 +95,7 @@
 					continue
 				}
 				modified = current
-			case <-signals:
+			case <-hangups:
 				modified = modTime(path)
 			}
 			cfg, err := settings.LoadGateway(path)
--- a/cmd/buckthorn-entry/main.go
+++ b/cmd/buckthorn-entry/main.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,18 +20,31 @@
 )
 
 func main() {
-	c := daemon.Command("buckthorn-entry", "run an entry, which serves callers and operators", run)
+	hangups := notifyHangups()
+	c := daemon.Command("buckthorn-entry", "run an entry, which serves callers and operators", func(ctx context.Context, path string) error {
+		return run(ctx, path, hangups)
+	})
 	os.Exit(daemon.Main(c, os.Args, os.Stderr))
 }
 
-func run(ctx context.Context, path string) error {
+// notifyHangups returns a channel that gets SIGHUP from now on. It stays notified until the process ends: by default
+// SIGHUP would end the process, while it starts or in the middle of its graceful shutdown.
+func notifyHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// run runs the kind of entry that the settings choose. A gateway reads its settings again after each signal of hangups.
+func run(ctx context.Context, path string, hangups <-chan os.Signal) error {
 	kind, err := settings.KindOf(path)
 	if err != nil {
 		return err
 	}
 	if kind == settings.KindGateway {
-		return runGateway(ctx, path)
+		return runGateway(ctx, path, hangups)
 	}
+	signal.Reset(syscall.SIGHUP)
 	return runHome(ctx, path)
 }
 
