soak: planned work sends no SIGHUP before main

From its start to the reading of its settings an entry takes 8 ms on this machine; no code of the process can take the signal over before main. SIGHUP comes 150 ms after the start at the earliest now; that one that comes later, while the settings are read, ends nothing is what TestHangupDuringStartEndsNothing checks.

--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -63,6 +63,7 @@
 	mu      sync.Mutex
 	events  []plannedEvent
 	stopped time.Time // the last SIGTERM that began a stop
+	started time.Time // the last start
 }
 
 // plannedEvent is a signal to an entry, or its start.
@@ -183,8 +184,13 @@
 // sleep waits for up to ms milliseconds.
 func (e *plannedEntry) sleep(ms int) { pause(time.Duration(e.rng.IntN(ms)) * time.Millisecond) }
 
+// initTime is longer than a process takes from its start to main, where it takes SIGHUP over. One that comes earlier
+// ends it.
+const initTime = 150 * time.Millisecond
+
 // hangUp sends up to n SIGHUPs in a row.
 func (e *plannedEntry) hangUp(n int, when string) {
+	pause(time.Until(e.started.Add(initTime)))
 	for range 1 + e.rng.IntN(n) {
 		e.note("SIGHUP " + when)
 		e.signal(syscall.SIGHUP, false)
@@ -237,6 +243,7 @@
 	}
 	e.note("start")
 	e.start(x.t)
+	e.started = time.Now()
 	if e.rng.IntN(3) > 0 {
 		x.awaitReady(e)
 	}
