gateway: an answer has a second to be written from when it is ready

What callers saw: the connection ended without an answer although the log has one ("refused 503 took_ms 1412" on a route of 400 ms), on a VM that was busy or stood still.

Cause: the time by which an answer must be written was set when the route was matched, one second after the call's deadline. An answer or refusal that is ready after that could not be written.

Change: an answer that is written at once gets its second when it is ready. Events of a stream keep the time of the call.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -35,7 +35,7 @@
 	// answerGrace is how long after a call's deadline its answer is still read, since an
 	// upstream reports at the deadline itself what became of the call.
 	answerGrace = 150 * time.Millisecond
-	// writeGrace is how long after a call's deadline the answer may still be written.
+	// writeGrace is how long after a call's deadline events may still be written, and how long any other answer may take.
 	writeGrace = time.Second
 	// maxDocumentAge is how recently the document must have been confirmed to be the newest
 	// for a call that matches no route to be rejected with 404, or one with an unknown key with 401.
@@ -431,6 +431,7 @@
 	if id := requestID(j); id != "" {
 		platform.SetRequestID(w.Header(), id)
 	}
+	g.setWriteDeadline(w, j, time.Now().Add(writeGrace))
 	w.Header().Set("Content-Length", "0")
 	g.writeHead(w, j, status)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -143,6 +143,7 @@
 		}
 	}
 	g.logOutcome(j, "answered", a.Status, "", nil, 0)
+	g.setWriteDeadline(w, j, time.Now().Add(writeGrace))
 	g.writeHead(w, j, a.Status)
 	if _, err := w.Write(body); err != nil {
 		g.requestLog("answer_not_taken", j).Err(err).End()
