gateway: a request behind a refusal is not dropped in a shutdown

What callers saw: of two requests sent at once in a planned stop, of which the first was refused before its body was read (404 shown), the second was dropped.

Cause: what has arrived behind a request is known only once its body was read, and such an answer ended the connection.

Change: a refusal in a shutdown first reads what is left of the body, for 20 ms and 256 KiB at most.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -220,6 +220,13 @@
 	c.reading = false
 }
 
+// bodyUnread reports whether the request has a body that was not read whole.
+func (c *callerConn) bodyUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
+}
+
 // endRequest records that the handler of the request has ended with an answer.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -61,13 +62,36 @@
 // writeHead writes the head of an answer. During a shutdown it says that the connection ends with the answer, unless
 // another request has arrived behind this one: that would get no answer.
 func (g *Gateway) writeHead(w http.ResponseWriter, j *job, status int) {
-	if g.draining.Load() && !j.conn.anotherArrived() {
-		w.Header().Set("Connection", "close")
+	if g.draining.Load() {
+		j.discardBody(w)
+		if !j.conn.anotherArrived() {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	j.headWritten = true
 	w.WriteHeader(status)
 }
 
+const (
+	// unreadBodyWait is how long a refusal in a shutdown waits for the rest of a body, since another request may
+	// have arrived behind it, and maxUnreadBody how much of it is read, in bytes.
+	unreadBodyWait = 20 * time.Millisecond
+	maxUnreadBody  = 256 << 10
+)
+
+// discardBody reads what is left of the request's body, as far as it has arrived.
+func (j *job) discardBody(w http.ResponseWriter) {
+	if !j.conn.bodyUnread() {
+		return
+	}
+	if http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyWait)) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, j.request.Body, maxUnreadBody); errors.Is(err, io.EOF) {
+		j.conn.bodyRead()
+	}
+}
+
 // shutdown makes the readiness check fail, waits drainDelay, and lets calls in progress finish
 // until shutdownMargin before the end of the grace period. Calls that could not finish by then are
 // refused. The remaining ones are cancelled and answered that they may have run, and streams that have
