gateway, forward: the answers that an entry holds are bounded together

What callers saw: calls of many callers to engines whose answers don't end took the memory of the entry, and the calls of others on it ended with it. Bounds were per answer; the output of a kept turn, the first 64 KiB of another answer, an event and a head were not reserved at all.

All of them are reserved now beyond the first 8 KiB, as they grow and by the capacity of their buffers, out of a quarter of memory_mb. The answers of one upstream may take half of what those of the others leave, so that a faulty one leaves memory for each other one. Beyond that the answer is cut off as malformed: 502, or the stream is broken off; send_unanswered names the upstream, and answers_cut_off counts it. A declared length is no longer allocated before its bytes come.

--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -13,12 +13,18 @@
 	maxHeadBytes = 64 << 10
 	// maxInformational is the maximum number of informational responses before an answer.
 	maxInformational = 8
+	// unreservedHead is the size in bytes up to which heads need no reservation, with what is read ahead of the body.
+	// Those of ordinary answers are smaller.
+	unreservedHead = 8 << 10
+	// headGrowth is the number of bytes of memory that a byte of a head takes at most, while its line grows and is
+	// copied into the header.
+	headGrowth = 4
 	// noLimit is the limit of a headReader while a body is read.
 	noLimit = math.MaxInt64
 )
 
 // errHeadTooLong is returned by headReader at its limit.
-var errHeadTooLong = errors.Mark(errors.Newf("the head is longer than %d bytes", maxHeadBytes), ErrMalformed)
+var errHeadTooLong = errors.Wrapf(ErrTooLong, "the head is longer than %d bytes", maxHeadBytes)
 
 // headReader limits what is read for the head of an answer: an upstream in trouble may send a line, or
 // lines, without end. Its reader may have read a buffer of the body ahead.
@@ -26,6 +32,37 @@
 	r io.Reader
 	// left is the number of bytes that may still be read.
 	left int64
+	// memory, unless it is nil, has the reservation of the heads of the present call, reserved bytes.
+	memory   Memory
+	reserved int64
+}
+
+// Memory limits the memory of answers. Its methods are safe for concurrent use.
+type Memory interface {
+	// Reserve reserves n bytes. It returns false if they are not free.
+	Reserve(n int64) bool
+	Release(n int64)
+}
+
+// reserve reserves the memory of the n bytes of a head read last.
+func (h *headReader) reserve(n int64) error {
+	beyond := min(n, maxHeadBytes-h.left-unreservedHead) * headGrowth
+	if h.memory == nil || beyond <= 0 {
+		return nil
+	}
+	if !h.memory.Reserve(beyond) {
+		return errors.Wrap(ErrNoMemory, "read head")
+	}
+	h.reserved += beyond
+	return nil
+}
+
+// release releases the memory of the heads of the present call.
+func (h *headReader) release() {
+	if h.reserved > 0 {
+		h.memory.Release(h.reserved)
+	}
+	h.memory, h.reserved = nil, 0
 }
 
 // Read implements io.Reader.
@@ -39,6 +76,9 @@
 	n, err := h.r.Read(b)
 	if h.left != noLimit {
 		h.left -= int64(n)
+		if err := h.reserve(int64(n)); err != nil {
+			return n, err
+		}
 	}
 	return n, err
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -27,6 +27,13 @@
 // it for their own checks of an answer.
 var ErrMalformed = errors.New("malformed answer")
 
+// Causes of ErrMalformed: an answer, or a part of it, that is longer than it may be, and one that is cut off since the
+// memory for it is not free.
+var (
+	ErrTooLong  = errors.Wrap(ErrMalformed, "too long")
+	ErrNoMemory = errors.Wrap(ErrMalformed, "no memory is left")
+)
+
 const (
 	// maxSkipped is the maximum number of answers to other calls that are skipped before the
 	// call fails.
@@ -61,6 +68,8 @@
 	// MaxIdle is the maximum time that a reused connection may have been idle. A connection
 	// idle for longer is more likely to be closed by the upstream just when the call is sent.
 	MaxIdle time.Duration
+	// Memory limits the memory of the answer's head; nil means no limit.
+	Memory Memory
 }
 
 // Answer is an upstream's answer whose head has been read; Read returns the body. The
@@ -150,7 +159,7 @@
 // readHead reads answers up to the one for the request and stores the head of that.
 func (a *Answer) readHead(r *Request) error {
 	method := &http.Request{Method: r.Method} // tells ReadResponse whether the answer has a body
-	a.conn.head.left = maxHeadBytes
+	a.conn.head.left, a.conn.head.memory = maxHeadBytes, r.Memory
 	for skipped, informational := 0, 0; ; {
 		resp, err := http.ReadResponse(a.conn.br, method) //nolint:bodyclose // the body goes to the answer, whose Close ends the connection
 		if err != nil {
@@ -162,7 +171,7 @@
 		}
 		if resp.StatusCode < http.StatusOK { // an informational response; the answer follows
 			if informational++; informational > maxInformational {
-				return errors.Wrapf(ErrMalformed, "more than %d informational responses", maxInformational)
+				return errors.Wrapf(ErrTooLong, "more than %d informational responses", maxInformational)
 			}
 			continue
 		}
@@ -201,7 +210,7 @@
 		return errors.Wrap(err, "skip answer to another call")
 	}
 	if n > maxSkippedBytes {
-		return errors.Wrapf(ErrMalformed, "an answer to another call is longer than %d bytes", maxSkippedBytes)
+		return errors.Wrapf(ErrTooLong, "an answer to another call is longer than %d bytes", maxSkippedBytes)
 	}
 	return nil
 }
@@ -250,6 +259,7 @@
 	}
 	c := a.conn
 	a.conn = nil
+	c.head.release()
 	notCancelled := a.stop()
 	if !notCancelled || !a.bodyComplete || a.closing || !a.requestWritten() {
 		a.pool.drop(c)
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -106,8 +106,8 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
-	// answerMemory is the memory in bytes that is reserved for the answer.
-	answerMemory int64
+	// answer is the body of an answer that is no stream.
+	answer heldBytes
 	// started is set for a call of a program that has started.
 	started bool
 	// permitsDenied counts the limited upstreams that did not accept the call. permitWait is how long
@@ -174,7 +174,7 @@
 	}
 	j := &job{request: r, start: time.Now()}
 	defer func() {
-		g.answers.release(j.answerMemory)
+		j.answer.reset()
 		g.returnToken(j)
 	}()
 	g.setWriteDeadline(w, j, j.start.Add(defaultCallTimeout))
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -64,6 +64,14 @@
 	if end != endMalformed { // malformed bytes come from an upstream that still runs
 		counted = g.recordEnd(j, res, end == endBroken)
 	}
+	switch {
+	case errors.Is(res.err, forward.ErrTooLong):
+		g.metrics.tooLong.Inc(1)
+	case errors.Is(res.err, forward.ErrNoMemory):
+		g.metrics.noMemory.Inc(1)
+	case end == endSilent:
+		g.metrics.silent.Inc(1)
+	}
 	ln := g.env.Requests.Warn
 	if end == endCallerGone { // frequent and usually harmless, so subject to the rate limit
 		ln = g.env.Requests.Info
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -65,7 +65,7 @@
 					t.Errorf("another call: %+v", r)
 				}
 			}
-			if used := e.answers.used.Load(); used != 0 {
+			if used := e.answers.inUse(); used != 0 {
 				t.Errorf("%d bytes are still reserved", used)
 			}
 		})
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -33,59 +33,75 @@
 // eventReader splits an answer into events. An incomplete event is never returned.
 type eventReader struct {
 	br *bufio.Reader
-	// buf holds the lines of the current event.
-	buf []byte
+	// lines are the lines of the current event, data joins its data fields if there are several.
+	lines, data heldBytes
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, eventBuffer)}
+// newEventReader returns a reader of an answer's events. Its close must be called.
+func newEventReader(r io.Reader, memory forward.Memory) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, eventBuffer), lines: heldBytes{memory: memory}, data: heldBytes{memory: memory}}
+}
+
+// close releases the memory of the current event.
+func (r *eventReader) close() {
+	r.lines.reset()
+	r.data.reset()
 }
 
 // next returns the next event, or nil when the stream ends after a complete event. The
 // event is valid until the next call.
 func (r *eventReader) next() (*event, error) {
-	r.buf = r.buf[:0]
+	r.close()
 	e := &event{comment: true}
 	for {
-		// Read one line, in several pieces if it exceeds the read buffer.
-		begin := len(r.buf)
-		for {
-			piece, err := r.br.ReadSlice('\n')
-			if len(r.buf)+len(piece) > maxEvent {
-				return nil, errors.Wrapf(forward.ErrMalformed, "an event is longer than %d bytes", maxEvent)
-			}
-			r.buf = append(r.buf, piece...)
-			if err == nil {
-				break
-			}
-			if errors.Is(err, bufio.ErrBufferFull) {
-				continue
-			}
-			if errors.Is(err, io.EOF) && len(r.buf) == 0 {
+		begin := len(r.lines.bytes)
+		if err := r.readLine(); err != nil {
+			if errors.Is(err, io.EOF) && len(r.lines.bytes) == 0 {
 				return nil, nil
 			}
 			if errors.Is(err, io.EOF) {
 				return nil, errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "the stream ends in the middle of an event"), forward.ErrMalformed)
 			}
-			return nil, errors.Wrap(err, "read event")
+			return nil, err
 		}
-		line := bytes.TrimRight(r.buf[begin:], "\r\n")
-		if len(line) == 0 {
-			if begin == 0 { // an empty line before an event
-				r.buf = r.buf[:0]
-				continue
+		line := bytes.TrimRight(r.lines.bytes[begin:], "\r\n")
+		if len(line) > 0 {
+			if err := r.parseField(e, line); err != nil {
+				return nil, err
 			}
-			e.raw = r.buf
-			return e, nil
+			continue
 		}
-		if err := e.parseField(line); err != nil {
-			return nil, err
+		if begin == 0 { // an empty line before an event
+			r.lines.reset()
+			continue
+		}
+		e.raw = r.lines.bytes
+		return e, nil
+	}
+}
+
+// readLine adds one line to those of the current event, in several pieces if it exceeds the read buffer. It returns
+// io.EOF at the end of the answer.
+func (r *eventReader) readLine() error {
+	for {
+		piece, err := r.br.ReadSlice('\n')
+		if len(r.lines.bytes)+len(piece) > maxEvent {
+			return errors.Wrapf(forward.ErrTooLong, "an event is longer than %d bytes", maxEvent)
+		}
+		if err := r.lines.add(piece); err != nil {
+			return err
+		}
+		switch {
+		case err == nil, errors.Is(err, io.EOF):
+			return err
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return errors.Wrap(err, "read event")
 		}
 	}
 }
 
 // parseField adds one line, a field name and its value, to the event.
-func (e *event) parseField(line []byte) error {
+func (r *eventReader) parseField(e *event, line []byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	e.comment = e.comment && len(name) == 0
@@ -97,10 +113,22 @@
 		}
 		e.id, e.hasID = id, true
 	case "data":
-		if e.data != nil {
-			e.data = append(e.data, '\n')
+		if len(e.data) == 0 {
+			e.data = value
+			return nil
+		}
+		if len(r.data.bytes) == 0 {
+			if err := r.data.add(e.data); err != nil {
+				return err
+			}
+		}
+		if err := r.data.add([]byte{'\n'}); err != nil {
+			return err
+		}
+		if err := r.data.add(value); err != nil {
+			return err
 		}
-		e.data = append(e.data, value...)
+		e.data = r.data.bytes
 	}
 	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,9 @@
 	// transactions of the table, digestErrors datagrams between entries that were not sent or
 	// were malformed.
 	resent, connections, commits, digestErrors tally.Counter
+	// tooLong counts answers that were cut off since they, or a part of them, were too long, noMemory since the memory
+	// for them was not free, and silent since they did not end in time.
+	tooLong, noMemory, silent tally.Counter
 	// notFound counts calls that match no route, budgetSpent calls refused since their program's
 	// budget is used up, turnsStored and turnsNotStored the turns of retained routes, and
 	// chainQueriesFailed failed queries to another entry for stored turns.
@@ -85,7 +88,11 @@
 
 func newMetrics(s tally.Scope) *metrics {
 	s = s.SubScope("gateway")
+	cutOff := func(bound string) tally.Counter {
+		return s.Tagged(map[string]string{"bound": bound}).Counter("answers_cut_off")
+	}
 	return &metrics{
+		tooLong: cutOff("size"), noMemory: cutOff("memory"), silent: cutOff("time"),
 		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
 		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), refusedByShutdown: s.Counter("refused_by_shutdown"), resent: s.Counter("resent"),
 		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -92,7 +92,7 @@
 	}, len(j.body))
 	req := forward.Request{
 		Address: u.Address, ID: j.call.ID, Method: j.request.Method, Head: head, Body: j.body,
-		Deadline: j.deadline.Add(answerGrace), MaxConns: conns, MaxIdle: j.maxIdle(), OpenedBefore: j.openedBefore,
+		Deadline: j.deadline.Add(answerGrace), MaxConns: conns, MaxIdle: j.maxIdle(), OpenedBefore: j.openedBefore, Memory: g.answers.of(u.ID),
 	}
 	if limit := j.silenceLimit(); limit > 0 {
 		req.Deadline = earlier(req.Deadline, res.sentAt.Add(limit))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -46,7 +47,7 @@
 	// input is the turn's own input and output the data of its events; both are set on
 	// retained routes only.
 	input  []byte
-	output []byte
+	output heldBytes
 	// nextID is the id that the next event must have; negative while any is allowed, until the first
 	// event of a stream that began with this call.
 	nextID  int64
@@ -69,6 +70,7 @@
 	if last := j.call.LastEvent; last != nil && *last >= 0 {
 		s.nextID = *last + 1
 	}
+	defer s.output.reset()
 	// The history is read first: a turn refused after the reservation could leave its
 	// tokens with an entry that this program does not use again.
 	if !s.findOrigin(ctx) || !s.prependHistory(ctx) {
@@ -301,7 +303,12 @@
 	}
 	meter := decodeMeter{g: s.g, j: s.j, upstream: res.upstream, sentAt: res.sentAt}
 	defer meter.report()
-	events := newEventReader(a)
+	memory := s.g.answers.of(res.upstream)
+	events := newEventReader(a, memory)
+	defer events.close()
+	if s.output.memory == nil {
+		s.output.memory = memory
+	}
 	gap, progress := s.j.gapLimit(), true
 	for {
 		if gap > 0 && progress {
@@ -379,10 +386,13 @@
 	s.j.events++
 	s.tokens += perEvent
 	if s.j.route.Retained {
-		if len(s.output)+len(e.data) > maxTurnOutput {
-			return errors.Wrapf(forward.ErrMalformed, "the output of the turn is longer than %d bytes", maxTurnOutput)
+		if len(s.output.bytes)+len(e.data) > maxTurnOutput {
+			return errors.Wrapf(forward.ErrTooLong, "the output of the turn is longer than %d bytes", maxTurnOutput)
+		}
+		if err := s.output.add(e.data); err != nil {
+			return err
 		}
-		s.output = append(append(s.output, e.data...), '\n')
+		return s.output.add([]byte{'\n'})
 	}
 	return nil
 }
@@ -444,7 +454,7 @@
 		used = &ledger.Usage{Tokens: s.tokens, StandIn: s.reserved.standIn}
 	}
 	err := s.g.turns.store(ctx, &turnlog.Turn{
-		ID: s.j.org.ScopedID(s.j.call.ID), Ancestors: turnlog.NextAncestors(s.previous), Input: s.input, Output: s.output,
+		ID: s.j.org.ScopedID(s.j.call.ID), Ancestors: turnlog.NextAncestors(s.previous), Input: s.input, Output: bytes.Clone(s.output.bytes),
 	}, used, s.j.route.Retention)
 	if err != nil && errors.Is(err, platformapi.ErrNotApplied) {
 		return errors.Wrap(err, "turn was not written to the table")
