gateway, forward: comments and empty lines without end are cut off by their size

An engine that sent comments or empty lines without a pause was read at the speed of the machine until the deadline of its call: 52 and 30 MB in a second, for one call. An answer whose trailer came by the byte ended at the deadline, but as malformed, since net/http doesn't pass on why a trailer has no end, so that neither the end "silent" nor a metric told of it.

256 KiB without an event are too long now; comments that keep a connection open take less. An error of a body bears that of its connection.

TestBytesThatGrowNothingEndAtDeadline has 13 forms of bytes that take no memory: each ends within twice the timeout of the call, its connection is closed, send_unanswered names the upstream and answers_cut_off counts it.

--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -32,6 +32,8 @@
 	r io.Reader
 	// left is the number of bytes that may still be read.
 	left int64
+	// failed is the error of the connection, once a read has returned one.
+	failed error
 	// memory, unless it is nil, has the reservation of the heads of the present call, reserved bytes.
 	memory   Memory
 	reserved int64
@@ -74,6 +76,9 @@
 		b = b[:h.left]
 	}
 	n, err := h.r.Read(b)
+	if h.failed = err; errors.Is(err, io.EOF) {
+		h.failed = io.ErrUnexpectedEOF
+	}
 	if h.left != noLimit {
 		h.left -= int64(n)
 		if err := h.reserve(int64(n)); err != nil {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -223,6 +223,10 @@
 		a.bodyComplete = true
 		return n, err
 	}
+	cause := a.conn.head.failed
+	if err != nil && cause != nil && !errors.Is(err, cause) {
+		return n, errors.Mark(errors.Wrapf(cause, "%v", err), ErrLost) // net/http does not tell why a trailer has no end
+	}
 	return n, errors.Mark(err, ErrLost)
 }
 
--- a/internal/gateway/endlessmany_test.go
+++ b/internal/gateway/endlessmany_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,6 +44,8 @@
 type endlessBytes struct {
 	endlessAnswer
 	begin, repeat []byte
+	// written is the number of bytes of repeat that were taken.
+	written atomic.Int64
 }
 
 // serveEndless answers the requests on one connection: calls whose path ends in "whole" with a complete answer.
@@ -77,7 +81,9 @@
 		}
 		_, err = c.Write(a.begin)
 		for err == nil && len(a.repeat) > 0 {
-			_, err = c.Write(a.repeat)
+			var n int
+			n, err = c.Write(a.repeat)
+			a.written.Add(int64(n))
 			time.Sleep(a.pause)
 		}
 		if err == nil {
@@ -90,12 +96,11 @@
 
 // startEntryWithEndless starts an entry of the smallest VM before upstreams that answer without end, one for
 // each service.
-// The function returned tells how many connections with such answers the entry has closed.
-func startEntryWithEndless(t *testing.T, a endlessAnswer, timeout time.Duration) (*testEntry, func() int) {
+// ended tells how many connections with such answers the entry has closed.
+func startEntryWithEndless(t *testing.T, a endlessAnswer, timeout time.Duration) (e *testEntry, bytes *endlessBytes, ended func() int) {
 	t.Helper()
-	b := &endlessBytes{a, []byte(a.begin), []byte(a.repeat)}
-	var mu sync.Mutex
-	ended := 0
+	b := &endlessBytes{endlessAnswer: a, begin: []byte(a.begin), repeat: []byte(a.repeat)}
+	var closed atomic.Int64
 	p := newTestPlatform(t)
 	p.write("op//config", fmt.Sprintf(`{"version":1,"routes":[
  {"name":"read","host":"h","prefix":"/read/","route-type":"safe","timeout-ms":%[1]d,"service":"app","attempts":1},
@@ -116,22 +121,14 @@
 				if err != nil {
 					return
 				}
-				go serveEndless(c, b, func() {
-					mu.Lock()
-					ended++
-					mu.Unlock()
-				})
+				go serveEndless(c, b, func() { closed.Add(1) })
 			}
 		}()
 		p.registerRaw(&rawUpstream{id: service + "-1", address: l.Addr().String()}, service)
 	}
-	e := startEntryChanged(t, "entry-1", p.standin.Table, func(c *settings.Gateway) { c.MemoryMB = smallestMemoryMB })
+	e = startEntryChanged(t, "entry-1", p.standin.Table, func(c *settings.Gateway) { c.MemoryMB = smallestMemoryMB })
 	eventually(t, "the upstreams are known", func() bool { return e.fleet.Load().registry.Len() == 3 })
-	return e, func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		return ended
-	}
+	return e, b, func() int { return int(closed.Load()) }
 }
 
 // drain sends a request and reads its answer without keeping it.
@@ -195,7 +192,7 @@
 			if c.answer.repeat == "" {
 				timeout = time.Second // nothing else ends the call
 			}
-			e, ended := startEntryWithEndless(t, c.answer, timeout)
+			e, _, ended := startEntryWithEndless(t, c.answer, timeout)
 			done := make(chan struct{})
 			peak := watchMemory(done)
 			began := time.Now()
@@ -307,3 +304,70 @@
 		t.Errorf("%d bytes are still reserved", m.inUse())
 	}
 }
+
+// TestBytesThatGrowNothingEndAtDeadline checks that an answer of bytes that take no memory ends soon after the deadline of
+// its call at the latest, that its connection is not used again, and that a log line and a metric tell of it.
+func TestBytesThatGrowNothingEndAtDeadline(t *testing.T) {
+	chunked := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	chunks := "Transfer-Encoding: chunked\r\n\r\n"
+	stream := "Content-Type: text/event-stream\r\n" + chunks
+	slow := 20 * time.Millisecond
+	for _, c := range []struct {
+		name, path string
+		answer     endlessAnswer
+		// bound is that by which the answer is cut off.
+		bound string
+	}{
+		{"head by the byte", "/read/", endlessAnswer{head: "X-A: ", repeat: "x", pause: slow}, "time"},
+		{"informational", "/read/", endlessAnswer{bare: true, repeat: "HTTP/1.1 103 Early Hints\r\n\r\n", pause: slow}, "size"},
+		{"informational, few", "/read/", endlessAnswer{bare: true, repeat: "HTTP/1.1 103 Early Hints\r\n\r\n", pause: 200 * time.Millisecond}, "time"},
+		{"chunks of one byte", "/read/", endlessAnswer{head: chunks, repeat: chunked("x"), pause: slow}, "time"},
+		{"trailer by the byte", "/read/", endlessAnswer{head: chunks, begin: "0\r\nX-A: ", repeat: "x", pause: slow}, "time"},
+		{"chunk extension by the byte", "/read/", endlessAnswer{head: chunks, begin: "1;a=", repeat: "x", pause: slow}, "time"},
+		{"empty lines", "/ask/", endlessAnswer{head: stream, repeat: chunked("\n"), pause: slow}, "time"},
+		{"comments", "/ask/", endlessAnswer{head: stream, repeat: chunked(":\n\n"), pause: slow}, "time"},
+		{"comments after an event", "/ask/", endlessAnswer{head: stream, begin: chunked("id: 0\ndata: e\n\n"), repeat: chunked(":\n\n"), pause: slow}, "time"},
+		{"event by the byte", "/ask/", endlessAnswer{head: stream, begin: chunked("data: "), repeat: chunked("x"), pause: slow}, "time"},
+		{"empty lines without a pause", "/ask/", endlessAnswer{head: stream, repeat: strings.Repeat(chunked("\n"), 1000)}, "size"},
+		{"comments without a pause", "/ask/", endlessAnswer{head: stream, repeat: strings.Repeat(chunked(":\n\n"), 1000)}, "size"},
+		{"comments after an event, without a pause", "/draft/", endlessAnswer{head: stream, begin: chunked("id: 0\ndata: e\n\n"), repeat: strings.Repeat(chunked(":\n\n"), 1000)}, "size"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			const timeout = time.Second
+			e, bytes, ended := startEntryWithEndless(t, c.answer, timeout)
+			began := time.Now()
+			if status, err := e.drain(c.path+"1", "endless"); status == http.StatusOK && err == nil {
+				t.Error("an answer without end looks complete")
+			}
+			if took := time.Since(began); took > 2*timeout {
+				t.Errorf("it ended after %v, want soon after %v", took, timeout)
+			}
+			eventually(t, "the connection is closed", func() bool { return ended() == 1 })
+			// The bound, and what the sockets' buffers hold.
+			if n := bytes.written.Load(); n > 16<<20 {
+				t.Errorf("%d bytes were taken", n)
+			}
+			if status, err := e.drain(c.path+"whole", "whole"); status != http.StatusOK || err != nil {
+				t.Errorf("another call: status %d, %v", status, err)
+			}
+			eventually(t, "a log line tells which upstream it was", func() bool {
+				for _, line := range strings.Split(e.log.String(), "\n") {
+					if strings.Contains(line, `"msg":"send_unanswered"`) && strings.Contains(line, `"upstream":"`) {
+						return true
+					}
+				}
+				return false
+			})
+			cut := map[string]int64{}
+			for _, counter := range e.scope.Snapshot().Counters() {
+				if counter.Name() == "gateway.answers_cut_off" {
+					cut[counter.Tags()["bound"]] = counter.Value()
+				}
+			}
+			if want := map[string]int64{"size": 0, "memory": 0, "time": 0, c.bound: 1}; !maps.Equal(cut, want) {
+				t.Errorf("answers cut off %v, want %v", cut, want)
+			}
+		})
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,6 +17,9 @@
 	eventBuffer = 2 << 10
 	// maxEvent is the maximum size of an event in bytes. Several hundred streams may each hold one.
 	maxEvent = 64 << 10
+	// maxIdleBytes is the maximum size in bytes of the comments and empty lines between two events. Comments that
+	// keep a connection open take less within the longest call.
+	maxIdleBytes = 256 << 10
 )
 
 // event is one server-sent event of a stream.
@@ -35,6 +38,8 @@
 	br *bufio.Reader
 	// lines are the lines of the current event, data joins its data fields if there are several.
 	lines, data heldBytes
+	// idle is the number of bytes since the last event.
+	idle int
 }
 
 // newEventReader returns a reader of an answer's events. Its close must be called.
@@ -71,12 +76,19 @@
 			}
 			continue
 		}
-		if begin == 0 { // an empty line before an event
-			r.lines.reset()
-			continue
-		}
 		e.raw = r.lines.bytes
-		return e, nil
+		empty := begin == 0 // an empty line before an event
+		if !empty && !e.comment {
+			r.idle = 0
+			return e, nil
+		}
+		if r.idle += len(e.raw); r.idle > maxIdleBytes {
+			return nil, errors.Wrapf(forward.ErrTooLong, "%d bytes without an event", maxIdleBytes)
+		}
+		if !empty {
+			return e, nil
+		}
+		r.lines.reset()
 	}
 }
 
