gateway: the bodies of requests are bounded together, and take memory as they come

What callers saw: callers that declared bodies and sent none, or only a part, took the memory of the entry: a declared length was allocated before a byte of it came, for each caller the document's whole limit, and no limit held when the document set none.

A body grows as it comes, by the buffers of answers, whose capacity beyond 8 KiB is reserved out of a quarter of memory_mb; the requests of one organisation may take half of what those of others leave. Beyond it the call is refused with 503, reason no_memory, and bodies_refused counts it. Without a limit of the document 16 MiB hold.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"time"
 
@@ -106,8 +105,8 @@
 	sends, notSent int
 	// mayHaveRun is set when the call may have run at an upstream.
 	mayHaveRun bool
-	// answer is the body of an answer that is no stream.
-	answer heldBytes
+	// received holds the body as it was received, answer that of an answer that is no stream.
+	received, answer heldBytes
 	// started is set for a call of a program that has started.
 	started bool
 	// permitsDenied counts the limited upstreams that did not accept the call. permitWait is how long
@@ -174,6 +173,7 @@
 	}
 	j := &job{request: r, start: time.Now()}
 	defer func() {
+		j.received.reset()
 		j.answer.reset()
 		g.returnToken(j)
 	}()
@@ -297,26 +297,25 @@
 		return true
 	}
 	limit := g.routes.Load().Document().Limits.BodyBytes
-	var body io.Reader = j.request.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(w, j.request.Body, limit)
+	if limit <= 0 {
+		limit = defaultMaxBody
 	}
+	body := http.MaxBytesReader(w, j.request.Body, limit)
 	if err := http.NewResponseController(w).SetReadDeadline(j.deadline); err != nil {
 		g.env.Requests.Info("read_deadline_not_set").Str("request", j.call.ID).Err(err).End()
 	}
-	var err error
-	if n := j.request.ContentLength; n > 0 && (limit <= 0 || n <= limit) {
-		j.body = make([]byte, n)
-		_, err = io.ReadFull(body, j.body)
-	} else {
-		j.body, err = io.ReadAll(body)
-	}
+	j.received.memory = g.bodies.of(j.organisationName())
+	err := j.received.readAll(body, min(j.request.ContentLength, limit), limit)
+	j.body = j.received.bytes
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return true
 	case errors.As(err, &tooLarge):
 		g.reject(w, j, http.StatusRequestEntityTooLarge, "body_too_large", err)
+	case errors.Is(err, errNoMemory):
+		g.metrics.bodiesRefused.Inc(1)
+		g.refuse(w, j, "no_memory", err, retryUpstream)
 	default:
 		g.metrics.callerGone.Inc(1)
 		g.requestLog("request_broken_off", j).Err(err).End()
--- a/internal/gateway/endlessmany_test.go
+++ b/internal/gateway/endlessmany_test.go
@@ -30,6 +30,19 @@
 	heapGrowth  = 200
 )
 
+// heapLimit is the limit in bytes of the heap of an entry's process on the smallest VM.
+const heapLimit = smallestMemoryMB << 20 * heapPercent / 100
+
+// limitHeap sets the limits that the process of an entry has on the smallest VM, until the test ends.
+func limitHeap(t *testing.T) {
+	debug.FreeOSMemory()
+	limit, growth := debug.SetMemoryLimit(heapLimit), debug.SetGCPercent(heapGrowth)
+	t.Cleanup(func() {
+		debug.SetMemoryLimit(limit)
+		debug.SetGCPercent(growth)
+	})
+}
+
 // endlessAnswer is an answer that goes on until the connection is closed.
 type endlessAnswer struct {
 	// head comes after the status line and the id, begin first and repeat without end.
@@ -157,12 +170,7 @@
 // callers and upstreams of this test, the heap that the entry's process has on the smallest VM must do, and calls
 // beside them be answered: those to the same upstreams whose answers are small, and all to others.
 func TestManyAnswersWithoutEndTakeBoundedMemory(t *testing.T) {
-	const bound = smallestMemoryMB << 20 * heapPercent / 100
-	before, growth := debug.SetMemoryLimit(bound), debug.SetGCPercent(heapGrowth)
-	defer func() {
-		debug.SetMemoryLimit(before)
-		debug.SetGCPercent(growth)
-	}()
+	limitHeap(t)
 	filler := strings.Repeat("x", 1<<10)
 	event := "data: " + filler + "\n\n"
 	chunked := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
@@ -225,8 +233,8 @@
 			close(done)
 			most := <-peak
 			t.Logf("%v, heap %d MiB over the start, other calls up to %v, all ended after %v", statuses, most>>20, slowest, time.Since(began))
-			if most > bound {
-				t.Errorf("the heap grew by %d MiB, want at most %d MiB", most>>20, bound>>20)
+			if most > heapLimit {
+				t.Errorf("the heap grew by %d MiB, want at most %d MiB", most>>20, heapLimit>>20)
 			}
 			if refused > endlessCalls/2 {
 				t.Errorf("%d calls were refused", refused)
@@ -270,7 +278,7 @@
 // TestUpstreamTakesNoMemoryOfOthers checks that the answers of one upstream leave memory for those of each other one.
 func TestUpstreamTakesNoMemoryOfOthers(t *testing.T) {
 	const unit = 1 << 10
-	m := newAnswerMemory(smallestMemoryMB)
+	m := newSharedMemory(smallestMemoryMB)
 	left := m.limit
 	for _, upstream := range []string{"a", "b", "c"} {
 		u, n := m.of(upstream), int64(0)
@@ -289,7 +297,7 @@
 
 // TestBufferReservesItsCapacity checks that all that a buffer takes beyond the first bytes is reserved, and released.
 func TestBufferReservesItsCapacity(t *testing.T) {
-	m := newAnswerMemory(smallestMemoryMB)
+	m := newSharedMemory(smallestMemoryMB)
 	h := heldBytes{memory: m.of("a")}
 	for h.add(make([]byte, 1000)) == nil {
 		if c := int64(cap(h.bytes)); c > unreservedBytes && m.inUse() < c || c <= unreservedBytes && m.inUse() != 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,8 +84,9 @@
 	chains      turnChains
 	reports     *crashReports
 	cached      *cachedPrompts
-	answers     *answerMemory
-	documents   *documentSync
+	// answers and bodies bound the memory of answers and of the bodies of requests.
+	answers, bodies *sharedMemory
+	documents       *documentSync
 
 	// routes is the route table of the operator's document in force; nil before the first
 	// document.
@@ -140,7 +141,7 @@
 	g.leaving = newLeavingUpstreams()
 	g.origins = newStreamOrigins(g)
 	g.documents = newDocumentSync(g)
-	g.answers = newAnswerMemory(cfg.MemoryMB)
+	g.answers, g.bodies = newSharedMemory(cfg.MemoryMB), newSharedMemory(cfg.MemoryMB)
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
 	g.quota = newQuota(g)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	// tooLong counts answers that were cut off since they, or a part of them, were too long, noMemory since the memory
 	// for them was not free, and silent since they did not end in time.
 	tooLong, noMemory, silent tally.Counter
+	// bodiesRefused counts requests refused since the memory for their body was not free.
+	bodiesRefused tally.Counter
 	// notFound counts calls that match no route, budgetSpent calls refused since their program's
 	// budget is used up, turnsStored and turnsNotStored the turns of retained routes, and
 	// chainQueriesFailed failed queries to another entry for stored turns.
@@ -92,7 +94,7 @@
 		return s.Tagged(map[string]string{"bound": bound}).Counter("answers_cut_off")
 	}
 	return &metrics{
-		tooLong: cutOff("size"), noMemory: cutOff("memory"), silent: cutOff("time"),
+		tooLong: cutOff("size"), noMemory: cutOff("memory"), silent: cutOff("time"), bodiesRefused: s.Counter("bodies_refused"),
 		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
 		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), refusedByShutdown: s.Counter("refused_by_shutdown"), resent: s.Counter("resent"),
 		connections: s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
