gateway: a test of callers that read nothing of answers without end

400 callers at once that read nothing, of events, of events of kept turns and of a long answer: the heap stays under that of the smallest VM's process, and the calls end within the write deadline (timeout and writeGrace), so that they leave their slots at the upstream.

--- a/internal/gateway/requestbytes_test.go
+++ b/internal/gateway/requestbytes_test.go
@@ -127,3 +127,56 @@
 		})
 	}
 }
+
+// TestCallersThatReadNothingHoldNoMemory has many callers read nothing of answers without end, or of long ones: memory is
+// bounded, and the calls end soon after their deadline, so that they leave their slots at the upstream.
+func TestCallersThatReadNothingHoldNoMemory(t *testing.T) {
+	const timeout = time.Second
+	limitHeap(t)
+	filler := strings.Repeat("x", 32<<10)
+	events := "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	for _, c := range []struct {
+		name, path string
+		answer     endlessAnswer
+	}{
+		{"events", "/ask/1", endlessAnswer{head: events, repeat: "data: " + filler + "\n\n"}},
+		{"events of a kept turn", "/draft/1", endlessAnswer{head: events, repeat: "data: " + filler + "\n\n"}},
+		{"long answer", "/read/1", endlessAnswer{head: "Content-Length: 8000000\r\n\r\n", repeat: filler}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e, _, ended := startEntryWithEndless(t, c.answer, timeout)
+			done := make(chan struct{})
+			peak := watchMemory(done)
+			began := time.Now()
+			var wg sync.WaitGroup
+			for range endlessCalls {
+				wg.Go(func() {
+					conn := e.sendHead(t, c.path, "Content-Length: 0\r\n\r\n", nil)
+					if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+						t.Error(err)
+					}
+					t.Cleanup(func() { conn.Close() })
+				})
+			}
+			for i := range 12 {
+				if status, err := e.drain("/other/whole", fmt.Sprint("whole-", i)); status != http.StatusOK || err != nil {
+					t.Errorf("another call: status %d, %v", status, err)
+				}
+			}
+			wg.Wait()
+			eventually(t, "the calls have ended", func() bool { return e.inFlight.Load() == 0 && ended() > endlessCalls/2 })
+			if took := time.Since(began); took > timeout+writeGrace+2*time.Second {
+				t.Errorf("the calls ended after %v", took)
+			}
+			close(done)
+			most := <-peak
+			t.Logf("heap %d MiB over the start, ended after %v", most>>20, time.Since(began))
+			if most > heapLimit {
+				t.Errorf("the heap grew by %d MiB, want at most %d MiB", most>>20, heapLimit>>20)
+			}
+			if used := e.answers.inUse(); used != 0 {
+				t.Errorf("%d bytes are still reserved", used)
+			}
+		})
+	}
+}
