mesh: a message that never comes to its end is given up

A message between entries by the byte was read for ever: the server had a deadline for heads only. Its body must come within 5 s now. The heads of an answer end at 64 KiB.

TestMessageByTheByteIsCutOff: before, "the message is still being read" after 8 s.

--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -21,6 +21,10 @@
 	// MaxMessageSize is the maximum size in bytes of a message between entries. A list of a few
 	// thousand rows fits.
 	MaxMessageSize = 8 << 20
+	// maxHeadBytes bounds the heads of an answer.
+	maxHeadBytes = 64 << 10
+	// messageReadTimeout bounds the time to read a message.
+	messageReadTimeout = 5 * time.Second
 	// maxIdleConns is the maximum number of idle connections to one entry.
 	maxIdleConns = 4
 )
@@ -40,13 +44,22 @@
 
 // ReadMessage decodes a message. It answers a malformed one and returns false.
 func (m *Mesh) ReadMessage(w http.ResponseWriter, r *http.Request, message any) bool {
+	m.setReadDeadline(w, r, time.Now().Add(messageReadTimeout))
 	if err := json.NewDecoder(io.LimitReader(r.Body, MaxMessageSize)).Decode(message); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
+	m.setReadDeadline(w, r, time.Time{}) // the server watches the connection by reading, while the message is answered
 	return true
 }
 
+// setReadDeadline sets the time at which reading a message ends; zero means never.
+func (m *Mesh) setReadDeadline(w http.ResponseWriter, r *http.Request, t time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(t); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		m.cfg.Requests.Info("read_deadline_not_set").Str("peer", r.RemoteAddr).Err(err).End()
+	}
+}
+
 // WriteAnswer answers a message.
 func (m *Mesh) WriteAnswer(w http.ResponseWriter, r *http.Request, answer any) {
 	w.Header().Set("Content-Type", "application/json")
@@ -63,6 +76,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -82,7 +97,10 @@
 		return errors.Mark(errors.Wrapf(err, "send %s to entry %q", path, address), platformapi.ErrUnavailable)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxMessageSize))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxMessageSize+1))
+	if err == nil && len(data) > MaxMessageSize {
+		err = errors.Newf("longer than %d bytes", MaxMessageSize)
+	}
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = errors.Newf("status %d", resp.StatusCode)
 	}
