gateway, telemetry, engine, platform: heads end at 64 KiB on internal connections too

The servers for readiness, other entries and metrics read heads of up to 1 MiB, the clients of engines and of the platform up to 10 MiB (the defaults of net/http).

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -19,6 +19,8 @@
 const (
 	// maxAnswerBytes is the maximum size of an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
+	// maxHeadBytes bounds the heads of an answer.
+	maxHeadBytes = 64 << 10
 	// maxErrorBytes is how much is read of the body of an answer without a success status.
 	maxErrorBytes = 4 << 10
 	// maxIdleConns is the maximum number of idle connections to one upstream.
@@ -55,7 +57,7 @@
 // newClient returns a client with the given transport, or with a new one if it is nil.
 func newClient(peer structs.UpstreamID, base string, transport http.RoundTripper) client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}
+		transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	}
 	return client{
 		peer: string(peer),
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -108,3 +108,31 @@
 	}
 	return out
 }
+
+// endlessTransport answers each request with a body without end.
+type endlessTransport struct {
+	status int
+	read   int64
+}
+
+func (e *endlessTransport) Read(b []byte) (int, error) {
+	e.read += int64(len(b))
+	return len(b), nil
+}
+
+func (*endlessTransport) Close() error { return nil }
+
+func (e *endlessTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: e.status, Header: http.Header{}, Body: e}, nil
+}
+
+// TestAnswerWithoutEndIsCutOff checks that the body of an answer, or of an error, has an end.
+func TestAnswerWithoutEndIsCutOff(t *testing.T) {
+	for status, limit := range map[int]int64{http.StatusOK: maxAnswerBytes, http.StatusBadGateway: maxErrorBytes} {
+		e := &endlessTransport{status: status}
+		err := newClient("engine-1", "http://engine", e).exchange(context.Background(), "test", "/", nil, &struct{}{})
+		if err == nil || e.read > 2*limit {
+			t.Errorf("status %d: %v after %d bytes", status, err, e.read)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -277,8 +277,8 @@
 		ConnState:      s.listener.connState,
 		ErrorLog:       nil,
 	}
-	s.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: internalHeaderTimeout}
-	s.mesh = &http.Server{Handler: g.mesh.Handler(), ReadHeaderTimeout: internalHeaderTimeout}
+	s.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.mesh = &http.Server{Handler: g.mesh.Handler(), ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go g.serveOn(s.callers, s.listener)
 	go g.serveOn(s.ready, l.ready)
 	go g.serveOn(s.mesh, l.mesh)
--- a/internal/gateway/requestbytes_test.go
+++ b/internal/gateway/requestbytes_test.go
@@ -180,3 +180,26 @@
 		})
 	}
 }
+
+// TestInternalRequestWithoutEndIsCutOff checks that heads without end on the addresses for readiness and for other entries
+// are cut off.
+func TestInternalRequestWithoutEndIsCutOff(t *testing.T) {
+	e, _, _ := startEntryWithEndless(t, endlessAnswer{}, time.Second)
+	filler := strings.Repeat("x", 1<<10)
+	for name, address := range map[string]string{"ready": e.cfg.ListenReady, "mesh": e.cfg.ListenMesh} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if err := conn.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		for text := "GET / HTTP/1.1\r\nHost: h\r\nX-A: "; err == nil; text = filler {
+			_, err = io.WriteString(conn, text)
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: %v, want the connection to be closed", name, err)
+		}
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,6 +19,8 @@
 const (
 	// maxResponseBytes bounds the body of a successful response.
 	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the heads of a response.
+	maxHeadBytes = 64 << 10
 	// maxErrorBytes is the number of bytes read of an error response's body.
 	maxErrorBytes = 4 << 10
 	// requestTimeout bounds one request, with its response body; a shorter deadline of its context
@@ -47,6 +49,8 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return NewClientWithTransport(base, transport)
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -64,3 +64,34 @@
 	}
 	return strings.Join(out, "+")
 }
+
+// endlessBody is a body without end. It counts what was read.
+type endlessBody struct{ n int64 }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.n += int64(len(p))
+	return len(p), nil
+}
+
+func (*endlessBody) Close() error { return nil }
+
+func (b *endlessBody) RoundTrip(r *http.Request) (*http.Response, error) {
+	status := http.StatusOK
+	if r.Method == http.MethodDelete {
+		status = http.StatusInternalServerError
+	}
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: b}, nil
+}
+
+// TestAnswerWithoutEndIsCutOff checks that the body of a response, or of an error, has an end.
+func TestAnswerWithoutEndIsCutOff(t *testing.T) {
+	body := &endlessBody{}
+	c := NewClientWithTransport("http://platform", body)
+	if _, err := c.Objects().Get(context.Background(), "k"); !errors.Is(err, ErrUnavailable) || body.n > 2*maxResponseBytes {
+		t.Errorf("%v after %d bytes", err, body.n)
+	}
+	body.n = 0
+	if err := c.Objects().Delete(context.Background(), "k"); !errors.Is(err, ErrUnavailable) || body.n > 2*maxErrorBytes {
+		t.Errorf("%v after %d bytes", err, body.n)
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -140,6 +140,9 @@
 // readHeaderTimeout bounds the time that a scraper may take to send the headers of a request.
 const readHeaderTimeout = 5 * time.Second
 
+// maxHeaderBytes bounds the headers of a scraper's request.
+const maxHeaderBytes = 64 << 10
+
 // serveMetrics serves /metrics on a separate listener, unless address is empty.
 func (t *Telemetry) serveMetrics(ctx context.Context, address string) error {
 	if address == "" {
@@ -152,7 +155,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", t.metrics)
-	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() { _ = t.server.Serve(listener) }() // returns after Shutdown
 	return nil
 }
