--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -110,8 +109,8 @@
 	mayHaveRun bool
 	// headWritten is set once the answer has begun.
 	headWritten bool
-	// answerMemory is the memory in bytes that is reserved for the answer.
-	answerMemory int64
+	// received holds the body as it was received, answer that of an answer that is no stream.
+	received, answer heldBytes
 	// started is set for a call of a program that has started.
 	started bool
 	// permitsDenied counts the limited upstreams that did not accept the call. permitWait is how long
@@ -176,7 +175,8 @@
 	j := &job{request: r, conn: connOf(r), start: time.Now()}
 	j.conn.startRequest(r.ContentLength)
 	defer func() {
-		g.answers.release(j.answerMemory)
+		j.received.reset()
+		j.answer.reset()
 		g.returnToken(j)
 	}()
 	defer g.answerPanic(w, j)
@@ -327,20 +327,16 @@
 		return true
 	}
 	limit := g.routes.Load().Document().Limits.BodyBytes
-	var body io.Reader = j.request.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(w, j.request.Body, limit)
+	if limit <= 0 {
+		limit = defaultMaxBody
 	}
+	body := http.MaxBytesReader(w, j.request.Body, limit)
 	if err := http.NewResponseController(w).SetReadDeadline(j.deadline); err != nil {
 		g.env.Requests.Info("read_deadline_not_set").Str("request", j.call.ID).Err(err).End()
 	}
-	var err error
-	if n := j.request.ContentLength; n > 0 && (limit <= 0 || n <= limit) {
-		j.body = make([]byte, n)
-		_, err = io.ReadFull(body, j.body)
-	} else {
-		j.body, err = io.ReadAll(body)
-	}
+	j.received.memory = g.bodies.of(j.organisationName())
+	err := j.received.readAll(body, min(j.request.ContentLength, limit), limit)
+	j.body = j.received.bytes
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -351,6 +347,9 @@
 	case isTimeout(err):
 		w.Header().Set("Connection", "close") // the rest of the body may still come
 		g.refuseWith(w, j, http.StatusRequestTimeout, "body_late", err, g.jitter(retryUpstream))
+	case errors.Is(err, errNoMemory):
+		g.metrics.bodiesRefused.Inc(1)
+		g.refuse(w, j, "no_memory", err, retryUpstream)
 	default:
 		g.metrics.callerGone.Inc(1)
 		g.requestLog("request_broken_off", j).Err(err).End()
