gateway: no two changes of one row share a transaction

Beyond its write rate the committer puts up to 30 commits into one transaction. Two of them may change the same row and expect the same version: a transaction checks all conditions before it writes, so both held, the last write replaced the other, and both callers were told that theirs was applied. Writers of one budget row within an entry are the program's own change, claims recorded for other entries, and ends of turns whose owner has gone.

TestBatchedWritesOfOneRowDoNotOverwrite before: "20 of 20 writes that each expect the row to be absent were applied, want 1".

A commit that shares a row with one before it now waits for the next transaction, where its condition fails as it does between entries.

--- a/internal/gateway/committer.go
+++ b/internal/gateway/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -136,11 +137,10 @@
 		// Spread the pending commits evenly over the transactions.
 		size := min((len(pending)+txns-1)/txns, maxTxnCommits)
 		for range txns {
-			batch := pending[:min(size, len(pending))]
-			if len(batch) == 0 {
+			var batch []*commit
+			if batch, pending = takeBatch(pending, size); len(batch) == 0 {
 				break
 			}
-			pending = pending[len(batch):]
 			inFlight++
 			c.txnTokens--
 			go c.send(ctx, batch)
@@ -148,6 +148,38 @@
 	}
 }
 
+// takeBatch returns at most size of the pending commits for one transaction, and the others in their order. No row is
+// in two commits of a batch: a transaction checks all conditions before it writes, so that the
+// last of several writes of a row would replace the others, and all would count as applied.
+func takeBatch(pending []*commit, size int) (batch, rest []*commit) {
+	batch = make([]*commit, 0, min(size, len(pending)))
+	taken := map[string]bool{}
+	for i, cm := range pending {
+		if len(batch) == size {
+			return batch, append(rest, pending[i:]...)
+		}
+		if cm.touches(taken) {
+			rest = append(rest, cm)
+		} else {
+			batch = append(batch, cm)
+		}
+		// Those of a commit that waits count too, so that writes of a row keep their order.
+		for _, w := range cm.writes {
+			taken[w.Key] = true
+		}
+		for _, cond := range cm.conditions {
+			taken[cond.Key] = true
+		}
+	}
+	return batch, rest
+}
+
+// touches reports whether the commit writes or expects one of the rows.
+func (cm *commit) touches(keys map[string]bool) bool {
+	return slices.ContainsFunc(cm.writes, func(w platformapi.Write) bool { return keys[w.Key] }) ||
+		slices.ContainsFunc(cm.conditions, func(c platformapi.Condition) bool { return keys[c.Key] })
+}
+
 // collect returns the commits to be written: the pending ones whose callers still wait,
 // those to be sent again, and the queued ones. It blocks until there is at least one, and
 // returns nil if ctx ends while it blocks. It subtracts the transactions that have ended from
