ledger: a turn whose claim was withdrawn does not claim again

Programs that run many turns at once got the tokens of one turn more than budget and slack while several entries were stopped and started.

While the change of the row is slow, since the holders of blocks are asked to give tokens back, the owner claims for the turn. If the witnesses know another claim, it withdraws: the row shows the key with 0 tokens, and the witnesses mark it as ended. When the change then finds too few tokens, the owner claims for the same turn once more. Claim refused that only until the row showed the withdrawn one. From then on the second claim was granted, but Row.Record leaves a key that the row has, and witnesses take the notice for a late one: nobody else knew of its tokens, and the next turn could claim them as well.

Evidence: TestWithdrawnClaimIsNotClaimedAgain before: "572 tokens were claimed again, the row shows map[other/1/1:1144 turn:t:0]".

The keys of all claims that an entry has announced are known to it (announced), so it refuses by these. The caller is refused and asks again with a new request id.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -377,3 +377,31 @@
 		t.Errorf("%d of 1000 tokens remain while a turn of 100 runs, want 900", row.Remaining())
 	}
 }
+
+// TestWithdrawnClaimIsNotClaimedAgain: a claim was refused by the witnesses' answers and withdrawn, the row shows it with 0
+// tokens, and the turn asks again, as an owner does whose change of the row has meanwhile found too few tokens
+// left. The row keeps the key as it is and witnesses take a second claim for a late notice, so that its
+// tokens would be known to nobody else.
+func TestWithdrawnClaimIsNotClaimedAgain(t *testing.T) {
+	const total, most = 1144, 572
+	row := Row{Total: total, Drawn: map[string]int{"other/1/1": total}}
+	p := NewProgram(total, "owner/1/1")
+	p.Reserve("t", most, false)
+	if _, _, ok := p.Claim("t", most, most, nil); !ok {
+		t.Fatal("the first claim was refused here")
+	}
+	if p.Confirm("t", Grants{"turn:u": most}) {
+		t.Fatal("the claim was confirmed beside another one")
+	}
+	p.Withdraw("t")
+	c := p.Change("", 0, nil)
+	res := row.Apply(c)
+	p.Applied(c, res)
+	if _, _, ok := p.Claim("t", most, most, nil); !ok || !p.Confirm("t", nil) {
+		return
+	}
+	c = p.Change("", 0, nil)
+	if res = res.Row.Apply(c); res.Row.Drawn["turn:t"] < most {
+		t.Errorf("%d tokens were claimed again, the row shows %v", p.Tokens("t"), res.Row.Drawn)
+	}
+}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -300,8 +300,9 @@
 	p.mostTokens = max(p.mostTokens, tokens)
 	key = p.keyOf(id)
 	claimed = min(tokens, p.slack(key, known))
-	// A key is claimed once: witnesses take a second claim under it for a late notice of the first.
-	if _, again := p.claims[key]; again || p.spent || claimed < least || claimed <= 0 {
+	// A key is claimed once: witnesses take a second claim under it for a late notice of the first, and a row that
+	// shows the first with 0 tokens, since it was withdrawn, keeps it so.
+	if p.announced[key] || p.spent || claimed < least || claimed <= 0 {
 		return "", 0, false
 	}
 	p.claims[key], p.announced[key] = claimed, true
