ledger: a test of a used claim that a second claim of its turn removed

A claim is made after 60 ms of waiting for the row; the change of the row goes on, and may find too few tokens when the turn has run on that claim and ended. The owner then claimed for the turn again, which failed, and withdrew: the used tokens went out of the row.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -405,3 +405,33 @@
 		t.Errorf("%d tokens were claimed again, the row shows %v", p.Tokens("t"), res.Row.Drawn)
 	}
 }
+
+// TestUsedClaimStaysInTheRow: a turn ran on a claim and has ended, the row shows what it used. The change of the row
+// that was started for the turn before the claim finds too few tokens left only then, and the owner claims for it once
+// more. That must not take the used tokens out of the row, where others would draw them again.
+func TestUsedClaimStaysInTheRow(t *testing.T) {
+	const total, most = 1144, 572
+	row := Row{Total: total, Drawn: map[string]int{"other/1/1": total}}
+	p := NewProgram(total, "owner/1/1")
+	p.Reserve("t", most, false)
+	if _, _, ok := p.Claim("t", most, most, nil); !ok || !p.Confirm("t", nil) {
+		t.Fatal("the first claim was refused")
+	}
+	write := func() {
+		c := p.Change("", 0, nil)
+		res := row.Apply(c)
+		p.Applied(c, res)
+		row = res.Row
+	}
+	write()
+	p.Settle("t", most, false)
+	row = row.Lower("other/1/1", total-most) // given back meanwhile
+	write()
+	if _, _, ok := p.Claim("t", most, most, nil); ok && !p.Confirm("t", nil) {
+		p.Withdraw("t")
+	}
+	write()
+	if row.Drawn["turn:t"] != most {
+		t.Errorf("the turn used %d tokens, the row shows %v", most, row.Drawn)
+	}
+}
