ledger: a turn that is refused when asked for again keeps what it used

The refusal noted an unused end for whatever the row showed under the turn's key, also for what it used when it ran before at another entry. Only a reservation of its whole size that hasn't ended can be one of an earlier write.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -490,3 +490,24 @@
 		t.Errorf("the turn used %d tokens, the row shows %v", most, row.Drawn)
 	}
 }
+
+// TestTurnAskedAgainKeepsItsUsage: a turn has run and its key in the row shows what it used. Its caller asks again under the
+// same id, of an owner that doesn't know of it, and is refused: the budget has too few tokens. What was used still counts.
+func TestTurnAskedAgainKeepsItsUsage(t *testing.T) {
+	const total, most, used = 300, 150, 60
+	for _, resolved := range []map[string]Usage{nil, {"turn:4": {Tokens: used}}} {
+		row := Row{Total: total, Drawn: map[string]int{"turn:1": 100, "turn:2": 100, "turn:4": used}}
+		p := NewProgram(total, "e/2/1")
+		p.MarkKept()
+		p.Reserve("4", most, false)
+		c := p.Change("4", most, nil)
+		c.Resolved(resolved)
+		res := row.Apply(c)
+		if p.Applied(c, res); res.Reserved {
+			t.Fatalf("the turn was reserved: %+v", res.Row)
+		}
+		if after := res.Row.Apply(p.Change("", 0, nil)).Row; after.Remaining() != total-200-used {
+			t.Errorf("resolved %v: %d tokens remain, want %d: %+v", resolved, after.Remaining(), total-200-used, after)
+		}
+	}
+}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -215,11 +215,14 @@
 		p.lowered = false
 	}
 	p.flush = p.flush && len(p.ended) > 0
+	_, ended := c.Ended[c.Turn]
 	switch {
 	case r.Reserved:
 		p.reserved(c.Turn, c.Tokens)
-	case c.Turn != "" && r.Row.Drawn[c.Turn] > 0 && !p.IsOpen(TurnOf(c.Turn)) && p.claims[c.Turn] == 0:
-		p.end(c.Turn, End{}, false) // an earlier write reserved them, and the budget holds them no more
+	case c.Turn != "" && r.Row.Drawn[c.Turn] >= c.Tokens && !ended && !p.IsOpen(TurnOf(c.Turn)) && p.claims[c.Turn] == 0:
+		// An earlier write reserved them, and the budget holds them no more. Fewer tokens, or those of a turn that has
+		// ended, are what the turn used when it ran before: its caller asks again under the same id.
+		p.end(c.Turn, End{}, false)
 	case c.Block != nil:
 		p.block.ApplyDraw(r.Drawn)
 	}
