ledger: a change for a turn that was claimed meanwhile doesn't erase what it used

A write asks the witnesses before it plans its change, and plans again after holders have returned tokens. The turn may have been claimed, confirmed and ended by then. Its change recorded the end and then, as the row had the key and not the tokens, noted an unused end: the row lost what the turn had used.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -511,3 +511,33 @@
 		}
 	}
 }
+
+// TestLateChangeOfClaimedTurnKeepsItsUsage: a turn's claim is confirmed, and the turn maybe ends, before the change for
+// the turn is planned, or planned again. The row keeps what the turn used or still holds.
+func TestLateChangeOfClaimedTurnKeepsItsUsage(t *testing.T) {
+	const total, most, used = 300, 100, 60
+	for _, drawn := range []map[string]int{{"turn:1": most}, {"turn:1": most, "turn:2": most, "turn:3": most}} {
+		for _, settled := range []bool{false, true} {
+			row, want := Row{Total: total, Drawn: drawn}, most
+			p := NewProgram(total, "e/1/1")
+			p.MarkKept()
+			p.Reserve("4", most, false)
+			if _, _, ok := p.Claim("4", most, most, nil); !ok || !p.Confirm("4", nil) {
+				t.Fatal("the claim was refused")
+			}
+			if settled {
+				p.Settle("4", used, true)
+				want = used
+			}
+			for _, id := range []string{"4", "4", ""} {
+				c := p.Change(id, most, nil)
+				res := row.Apply(c)
+				p.Applied(c, res)
+				row = res.Row
+			}
+			if row.Drawn["turn:4"] != want {
+				t.Errorf("ended %v, %d others: the row shows %d tokens of the turn, want %d: %+v", settled, len(drawn), row.Drawn["turn:4"], want, row)
+			}
+		}
+	}
+}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -133,7 +133,7 @@
 }
 
 // Change returns the change of the row that obtains the tokens of a turn, or only records what
-// is pending if id is empty. Reserve must have been called for the id. known holds the claims of other entries.
+// is pending if id is empty or the turn needs none any more. Reserve must have been called for the id. known holds the claims of other entries.
 func (p *Program) Change(id string, tokens int, known Grants) Change {
 	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force}
 	for key, n := range p.claims {
@@ -155,7 +155,7 @@
 		c.Retained = map[string]int{p.holder: p.block.Granted()}
 	}
 	switch {
-	case id == "":
+	case id == "" || p.IsOpen(id) || p.settled[id]: // a claim may have been confirmed meanwhile, and its turn ended
 	case p.standIn[id] || p.kept:
 		c.Turn, c.Tokens = p.keyOf(id), tokens
 	default:
