gateway: the rest of a head that waits in the socket is read, whatever the deadline

A connection with a part of a head was not looked at when its deadline passed: a process that stood still over a short idle timeout dropped a request that had arrived whole.

--- a/internal/gateway/arrived_test.go
+++ b/internal/gateway/arrived_test.go
@@ -206,3 +206,43 @@
 		t.Errorf("Serve: %v, want that the listener is closed", err)
 	}
 }
+
+// TestRestOfHeadThatWaitsAtTheDeadlineIsRead: the process has read a part of a head, and does not run until the deadline
+// for it has passed. The rest has arrived meanwhile: the request is answered.
+func TestRestOfHeadThatWaitsAtTheDeadlineIsRead(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const idleTimeout = 60 * time.Millisecond
+	release := make(chan struct{})
+	inner := &stalledListener{TCPListener: tcp.(*net.TCPListener), accepted: make(chan *stalledConn, 1)}
+	l := newCallerListener(inner, func() time.Duration { return idleTimeout })
+	s := &http.Server{ConnContext: connContext, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, ConnState: l.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "x")
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	nc, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	conn, br := <-inner.accepted, bufio.NewReader(nc)
+	_, _ = io.WriteString(nc, requestText("/", "1", ""))
+	if r := readReply(br); r.status != http.StatusOK {
+		t.Fatalf("first request: %+v", r)
+	}
+	text := requestText("/", "2", "")
+	_, _ = io.WriteString(nc, text[:10])
+	time.Sleep(idleTimeout / 3) // these bytes are read
+	conn.stall.Store(&release)  // the read after the next stalls
+	_, _ = io.WriteString(nc, text[10:15])
+	time.Sleep(idleTimeout / 6)
+	_, _ = io.WriteString(nc, text[15:])
+	time.Sleep(2 * idleTimeout)
+	close(release)
+	if r := readReply(br); r.status != http.StatusOK {
+		t.Errorf("the request that had arrived: %+v, want an answer", r)
+	}
+}
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -74,18 +74,18 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Read implements net.Conn. A connection without a request ends only after its socket was found empty: on a VM
-// that is busy or stood still, a request may have arrived before the deadline and not been read.
+// Read implements net.Conn. No deadline passes before the socket was found empty: on a VM that is busy or stood still, a
+// request, or the rest of one, may have arrived before the deadline and not been read. net/http bounds a head by its size.
 func (c *callerConn) Read(b []byte) (int, error) {
 	for {
 		c.dst, c.got, c.readErr = b, 0, nil
 		err := c.raw.Read(c.tryRead)
-		if isTimeout(err) && c.isQuiet() {
+		if isTimeout(err) {
 			if cerr := c.raw.Control(func(fd uintptr) { c.tryRead(fd) }); cerr != nil {
 				err = cerr
 			} else if c.got > 0 || c.readErr != nil {
 				err = nil
-			} else if c.extendDeadline() {
+			} else if c.isQuiet() && c.extendDeadline() {
 				continue
 			}
 		}
