--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -14,9 +14,10 @@
 const (
 	connEndCaller    = "caller_closed" // before the request was whole
 	connEndTimeout   = "head_timeout"
-	connEndShutdown  = "shutdown"  // the process ended before the request was whole
-	connEndMalformed = "malformed" // net/http has answered that
-	connEndAborted   = "aborted"   // by the request's handler, which logs why
+	connEndShutdown  = "shutdown"           // the process ended before the request was whole
+	connEndMalformed = "malformed"          // net/http has answered that
+	connEndAborted   = "aborted"            // by the request's handler, which logs why
+	connEndBehind    = "behind_last_answer" // bytes of a request came behind one whose answer said that the connection ends
 )
 
 // connEnd is how a connection ended.
@@ -34,6 +35,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := connEnd{before: c.requests, err: c.lastErr}
+	if c.begun && c.answered && !c.reading && (c.partial || len(c.pending) > 0) {
+		e.reason = connEndBehind
+	}
 	if !c.begun || c.answered {
 		return e
 	}
@@ -72,7 +76,7 @@
 	switch e.reason {
 	case "", connEndAborted:
 		return
-	case connEndShutdown:
+	case connEndShutdown, connEndBehind:
 		g.metrics.requestsCut.Inc(1)
 		line = g.env.Requests.Warn("request_not_read")
 	case connEndTimeout:
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -123,3 +123,59 @@
 		t.Errorf("%d panics counted, want 1", n.Value())
 	}
 }
+
+// TestCallBehindRefusedOneIsAnsweredInShutdown: three calls arrive at once, and a shutdown begins. The second is refused
+// before its body is read. The third had arrived and is answered.
+func TestCallBehindRefusedOneIsAnsweredInShutdown(t *testing.T) {
+	chunked := "POST /nowhere HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	for _, refused := range []string{requestText("/nowhere", "r", "xx"), requestText("/nowhere", "r", strings.Repeat("\r\n", 9000)), chunked} {
+		entries, _ := startStoppable(t, 1)
+		br, _ := entries[0].callRaw(requestText("/act/300", "first", "x") + refused + requestText("/act/1", "third", "x"))
+		eventually(t, "the first call was sent", func() bool { return entries[0].inFlight.Load() == 1 })
+		entries[0].stop()
+		for i, want := range []int{http.StatusOK, http.StatusNotFound, http.StatusOK} {
+			if r := readReply(br); r.status != want || r.err != nil || r.closes() != (i == 2) {
+				t.Errorf("%d bytes refused: answer %d is %+v, want %d, and the end after the third", len(refused), i, r, want)
+			}
+		}
+	}
+}
+
+// TestCallBehindLastAnswerIsReported: a call arrives behind one whose answer has begun and says that the connection ends. It
+// gets no answer, and the end of the connection says so.
+func TestCallBehindLastAnswerIsReported(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newCallerListener(tcp, func() time.Duration { return time.Minute })
+	ends := make(chan connEnd, 1)
+	l.onEnd = func(e connEnd) { ends <- e }
+	s := &http.Server{ConnContext: connContext, ConnState: l.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r)
+		c.startRequest(r.ContentLength)
+		_, _ = io.Copy(io.Discard, r.Body)
+		c.bodyRead()
+		w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(300 * time.Millisecond)
+		c.endRequest()
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	br := bufio.NewReader(c)
+	_, _ = io.WriteString(c, requestText("/", "1", "x"))
+	_, _ = br.Peek(1)
+	_, _ = io.WriteString(c, requestText("/", "2", "x"))
+	sent := time.Now()
+	first, second := readReply(br), readReply(br)
+	t.Logf("first %d, second %v %s after it was sent", first.status, second.err, time.Since(sent))
+	if e := <-ends; e.reason != connEndBehind {
+		t.Errorf("the connection ended with %+v, want reason %q", e, connEndBehind)
+	}
+}
