gateway: the queue of new connections was looked at only by a call that began before its deadline

A test that holds the goroutine between the two would have to hold the runtime; TestConnectionsInTheQueueAreServedInShutdown passes.

--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -53,8 +53,9 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	looked := false
+	var deadline time.Time
 	for {
+		began := time.Now()
 		c, err := l.Listener.Accept()
 		if err == nil {
 			if c = l.add(c); c == nil {
@@ -66,12 +67,15 @@
 			return nil, err
 		}
 		// A deadline that passes during the wait does not show that the queue is empty: only a call that
-		// begins before the deadline looks at it.
-		if looked || !l.setAcceptDeadline(time.Now().Add(acceptQueueWait)) {
+		// begins before the deadline looks at it, and this goroutine may have waited for a processor until then.
+		if began.Before(deadline) {
 			close(l.emptied)
 			return nil, net.ErrClosed
 		}
-		looked = true
+		deadline = time.Now().Add(acceptQueueWait)
+		if !l.setAcceptDeadline(deadline) {
+			return nil, net.ErrClosed
+		}
 	}
 }
 
