gateway: an empty line behind a body is no request

What callers saw: a stop that waited until the end of the grace period, for a connection whose caller had sent an empty line behind a body, as old callers do.

Cause: these bytes counted as the begin of another request.

Change: CR and LF alone are no request, as in net/http.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -169,6 +169,9 @@
 	if len(b) == 0 {
 		return 0
 	}
+	if c.body == 0 && !c.partial && len(bytes.TrimLeft(b, "\r\n")) == 0 {
+		return len(b) // see more
+	}
 	if !c.begun {
 		c.begin(time.Now())
 	}
@@ -234,13 +237,19 @@
 	c.answered = true
 }
 
+// more reports whether bytes of another request were read behind the present one. Empty lines are none: old callers send
+// one behind a body, and net/http skips them. The caller holds c.mu.
+func (c *callerConn) more() bool {
+	return c.partial || len(bytes.TrimLeft(c.pending, "\r\n")) > 0
+}
+
 // becomeIdle records that the answer was written and the connection stays open.
 func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.idle, c.begun, c.quietSince = true, false, now
-	if len(c.pending) > 0 || c.partial {
+	if c.more() {
 		c.begin(now)
 	}
 }
@@ -266,16 +275,16 @@
 	if c.reading {
 		return false
 	}
-	if c.partial || len(c.pending) > 0 {
+	if c.more() {
 		return true
 	}
 	b := make([]byte, arrivedBytes)
 	_ = c.raw.Control(func(fd uintptr) { // a closed connection has no further request
 		if n, err := readNow(int(fd), b); err == nil {
-			c.pending = b[:n]
+			c.pending = append(c.pending, b[:n]...)
 		}
 	})
-	return len(c.pending) > 0
+	return c.more()
 }
 
 // SetReadDeadline implements net.Conn. While the connection is idle it replaces every deadline
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -35,7 +35,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := connEnd{before: c.requests, err: c.lastErr}
-	if c.begun && c.answered && !c.reading && (c.partial || len(c.pending) > 0) {
+	if c.begun && c.answered && !c.reading && c.more() {
 		e.reason = connEndBehind
 	}
 	if !c.begun || c.answered {
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -179,3 +179,22 @@
 		t.Errorf("the connection ended with %+v, want reason %q", e, connEndBehind)
 	}
 }
+
+// TestEmptyLineBehindABodyHoldsNoShutdown: a caller sends an empty line behind the body of a request, as old ones do. The
+// connection ends as one without a request.
+func TestEmptyLineBehindABodyHoldsNoShutdown(t *testing.T) {
+	entries, _ := startStoppable(t, 1)
+	e := entries[0]
+	br, _ := e.callRaw(requestText("/act/1", "crlf", "x") + "\r\n")
+	if r := readReply(br); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	begin := time.Now()
+	e.stop()
+	if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("%v, want the end of the connection", err)
+	}
+	if took := time.Since(begin); took > e.drainDelay+500*time.Millisecond {
+		t.Errorf("the connection ended %v after the stop began, the drain delay is %v", took, e.drainDelay)
+	}
+}
