gateway: a refusal in a shutdown doesn't ask for the body

A caller with Expect: 100-continue waits to be asked; reading the rest of its body would have asked for it before the refusal. Read in a review, no test.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -81,7 +81,7 @@
 
 // discardBody reads what is left of the request's body, as far as it has arrived.
 func (j *job) discardBody(w http.ResponseWriter) {
-	if !j.conn.bodyUnread() {
+	if !j.conn.bodyUnread() || j.request.Header.Get("Expect") != "" { // such a caller waits to be asked for the body
 		return
 	}
 	if http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyWait)) != nil {
