--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -170,7 +170,7 @@
 		return 0
 	}
 	if c.body == 0 && !c.partial && len(bytes.TrimLeft(b, "\r\n")) == 0 {
-		return len(b) // see more
+		return len(b) // empty lines are no request
 	}
 	if !c.begun {
 		c.begin(time.Now())
