--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -198,3 +198,15 @@
 		t.Errorf("the connection ended %v after the stop began, the drain delay is %v", took, e.drainDelay)
 	}
 }
+
+// TestRefusalInShutdownAsksForNoBody: a caller that waits to be asked for its body is refused at once.
+func TestRefusalInShutdownAsksForNoBody(t *testing.T) {
+	entries, _ := startStoppable(t, 1)
+	e := entries[0]
+	e.stop()
+	eventually(t, "the shutdown has begun", e.draining.Load)
+	br, _ := e.callRaw("POST /nowhere HTTP/1.1\r\nHost: h\r\nX-Request-Id: expects\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	if r := readReply(br); r.status != http.StatusNotFound {
+		t.Errorf("%+v, want 404 without a request for the body", r)
+	}
+}
