--- a/internal/gateway/arrived_test.go
+++ b/internal/gateway/arrived_test.go
@@ -246,3 +246,46 @@
 		t.Errorf("the request that had arrived: %+v, want an answer", r)
 	}
 }
+
+// lateListener is a heldListener whose goroutine waits for a processor after it has set a deadline while the queue is looked
+// at for the first time, until that has passed.
+type lateListener struct {
+	heldListener
+	deadlines atomic.Int64
+}
+
+func (l *lateListener) SetDeadline(t time.Time) error {
+	err := l.TCPListener.SetDeadline(t)
+	if l.deadlines.Add(1) == 2 { // the first is that of the shutdown
+		time.Sleep(2 * acceptQueueWait)
+	}
+	return err
+}
+
+// TestQueueIsLookedAtBeforeTheSocketCloses: a call of Accept that begins after its deadline doesn't show that no connection
+// waits.
+func TestQueueIsLookedAtBeforeTheSocketCloses(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := &lateListener{heldListener: heldListener{TCPListener: tcp.(*net.TCPListener), release: make(chan struct{})}}
+	l := newCallerListener(late, func() time.Duration { return time.Minute })
+	s := &http.Server{ConnContext: connContext, ConnState: l.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "x")
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_, _ = io.WriteString(c, requestText("/", "1", ""))
+	go l.closeWhenEmpty(t.Context())
+	time.Sleep(50 * time.Millisecond) // the deadline of the shutdown has passed
+	close(late.release)
+	if r := readReply(bufio.NewReader(c)); r.status != http.StatusOK {
+		t.Errorf("%+v, want an answer", r)
+	}
+}
