connstate: the state of a caller's connection is a package of its own, pure

The decisions of callerConn (what belongs to which request, whether another has arrived, when a connection without a request ends, how one has ended) were methods under its lock, beside reads of the socket. They are a state machine now that gets bytes, times and the progress of the server; callerConn reads, locks and sets deadlines.

--- a/internal/gateway/arrived_test.go
+++ b/internal/gateway/arrived_test.go
@@ -289,3 +289,35 @@
 		t.Errorf("%+v, want an answer", r)
 	}
 }
+
+// TestIdleConnectionEndsByAnOlderTimeout: the idle timeout is lengthened while a connection is idle. The connection must not
+// end when the older one is over, as its caller may use it for longer.
+func TestIdleConnectionEndsByAnOlderTimeout(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var timeout atomic.Int64
+	timeout.Store(int64(150 * time.Millisecond))
+	l := newCallerListener(tcp, func() time.Duration { return time.Duration(timeout.Load()) })
+	s := &http.Server{ConnContext: connContext, ConnState: l.connState, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "x")
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	br := bufio.NewReader(c)
+	for i := range 2 {
+		_, _ = io.WriteString(c, requestText("/", "1", ""))
+		if r := readReply(br); r.status != http.StatusOK {
+			t.Fatalf("request %d: %+v", i, r)
+		}
+		time.Sleep(30 * time.Millisecond) // the connection is idle
+		timeout.Store(int64(time.Minute))
+		time.Sleep(300 * time.Millisecond)
+	}
+}
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -11,14 +10,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/connstate"
 )
 
 // arrivedBytes is the size in bytes of the buffer for what has arrived behind a request.
 const arrivedBytes = 4 << 10
 
-// callerConn is a caller's connection. It tells from the bytes that have arrived whether a request is on the
-// connection: net/http knows of a request only once its head is parsed. One Read never returns bytes of two requests, so
-// that net/http holds no bytes of the next one that this type doesn't know of.
+// callerConn is a caller's connection. connstate decides from the bytes that have arrived whether a request is on it. One
+// Read never returns bytes of two requests, so that net/http holds no bytes of the next one that the state doesn't know of.
 type callerConn struct {
 	net.Conn
 	raw      syscall.RawConn
@@ -29,27 +29,10 @@
 	got     int
 	readErr error
 
-	mu sync.Mutex
-	// pending are bytes that were read from the socket and not returned by Read yet.
-	pending []byte
-	// body is how many bytes of the present request's body Read has yet to return, if the request states its length.
-	body int64
-	// partial is set after bytes that are not the end of a head or of a body. newline is set after the end of a line, cr after
-	// a CR behind that.
-	partial, newline, cr bool
-	// idle is set from an answer until the head of the next request was parsed.
-	idle bool
-	// begun is set while a request is arriving or not answered; begunAt is when its first byte was read.
-	begun   bool
-	begunAt time.Time
-	// parsed is set once the request's head was parsed, reading until its body was read, answered once its handler
-	// has ended.
-	parsed, reading, answered bool
-	// quietSince is when the connection was accepted or became idle.
-	quietSince time.Time
-	// requests counts the requests whose heads were parsed.
-	requests int64
-	// lastErr is the error that ended the reads.
+	// mu guards the fields below.
+	mu       sync.Mutex
+	requests connstate.Requests
+	// lastErr is the error of the last read that failed.
 	lastErr error
 }
 
@@ -63,7 +46,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "file descriptor of a connection")
 	}
-	return &callerConn{Conn: c, raw: raw, listener: l, quietSince: time.Now()}, nil
+	return &callerConn{Conn: c, raw: raw, listener: l, requests: connstate.New(time.Now())}, nil
 }
 
 // connKey is the key under which the context of a request has its callerConn.
@@ -85,7 +68,7 @@
 				err = cerr
 			} else if c.got > 0 || c.readErr != nil {
 				err = nil
-			} else if c.isQuiet() && c.extendDeadline() {
+			} else if c.extendDeadline() {
 				continue
 			}
 		}
@@ -100,14 +83,11 @@
 func (c *callerConn) tryRead(fd uintptr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 {
-		c.got = c.advance(c.dst[:copy(c.limit(c.dst), c.pending)])
-		if c.pending = c.pending[c.got:]; len(c.pending) == 0 {
-			c.pending = nil
-		}
+	if c.requests.Pending() {
+		c.got = c.requests.Take(time.Now(), c.dst)
 		return true
 	}
-	b := c.limit(c.dst)
+	b := c.dst[:c.requests.Limit(len(c.dst))]
 	n, err := readNow(int(fd), b)
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
@@ -117,8 +97,7 @@
 	case n == 0 && len(b) > 0:
 		c.readErr = io.EOF
 	default:
-		c.got = c.advance(b[:n])
-		c.pending = append(c.pending, b[c.got:n]...)
+		c.got = c.requests.Received(time.Now(), b[:n])
 	}
 	return true
 }
@@ -133,7 +112,7 @@
 	}
 }
 
-// failed records the error that ends the reads and returns it as one of net.Conn.Read.
+// failed records the error of a read and returns it as one of net.Conn.Read.
 func (c *callerConn) failed(err error) error {
 	if err == nil {
 		return nil
@@ -141,6 +120,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastErr = err
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		c.requests.Failed(connstate.FailedByClose)
+	case isTimeout(err):
+		c.requests.Failed(connstate.FailedByDeadline)
+	default:
+		c.requests.Failed(connstate.FailedByCaller)
+	}
 	if errors.Is(err, io.EOF) {
 		return io.EOF
 	}
@@ -155,136 +142,45 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
-// limit returns the part of b that may be filled: no byte behind the end of a body. The caller holds c.mu.
-func (c *callerConn) limit(b []byte) []byte {
-	if c.body > 0 && int64(len(b)) > c.body {
-		return b[:c.body]
-	}
-	return b
-}
-
-// advance moves on over the bytes, up to the next end of a head or of a body, and returns how many they are. A body in
-// chunks ends like a head; other empty lines in it only make a Read shorter. The caller holds c.mu.
-func (c *callerConn) advance(b []byte) int {
-	if len(b) == 0 {
-		return 0
-	}
-	if c.body == 0 && !c.partial && len(bytes.TrimLeft(b, "\r\n")) == 0 {
-		return len(b) // empty lines are no request
-	}
-	if !c.begun {
-		c.begin(time.Now())
-	}
-	if c.body > 0 {
-		c.body -= int64(len(b))
-		c.partial = c.body > 0
-		return len(b)
-	}
-	for i := 0; i < len(b); i++ {
-		switch {
-		case !c.newline:
-			next := bytes.IndexByte(b[i:], '\n')
-			if next < 0 {
-				c.partial = true
-				return len(b)
-			}
-			i += next
-			c.newline = true
-		case b[i] == '\n':
-			c.partial, c.newline, c.cr = false, false, false
-			return i + 1
-		case b[i] == '\r' && !c.cr:
-			c.cr = true
-		default:
-			c.newline, c.cr = false, false
-		}
-	}
-	c.partial = true
-	return len(b)
-}
-
-// begin records that a request has begun to arrive. The caller holds c.mu.
-func (c *callerConn) begin(now time.Time) {
-	c.begun, c.begunAt, c.parsed, c.answered, c.lastErr = true, now, false, false, nil
+// update changes the state of the requests.
+func (c *callerConn) update(change func(*connstate.Requests)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.requests)
 }
 
 // startRequest records that the head of a request was parsed; length is that of its body, negative if unknown.
 func (c *callerConn) startRequest(length int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.parsed, c.reading, c.body = true, length != 0, max(length, 0)
-	c.requests++
+	c.update(func(r *connstate.Requests) { r.StartRequest(length) })
 }
 
 // bodyRead records that the body of the request was read.
-func (c *callerConn) bodyRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = false
-}
-
-// bodyUnread reports whether the request has a body that was not read whole.
-func (c *callerConn) bodyUnread() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.reading
-}
+func (c *callerConn) bodyRead() { c.update((*connstate.Requests).BodyRead) }
 
 // endRequest records that the handler of the request has ended with an answer.
-func (c *callerConn) endRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answered = true
-}
-
-// more reports whether bytes of another request were read behind the present one. Empty lines are none: old callers send
-// one behind a body, and net/http skips them. The caller holds c.mu.
-func (c *callerConn) more() bool {
-	return c.partial || len(bytes.TrimLeft(c.pending, "\r\n")) > 0
-}
+func (c *callerConn) endRequest() { c.update((*connstate.Requests).EndRequest) }
 
-// becomeIdle records that the answer was written and the connection stays open.
-func (c *callerConn) becomeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.idle, c.begun, c.quietSince = true, false, now
-	if c.more() {
-		c.begin(now)
-	}
-}
-
-// becomeActive records that the head of a request was parsed, or was found to be malformed.
-func (c *callerConn) becomeActive() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle = false
-}
-
-// isQuiet reports whether no request is arriving or unanswered.
-func (c *callerConn) isQuiet() bool {
+// bodyUnread reports whether the request has a body that was not read whole.
+func (c *callerConn) bodyUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.begun
+	return c.requests.BodyUnread()
 }
 
 // anotherArrived reports whether bytes of another request have arrived behind the present one, which was read whole.
 func (c *callerConn) anotherArrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
-		return false
-	}
-	if c.more() {
-		return true
+	if c.requests.BodyUnread() || c.requests.Another() {
+		return c.requests.Another()
 	}
 	b := make([]byte, arrivedBytes)
 	_ = c.raw.Control(func(fd uintptr) { // a closed connection has no further request
 		if n, err := readNow(int(fd), b); err == nil {
-			c.pending = append(c.pending, b[:n]...)
+			c.requests.Arrived(b[:n])
 		}
 	})
-	return c.more()
+	return c.requests.Another()
 }
 
 // SetReadDeadline implements net.Conn. While the connection is idle it replaces every deadline
@@ -294,32 +190,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch quiet, ok := c.quietDeadline(); {
-	case !c.begun && ok && (!t.IsZero() || c.listener.retiring.Load()):
+	case c.requests.Quiet() && ok && (!t.IsZero() || c.listener.retiring.Load()):
 		t = quiet
-	case c.idle && !t.IsZero():
+	case c.requests.Idle() && !t.IsZero():
 		t = time.Now().Add(c.listener.idleTimeout())
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// quietDeadline returns when a connection ends on which no request begins, if this type decides that. The caller holds
-// c.mu.
+// quietDeadline returns when the connection ends if no request begins on it. The caller holds c.mu.
 func (c *callerConn) quietDeadline() (time.Time, bool) {
-	switch {
-	case c.listener.retiring.Load() && c.requests == 0:
-		return c.quietSince.Add(newConnGrace), true
-	case c.listener.retiring.Load():
-		return time.Now(), true
-	default:
-		return c.quietSince.Add(c.listener.idleTimeout()), c.idle
-	}
+	return c.requests.Deadline(time.Now(), c.listener.retiring.Load(), c.listener.idleTimeout())
 }
 
 // extendDeadline moves the deadline of a connection without a request to the one that holds now. It returns false if
-// that has passed as well.
+// that has passed as well, or a request is on the connection.
 func (c *callerConn) extendDeadline() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.requests.Quiet() {
+		return false
+	}
 	if t, ok := c.quietDeadline(); ok && t.After(time.Now()) {
 		return c.Conn.SetReadDeadline(t) == nil
 	}
@@ -333,7 +224,7 @@
 func (c *callerConn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t, ok := c.quietDeadline(); ok && !c.begun {
+	if t, ok := c.quietDeadline(); ok && c.requests.Quiet() {
 		_ = c.Conn.SetReadDeadline(t) // fails for a closed connection
 	}
 }
--- a/internal/gateway/connend.go
+++ b/internal/gateway/connend.go
@@ -7,53 +7,23 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornroute/buckthornroute/internal/connstate"
 	"github.com/buckthornroute/buckthornroute/internal/reqlog"
 )
 
-// Why a connection ended while a request on it was arriving or not answered.
-const (
-	connEndCaller    = "caller_closed" // before the request was whole
-	connEndTimeout   = "head_timeout"
-	connEndShutdown  = "shutdown"           // the process ended before the request was whole
-	connEndMalformed = "malformed"          // net/http has answered that
-	connEndAborted   = "aborted"            // by the request's handler, which logs why
-	connEndBehind    = "behind_last_answer" // bytes of a request came behind one whose answer said that the connection ends
-)
-
-// connEnd is how a connection ended.
+// connEnd is how a connection ended, with the error of its last read that failed.
 type connEnd struct {
-	// reason is empty if no request was on the connection.
-	reason string
-	// arriving is how long ago the request had begun to arrive, before the number of requests before it.
-	arriving time.Duration
-	before   int64
-	err      error
+	connstate.End
+	err error
 }
 
 // end returns how the connection ended.
 func (c *callerConn) end() connEnd {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := connEnd{before: c.requests, err: c.lastErr}
-	if c.begun && c.answered && !c.reading && c.more() {
-		e.reason = connEndBehind
-	}
-	if !c.begun || c.answered {
-		return e
-	}
-	e.arriving = time.Since(c.begunAt)
-	switch {
-	case c.parsed:
-		e.reason = connEndAborted
-		e.before--
-	case errors.Is(c.lastErr, net.ErrClosed):
-		e.reason = connEndShutdown
-	case isTimeout(c.lastErr):
-		e.reason = connEndTimeout
-	case c.lastErr != nil:
-		e.reason = connEndCaller
-	default:
-		e.reason = connEndMalformed
+	e := connEnd{c.requests.End(time.Now()), c.lastErr}
+	if e.Reason == connstate.EndMalformed || e.Reason == connstate.EndBehind {
+		e.err = nil // the last failure is that of an earlier read
 	}
 	return e
 }
@@ -73,23 +43,23 @@
 // connectionEnded logs and counts the end of a connection with a request that no handler has answered or ended.
 func (g *Gateway) connectionEnded(e connEnd) {
 	var line *reqlog.Line
-	switch e.reason {
-	case "", connEndAborted:
+	switch e.Reason {
+	case "", connstate.EndAborted:
 		return
-	case connEndShutdown, connEndBehind:
+	case connstate.EndShutdown, connstate.EndBehind:
 		g.metrics.requestsCut.Inc(1)
 		line = g.env.Requests.Warn("request_not_read")
-	case connEndTimeout:
+	case connstate.EndTimeout:
 		g.metrics.headsTimedOut.Inc(1)
 		line = g.env.Requests.Info("request_not_read")
-	case connEndMalformed:
+	case connstate.EndMalformed:
 		g.metrics.headsMalformed.Inc(1)
 		line = g.env.Requests.Info("request_not_read")
 	default:
 		g.metrics.headsBrokenOff.Inc(1)
 		line = g.env.Requests.Info("request_not_read")
 	}
-	line.Str("reason", e.reason).Ms("arriving_ms", e.arriving).Int("requests_before", e.before).Err(e.err).End()
+	line.Str("reason", e.Reason).Ms("arriving_ms", e.Arriving).Int("requests_before", e.Before).Err(e.err).End()
 }
 
 // connectionRefused logs a connection that was accepted and can't be used.
--- a/internal/gateway/connend_test.go
+++ b/internal/gateway/connend_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/connstate"
 )
 
 // TestUnansweredConnectionsAreLogged: each connection that ends while a request is arriving has a line that says why, and a
@@ -33,7 +35,7 @@
 	}
 	open(part) // until the process ends
 	e.stop()
-	for reason, counter := range map[string]string{connEndCaller: "heads_broken_off", connEndMalformed: "heads_malformed", connEndShutdown: "requests_cut"} {
+	for reason, counter := range map[string]string{connstate.EndCaller: "heads_broken_off", connstate.EndMalformed: "heads_malformed", connstate.EndShutdown: "requests_cut"} {
 		eventually(t, "the line of "+reason, func() bool {
 			return strings.Contains(e.log.String(), fmt.Sprintf(`"msg":"request_not_read","node":"entry-1","reason":%q`, reason))
 		})
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -7,14 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/buckthornroute/buckthornroute/internal/connstate"
 )
 
 const (
 	// defaultIdleTimeout applies to callers' connections until a document sets an idle timeout.
 	defaultIdleTimeout = 15 * time.Second
-	// newConnGrace is how long a connection may wait for its first request during a shutdown. Callers send it
-	// as soon as the connection is established.
-	newConnGrace = time.Second
 	// acceptQueueWait is how long the queue of new connections must stay empty before the socket is closed, and
 	// acceptQueueTimeout bounds the wait for that.
 	acceptQueueWait    = 20 * time.Millisecond
@@ -125,9 +124,9 @@
 	}
 	switch s {
 	case http.StateIdle:
-		cc.becomeIdle()
+		cc.update(func(r *connstate.Requests) { r.BecomeIdle(time.Now()) })
 	case http.StateActive:
-		cc.becomeActive()
+		cc.update((*connstate.Requests).BecomeActive)
 	case http.StateClosed, http.StateHijacked:
 		l.mu.Lock()
 		delete(l.conns, cc)
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornroute/buckthornroute/internal/connstate"
 )
 
 // TestBodyThatComesTooLateIsRefused: the time of a call ends before its body has arrived. It is refused and not sent; its
@@ -175,8 +177,8 @@
 	sent := time.Now()
 	first, second := readReply(br), readReply(br)
 	t.Logf("first %d, second %v %s after it was sent", first.status, second.err, time.Since(sent))
-	if e := <-ends; e.reason != connEndBehind {
-		t.Errorf("the connection ended with %+v, want reason %q", e, connEndBehind)
+	if e := <-ends; e.Reason != connstate.EndBehind {
+		t.Errorf("the connection ended with %+v, want reason %q", e, connstate.EndBehind)
 	}
 }
 
