--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -541,3 +541,24 @@
 		}
 	}
 }
+
+// TestReservationThatIsRefusedAgainIsEnded: a write reserves a turn and is not answered; when it is carried out again, a claim
+// of another entry has taken the row over its budget, and the turn is refused. Its tokens must not stay reserved.
+func TestReservationThatIsRefusedAgainIsEnded(t *testing.T) {
+	const total = 100
+	p := NewProgram(total, "e/1/1")
+	p.MarkKept()
+	p.Reserve("t", total, false)
+	change := p.Change("t", total, nil)
+	reserved := Row{Total: total}.Apply(change).Row
+	over, _ := reserved.Record(Grants{"turn:u": total})
+	res := over.Apply(change)
+	if res.Reserved {
+		t.Fatalf("the turn is reserved beyond the budget: %+v", res.Row)
+	}
+	p.Applied(change, res)
+	p.Abandon("t")
+	if after := res.Row.Apply(p.Change("", 0, nil)).Row; after.Drawn["turn:t"] != 0 {
+		t.Errorf("the refused turn still has tokens: %+v", after)
+	}
+}
