--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -50,7 +50,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	cases := map[string]func(*world) (broken bool, err error){"6": rejoinedEarly, "7": unsentTurns, "8": claimsLost, "9": earlierBorn}
+	cases := map[string]func(*world) (broken bool, err error){"6": rejoinedEarly, "7": unsentTurns, "8": claimsLost, "9": earlierBorn, "10": newestVersions}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases CASE RECORD")
 		return exitNotRun
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -39,7 +39,10 @@
 	down bool
 	// delay is how long each answer takes.
 	delay time.Duration
-	start time.Time
+	// performsFirst has a transaction performed as it arrives and its answer composed, with the newest version, as it is
+	// sent. It is set before the first call.
+	performsFirst bool
+	start         time.Time
 }
 
 func newStore() (*store, error) {
@@ -67,7 +70,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		time.Sleep(delay)
+		if !s.performsFirst || r.URL.Path != "/rows-tx" {
+			time.Sleep(delay)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -189,6 +194,12 @@
 		s.removeLocked(x)
 	}
 	s.wakeLocked()
+	if s.performsFirst {
+		delay := s.delay
+		s.mu.Unlock()
+		time.Sleep(delay)
+		s.mu.Lock()
+	}
 	s.answer(w, http.StatusOK, rowsAnswer{Ver: s.ver})
 }
 
