--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -90,6 +90,7 @@
 		w.rec.note("not ended within 115 s")
 		return exitNotRun
 	case r := <-done:
+		w.noteArrivals()
 		switch {
 		case r.err != nil:
 			w.rec.note("could not run: %v", r.err)
@@ -106,6 +107,13 @@
 	return exitHeld
 }
 
+// noteArrivals writes which engine ran which request.
+func (w *world) noteArrivals() {
+	for _, x := range w.arrivals.all() {
+		w.rec.note("ran: request %s at %s, born %d, at %.3f", x.request, x.engine, x.born, x.at.Sub(w.rec.start).Seconds())
+	}
+}
+
 // end ends all processes and forgets them.
 func (w *world) end() {
 	for _, e := range w.entries {
