--- a/review/standins-2/budgets.go
+++ b/review/standins-2/budgets.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Figures of the cases about budgets. tokensPerEvent is the step of the engines of tcod-portal, and a turn generates the most
+// Figures of the cases about budgets. tokensPerEvent is the step of the engines of the site, and a turn generates the most
 // that it may.
 const (
 	budgetPrograms = 80
--- a/review/standins-2/document.go
+++ b/review/standins-2/document.go
@@ -24,7 +24,7 @@
 	RetentionS int    `json:"retention-s,omitempty"`
 }
 
-// writeDocument writes the first desired state, with the figures of tcod-portal.
+// writeDocument writes the first desired state, with the figures of the site that the claims name.
 func (s *store) writeDocument(routes ...route) {
 	for i := range routes {
 		routes[i].Host = host
