ledger, gateway: a turn that reached no engine is not counted after a loss of all processes

Cause: the row of a budget showed a reservation with the same value whether or not a token had been handed out, and after a loss of all processes nothing else tells the two apart.

A reservation is now pending in the row, with the process that serves the turn, until the turn's first event has come. The event is handed out once the row shows that. Pending reservations of ended processes are dropped when too few tokens are left. A mistake about the end is harmless: a dropped turn begins only if the row has room for it, by the same compare-and-swap.

--- a/internal/gateway/budgetrow.go
+++ b/internal/gateway/budgetrow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -164,7 +165,7 @@
 	}
 	pb.spentAt = time.Now()
 	b.log.Info("budget_spent").Str("request", call.ID).Str("program", call.Program).Int("tokens", int64(call.MaxTokens)).
-		Int("budget", int64(call.Total)).Int("remaining", int64(res.Row.Remaining())).Int("unresolved", int64(len(res.Unresolved))).
+		Int("budget", int64(call.Total)).Int("remaining", int64(res.Row.Remaining())).Int("unresolved", int64(len(res.Unresolved))).Int("pending", int64(len(res.Row.Pending))).
 		Str("row", string(res.Row.Encode())).End()
 	return errBudgetSpent
 }
@@ -224,8 +225,8 @@
 	resolved := false
 	for range maxRowAttempts {
 		res = row.Apply(*change)
-		if res.Short && len(res.Unresolved) > 0 && !resolved {
-			resolved = true
+		if res.Short && !resolved && len(res.Unresolved)+len(res.Servers) > 0 {
+			resolved, change.Gone = true, b.owners.gone(res.Servers)
 			used, err := b.endsOf(ctx, res.Unresolved)
 			if err != nil {
 				return res, unanswered >= 0, err
@@ -253,6 +254,11 @@
 		if err == nil {
 			b.expiry.watch(key, applied, time.Now())
 			*held = heldRow{exists: true, row: res.Row, version: applied}
+			if len(res.Dropped) > 0 {
+				b.commits.metrics.reservationsDropped.Inc(int64(len(res.Dropped)))
+				b.log.Info("budget_reservations_dropped").Str("request", call.ID).Str("program", call.Program).Int("row_version", applied).
+					Str("dropped", strings.Join(res.Dropped, " ")).Str("gone", strings.Join(change.Gone, " ")).Int("remaining", int64(res.Row.Remaining())).End()
+			}
 			return res, false, nil
 		}
 		if !errors.Is(err, platformapi.ErrConditionFailed) && !errors.Is(err, platformapi.ErrNotApplied) {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -70,6 +70,10 @@
 	// reserveAt reserves tokens at the peer p; settleAt ends a reservation there.
 	reserveAt(ctx context.Context, p *mesh.Peer, r reserveCall) (reserveAnswer, error)
 	settleAt(ctx context.Context, p *mesh.Peer, s settleCall) error
+	// beginAt has the peer p record that a turn begins whose tokens it reserved.
+	beginAt(ctx context.Context, p *mesh.Peer, program, id string) error
+	// gone returns those of the processes, NODE/INCARNATION, that are not known to run.
+	gone(servers []string) []string
 	// askWitnesses sends the notice, unless it is nil, to the witnesses of the program, and then asks them
 	// for the unrecorded claims that they know. quorate reports whether a majority of them, which knows
 	// all claims that they acknowledged, has answered.
@@ -96,6 +100,9 @@
 	Least int
 	// Durable reports whether the turn ends only once it is stored in the table.
 	Durable bool
+	// Server is the process that serves the turn, NODE/INCARNATION; empty for builds before, which don't tell
+	// when a turn begins.
+	Server string
 }
 
 // settleCall ends a reservation.
@@ -138,6 +145,8 @@
 	waited time.Duration
 	// tokens is the number of tokens granted if that is less than MaxTokens, else 0.
 	tokens int
+	// pending reports whether the turn must begin in the row before its first tokens are handed out.
+	pending bool
 }
 
 // programStage is how far a program has come: whether a turn of it has run.
@@ -248,6 +257,8 @@
 	standIn bool
 	// limit is the number of tokens that the turn may hand out if that is less than MaxTokens, else 0.
 	limit int
+	// pending is set until the row shows that the turn has begun, if it must.
+	pending bool
 }
 
 // reserve sets aside the tokens of a turn. While the program's row is out of reach it waits for that, up to
@@ -273,6 +284,7 @@
 func (b *budgets) reserveNow(ctx context.Context, call reserveCall) (*reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
+	call.Server = b.holder
 	owner := b.owners.owner(call.Program)
 	answer, standIn := reserveAnswer{outcome: reserveUnknown}, false
 	var err error
@@ -296,7 +308,7 @@
 	}
 	switch answer.outcome {
 	case reserveGranted:
-		return &reservation{b: b, owner: owner, call: call, standIn: standIn, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited, limit: answer.tokens}, nil
+		return &reservation{b: b, owner: owner, call: call, standIn: standIn, lastUpstream: answer.lastUpstream, stage: answer.stage, waited: answer.waited, limit: answer.tokens, pending: answer.pending}, nil
 	case reserveSpent:
 		return nil, errBudgetSpent
 	default:
@@ -413,6 +425,7 @@
 	if call.Durable {
 		pb.ledger.MarkKept()
 	}
+	pb.ledger.ServedBy(call.ID, call.Server)
 	return pb
 }
 
@@ -437,7 +450,7 @@
 	}
 	switch pb.ledger.Reserve(call.ID, call.MaxTokens, !isOwner) {
 	case ledger.OutcomeGranted:
-		answer.outcome = reserveGranted
+		answer.outcome, answer.pending = reserveGranted, pb.ledger.Pending(call.ID)
 		if n := pb.ledger.Tokens(call.ID); n < call.MaxTokens {
 			answer.tokens = n
 		}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -149,8 +149,8 @@
 	// event.
 	events     int
 	firstEvent time.Duration
-	// storeTime is how long the turn took to store.
-	storeTime time.Duration
+	// beginTime is how long the beginning of the turn took to record in the row of its budget, storeTime how long the turn took to store.
+	beginTime, storeTime time.Duration
 	// load is the load of the service's upstreams when it was decided whether the program may
 	// start; zero for calls that need no such decision.
 	load float64
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,9 @@
 	// in which this entry recorded the grants of another one that had not done so itself.
 	// noticesLost counts notices of claims that a witness did not acknowledge, claimsAsked requests for all claims
 	// of another entry.
+	// reservationsDropped counts reservations of ended processes whose turns had not begun, turnsNotBegun turns that were
+	// broken off before their first event since the row did not show in time that they begin.
+	reservationsDropped, turnsNotBegun                                                                                  tally.Counter
 	settlementsLost, blocksLost, provisionalGrantsUnrecorded, rowsNotExpired, orphansRecorded, noticesLost, claimsAsked tally.Counter
 	// crashesCounted counts ends of upstreams that this entry counted against the content of a call,
 	// crashReportsReceived those that other entries reported, crashReportsDropped reports that were
@@ -108,8 +111,9 @@
 		connections:   s.Counter("upstream_connections"), commits: s.Counter("table_commits"),
 		digestErrors: s.Counter("digest_errors"), notFound: s.Counter("not_found"),
 		budgetSpent: s.Counter("budget_spent"), turnsStored: s.Counter("turns_kept"), turnsNotStored: s.Counter("turns_not_kept"),
-		chainQueriesFailed: s.Counter("chains_not_asked"),
-		settlementsLost:    s.Counter("settles_lost"), blocksLost: s.Counter("budget_lumps_lost"), provisionalGrantsUnrecorded: s.Counter("budget_advances_unrecorded"),
+		chainQueriesFailed:  s.Counter("chains_not_asked"),
+		reservationsDropped: s.Counter("budget_reservations_dropped"), turnsNotBegun: s.Counter("turns_not_begun"),
+		settlementsLost: s.Counter("settles_lost"), blocksLost: s.Counter("budget_lumps_lost"), provisionalGrantsUnrecorded: s.Counter("budget_advances_unrecorded"),
 		rowsNotExpired: s.Counter("rows_not_expired"), orphansRecorded: s.Counter("budget_grants_witnessed"), noticesLost: s.Counter("budget_notices_lost"), claimsAsked: s.Counter("budget_claims_asked"),
 		crashesCounted: s.Counter("crashes_counted"), crashReportsReceived: s.Counter("crash_reports_received"),
 		crashReportsDropped: s.Counter("crash_reports_dropped"), quarantined: s.Counter("quarantined"),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -56,6 +56,9 @@
 	if j.turnReads > 0 {
 		ln.Int("turns_read", int64(j.turnReads))
 	}
+	if j.beginTime >= time.Millisecond {
+		ln.Ms("begun_in_ms", j.beginTime)
+	}
 	if j.storeTime > 0 {
 		ln.Ms("kept_in_ms", j.storeTime)
 	}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -45,6 +45,10 @@
 // shifted. Earlier builds read 8 bits of the stage and ignore those above.
 const waitedShift = stageShift + 8
 
+// pendingFlag is set in the value of an answer if the turn must begin in the row. Earlier builds take it for a part of the
+// stage; they don't get it.
+const pendingFlag = 1 << (waitedShift - 1)
+
 // limitShift is the number of bits by which the tokens of a limited reservation are shifted. Only an entry
 // that named the least number of tokens gets a limit.
 const limitShift = 40
@@ -61,6 +65,8 @@
 	callGrantsFor = 'k'
 	// callRelease asks the receiver to return the unused tokens of its block of a program to the row.
 	callRelease = 'u'
+	// callBegin records that a turn begins whose tokens the receiver reserved.
+	callBegin = 'b'
 	// callTurnStoredBy asks which entry stored a turn and has it in memory.
 	callTurnStoredBy = 'w'
 )
@@ -92,6 +98,9 @@
 		if q.More() { // builds before end here, and know no limit of an answer
 			call.Least = readTokens(q.Reader)
 		}
+		if q.More() && q.Bool() { // builds before end here, and don't tell when a turn begins
+			call.Server = o.processName(q.From)
+		}
 		if !q.Malformed() {
 			o.handleReserve(call, q.Reply)
 		}
@@ -106,6 +115,11 @@
 			q.Reply(mesh.Answer{})
 		}
 	})
+	m.HandleQuestion(callBegin, func(q mesh.Question) {
+		if program, id := q.Text(), q.Text(); !q.Malformed() {
+			go o.handleBegin(program, id, q.Reply)
+		}
+	})
 	m.HandleQuestion(callGrantNotice, func(q mesh.Question) {
 		if n := readNotice(q.Reader); !q.Malformed() {
 			o.g.budgets.applyNotice(n)
@@ -176,14 +190,18 @@
 // encode packs the answer to a reservation: the outcome in the low bits of the value and the
 // stage above it.
 func (a reserveAnswer) encode() mesh.Answer {
-	return mesh.Answer{Value: uint64(a.outcome) | uint64(a.stage)<<stageShift | uint64(min(max(0, a.waited.Milliseconds()), budgetIdle.Milliseconds()))<<waitedShift | uint64(a.tokens)<<limitShift, Text: a.lastUpstream}
+	pending := uint64(0)
+	if a.pending {
+		pending = pendingFlag
+	}
+	return mesh.Answer{Value: pending | uint64(a.outcome) | uint64(a.stage)<<stageShift | uint64(min(max(0, a.waited.Milliseconds()), budgetIdle.Milliseconds()))<<waitedShift | uint64(a.tokens)<<limitShift, Text: a.lastUpstream}
 }
 
 // decodeReserveAnswer unpacks the answer to a reservation.
 func decodeReserveAnswer(v mesh.Answer) reserveAnswer {
 	return reserveAnswer{
 		outcome: reserveOutcome(v.Value & (1<<stageShift - 1)), lastUpstream: v.Text,
-		stage: programStage(v.Value >> stageShift), waited: time.Duration(min(v.Value&(1<<limitShift-1)>>waitedShift, uint64(budgetIdle.Milliseconds()))) * time.Millisecond,
+		stage: programStage(v.Value & (pendingFlag - 1) >> stageShift), pending: v.Value&pendingFlag != 0, waited: time.Duration(min(v.Value&(1<<limitShift-1)>>waitedShift, uint64(budgetIdle.Milliseconds()))) * time.Millisecond,
 		tokens: int(v.Value >> limitShift),
 	}
 }
@@ -202,6 +220,7 @@
 	b := mesh.AppendText(mesh.AppendText(make([]byte, 0, 96), r.Program), r.ID)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(r.Total)), uint64(r.MaxTokens))
 	b = binary.AppendUvarint(mesh.AppendBool(mesh.AppendText(b, r.Conversation), r.Durable), uint64(r.Least))
+	b = mesh.AppendBool(b, true) // this build tells when the turn begins
 	timeout := peerCallTimeout
 	if o.g.table.FailedRecently() {
 		timeout = peerCallTimeoutDegraded
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -247,7 +247,7 @@
 // upstream.
 func outcomeOf(ctx context.Context, res *sendResult) routing.Outcome {
 	switch {
-	case ctx.Err() != nil || errors.IsAny(res.err, errCallerGone, errTokenLimit):
+	case ctx.Err() != nil || errors.IsAny(res.err, errCallerGone, errTokenLimit, errNotBegun):
 		return routing.OutcomeInconclusive
 	// With status 421 the server at the address states that it is not the chosen upstream.
 	case res.notRun && res.answer.Status == http.StatusMisdirectedRequest:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -246,6 +246,11 @@
 			s.endFailed("token_limit", err)
 			return
 		}
+		if errors.Is(err, errNotBegun) {
+			j.mayHaveRun = true
+			s.endFailed("turn_not_begun", err)
+			return
+		}
 		if s.started && s.nextID < 0 {
 			// Without ids no upstream can be told where to go on, and another run from the start
 			// would repeat events.
@@ -375,6 +380,9 @@
 		return errTokenLimit
 	}
 	if !s.started {
+		if err := s.begin(); err != nil {
+			return err
+		}
 		s.writeHead(a)
 	}
 	if err := s.write(e); err != nil {
@@ -395,6 +403,18 @@
 	return nil
 }
 
+// begin makes the row of the budget show that the turn hands out tokens. It waits until shortly before the caller
+// gives up waiting for the first event.
+func (s *stream) begin() error {
+	j := s.j
+	start := time.Now()
+	ctx, cancel := context.WithDeadline(j.request.Context(), earlier(j.start.Add(j.route.CallerSilenceTimeout()), j.deadline).Add(-storeMargin))
+	defer cancel()
+	err := s.reserved.begin(ctx)
+	j.beginTime = time.Since(start)
+	return err
+}
+
 // writeHead sends the status and the headers of the first answer that has an event.
 func (s *stream) writeHead(a *forward.Answer) {
 	s.started = true
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -28,6 +28,8 @@
 	key    string
 	tokens int
 	source source
+	// begun is set once tokens may be handed out, lost if the reservation was dropped from the row before.
+	begun, lost bool
 }
 
 // Program is what one entry knows and has granted of one program's budget. Its methods are the
@@ -41,6 +43,10 @@
 	// mostTokens is the most that one turn was to generate so far.
 	mostTokens int
 	open       map[string]reservation
+	// servers maps the ids of turns to the processes that serve them, if others than this one. beginning
+	// contains the ids of those that wait for the row to show that they begin.
+	servers   map[string]string
+	beginning map[string]bool
 	// settled contains the ids of settled reservations. A reservation may be settled before it is
 	// granted, because the entry that requested it may have given up.
 	settled map[string]bool
@@ -73,7 +79,7 @@
 func NewProgram(total int, holder string) *Program {
 	return &Program{
 		holder: holder, block: NewAccount(total), open: map[string]reservation{}, settled: map[string]bool{}, abandoned: map[string]bool{}, standIn: map[string]bool{},
-		ended: map[string]End{}, claims: Grants{}, announced: map[string]bool{},
+		servers: map[string]string{}, beginning: map[string]bool{}, ended: map[string]End{}, claims: Grants{}, announced: map[string]bool{},
 	}
 }
 
@@ -125,7 +131,7 @@
 	case standIn || p.kept:
 		return OutcomeObtain
 	case p.block.Reserve(tokens):
-		p.open[id] = reservation{"", tokens, fromBlock}
+		p.open[id] = reservation{tokens: tokens, source: fromBlock, begun: true}
 		return OutcomeGranted
 	default:
 		return OutcomeObtain
@@ -135,7 +141,7 @@
 // Change returns the change of the row that obtains the tokens of a turn, or only records what
 // is pending if id is empty or the turn needs none any more. Reserve must have been called for the id. known holds the claims of other entries.
 func (p *Program) Change(id string, tokens int, known Grants) Change {
-	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force}
+	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force, Begin: p.begins()}
 	for key, n := range p.claims {
 		if !p.unconfirmed(key, n) {
 			c.Claims[key] = n
@@ -157,7 +163,7 @@
 	switch {
 	case id == "" || p.IsOpen(id) || p.settled[id]: // a claim may have been confirmed meanwhile, and its turn ended
 	case p.standIn[id] || p.kept:
-		c.Turn, c.Tokens = p.keyOf(id), tokens
+		c.Turn, c.Tokens, c.Server = p.keyOf(id), tokens, p.serverOfTurn(id)
 	default:
 		if d := p.block.NextDraw(tokens); d.Need > 0 { // none if a turn has ended meanwhile
 			c.Block = &d
@@ -173,6 +179,7 @@
 
 // Resolved adds the ends of other entries' turns, by key, read from stored turns, to a change.
 func (c *Change) Resolved(used map[string]Usage) {
+	c.endsRead = true
 	for key, u := range used {
 		c.Ended[key] = End{u.Of(key), true}
 	}
@@ -215,6 +222,7 @@
 		p.lowered = false
 	}
 	p.flush = p.flush && len(p.ended) > 0
+	p.applyBegins(c, r)
 	_, ended := c.Ended[c.Turn]
 	switch {
 	case r.Reserved:
@@ -243,7 +251,7 @@
 		// A claim that was withdrawn meanwhile must not be recorded as unused.
 		delete(p.claims, key)
 		delete(p.ended, key)
-		p.open[id] = reservation{key, tokens, fromRow}
+		p.open[id] = reservation{key: key, tokens: tokens, source: fromRow, begun: p.serverOfTurn(id) == ""}
 	}
 }
 
@@ -268,13 +276,17 @@
 }
 
 // Abandon notes that a request for tokens failed. It may be made again.
-func (p *Program) Abandon(id string) { p.abandoned[id] = true }
+func (p *Program) Abandon(id string) {
+	p.abandoned[id] = true
+	delete(p.servers, id)
+}
 
 // Settle ends a reservation of which used tokens were handed out; stored reports whether the turn
 // was stored. It reports whether the reservation was open, and returns the key of its claim if that is
 // not recorded. Settling twice changes nothing.
 func (p *Program) Settle(id string, used int, stored bool) (wasOpen bool, claim string) {
 	p.settled[id] = true
+	delete(p.servers, id)
 	r, ok := p.open[id]
 	if !ok {
 		return false, ""
@@ -351,7 +363,7 @@
 	if !ok || p.settled[id] || p.IsOpen(id) || tokens > p.slack(key, known) {
 		return false
 	}
-	p.open[id] = reservation{key, tokens, fromClaim}
+	p.open[id] = reservation{key: key, tokens: tokens, source: fromClaim, begun: true}
 	return true
 }
 
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -70,6 +70,9 @@
 	// returned, or what a key of the constants above stands for. The values are absolute, so that a
 	// repeated write changes nothing.
 	Drawn map[string]int `json:"drawn"`
+	// Pending maps the keys of the reservations whose turns have not begun to the processes that serve them. Builds
+	// before drop it when they write the row; such a reservation counts as begun.
+	Pending map[string]string `json:"pending,omitempty"`
 }
 
 // MaxTokens bounds each number of tokens in rows and messages, so that sums of them don't overflow.
@@ -112,6 +115,9 @@
 func (r Row) clone() Row {
 	next := Row{Total: r.Total, Drawn: make(map[string]int, len(r.Drawn)+1)}
 	maps.Copy(next.Drawn, r.Drawn)
+	if len(r.Pending) > 0 {
+		next.Pending = maps.Clone(r.Pending)
+	}
 	return next
 }
 
@@ -122,13 +128,18 @@
 	next, changed := r, false
 	for key, n := range claims {
 		have, ok := r.Drawn[key]
-		if ok && (TurnOf(key) != "" || have >= n) {
+		_, pending := r.Pending[key]
+		pending = pending && n > 0 // nothing is handed out for a claim that was withdrawn
+		if ok && !pending && (TurnOf(key) != "" || have >= n) {
 			continue
 		}
 		if !changed {
 			next, changed = r.clone(), true
 		}
-		next.Drawn[key] = n
+		delete(next.Pending, key) // a claimed turn begins without a record
+		if !ok || TurnOf(key) == "" {
+			next.Drawn[key] = n
+		}
 	}
 	return next, changed
 }
@@ -138,12 +149,14 @@
 // whether that changes the row.
 func (r Row) settle(key string, e End) bool {
 	have, ok := r.Drawn[key]
+	_, pending := r.Pending[key]
+	delete(r.Pending, key)
 	switch {
 	case !ok:
-		return false
+		return pending
 	case e.Keep:
 		r.Drawn[key] = min(have, e.Used)
-		return e.Used < have
+		return pending || e.Used < have
 	default:
 		delete(r.Drawn, key)
 		r.Drawn[settledKey] += e.Used
@@ -181,9 +194,18 @@
 	Retained map[string]int
 	// Own contains the keys of the reservations in progress at this entry.
 	Own map[string]bool
-	// Turn is the key of the turn to reserve Tokens for; empty for none.
+	// Turn is the key of the turn to reserve Tokens for, served by the process Server; empty for none. Without a
+	// Server the reservation counts as begun.
 	Turn   string
 	Tokens int
+	Server string
+	// Begin maps the keys of the turns that begin to their tokens.
+	Begin map[string]int
+	// Gone lists the processes that have ended, of those in Result.Servers. Reservations that they served and
+	// that have not begun are dropped if too few tokens are left.
+	Gone []string
+	// endsRead is set once the ends of unresolved turns have been read.
+	endsRead bool
 	// Block is the draw of a block by Holder; nil for none.
 	Block  *DrawRequest
 	Holder string
@@ -208,6 +230,11 @@
 	// Unresolved holds, in order, the keys of reservations and claims that other entries made and
 	// whose end the row may not show.
 	Unresolved []string
+	// Servers holds, in order, the processes that serve reservations which have not begun.
+	Servers []string
+	// Begun and Dropped hold, in order, the keys of the turns that have begun as asked for by Change.Begin, and of the
+	// pending reservations that were dropped.
+	Begun, Dropped []string
 }
 
 // Apply returns what a change does to the row.
@@ -222,11 +249,25 @@
 	for holder, n := range c.Retained {
 		write = next.lower(holder, n) || write
 	}
-	res := Result{Unresolved: next.unresolved(c.Own), Holders: next.holders(c.Holder)}
+	var res Result
+	for _, key := range slices.Sorted(maps.Keys(c.Begin)) {
+		begun, changed := next.begin(key, c.Begin[key])
+		if write = write || changed; begun {
+			res.Begun = append(res.Begun, key)
+		}
+	}
+	res.Unresolved, res.Servers, res.Holders = next.unresolved(c.Own), next.pendingServers(), next.holders(c.Holder)
 	switch {
 	case c.Turn != "":
-		res.Reserved = next.reserve(c.Turn, c.Tokens)
-		write = write || res.Reserved && r.Drawn[c.Turn] < c.Tokens
+		have := next.Drawn[c.Turn]
+		if res.Reserved = next.reserve(c.Turn, c.Tokens); !res.Reserved && c.endsRead {
+			res.Dropped = next.dropPending(c)
+			res.Reserved = next.reserve(c.Turn, c.Tokens)
+		}
+		if res.Reserved && have == 0 && c.Server != "" { // an earlier run of the turn may have used what the row has
+			next.setPending(c.Turn, c.Server)
+		}
+		write = write || len(res.Dropped) > 0 || res.Reserved && have < c.Tokens
 		res.Short = !res.Reserved
 	case c.Block != nil:
 		drawn, known := next.Drawn[c.Holder], c.Block.KnownDrawn
