ledger, mesh: an entry that starts again is a witness only once it has read the list of entries

Cause: a process that started again took itself for synchronised once all entries that it knew had told their claims. It began to ask as soon as its row was written and knew only those whose digests it had heard, which are the ones that stayed.

An entry now needs a read of the whole list that began after its own row was written, with every row readable. The line entries_listed says when it has it, budget_witness_waits what an entry waits for. The same cause on a related path: a handover of claims named the node only, so it counted for a later process of that node too. It names the process now, and counts for the process in the entry's row before its own, which is read first.

--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -30,7 +30,7 @@
 			Node: string(cfg.Node), Domain: string(cfg.FailureDomain), HTTPAddress: cfg.ListenMesh, UDPAddress: cfg.ListenDigests,
 			Incarnation: g.incarnation,
 		},
-		Leaving: g.draining.Load,
+		FirstStart: cfg.FirstStart, Leaving: g.draining.Load,
 		Snapshot: func(ctx context.Context, prefix string) ([]platformapi.Row, int64, error) {
 			return g.table.Snapshot(ctx, prefix)
 		},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,7 +145,7 @@
 	g.storeFleet(relay.NewRegistry())
 	g.mesh = newMesh(g)
 	g.quota = newQuota(g)
-	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g, handedOver: map[string]time.Time{}}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
+	g.budgetPeers, g.chains, g.reports, g.cached = &budgetPeers{g: g, handedOver: map[string]handover{}}, turnChains{g}, newCrashReports(g), &cachedPrompts{}
 	g.table = tablerelay.NewClient(env.Table, g, g.emitTableEvent)
 	g.commits = newCommitter(g.table, g.metrics, cfg.TableWritesPerSecond, g.mesh.Size)
 	g.expiry = &expiry{commits: g.commits}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -78,9 +78,9 @@
 	// received those that its peers knew when it started, or all entries started for the first time.
 	synchronised atomic.Bool
 
-	// mu guards handedOver, which maps nodes to when their claims were handed over to this entry.
+	// mu guards handedOver, which maps nodes to the last handover of their claims to this entry.
 	mu         sync.Mutex
-	handedOver map[string]time.Time
+	handedOver map[string]handover
 }
 
 var _ budgetOwners = (*budgetPeers)(nil)
--- a/internal/gateway/witnesses.go
+++ b/internal/gateway/witnesses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/mesh"
@@ -98,15 +99,19 @@
 type claimsAnswer struct {
 	// Synchronised reports whether the entry knows all claims that its node has acknowledged.
 	Synchronised bool `json:"synchronised"`
-	// HandedOver lists the nodes that handed their claims over to the entry when they stopped.
-	HandedOver []string      `json:"handed_over"`
-	Claims     []grantNotice `json:"claims"`
+	// HandedOverBy lists the processes, NODE/INCARNATION, that handed their claims over to the entry when they stopped.
+	// HandedOver lists their nodes, for builds before.
+	HandedOverBy []string      `json:"handed_over_by"`
+	HandedOver   []string      `json:"handed_over"`
+	Claims       []grantNotice `json:"claims"`
 }
 
 // claimsHandover tells an entry all claims that a node knows, which stops now.
 type claimsHandover struct {
-	Node   string        `json:"node"`
-	Claims []grantNotice `json:"claims"`
+	Node string `json:"node"`
+	// Incarnation is that of the process; builds before don't name it.
+	Incarnation string        `json:"life"`
+	Claims      []grantNotice `json:"claims"`
 }
 
 // joinClaims registers the messages about all claims of an entry.
@@ -115,7 +120,10 @@
 	m.HandleMessage("/claims", func(w http.ResponseWriter, r *http.Request) {
 		var q claimsRequest
 		if m.ReadMessage(w, r, &q) {
-			m.WriteAnswer(w, r, claimsAnswer{Synchronised: o.synchronised.Load(), HandedOver: o.takeHandedOver(q.Node), Claims: o.g.budgets.allGrants()})
+			a := claimsAnswer{Synchronised: o.synchronised.Load()}
+			a.HandedOver, a.HandedOverBy = o.takeHandedOver(q.Node)
+			a.Claims = o.g.budgets.allGrants()
+			m.WriteAnswer(w, r, a)
 		}
 	})
 	m.HandleMessage("/claims/handover", func(w http.ResponseWriter, r *http.Request) {
@@ -127,32 +135,38 @@
 			o.g.budgets.applyNotice(n)
 		}
 		o.mu.Lock()
-		o.handedOver[h.Node] = time.Now()
+		o.handedOver[h.Node] = handover{incarnation: h.Incarnation, at: time.Now()}
 		o.mu.Unlock()
 		m.WriteAnswer(w, r, struct{}{})
 	})
 }
 
+// handover tells which process of a node handed its claims over to this entry, and when.
+type handover struct {
+	incarnation string
+	at          time.Time
+}
+
 // takeHandedOver returns the nodes whose claims were handed over to this entry within
-// recentOwnerWindow. It forgets the node that asks, which is to become a witness by its own means from
+// recentOwnerWindow, and their processes. It forgets the node that asks, which is to become a witness by its own means from
 // now on.
-func (o *budgetPeers) takeHandedOver(asks string) []string {
+func (o *budgetPeers) takeHandedOver(asks string) (nodes, processes []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var nodes []string
-	for node, at := range o.handedOver {
-		if time.Since(at) < recentOwnerWindow {
+	for node, h := range o.handedOver {
+		if time.Since(h.at) < recentOwnerWindow {
 			nodes = append(nodes, node)
+			processes = append(processes, node+"/"+h.incarnation)
 		}
 	}
 	delete(o.handedOver, asks)
-	return nodes
+	return nodes, processes
 }
 
 // handOver sends the claims that this entry knows to the entries that rank first for its name, so that
 // its successor can be a witness at once. This entry must acknowledge no more claims.
 func (o *budgetPeers) handOver(ctx context.Context) {
-	h := claimsHandover{Node: string(o.g.cfg.Node), Claims: o.g.budgets.allGrants()}
+	h := claimsHandover{Node: string(o.g.cfg.Node), Incarnation: o.g.incarnation, Claims: o.g.budgets.allGrants()}
 	if !o.synchronised.Load() {
 		return // its successor would miss the same claims
 	}
@@ -174,12 +188,18 @@
 // heard of can't return.
 func (o *budgetPeers) synchronise(ctx context.Context) {
 	reason, rejoin := "first start", ledger.NewRejoin(string(o.g.cfg.Node))
+	waitsFor := ""
 	for !o.g.cfg.FirstStart && ctx.Err() == nil {
 		sleep(ctx, synchroniseInterval)
 		if o.g.mesh.CanOwn() {
-			if reason = o.collectClaims(ctx, rejoin); reason != "" {
+			var missing string
+			if reason, missing = o.collectClaims(ctx, rejoin); reason != "" {
 				break
 			}
+			if missing != waitsFor {
+				waitsFor = missing
+				o.g.env.Requests.Info("budget_witness_waits").Str("for", missing).Int("after_ms", time.Since(o.g.started).Milliseconds()).End()
+			}
 		}
 		if time.Since(o.g.started) > budgetIdle {
 			reason = "uptime"
@@ -192,10 +212,17 @@
 	}
 }
 
+// maxNamedPeers bounds the nodes that a log line names.
+const maxNamedPeers = 8
+
 // collectClaims asks the other entries that may know more claims than they have told. It returns why this entry
-// is synchronised now, or an empty string.
-func (o *budgetPeers) collectClaims(ctx context.Context, rejoin *ledger.Rejoin) string {
+// is synchronised now, or else an empty string and what it waits for.
+func (o *budgetPeers) collectClaims(ctx context.Context, rejoin *ledger.Rejoin) (reason, waitsFor string) {
 	now := time.Now()
+	listed := o.g.mesh.ListComplete()
+	if listed { // before the peers are taken from the list
+		rejoin.ListRead(o.g.mesh.Previous())
+	}
 	peers := o.g.mesh.Peers(func(p *mesh.Peer) bool {
 		return now.Sub(p.LastDigest) < recentOwnerWindow || now.Sub(p.ListedAt) < recentOwnerWindow
 	})
@@ -218,7 +245,14 @@
 		for _, n := range a.Claims {
 			o.g.budgets.applyNotice(n)
 		}
-		rejoin.Answered(known, a.Synchronised, a.HandedOver)
+		rejoin.Answered(known, a.Synchronised, a.HandedOverBy)
+	}
+	if reason = rejoin.Synchronised(all); reason != "" {
+		return reason, ""
+	}
+	if !listed {
+		return "", "the list of entries"
 	}
-	return rejoin.Synchronised(all)
+	missing := rejoin.Missing(all)
+	return "", strings.Join(missing[:min(len(missing), maxNamedPeers)], " ")
 }
--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/buckthornroute/buckthornroute/internal/eventlog"
@@ -246,10 +245,9 @@
 	if r.malformed || from.Node == m.cfg.Self.Node {
 		return !r.malformed
 	}
-	if _, err := netip.ParseAddrPort(from.UDPAddress); err != nil {
-		return false
+	if err := m.addPeer(from); err != nil {
+		return false // counted as malformed
 	}
-	m.addPeer(from)
 	if !m.accept(&from, seq, flags) {
 		return true
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -87,6 +87,8 @@
 type Config struct {
 	// Self has the encoded fields of this entry.
 	Self Peer
+	// FirstStart is set if no entry has run before.
+	FirstStart bool
 	// Leaving reports whether this entry is shutting down.
 	Leaving func() bool
 	// Snapshot reads the rows with a prefix, Write writes rows of the platform's table.
@@ -110,6 +112,10 @@
 	questions  *questions
 	// registered reports whether this entry's row has been written to the table.
 	registered atomic.Bool
+	// listComplete reports whether a read of all entries that began after that has succeeded.
+	listComplete atomic.Bool
+	// previous is the incarnation in this entry's row before it was written.
+	previous atomic.Value
 	// interval is the time in nanoseconds between two digests of each entry.
 	interval atomic.Int64
 	// urgent receives a value when the next digest is due at once.
@@ -311,6 +317,10 @@
 	go m.sendDigests(ctx)
 	defer m.http.CloseIdleConnections()
 	for ctx.Err() == nil {
+		if !m.cfg.FirstStart && m.previous.Load() == nil && m.refreshPeers(ctx) != nil {
+			sleep(ctx, registerRetryDelay)
+			continue
+		}
 		if !m.registered.Load() {
 			m.registered.Store(m.register(ctx) == nil)
 		}
@@ -336,39 +346,69 @@
 // refreshPeers adds the registered entries to the list and removes dead peers from the list and
 // from the table.
 func (m *Mesh) refreshPeers(ctx context.Context) error {
+	registered := m.registered.Load()
 	rows, _, err := m.cfg.Snapshot(ctx, EntriesPrefix)
 	if err != nil {
 		return err
 	}
+	previous, unreadable := "", 0
 	for _, r := range rows {
 		var p Peer
-		if err := json.Unmarshal(r.Value, &p); err != nil {
+		err := json.Unmarshal(r.Value, &p)
+		switch {
+		case err != nil:
+		case p.Node == m.cfg.Self.Node:
+			previous = p.Incarnation
+		default:
+			err = m.addPeer(p)
+		}
+		if err != nil {
+			unreadable++
 			m.cfg.Events.Emit(eventlog.GatewayRowMalformed, eventlog.Fields{Step: "entries", Detail: r.Key, Count: r.Version, Err: err})
-			continue
 		}
-		m.addPeer(p)
+	}
+	if !registered {
+		m.previous.CompareAndSwap(nil, previous)
+	} else if unreadable == 0 && m.listComplete.CompareAndSwap(false, true) {
+		m.cfg.Requests.Info("entries_listed").Int("entries", int64(len(rows))).Str("previous", m.Previous()).End()
 	}
 	m.removeDeadPeers(ctx)
 	return nil
 }
 
+// ListComplete reports whether this entry has read the whole list of entries since it wrote its own row. Before that it
+// knows only the entries whose digests it has heard.
+func (m *Mesh) ListComplete() bool { return m.listComplete.Load() }
+
+// Previous returns the incarnation of the process that was registered under this entry's name before it; empty if there was none, or if
+// this is the first start.
+func (m *Mesh) Previous() string {
+	previous, _ := m.previous.Load().(string)
+	return previous
+}
+
 // addPeer adds a peer to the list unless it is there already. An entry under a known name
-// replaces the earlier incarnation. This entry itself, and a peer without a name or a valid UDP
-// address, are ignored.
-func (m *Mesh) addPeer(p Peer) {
+// replaces the earlier incarnation. This entry itself is ignored. It returns an error for a peer without a name or a valid UDP address.
+func (m *Mesh) addPeer(p Peer) error {
 	address, err := netip.ParseAddrPort(p.UDPAddress)
-	if err != nil || p.Node == "" || p.Node == m.cfg.Self.Node {
-		return
+	switch {
+	case err != nil:
+		return errors.Wrapf(err, "address of entry %q", p.Node)
+	case p.Node == "":
+		return errors.Newf("the entry at %s has no name", p.UDPAddress)
+	case p.Node == m.cfg.Self.Node:
+		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if old := m.peers[p.Node]; old != nil && old.Incarnation == p.Incarnation {
-		return
+		return nil
 	}
 	p.udpAddr, p.ListedAt = address, time.Now()
 	m.lastPeerChange = p.ListedAt
 	m.peers[p.Node] = &p
 	m.cfg.Requests.Info("entry_listed").Str("peer", p.Node).Str("domain", p.Domain).Str("life", p.Incarnation).End()
+	return nil
 }
 
 // SetPeer lists a peer as given, with the times of its last digest and of its listing. Only tests
