forward: a part of an answer without a length is not the whole if the connection broke while the request was written

On routes that keep turns the part was stored as the turn's output.

Cause: a socket gives its error once. The goroutine that writes the body received it, and the reader then saw the same end as that of a whole body.

At the end of a body without a length the writer is now ended by a deadline and its error is the answer's: none if it had finished or was only stopped, since then nobody else took an error of the connection. Other answers are not touched.

TestPartOfAnAnswerToALongUpload shows it on all five kinds of route. An engine that only closes its side and reads on is answered whole (TestEarlyAnswerThatEndsInOrderIsWhole).

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -89,6 +90,8 @@
 	// closing reports whether the connection must not be used after the answer: the upstream closes
 	// it, or has sent answers to other calls on it.
 	closing bool
+	// unbounded is set for a body that ends with its connection.
+	unbounded bool
 	// bodyComplete reports whether the body was read to its end.
 	bodyComplete bool
 	// stop ends the watch on the context of Send; it returns false when the context ended
@@ -195,6 +198,7 @@
 		if r.Method == http.MethodHead {
 			a.Length = 0 // the head states the length that a GET would have
 		}
+		a.unbounded = resp.Close && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead
 		a.body, a.closing = resp.Body, a.closing || resp.Close
 		if head.NotRun && !a.conn.noteRefused(r.ID) {
 			a.closing = true
@@ -220,6 +224,11 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
 	if err == io.EOF {
+		if a.unbounded {
+			if err := a.endWriting(); err != nil {
+				return n, errors.Mark(errors.Wrap(err, "the connection broke while the request was written"), ErrLost)
+			}
+		}
 		a.bodyComplete = true
 		return n, err
 	}
@@ -230,6 +239,23 @@
 	return n, errors.Mark(err, ErrLost)
 }
 
+// endWriting ends the writing of the request, of which the upstream needs no more, and returns the error of the connection if the
+// writer has received that. The socket gives it once: the reader then sees the same end as that of a whole body. The
+// deadline bounds the wait for the writer.
+func (a *Answer) endWriting() error {
+	a.closing = true
+	if a.written == nil {
+		return nil
+	}
+	_ = a.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, where the writer fails too
+	err := <-a.written
+	a.written = nil
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // IsConnectionLost reports whether err means that the upstream's side of the connection ended
 // before the end of the answer, as it does when the process of the upstream ends.
 func IsConnectionLost(err error) bool {
