forward: only a status that HTTP/1.1 has ends or precedes an answer

Cause: every status below 200 counted as informational, and net/http checks neither the range nor the sign.

An answer has a status of 200 to 599 in three digits, an informational response is 100, 102 or 103 without a body. Anything else is malformed: nothing behind its head is read, the connection is closed, send_unanswered names the engine, the request and the status, answers_invalid_status counts it, and the call goes on as with any malformed answer.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -172,7 +172,10 @@
 			// Chunks are framing in HTTP/1.1 only, so the end of the body would be a guess.
 			return errors.Wrapf(ErrMalformed, "the answer has the protocol version %s", resp.Proto)
 		}
-		if resp.StatusCode < http.StatusOK { // an informational response; the answer follows
+		switch interim, err := checkStatus(resp); {
+		case err != nil:
+			return err
+		case interim: // the answer follows
 			if informational++; informational > maxInformational {
 				return errors.Wrapf(ErrTooLong, "more than %d informational responses", maxInformational)
 			}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -67,6 +67,8 @@
 	switch {
 	case errors.Is(res.err, forward.ErrTooLong):
 		g.metrics.tooLong.Inc(1)
+	case errors.Is(res.err, forward.ErrStatus):
+		g.metrics.invalidStatus.Inc(1)
 	case errors.Is(res.err, forward.ErrNoMemory):
 		g.metrics.noMemory.Inc(1)
 	case end == endSilent:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,8 @@
 	// tooLong counts answers that were cut off since they, or a part of them, were too long, noMemory since the memory
 	// for them was not free, and silent since they did not end in time.
 	tooLong, noMemory, silent tally.Counter
+	// invalidStatus counts answers with a status that HTTP/1.1 does not have or that ends HTTP on the connection.
+	invalidStatus tally.Counter
 	// bodiesRefused counts requests refused since the memory for their body was not free.
 	bodiesRefused tally.Counter
 	// notFound counts calls that match no route, budgetSpent calls refused since their program's
@@ -103,7 +105,7 @@
 		return s.Tagged(map[string]string{"bound": bound}).Counter("answers_cut_off")
 	}
 	return &metrics{
-		tooLong: cutOff("size"), noMemory: cutOff("memory"), silent: cutOff("time"), bodiesRefused: s.Counter("bodies_refused"),
+		tooLong: cutOff("size"), noMemory: cutOff("memory"), silent: cutOff("time"), invalidStatus: s.Counter("answers_invalid_status"), bodiesRefused: s.Counter("bodies_refused"),
 		requests: s.Counter("requests"), answered: s.Counter("answered"), refused: s.Counter("refused"),
 		failed: s.Counter("failed"), callerGone: s.Counter("caller_gone"), refusedByShutdown: s.Counter("refused_by_shutdown"), resent: s.Counter("resent"),
 		headsBrokenOff: s.Counter("heads_broken_off"), headsTimedOut: s.Counter("heads_timed_out"), headsMalformed: s.Counter("heads_malformed"), requestsCut: s.Counter("requests_cut"),
