--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -25,10 +25,12 @@
 // event is one server-sent event of a stream.
 type event struct {
 	// raw is the event as received, with the empty line that ends it.
-	raw   []byte
-	data  []byte
-	id    int64
-	hasID bool
+	raw []byte
+	// data has the event's data fields, joined by line feeds; hasData is set once there is one, which may be empty.
+	data    []byte
+	hasData bool
+	id      int64
+	hasID   bool
 	// comment is set when the event has comment lines alone, as upstreams send to keep a connection open.
 	comment bool
 }
@@ -125,8 +127,8 @@
 		}
 		e.id, e.hasID = id, true
 	case "data":
-		if len(e.data) == 0 {
-			e.data = value
+		if !e.hasData {
+			e.data, e.hasData = value, true
 			return nil
 		}
 		if len(r.data.bytes) == 0 {
