ledger: a turn of a budget with room for several is reserved in memory until it begins

Nothing is handed out before that write, so what a loss of all processes leaves in the row is exact as before. The first turn at an owner and the last ones of a budget are reserved in the row before they are sent, so that a 402 comes before the turn runs.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -448,6 +448,9 @@
 	if answer.lastUpstream == "" {
 		answer.lastUpstream = pb.lastUpstream
 	}
+	if isOwner && call.Durable && !b.keyUnreachable(budgetKey(call.Program)) && !b.tableSlow() && !b.tableFailedRecently() {
+		pb.ledger.ReserveHeld(call.ID, call.MaxTokens)
+	}
 	switch pb.ledger.Reserve(call.ID, call.MaxTokens, !isOwner) {
 	case ledger.OutcomeGranted:
 		answer.outcome, answer.pending = reserveGranted, pb.ledger.Pending(call.ID)
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -231,6 +231,9 @@
 		return
 	}
 	e.state.ServedBy(id, server.process())
+	if owner && !c.down && rapid.Bool().Draw(c.t, "in memory") {
+		e.state.ReserveHeld(id, modelMost)
+	}
 	if out := e.state.Reserve(id, modelMost, !owner); out == OutcomeObtain {
 		if owner && (c.down || rapid.IntRange(0, 3).Draw(c.t, "slow") == 0) {
 			c.claim(e, id)
--- a/ledger/pending.go
+++ b/ledger/pending.go
@@ -47,7 +47,7 @@
 func (r Row) begin(key string, tokens int) (begun, changed bool) {
 	_, pending := r.Pending[key]
 	if have, ok := r.Drawn[key]; !ok || have < tokens {
-		if !r.reserve(key, tokens) {
+		if !r.reserve(key, tokens, 0) {
 			return false, false
 		}
 		changed = true
@@ -128,6 +128,8 @@
 		return BeginDone
 	default:
 		p.beginning[id] = true
+		r.asked = true
+		p.open[id] = r
 		return BeginPending
 	}
 }
@@ -158,7 +160,7 @@
 			continue
 		}
 		r.begun = slices.Contains(res.Begun, key)
-		r.lost = !r.begun
+		r.held, r.lost = false, !r.begun
 		p.open[id] = r
 	}
 }
--- a/ledger/pending_test.go
+++ b/ledger/pending_test.go
@@ -145,3 +145,48 @@
 		t.Error("its tokens were granted again")
 	}
 }
+
+// TestHeldReservationsLeaveRoom: turns that are reserved in memory count against those that are reserved in the row, also in a write in
+// flight, and what they don't use is free again without a write.
+func TestHeldReservationsLeaveRoom(t *testing.T) {
+	const total, most = 600, 100
+	p := afterLoss(total, 1)
+	if p.ReserveHeld("t0", most) {
+		t.Fatal("a turn was reserved in memory without a row")
+	}
+	row, _ := change(p, Row{Total: total}, "t0", most, nil)
+	held := 0
+	for n := 1; p.ReserveHeld(fmt.Sprint("t", n), most); n++ {
+		held++
+	}
+	if want := total/most - heldMargin; held != want {
+		t.Fatalf("%d turns are reserved in memory, want %d: the last ones go to the row", held, want)
+	}
+	row, ok := change(p, row, "last", most, nil)
+	if _, more := change(p, row, "one more", most, nil); !ok || more {
+		t.Errorf("reserved the last %v and one more %v, row %+v, %d in memory", ok, more, row, held)
+	}
+	for n := range held {
+		p.Settle(fmt.Sprint("t", n+1), 0, false)
+	}
+	if p.Flush() {
+		t.Error("turns that never began are to be written")
+	}
+	if _, ok := change(p, row, "again", most, nil); !ok {
+		t.Error("the tokens of turns that never began are not free")
+	}
+}
+
+// TestHeldTurnBeginsOnlyWithinTheBudget: another entry took what the remembered row has left. A turn reserved in memory must not begin.
+func TestHeldTurnBeginsOnlyWithinTheBudget(t *testing.T) {
+	p := afterLoss(400, 1)
+	row, _ := change(p, Row{Total: 400}, "t0", 100, nil)
+	if !p.ReserveHeld("t1", 100) {
+		t.Fatal("the turn was not reserved in memory")
+	}
+	row.Drawn[settledKey] = 300
+	p.Begin("t1")
+	if row, _ = change(p, row, "", 0, nil); p.Begin("t1") != BeginLost || row.Remaining() != 0 {
+		t.Errorf("the turn begins beyond the budget, row %+v", row)
+	}
+}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -30,6 +30,8 @@
 	source source
 	// begun is set once tokens may be handed out, lost if the reservation was dropped from the row before.
 	begun, lost bool
+	// held is set while no change of the row has shown the reservation, asked once one that may is planned.
+	held, asked bool
 }
 
 // Program is what one entry knows and has granted of one program's budget. Its methods are the
@@ -67,6 +69,10 @@
 	// claims holds the unrecorded claims of this entry by key, announced the keys of all of its claims.
 	claims    Grants
 	announced map[string]bool
+	// row is the row as of the last change, nil if that is not known. inFlight are the tokens of the turn that the change
+	// in flight reserves.
+	row      *Row
+	inFlight int
 	// rowSeen reports whether this entry has seen or written the program's row. shown contains the keys
 	// of the claims that it showed then, and excess is by how much it exceeded the budget.
 	rowSeen bool
@@ -142,6 +148,7 @@
 // is pending if id is empty or the turn needs none any more. Reserve must have been called for the id. known holds the claims of other entries.
 func (p *Program) Change(id string, tokens int, known Grants) Change {
 	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force, Begin: p.begins()}
+	c.Held = p.heldTokens(c.Begin)
 	for key, n := range p.claims {
 		if !p.unconfirmed(key, n) {
 			c.Claims[key] = n
@@ -169,6 +176,7 @@
 			c.Block = &d
 		}
 	}
+	p.inFlight = c.Tokens
 	return c
 }
 
@@ -195,6 +203,7 @@
 // the row shows now.
 func (p *Program) Applied(c Change, r Result) (recorded []string) {
 	p.rowSeen, p.force = true, false
+	p.row, p.inFlight = &r.Row, 0
 	p.spent = r.Short && len(r.Holders) == 0
 	p.excess, p.shown = max(0, -r.Row.Remaining()), map[string]bool{}
 	for key := range r.Row.Drawn {
@@ -258,6 +267,7 @@
 // Failed notes that a change was not applied, or may not have been if unknown is set. The turn is not
 // reserved, and a later write must make sure of that.
 func (p *Program) Failed(c Change, unknown bool) {
+	p.row, p.inFlight = nil, 0
 	if !unknown {
 		return
 	}
@@ -292,12 +302,13 @@
 		return false, ""
 	}
 	delete(p.open, id)
-	switch key := r.key; r.source {
-	case fromBlock:
+	switch key := r.key; {
+	case r.held && !r.asked && used == 0: // no change of the row has it; with tokens used, its server began it in the row
+	case r.source == fromBlock:
 		p.block.Settle(r.tokens, used)
-	case fromRow:
+	case r.source == fromRow:
 		p.end(key, End{used, false}, stored)
-	case fromClaim:
+	case r.source == fromClaim:
 		p.end(key, End{used, true}, stored) // a witness may have recorded it
 		if _, unrecorded := p.claims[key]; unrecorded {
 			p.claims[key] = used
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -201,6 +201,8 @@
 	Server string
 	// Begin maps the keys of the turns that begin to their tokens.
 	Begin map[string]int
+	// Held is the number of tokens that are reserved in memory, which the turn must leave.
+	Held int
 	// Gone lists the processes that have ended, of those in Result.Servers. Reservations that they served and
 	// that have not begun are dropped if too few tokens are left.
 	Gone []string
@@ -260,9 +262,9 @@
 	switch {
 	case c.Turn != "":
 		have := next.Drawn[c.Turn]
-		if res.Reserved = next.reserve(c.Turn, c.Tokens); !res.Reserved && c.endsRead {
+		if res.Reserved = next.reserve(c.Turn, c.Tokens, c.Held); !res.Reserved && c.endsRead {
 			res.Dropped = next.dropPending(c)
-			res.Reserved = next.reserve(c.Turn, c.Tokens)
+			res.Reserved = next.reserve(c.Turn, c.Tokens, c.Held)
 		}
 		if res.Reserved && have == 0 && c.Server != "" { // an earlier run of the turn may have used what the row has
 			next.setPending(c.Turn, c.Server)
@@ -291,10 +293,10 @@
 
 // reserve reserves tokens for a turn in place and reports whether they are reserved. The row may have the key
 // already, from an earlier write or from a claim that others have recorded and that is not confirmed: only
-// tokens within the budget are reserved.
-func (r Row) reserve(key string, tokens int) bool {
+// tokens within the budget are reserved, and so that a number of tokens is left.
+func (r Row) reserve(key string, tokens, left int) bool {
 	have := r.Drawn[key]
-	if r.Remaining()+have < tokens {
+	if r.Remaining()+have < tokens+left {
 		return false
 	}
 	r.Drawn[key] = max(have, tokens)
