--- a/internal/gateway/budgetbegin.go
+++ b/internal/gateway/budgetbegin.go
@@ -123,16 +123,16 @@
 }
 
 // gone implements budgetOwners. The name of a process is NODE/INCARNATION.
-func (o *budgetPeers) gone(servers []string) []string {
+func (o *budgetPeers) gone(processes []string) []string {
 	now := time.Now()
 	var gone []string
-	for _, server := range servers {
-		incarnation := server[strings.LastIndexByte(server, '/')+1:]
+	for _, process := range processes {
+		incarnation := process[strings.LastIndexByte(process, '/')+1:]
 		if incarnation == o.g.incarnation {
 			continue
 		}
 		if p := o.g.mesh.ByIncarnation(incarnation); p == nil || !o.g.mesh.Responsive(p, now) {
-			gone = append(gone, server)
+			gone = append(gone, process)
 		}
 	}
 	return gone
--- a/internal/gateway/budgetrow.go
+++ b/internal/gateway/budgetrow.go
@@ -225,8 +225,8 @@
 	resolved := false
 	for range maxRowAttempts {
 		res = row.Apply(*change)
-		if res.Short && !resolved && len(res.Unresolved)+len(res.Servers) > 0 {
-			resolved, change.Gone = true, b.owners.gone(res.Servers)
+		if res.Short && !resolved && len(res.Unresolved)+len(res.PendingAt) > 0 {
+			resolved, change.Gone = true, b.owners.gone(res.PendingAt)
 			used, err := b.endsOf(ctx, res.Unresolved)
 			if err != nil {
 				return res, unanswered >= 0, err
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -73,7 +73,7 @@
 	// beginAt has the peer p record that a turn begins whose tokens it reserved.
 	beginAt(ctx context.Context, p *mesh.Peer, program, id string) error
 	// gone returns those of the processes, NODE/INCARNATION, that are not known to run.
-	gone(servers []string) []string
+	gone(processes []string) []string
 	// askWitnesses sends the notice, unless it is nil, to the witnesses of the program, and then asks them
 	// for the unrecorded claims that they know. quorate reports whether a majority of them, which knows
 	// all claims that they acknowledged, has answered.
@@ -100,9 +100,9 @@
 	Least int
 	// Durable reports whether the turn ends only once it is stored in the table.
 	Durable bool
-	// Server is the process that serves the turn, NODE/INCARNATION; empty for builds before, which don't tell
+	// Process is the one that serves the turn, NODE/INCARNATION; empty for builds before, which don't tell
 	// when a turn begins.
-	Server string
+	Process string
 }
 
 // settleCall ends a reservation.
@@ -284,7 +284,7 @@
 func (b *budgets) reserveNow(ctx context.Context, call reserveCall) (*reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
-	call.Server = b.holder
+	call.Process = b.holder
 	owner := b.owners.owner(call.Program)
 	answer, standIn := reserveAnswer{outcome: reserveUnknown}, false
 	var err error
@@ -425,7 +425,7 @@
 	if call.Durable {
 		pb.ledger.MarkKept()
 	}
-	pb.ledger.ServedBy(call.ID, call.Server)
+	pb.ledger.ServedBy(call.ID, call.Process)
 	return pb
 }
 
@@ -449,7 +449,7 @@
 		answer.lastUpstream = pb.lastUpstream
 	}
 	if isOwner && call.Durable && !b.keyUnreachable(budgetKey(call.Program)) && !b.tableSlow() && !b.tableFailedRecently() {
-		pb.ledger.ReserveHeld(call.ID, call.MaxTokens)
+		pb.ledger.ReserveInMemory(call.ID, call.MaxTokens)
 	}
 	switch pb.ledger.Reserve(call.ID, call.MaxTokens, !isOwner) {
 	case ledger.OutcomeGranted:
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -99,7 +99,7 @@
 			call.Least = readTokens(q.Reader)
 		}
 		if q.More() && q.Bool() { // builds before end here, and don't tell when a turn begins
-			call.Server = o.processName(q.From)
+			call.Process = o.processName(q.From)
 		}
 		if !q.Malformed() {
 			o.handleReserve(call, q.Reply)
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -173,7 +173,7 @@
 		return
 	}
 	res := c.row.Apply(change)
-	if res.Short && len(res.Unresolved)+len(res.Servers) > 0 {
+	if res.Short && len(res.Unresolved)+len(res.PendingAt) > 0 {
 		used := map[string]Usage{}
 		for _, key := range res.Unresolved {
 			if n, ok := c.stored[key]; ok {
@@ -232,7 +232,7 @@
 	}
 	e.state.ServedBy(id, server.process())
 	if owner && !c.down && rapid.Bool().Draw(c.t, "in memory") {
-		e.state.ReserveHeld(id, modelMost)
+		e.state.ReserveInMemory(id, modelMost)
 	}
 	if out := e.state.Reserve(id, modelMost, !owner); out == OutcomeObtain {
 		if owner && (c.down || rapid.IntRange(0, 3).Draw(c.t, "slow") == 0) {
--- a/ledger/pending.go
+++ b/ledger/pending.go
@@ -13,8 +13,8 @@
 // Dropping is safe even if the process only seemed to have ended: its turn can't begin then unless the
 // budget has room for it.
 
-// serverOf returns the process that a holder's name, NODE/INCARNATION/NUMBER, belongs to, as NODE/INCARNATION.
-func serverOf(holder string) string {
+// processOf returns the process that a holder's name, NODE/INCARNATION/NUMBER, belongs to, as NODE/INCARNATION.
+func processOf(holder string) string {
 	if i := strings.LastIndexByte(holder, '/'); i >= 0 {
 		return holder[:i]
 	}
@@ -22,24 +22,24 @@
 }
 
 // nodeOf returns the node of a process that is named NODE/INCARNATION.
-func nodeOf(server string) string {
-	if i := strings.LastIndexByte(server, '/'); i >= 0 {
-		return server[:i]
+func nodeOf(process string) string {
+	if i := strings.LastIndexByte(process, '/'); i >= 0 {
+		return process[:i]
 	}
-	return server
+	return process
 }
 
 // replaced reports whether a process is an earlier one of the same node as own.
-func replaced(server, own string) bool {
-	return server != own && nodeOf(server) != "" && nodeOf(server) == nodeOf(own)
+func replaced(process, own string) bool {
+	return process != own && nodeOf(process) != "" && nodeOf(process) == nodeOf(own)
 }
 
 // setPending marks in place that the reservation under a key, served by a process, has not begun.
-func (r *Row) setPending(key, server string) {
+func (r *Row) setPending(key, process string) {
 	if r.Pending == nil {
 		r.Pending = map[string]string{}
 	}
-	r.Pending[key] = server
+	r.Pending[key] = process
 }
 
 // begin records in place that the turn under a key begins, which reserves its tokens once more if they were dropped
@@ -59,9 +59,9 @@
 // dropPending removes in place the pending reservations whose processes have ended, and returns their keys in order.
 func (r Row) dropPending(c Change) []string {
 	var dropped []string
-	own := serverOf(c.Holder)
-	for key, server := range r.Pending {
-		if key == c.Turn || !replaced(server, own) && !slices.Contains(c.Gone, server) {
+	own := processOf(c.Holder)
+	for key, process := range r.Pending {
+		if key == c.Turn || !replaced(process, own) && !slices.Contains(c.Gone, process) {
 			continue
 		}
 		if _, claimed := c.Claims[key]; claimed {
@@ -75,14 +75,14 @@
 	return dropped
 }
 
-// pendingServers returns, in order, the processes that serve pending reservations.
-func (r Row) pendingServers() []string {
-	var servers []string
-	for _, server := range r.Pending {
-		servers = append(servers, server)
+// pendingProcesses returns, in order, the processes that serve pending reservations.
+func (r Row) pendingProcesses() []string {
+	var processes []string
+	for _, process := range r.Pending {
+		processes = append(processes, process)
 	}
-	slices.Sort(servers)
-	return slices.Compact(servers)
+	slices.Sort(processes)
+	return slices.Compact(processes)
 }
 
 // BeginOf returns the change that records the beginning of a turn with a number of tokens.
@@ -92,18 +92,18 @@
 
 // ServedBy records which process, NODE/INCARNATION, serves a turn; without it, this one does. An empty name stands for a process that
 // can't tell when the turn begins, so that its reservation counts as begun.
-func (p *Program) ServedBy(id, server string) {
+func (p *Program) ServedBy(id, process string) {
 	if !p.IsOpen(id) && !p.settled[id] {
-		p.servers[id] = server
+		p.processes[id] = process
 	}
 }
 
-// serverOfTurn returns the process that serves a turn.
-func (p *Program) serverOfTurn(id string) string {
-	if server, ok := p.servers[id]; ok {
-		return server
+// processOfTurn returns the process that serves a turn.
+func (p *Program) processOfTurn(id string) string {
+	if process, ok := p.processes[id]; ok {
+		return process
 	}
-	return serverOf(p.holder)
+	return processOf(p.holder)
 }
 
 // BeginState is the state of a reservation whose turn is about to hand out its first tokens.
@@ -128,7 +128,7 @@
 		return BeginDone
 	default:
 		p.beginning[id] = true
-		r.asked = true
+		r.beginAsked = true
 		p.open[id] = r
 		return BeginPending
 	}
@@ -160,7 +160,7 @@
 			continue
 		}
 		r.begun = slices.Contains(res.Begun, key)
-		r.held, r.lost = false, !r.begun
+		r.unwritten, r.lost = false, !r.begun
 		p.open[id] = r
 	}
 }
--- a/ledger/pending_test.go
+++ b/ledger/pending_test.go
@@ -146,20 +146,20 @@
 	}
 }
 
-// TestHeldReservationsLeaveRoom: turns that are reserved in memory count against those that are reserved in the row, also in a write in
+// TestReservationsInMemoryLeaveRoom: turns that are reserved in memory count against those that are reserved in the row, also in a write in
 // flight, and what they don't use is free again without a write.
-func TestHeldReservationsLeaveRoom(t *testing.T) {
+func TestReservationsInMemoryLeaveRoom(t *testing.T) {
 	const total, most = 600, 100
 	p := afterLoss(total, 1)
-	if p.ReserveHeld("t0", most) {
+	if p.ReserveInMemory("t0", most) {
 		t.Fatal("a turn was reserved in memory without a row")
 	}
 	row, _ := change(p, Row{Total: total}, "t0", most, nil)
 	held := 0
-	for n := 1; p.ReserveHeld(fmt.Sprint("t", n), most); n++ {
+	for n := 1; p.ReserveInMemory(fmt.Sprint("t", n), most); n++ {
 		held++
 	}
-	if want := total/most - heldMargin; held != want {
+	if want := total/most - inMemoryMargin; held != want {
 		t.Fatalf("%d turns are reserved in memory, want %d: the last ones go to the row", held, want)
 	}
 	row, ok := change(p, row, "last", most, nil)
@@ -177,11 +177,11 @@
 	}
 }
 
-// TestHeldTurnBeginsOnlyWithinTheBudget: another entry took what the remembered row has left. A turn reserved in memory must not begin.
-func TestHeldTurnBeginsOnlyWithinTheBudget(t *testing.T) {
+// TestTurnReservedInMemoryBeginsWithinTheBudget: another entry took what the remembered row has left. A turn reserved in memory must not begin.
+func TestTurnReservedInMemoryBeginsWithinTheBudget(t *testing.T) {
 	p := afterLoss(400, 1)
 	row, _ := change(p, Row{Total: 400}, "t0", 100, nil)
-	if !p.ReserveHeld("t1", 100) {
+	if !p.ReserveInMemory("t1", 100) {
 		t.Fatal("the turn was not reserved in memory")
 	}
 	row.Drawn[settledKey] = 300
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -30,8 +30,8 @@
 	source source
 	// begun is set once tokens may be handed out, lost if the reservation was dropped from the row before.
 	begun, lost bool
-	// held is set while no change of the row has shown the reservation, asked once one that may is planned.
-	held, asked bool
+	// unwritten is set while no change of the row has shown the reservation, beginAsked once one that may is planned.
+	unwritten, beginAsked bool
 }
 
 // Program is what one entry knows and has granted of one program's budget. Its methods are the
@@ -45,9 +45,9 @@
 	// mostTokens is the most that one turn was to generate so far.
 	mostTokens int
 	open       map[string]reservation
-	// servers maps the ids of turns to the processes that serve them, if others than this one. beginning
+	// processes maps the ids of turns to the processes that serve them, if others than this one. beginning
 	// contains the ids of those that wait for the row to show that they begin.
-	servers   map[string]string
+	processes map[string]string
 	beginning map[string]bool
 	// settled contains the ids of settled reservations. A reservation may be settled before it is
 	// granted, because the entry that requested it may have given up.
@@ -85,7 +85,7 @@
 func NewProgram(total int, holder string) *Program {
 	return &Program{
 		holder: holder, block: NewAccount(total), open: map[string]reservation{}, settled: map[string]bool{}, abandoned: map[string]bool{}, standIn: map[string]bool{},
-		servers: map[string]string{}, beginning: map[string]bool{}, ended: map[string]End{}, claims: Grants{}, announced: map[string]bool{},
+		processes: map[string]string{}, beginning: map[string]bool{}, ended: map[string]End{}, claims: Grants{}, announced: map[string]bool{},
 	}
 }
 
@@ -148,7 +148,7 @@
 // is pending if id is empty or the turn needs none any more. Reserve must have been called for the id. known holds the claims of other entries.
 func (p *Program) Change(id string, tokens int, known Grants) Change {
 	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force, Begin: p.begins()}
-	c.Held = p.heldTokens(c.Begin)
+	c.Unwritten = p.unwrittenTokens(c.Begin)
 	for key, n := range p.claims {
 		if !p.unconfirmed(key, n) {
 			c.Claims[key] = n
@@ -170,7 +170,7 @@
 	switch {
 	case id == "" || p.IsOpen(id) || p.settled[id]: // a claim may have been confirmed meanwhile, and its turn ended
 	case p.standIn[id] || p.kept:
-		c.Turn, c.Tokens, c.Server = p.keyOf(id), tokens, p.serverOfTurn(id)
+		c.Turn, c.Tokens, c.Process = p.keyOf(id), tokens, p.processOfTurn(id)
 	default:
 		if d := p.block.NextDraw(tokens); d.Need > 0 { // none if a turn has ended meanwhile
 			c.Block = &d
@@ -260,7 +260,7 @@
 		// A claim that was withdrawn meanwhile must not be recorded as unused.
 		delete(p.claims, key)
 		delete(p.ended, key)
-		p.open[id] = reservation{key: key, tokens: tokens, source: fromRow, begun: p.serverOfTurn(id) == ""}
+		p.open[id] = reservation{key: key, tokens: tokens, source: fromRow, begun: p.processOfTurn(id) == ""}
 	}
 }
 
@@ -288,7 +288,7 @@
 // Abandon notes that a request for tokens failed. It may be made again.
 func (p *Program) Abandon(id string) {
 	p.abandoned[id] = true
-	delete(p.servers, id)
+	delete(p.processes, id)
 }
 
 // Settle ends a reservation of which used tokens were handed out; stored reports whether the turn
@@ -296,14 +296,14 @@
 // not recorded. Settling twice changes nothing.
 func (p *Program) Settle(id string, used int, stored bool) (wasOpen bool, claim string) {
 	p.settled[id] = true
-	delete(p.servers, id)
+	delete(p.processes, id)
 	r, ok := p.open[id]
 	if !ok {
 		return false, ""
 	}
 	delete(p.open, id)
 	switch key := r.key; {
-	case r.held && !r.asked && used == 0: // no change of the row has it; with tokens used, its server began it in the row
+	case r.unwritten && !r.beginAsked && used == 0: // no change of the row has it; with tokens used, its process began it in the row
 	case r.source == fromBlock:
 		p.block.Settle(r.tokens, used)
 	case r.source == fromRow:
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -194,16 +194,16 @@
 	Retained map[string]int
 	// Own contains the keys of the reservations in progress at this entry.
 	Own map[string]bool
-	// Turn is the key of the turn to reserve Tokens for, served by the process Server; empty for none. Without a
-	// Server the reservation counts as begun.
-	Turn   string
-	Tokens int
-	Server string
+	// Turn is the key of the turn to reserve Tokens for, served by Process; empty for none. Without a
+	// Process the reservation counts as begun.
+	Turn    string
+	Tokens  int
+	Process string
 	// Begin maps the keys of the turns that begin to their tokens.
 	Begin map[string]int
-	// Held is the number of tokens that are reserved in memory, which the turn must leave.
-	Held int
-	// Gone lists the processes that have ended, of those in Result.Servers. Reservations that they served and
+	// Unwritten is the number of tokens that are reserved in memory, which the turn must leave.
+	Unwritten int
+	// Gone lists the processes that have ended, of those in Result.PendingAt. Reservations that they served and
 	// that have not begun are dropped if too few tokens are left.
 	Gone []string
 	// endsRead is set once the ends of unresolved turns have been read.
@@ -232,8 +232,8 @@
 	// Unresolved holds, in order, the keys of reservations and claims that other entries made and
 	// whose end the row may not show.
 	Unresolved []string
-	// Servers holds, in order, the processes that serve reservations which have not begun.
-	Servers []string
+	// PendingAt holds, in order, the processes that serve reservations which have not begun.
+	PendingAt []string
 	// Begun and Dropped hold, in order, the keys of the turns that have begun as asked for by Change.Begin, and of the
 	// pending reservations that were dropped.
 	Begun, Dropped []string
@@ -258,16 +258,16 @@
 			res.Begun = append(res.Begun, key)
 		}
 	}
-	res.Unresolved, res.Servers, res.Holders = next.unresolved(c.Own), next.pendingServers(), next.holders(c.Holder)
+	res.Unresolved, res.PendingAt, res.Holders = next.unresolved(c.Own), next.pendingProcesses(), next.holders(c.Holder)
 	switch {
 	case c.Turn != "":
 		have := next.Drawn[c.Turn]
-		if res.Reserved = next.reserve(c.Turn, c.Tokens, c.Held); !res.Reserved && c.endsRead {
+		if res.Reserved = next.reserve(c.Turn, c.Tokens, c.Unwritten); !res.Reserved && c.endsRead {
 			res.Dropped = next.dropPending(c)
-			res.Reserved = next.reserve(c.Turn, c.Tokens, c.Held)
+			res.Reserved = next.reserve(c.Turn, c.Tokens, c.Unwritten)
 		}
-		if res.Reserved && have == 0 && c.Server != "" { // an earlier run of the turn may have used what the row has
-			next.setPending(c.Turn, c.Server)
+		if res.Reserved && have == 0 && c.Process != "" { // an earlier run of the turn may have used what the row has
+			next.setPending(c.Turn, c.Process)
 		}
 		write = write || len(res.Dropped) > 0 || res.Reserved && have < c.Tokens
 		res.Short = !res.Reserved
