ledger: a test of a claimed turn that reached no engine, red

While the row is slow a kept turn is claimed, and its claim counts as begun from the moment it is recorded. Shown by the package, not by processes.

--- a/ledger/pending_test.go
+++ b/ledger/pending_test.go
@@ -190,3 +190,23 @@
 		t.Errorf("the turn begins beyond the budget, row %+v", row)
 	}
 }
+
+// TestClaimedTurnThatReachedNothing: the row was slow, so a turn of a kept program was claimed, and the claim is in the row. It has reached no engine
+// when all processes end, and its tokens should be free again. Nothing tells that it handed none out, since a claimed turn
+// begins without a record: a known fault.
+func TestClaimedTurnThatReachedNothing(t *testing.T) {
+	const total, most = 100, 100
+	p := afterLoss(total, 1)
+	p.Reserve("t1", most, false)
+	key, _, ok := p.Claim("t1", most, most, nil)
+	if !ok || !p.Confirm("t1", nil) {
+		t.Fatal("the turn was not claimed")
+	}
+	row, _ := change(p, Row{Total: total}, "", 0, nil)
+	if row.Drawn[key] != most {
+		t.Fatalf("the claim is not in the row: %+v", row)
+	}
+	if row, ok := reserveAfterLoss(afterLoss(total, 2), row, "t2", most, nil); !ok {
+		t.Errorf("a turn was refused though nothing was handed out, row %+v", row)
+	}
+}
