ledger: the claim of a kept turn is recorded once its turn has begun

Cause: a claim was recorded at once and counts like a turn that handed tokens out. The claimant now records it when the turn begins, which the process that serves the turn tells it, or when it ends. A claimed turn begins without a write, so no caller waits for a slow row.

TestClaimDuringAWrite and TestLateChangeOfClaimedTurnKeepsItsUsage took a claim whose turn never began for one that is in the row; their turns begin now, and what they check is as before.

--- a/internal/gateway/budgetbegin.go
+++ b/internal/gateway/budgetbegin.go
@@ -55,6 +55,7 @@
 		}
 		switch pb.ledger.Begin(id) {
 		case ledger.BeginDone:
+			b.flushLocked(program, pb) // the claim of a turn that begins
 			return nil
 		case ledger.BeginLost:
 			return errNotBegun
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -246,8 +246,8 @@
 	p := NewProgram(500, "a/1/1")
 	p.MarkKept()
 	c := p.Change("t", 100, nil)
-	if !claim(p, "t", 100, nil) {
-		t.Fatal("the turn was not claimed")
+	if !claim(p, "t", 100, nil) || p.Begin("t") != BeginDone {
+		t.Fatal("the turn was not claimed, or does not begin")
 	}
 	res := (Row{Total: 500}).Apply(c)
 	p.Applied(c, res)
@@ -522,8 +522,8 @@
 			p := NewProgram(total, "e/1/1")
 			p.MarkKept()
 			p.Reserve("4", most, false)
-			if _, _, ok := p.Claim("4", most, most, nil); !ok || !p.Confirm("4", nil) {
-				t.Fatal("the claim was refused")
+			if _, _, ok := p.Claim("4", most, most, nil); !ok || !p.Confirm("4", nil) || p.Begin("4") != BeginDone {
+				t.Fatal("the claim was refused, or its turn does not begin")
 			}
 			if settled {
 				p.Settle("4", used, true)
--- a/ledger/pending.go
+++ b/ledger/pending.go
@@ -118,7 +118,8 @@
 	BeginLost
 )
 
-// Begin asks for the beginning of a turn to be recorded, unless it needs no record.
+// Begin asks for the beginning of a turn to be recorded, unless it needs no record: a claimed turn begins at once, since its
+// witnesses know of the claim.
 func (p *Program) Begin(id string) BeginState {
 	r, ok := p.open[id]
 	switch {
@@ -126,6 +127,10 @@
 		return BeginLost
 	case r.begun:
 		return BeginDone
+	case r.source == fromClaim: // from now on the claim is recorded as one that hands tokens out
+		r.begun = true
+		p.open[id] = r
+		return BeginDone
 	default:
 		p.beginning[id] = true
 		r.beginAsked = true
--- a/ledger/pending_test.go
+++ b/ledger/pending_test.go
@@ -191,22 +191,25 @@
 	}
 }
 
-// TestClaimedTurnThatReachedNothing: the row was slow, so a turn of a kept program was claimed, and the claim is in the row. It has reached no engine
-// when all processes end, and its tokens should be free again. Nothing tells that it handed none out, since a claimed turn
-// begins without a record: a known fault.
+// TestClaimedTurnThatReachedNothing: the row was slow, so a turn of a kept program was claimed. It has reached no engine when all processes
+// end, and its tokens must be free again. One that has begun counts, whether its claim was recorded before or after.
 func TestClaimedTurnThatReachedNothing(t *testing.T) {
 	const total, most = 100, 100
-	p := afterLoss(total, 1)
-	p.Reserve("t1", most, false)
-	key, _, ok := p.Claim("t1", most, most, nil)
-	if !ok || !p.Confirm("t1", nil) {
-		t.Fatal("the turn was not claimed")
-	}
-	row, _ := change(p, Row{Total: total}, "", 0, nil)
-	if row.Drawn[key] != most {
-		t.Fatalf("the claim is not in the row: %+v", row)
-	}
-	if row, ok := reserveAfterLoss(afterLoss(total, 2), row, "t2", most, nil); !ok {
-		t.Errorf("a turn was refused though nothing was handed out, row %+v", row)
+	for _, begun := range []bool{false, true} {
+		p := afterLoss(total, 1)
+		p.Reserve("t1", most, false)
+		if _, _, ok := p.Claim("t1", most, most, nil); !ok || !p.Confirm("t1", nil) {
+			t.Fatal("the turn was not claimed")
+		}
+		row, _ := change(p, Row{Total: total}, "", 0, nil)
+		if s := BeginPending; begun {
+			if s = p.Begin("t1"); s != BeginDone || !p.Flush() {
+				t.Fatalf("state %d of a claimed turn that begins, and to be recorded: %v", s, p.Flush())
+			}
+			row, _ = change(p, row, "", 0, nil)
+		}
+		if row, ok := reserveAfterLoss(afterLoss(total, 2), row, "t2", most, nil); ok == begun {
+			t.Errorf("begun %v: another turn is reserved: %v, row %+v", begun, ok, row)
+		}
 	}
 }
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -150,7 +150,7 @@
 	c := Change{Claims: Grants{}, Ended: maps.Clone(p.ended), Own: map[string]bool{}, Holder: p.holder, Force: p.force, Begin: p.begins()}
 	c.Unwritten = p.unwrittenTokens(c.Begin)
 	for key, n := range p.claims {
-		if !p.unconfirmed(key, n) {
+		if !p.unconfirmed(key, n) && !p.Pending(TurnOf(key)) {
 			c.Claims[key] = n
 		}
 	}
@@ -326,7 +326,17 @@
 
 // Flush reports whether the row should be written soon for the ends that it does not show, or for
 // claims that it lacks.
-func (p *Program) Flush() bool { return p.FlushEnds() || len(p.claims) > 0 }
+func (p *Program) Flush() bool {
+	if p.FlushEnds() {
+		return true
+	}
+	for key := range p.claims {
+		if !p.Pending(TurnOf(key)) {
+			return true
+		}
+	}
+	return false
+}
 
 // Claims returns a copy of the unrecorded claims of this entry by key.
 func (p *Program) Claims() Grants { return maps.Clone(p.claims) }
@@ -374,7 +384,7 @@
 	if !ok || p.settled[id] || p.IsOpen(id) || tokens > p.slack(key, known) {
 		return false
 	}
-	p.open[id] = reservation{key: key, tokens: tokens, source: fromClaim, begun: true}
+	p.open[id] = reservation{key: key, tokens: tokens, source: fromClaim, begun: !p.kept || p.processOfTurn(id) == ""}
 	return true
 }
 
