--- a/ledger/pending_test.go
+++ b/ledger/pending_test.go
@@ -202,8 +202,8 @@
 			t.Fatal("the turn was not claimed")
 		}
 		row, _ := change(p, Row{Total: total}, "", 0, nil)
-		if s := BeginPending; begun {
-			if s = p.Begin("t1"); s != BeginDone || !p.Flush() {
+		if begun {
+			if s := p.Begin("t1"); s != BeginDone || !p.Flush() {
 				t.Fatalf("state %d of a claimed turn that begins, and to be recorded: %v", s, p.Flush())
 			}
 			row, _ = change(p, row, "", 0, nil)
