ledger: a claim under a pending reservation counts towards the slack

A turn is claimed while the write that reserves it is in flight, and the row then shows its key as pending. Another entry took the claim for one that the row shows and could claim the slack too; the pending key may be dropped meanwhile, so the program could get the tokens of two turns beside its budget.

A key that is pending shows no claim now, which only makes the slack smaller. TestClaimUnderAPendingKeyUsesTheSlack failed before.

--- a/ledger/pending_test.go
+++ b/ledger/pending_test.go
@@ -213,3 +213,18 @@
 		}
 	}
 }
+
+// TestClaimUnderAPendingKeyUsesTheSlack: a turn was claimed while the write that reserves it was in flight, and the row shows that
+// reservation as pending. It may be dropped, so another entry must count the claim towards the slack all the same.
+func TestClaimUnderAPendingKeyUsesTheSlack(t *testing.T) {
+	const total, most = 200, 100
+	key := turnKey("t1", false)
+	p := afterLoss(total, 1)
+	row, _ := change(p, Row{Total: total, Drawn: map[string]int{key: most}, Pending: map[string]string{key: "a/1"}}, "t2", most, nil)
+	if _, pending := row.Pending[key]; !pending {
+		t.Fatalf("the reservation is not pending: %+v", row)
+	}
+	if _, _, ok := p.Claim("t3", most, most, Grants{key: most}); ok {
+		t.Error("the slack was claimed twice")
+	}
+}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -207,7 +207,8 @@
 	p.spent = r.Short && len(r.Holders) == 0
 	p.excess, p.shown = max(0, -r.Row.Remaining()), map[string]bool{}
 	for key := range r.Row.Drawn {
-		if TurnOf(key) != "" {
+		// A pending reservation may be dropped, while a claim under its key has handed tokens out.
+		if _, pending := r.Row.Pending[key]; TurnOf(key) != "" && !pending {
 			p.shown[key] = true
 		}
 	}
