--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,4 +1,4 @@
-// Command standins-3 has the stand-ins of review cases 11 and later, and plays one case. It prints the result and exits with 1
+// Command standins-3 has the stand-ins of review cases 12 to 15, and plays one case. It prints the result and exits with 1
 // if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
